--- /dev/null
+++ b/crates/caller/src/head.rs
@@ -0,0 +1,96 @@
+//! Head of an HTTP request.
+
+/// Most headers in one request.
+const MOST_HEADERS: usize = 64;
+
+/// Parsed head of a request.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Head {
+    /// Method, in capitals.
+    pub method: String,
+    /// Path without its query.
+    pub path: String,
+    /// Query without its question mark; empty for none.
+    pub query: String,
+    /// Names, in lower case, and values.
+    pub headers: Vec<(String, String)>,
+    /// Whether the request came as HTTP/1.0.
+    pub old: bool,
+}
+
+impl Head {
+    /// Returns the first value of the header; `name` is in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    /// Returns whether the caller wants the connection closed after the answer.
+    pub fn closes(&self) -> bool {
+        let stated = self.header("connection").unwrap_or_default().to_ascii_lowercase();
+        stated.contains("close") || (self.old && !stated.contains("keep-alive"))
+    }
+
+    /// Returns how the body is framed, or `None` when that makes no sense.
+    pub fn framing(&self) -> Option<Framing> {
+        let coding = self.header("transfer-encoding");
+        let stated = self.headers.iter().filter(|(n, _)| n == "content-length");
+        let mut lengths = stated.map(|(_, v)| v.parse::<u64>());
+        match (coding, lengths.next(), lengths.next()) {
+            (Some(v), None, None) if v.eq_ignore_ascii_case("chunked") => Some(Framing::Chunked),
+            (None, Some(Ok(length)), None) => Some(Framing::Length(length)),
+            (None, None, None) => Some(Framing::Length(0)),
+            _ => None,
+        }
+    }
+}
+
+/// How a body is framed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    /// So many bytes.
+    Length(u64),
+    /// Chunked transfer coding.
+    Chunked,
+}
+
+/// Outcome of parsing the bytes read so far.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Parsed {
+    /// The head and its length in bytes.
+    Whole(Head, usize),
+    /// More bytes are needed.
+    Partial,
+    /// The bytes are no HTTP request.
+    Bad,
+}
+
+/// Parses a request head.
+pub fn parse(bytes: &[u8]) -> Parsed {
+    let mut slots = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut request = httparse::Request::new(&mut slots);
+    match request.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => build(&request, length),
+        Ok(httparse::Status::Partial) => Parsed::Partial,
+        Err(_) => Parsed::Bad,
+    }
+}
+
+fn build(request: &httparse::Request<'_, '_>, length: usize) -> Parsed {
+    let target = request.path.unwrap_or_default();
+    let (path, query) = target.split_once('?').unwrap_or((target, ""));
+    let headers = request.headers.iter().map(text).collect::<Option<Vec<_>>>();
+    let Some(headers) = headers else { return Parsed::Bad };
+    let head = Head {
+        method: request.method.unwrap_or_default().to_owned(),
+        path: path.to_owned(),
+        query: query.to_owned(),
+        headers,
+        old: request.version == Some(0),
+    };
+    Parsed::Whole(head, length)
+}
+
+fn text(header: &httparse::Header<'_>) -> Option<(String, String)> {
+    let value = std::str::from_utf8(header.value).ok()?;
+    Some((header.name.to_ascii_lowercase(), value.trim().to_owned()))
+}
--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,34 @@
+//! Retry budget: retries are a bounded share of recent successes.
+
+/// Most tokens that a budget holds, in retries.
+const CAP: f64 = 20.0;
+/// Tokens that one success adds, in retries.
+const PER_SUCCESS: f64 = 0.1;
+
+/// Budget of retries of one instance.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    tokens: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self { tokens: CAP }
+    }
+}
+
+impl Budget {
+    /// Records a success, which earns a share of a retry.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + PER_SUCCESS).min(CAP);
+    }
+
+    /// Takes one retry; returns whether the budget allowed it.
+    pub fn spend(&mut self) -> bool {
+        let allowed = self.tokens >= 1.0;
+        if allowed {
+            self.tokens -= 1.0;
+        }
+        allowed
+    }
+}
--- /dev/null
+++ b/crates/core/src/config.rs
@@ -0,0 +1,313 @@
+//! The operators' configuration: pools, models, classes, workspaces, services.
+//!
+//! Operators steer only through this document. It is checked as a whole
+//! before it is accepted; every fault is listed with its path.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{ClassId, ModelId, PoolId, TargetId, WorkspaceId};
+use crate::labels::{Labels, Selector};
+
+/// Kind of target that a pool holds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TargetKind {
+    /// Model engine.
+    #[default]
+    Engine,
+    /// Plain service.
+    Service,
+}
+
+/// The whole configuration.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Models that callers may name.
+    #[serde(default)]
+    pub models: Vec<Model>,
+    /// Pools of targets.
+    pub pools: Vec<Pool>,
+    /// Classes of work, the first that accepts a request wins.
+    pub classes: Vec<Class>,
+    /// Plain services that callers may name.
+    #[serde(default)]
+    pub services: Vec<Service>,
+    /// Workspaces that may send requests.
+    pub workspaces: Vec<Workspace>,
+    /// Targets whose labels the operators change or that they drain.
+    #[serde(default)]
+    pub targets: Vec<Target>,
+    /// Selectors of targets that get no new work.
+    #[serde(default)]
+    pub drained: Vec<Selector>,
+}
+
+/// A model with the version and adapters that engines should carry.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Name that callers use.
+    pub name: ModelId,
+    /// Version of the weights.
+    #[serde(default)]
+    pub version: String,
+    /// Names of adapters that callers may use as `model:adapter`.
+    #[serde(default)]
+    pub adapters: Vec<String>,
+}
+
+/// A pool: the targets whose labels match, and what they carry.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Name of the pool.
+    pub name: PoolId,
+    /// Kind of its targets.
+    #[serde(default)]
+    pub kind: TargetKind,
+    /// Labels of the pool, matched by the selectors of classes.
+    #[serde(default)]
+    pub labels: Labels,
+    /// Selector over the labels of targets.
+    #[serde(default)]
+    pub select: Selector,
+    /// Models that its engines carry.
+    #[serde(default)]
+    pub models: Vec<ModelId>,
+}
+
+/// Which requests a class accepts; an empty list accepts all.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Accept {
+    /// Models.
+    pub models: Vec<ModelId>,
+    /// Services.
+    pub services: Vec<String>,
+    /// Workspaces.
+    pub workspaces: Vec<WorkspaceId>,
+    /// Labels of the workspace.
+    pub labels: Selector,
+    /// Shortest prompt, in tokens.
+    pub min_tokens: Option<u64>,
+    /// Longest prompt, in tokens.
+    pub max_tokens: Option<u64>,
+}
+
+/// A class of work: what it accepts, where it may go, and its promise.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Name of the class.
+    pub name: ClassId,
+    /// Requests that it accepts.
+    #[serde(default)]
+    pub accept: Accept,
+    /// Selector over the labels of pools.
+    #[serde(default)]
+    pub select: Selector,
+    /// Priority, 0 to 100; higher goes first.
+    #[serde(default = "default_priority")]
+    pub priority: u8,
+    /// Promised time to first token, in milliseconds.
+    pub promise_ms: u64,
+    /// Time for the whole request where the caller states none, in milliseconds.
+    pub deadline_ms: u64,
+    /// Whether requests may be repeated; the HTTP method decides where absent.
+    #[serde(default)]
+    pub idempotent: Option<bool>,
+    /// Most requests waiting on one instance.
+    #[serde(default = "default_queue")]
+    pub queue: usize,
+}
+
+fn default_priority() -> u8 {
+    50
+}
+
+fn default_queue() -> usize {
+    256
+}
+
+impl Class {
+    /// Returns the promised time to first token.
+    pub fn promise(&self) -> Duration {
+        Duration::from_millis(self.promise_ms)
+    }
+
+    /// Returns the time for a request whose caller states none.
+    pub fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms)
+    }
+}
+
+/// A plain service, reached under `/services/NAME/`.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name in the path.
+    pub name: String,
+    /// Pool whose targets offer the service.
+    pub pool: PoolId,
+}
+
+/// A workspace and its limits.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workspace {
+    /// Name of the workspace.
+    pub name: WorkspaceId,
+    /// Labels, matched by classes.
+    #[serde(default)]
+    pub labels: Labels,
+    /// Weight of the workspace when work has to wait, 1 to 1000.
+    #[serde(default = "default_share")]
+    pub share: u32,
+    /// Most requests in flight on one instance.
+    #[serde(default = "default_flight")]
+    pub in_flight: usize,
+}
+
+fn default_share() -> u32 {
+    1
+}
+
+fn default_flight() -> usize {
+    512
+}
+
+/// Operators' word on one target.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Name in the platform's list.
+    pub name: TargetId,
+    /// Labels that replace those of the platform's list.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// One fault in a configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// Where it stands, such as `classes[2].select`.
+    pub path: String,
+    /// What is wrong and what to write instead.
+    pub text: String,
+}
+
+impl Config {
+    /// Returns the model of that name.
+    pub fn model(&self, name: &str) -> Option<&Model> {
+        self.models.iter().find(|m| m.name.as_ref() == name)
+    }
+
+    /// Returns the service of that name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|s| s.name == name)
+    }
+
+    /// Returns the workspace of that name.
+    pub fn workspace(&self, name: &str) -> Option<&Workspace> {
+        self.workspaces.iter().find(|w| w.name.as_ref() == name)
+    }
+
+    /// Returns the pools that a class may use for engines carrying `model`.
+    pub fn pools_for<'a>(
+        &'a self,
+        class: &'a Class,
+        model: &'a str,
+    ) -> impl Iterator<Item = &'a Pool> + 'a {
+        self.pools.iter().filter(move |p| {
+            p.kind == TargetKind::Engine
+                && crate::labels::matches(&class.select, &p.labels)
+                && p.models.iter().any(|m| m.as_ref() == model)
+        })
+    }
+
+    /// Returns every fault; an empty list means that the configuration holds.
+    pub fn check(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        self.check_names(&mut faults);
+        self.check_references(&mut faults);
+        self.check_ranges(&mut faults);
+        faults
+    }
+
+    fn check_names(&self, faults: &mut Vec<Fault>) {
+        unique("models", self.models.iter().map(|m| m.name.as_ref()), faults);
+        unique("pools", self.pools.iter().map(|p| p.name.as_ref()), faults);
+        unique("classes", self.classes.iter().map(|c| c.name.as_ref()), faults);
+        unique("services", self.services.iter().map(|s| s.name.as_str()), faults);
+        unique("workspaces", self.workspaces.iter().map(|w| w.name.as_ref()), faults);
+        unique("targets", self.targets.iter().map(|t| t.name.as_ref()), faults);
+    }
+
+    fn check_references(&self, faults: &mut Vec<Fault>) {
+        for (i, pool) in self.pools.iter().enumerate() {
+            for (j, model) in pool.models.iter().enumerate() {
+                if self.model(model).is_none() {
+                    let path = format!("pools[{i}].models[{j}]");
+                    faults.push(fault(path, format!("no model `{model}`; add it under `models`")));
+                }
+            }
+        }
+        for (i, service) in self.services.iter().enumerate() {
+            let found = self.pools.iter().find(|p| p.name == service.pool);
+            if found.is_none_or(|p| p.kind != TargetKind::Service) {
+                let text = format!("`{}` is no pool with `kind: service`; name one", service.pool);
+                faults.push(fault(format!("services[{i}].pool"), text));
+            }
+        }
+        for (i, class) in self.classes.iter().enumerate() {
+            let fits = self.pools.iter().any(|p| crate::labels::matches(&class.select, &p.labels));
+            if !fits {
+                let text = "no pool has these labels; change the selector or label a pool";
+                faults.push(fault(format!("classes[{i}].select"), text.to_owned()));
+            }
+        }
+    }
+
+    fn check_ranges(&self, faults: &mut Vec<Fault>) {
+        for (i, class) in self.classes.iter().enumerate() {
+            if class.priority > 100 {
+                let text = format!("{} is over 100; write 0 to 100", class.priority);
+                faults.push(fault(format!("classes[{i}].priority"), text));
+            }
+            if class.deadline_ms == 0 {
+                let text = "0 leaves no time; write milliseconds, 1 or more";
+                faults.push(fault(format!("classes[{i}].deadline_ms"), text.to_owned()));
+            }
+            if class.promise_ms == 0 || class.promise_ms > class.deadline_ms {
+                let text = "write milliseconds from 1 to `deadline_ms`";
+                faults.push(fault(format!("classes[{i}].promise_ms"), text.to_owned()));
+            }
+        }
+        for (i, space) in self.workspaces.iter().enumerate() {
+            if !(1..=1000).contains(&space.share) {
+                let text = format!("{} is out of range; write 1 to 1000", space.share);
+                faults.push(fault(format!("workspaces[{i}].share"), text));
+            }
+        }
+    }
+}
+
+fn fault(path: String, text: String) -> Fault {
+    Fault { path, text }
+}
+
+fn unique<'a>(list: &str, names: impl Iterator<Item = &'a str>, faults: &mut Vec<Fault>) {
+    let mut seen = BTreeSet::new();
+    for (i, name) in names.enumerate() {
+        let path = format!("{list}[{i}].name");
+        if name.is_empty() {
+            faults.push(fault(path, "the name is empty; write one".to_owned()));
+        } else if !seen.insert(name) {
+            faults.push(fault(path, format!("`{name}` stands twice; rename one")));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/error.rs
@@ -0,0 +1,166 @@
+//! The closed list of error kinds and what a caller is told for each.
+//!
+//! A kind fixes the whole answer: status, code, whether the refusal promises
+//! that nothing ran, and whether a later try makes sense. Two failures that
+//! differ in any of these are two kinds.
+
+use std::fmt;
+use std::time::Duration;
+
+/// Why a request got no successful answer.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Kind {
+    /// The request could not be understood.
+    BadRequest,
+    /// The body or the header is over its limit.
+    TooLarge,
+    /// The caller was too slow in sending its request.
+    SlowRequest,
+    /// No such path, model or service.
+    NotFound,
+    /// The workspace is not in the configuration.
+    UnknownWorkspace,
+    /// No class of work accepts the request.
+    NoClass,
+    /// The zone can never carry a prompt of this length.
+    NeverFits,
+    /// The workspace is over its limit of requests in flight.
+    WorkspaceLimit,
+    /// The queue of the class is full.
+    QueueFull,
+    /// The deadline cannot be met by the present estimate.
+    TooLate,
+    /// The deadline passed while the request waited in the queue.
+    QueueTimeout,
+    /// No target is fit to serve the request now.
+    NoTarget,
+    /// The instance has no configuration yet.
+    NotReady,
+    /// The instance is stopping.
+    Stopping,
+    /// The idempotency record could not be written, so nothing was sent.
+    RecordUnavailable,
+    /// A request with the same identifier is still running.
+    Running,
+    /// A request with the same identifier was sent and its outcome is unknown.
+    OutcomeUnknown,
+    /// Every target tried refused the request before running it.
+    Refused,
+    /// The target failed after the request may have reached it.
+    TargetFailed,
+    /// The answer broke off before its end mark and could not be resumed.
+    CutAnswer,
+    /// The deadline passed after the request was sent.
+    RunTimeout,
+    /// The caller went away or read too slowly.
+    CallerGone,
+    /// A fault inside the instance after the request may have been sent.
+    Internal,
+}
+
+/// When a caller may try again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Retry {
+    /// The same request will fail again.
+    Never,
+    /// A new try makes sense after the stated time, or a longer computed one.
+    After(Duration),
+}
+
+/// One row of the table from kind to answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Row {
+    /// Kind that the row answers for.
+    pub kind: Kind,
+    /// HTTP status.
+    pub status: u16,
+    /// Stable code in the error body.
+    pub code: &'static str,
+    /// Whether the answer promises that no target ran any part of the request.
+    pub not_run: bool,
+    /// When to come back.
+    pub retry: Retry,
+}
+
+const SOON: Retry = Retry::After(Duration::from_secs(1));
+const LATER: Retry = Retry::After(Duration::from_secs(5));
+const NEVER: Retry = Retry::Never;
+
+const fn row(kind: Kind, status: u16, code: &'static str, not_run: bool, retry: Retry) -> Row {
+    Row { kind, status, code, not_run, retry }
+}
+
+/// The whole table, one row for each kind in the order of [`Kind`].
+pub const TABLE: [Row; 23] = [
+    row(Kind::BadRequest, 400, "bad_request", true, NEVER),
+    row(Kind::TooLarge, 413, "too_large", true, NEVER),
+    row(Kind::SlowRequest, 408, "slow_request", true, SOON),
+    row(Kind::NotFound, 404, "not_found", true, NEVER),
+    row(Kind::UnknownWorkspace, 403, "unknown_workspace", true, NEVER),
+    row(Kind::NoClass, 403, "no_class", true, NEVER),
+    row(Kind::NeverFits, 422, "never_fits", true, NEVER),
+    row(Kind::WorkspaceLimit, 429, "workspace_limit", true, SOON),
+    row(Kind::QueueFull, 429, "queue_full", true, SOON),
+    row(Kind::TooLate, 503, "too_late", true, SOON),
+    row(Kind::QueueTimeout, 503, "queue_timeout", true, SOON),
+    row(Kind::NoTarget, 503, "no_target", true, SOON),
+    row(Kind::NotReady, 503, "not_ready", true, SOON),
+    row(Kind::Stopping, 503, "stopping", true, SOON),
+    row(Kind::RecordUnavailable, 503, "record_unavailable", true, LATER),
+    row(Kind::Running, 409, "running", false, SOON),
+    row(Kind::OutcomeUnknown, 409, "outcome_unknown", false, NEVER),
+    row(Kind::Refused, 503, "refused", true, SOON),
+    row(Kind::TargetFailed, 502, "target_failed", false, SOON),
+    row(Kind::CutAnswer, 502, "cut_answer", false, SOON),
+    row(Kind::RunTimeout, 504, "run_timeout", false, LATER),
+    row(Kind::CallerGone, 499, "caller_gone", false, NEVER),
+    row(Kind::Internal, 500, "internal", false, LATER),
+];
+
+impl Kind {
+    /// Returns the row of the table for this kind.
+    pub fn row(self) -> &'static Row {
+        &TABLE[self as usize]
+    }
+}
+
+/// A failed request: its kind, a sentence for people, and when to come back.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Failure {
+    /// Kind, which fixes the answer.
+    pub kind: Kind,
+    /// One sentence that says what happened.
+    pub detail: String,
+    /// Computed time to come back, where it is longer than the table's.
+    pub retry: Option<Duration>,
+}
+
+impl Failure {
+    /// Builds a failure without a computed retry time.
+    pub fn new(kind: Kind, detail: impl Into<String>) -> Self {
+        Self { kind, detail: detail.into(), retry: None }
+    }
+
+    /// Sets the computed time to come back.
+    #[must_use]
+    pub fn after(mut self, retry: Duration) -> Self {
+        self.retry = Some(retry);
+        self
+    }
+
+    /// Returns when the caller may come back, or `None` for never.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self.kind.row().retry {
+            Retry::Never => None,
+            Retry::After(least) => Some(self.retry.unwrap_or(least).max(least)),
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.kind.row().code, self.detail)
+    }
+}
+
+impl std::error::Error for Failure {}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decisions of mimosapass, free of input and output.
+//!
+//! Every rule of the system stands in this package: which class a request
+//! belongs to, which target serves it, who owns a role, which configuration
+//! version is in force and what a caller is told when something fails. Time
+//! is always an argument, so that each rule can be tested without a socket
+//! or a clock.
+
+pub mod board;
+pub mod budget;
+pub mod classify;
+pub mod config;
+pub mod error;
+pub mod estimate;
+pub mod ids;
+pub mod labels;
+pub mod once;
+pub mod rendezvous;
+pub mod route;
+pub mod version;
+pub mod view;
--- /dev/null
+++ b/crates/instance/src/message.rs
@@ -0,0 +1,128 @@
+//! Messages between entry instances.
+
+/// Version of the messages; another one ends the connection.
+pub const VERSION: u32 = 1;
+/// Longest frame, in bytes.
+pub const LONGEST: usize = 2 * 1024 * 1024;
+
+/// Envelope of every message.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Envelope {
+    /// Version of the messages.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// Name of the sender.
+    #[prost(string, tag = "2")]
+    pub from: String,
+    /// Address on which the sender takes links, `IP:port`.
+    #[prost(string, tag = "3")]
+    pub addr: String,
+    /// The message; absent when this version does not know its kind.
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13")]
+    pub body: Option<Body>,
+}
+
+/// The kinds of messages.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// A sign of life.
+    #[prost(message, tag = "10")]
+    Beat(Beat),
+    /// Load of targets, from the instance that polls them.
+    #[prost(message, tag = "11")]
+    Records(Records),
+    /// Request for the text of a newer configuration.
+    #[prost(message, tag = "12")]
+    Want(Want),
+    /// Text of a configuration.
+    #[prost(message, tag = "13")]
+    Config(Config),
+}
+
+/// A sign of life and the sender's configuration version.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Beat {
+    /// Availability zone of the sender.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// Start number of the sender's process.
+    #[prost(uint64, tag = "2")]
+    pub boot: u64,
+    /// Whether the sender is leaving.
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
+    /// Configuration version in force.
+    #[prost(uint64, tag = "4")]
+    pub config: u64,
+    /// Digest of that configuration.
+    #[prost(fixed64, tag = "5")]
+    pub digest: u64,
+}
+
+/// Load of several targets.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Records {
+    /// One record for each target.
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<Record>,
+}
+
+/// Load of one target.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Record {
+    /// Name of the target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Start number of the target's process.
+    #[prost(uint64, tag = "2")]
+    pub boot: u64,
+    /// Number of the report.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// Prompt tokens not yet computed.
+    #[prost(uint64, tag = "4")]
+    pub prefill: u64,
+    /// Requests that generate now.
+    #[prost(uint32, tag = "5")]
+    pub running: u32,
+    /// Requests that may generate at once.
+    #[prost(uint32, tag = "6")]
+    pub slots: u32,
+    /// Free KV cache, in tokens.
+    #[prost(uint64, tag = "7")]
+    pub free: u64,
+    /// Whole KV cache, in tokens.
+    #[prost(uint64, tag = "8")]
+    pub capacity: u64,
+    /// Prefill speed, in tokens a second.
+    #[prost(uint64, tag = "9")]
+    pub speed: u64,
+    /// Whether the target takes no new work.
+    #[prost(bool, tag = "10")]
+    pub leaving: bool,
+    /// Models that are loaded.
+    #[prost(string, repeated, tag = "11")]
+    pub models: Vec<String>,
+}
+
+/// Request for a configuration above `above`.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Want {
+    /// Version in force at the asking instance.
+    #[prost(uint64, tag = "1")]
+    pub above: u64,
+}
+
+/// Text of a configuration.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Config {
+    /// Version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Digest of the text.
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+    /// The text, as YAML.
+    #[prost(string, tag = "3")]
+    pub text: String,
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,5 @@
+//! The side towards operators: configuration documents and status pages.
+
+pub mod document;
+pub mod pages;
+pub mod store;
--- /dev/null
+++ b/crates/operator/src/pages.rs
@@ -0,0 +1,76 @@
+//! Status pages of one instance: life, readiness, metrics, fleet and reasons.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use prometheus::{Registry, TextEncoder};
+use rouille::{Request, Response, Server};
+
+/// Threads that answer pages.
+const THREADS: usize = 4;
+
+/// Tells the story of a request as JSON, or `None` when none is known.
+pub type Explain = Arc<dyn Fn(&str) -> Option<String> + Send + Sync>;
+
+/// What the pages show; each closure is asked at every call.
+#[derive(Clone)]
+pub struct Sources {
+    /// Whether the instance takes requests; the text says why not.
+    pub ready: Arc<dyn Fn() -> Result<(), String> + Send + Sync>,
+    /// State of the instance and of what it knows, as JSON.
+    pub status: Arc<dyn Fn() -> String + Send + Sync>,
+    /// Why a request went where it went, as JSON.
+    pub explain: Explain,
+    /// Metrics.
+    pub registry: Registry,
+}
+
+impl std::fmt::Debug for Sources {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Sources").finish_non_exhaustive()
+    }
+}
+
+/// Starts to serve the pages; returns the bound address.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub fn start(addr: SocketAddr, sources: Sources) -> io::Result<SocketAddr> {
+    let server = Server::new(addr, move |request| page(request, &sources))
+        .map_err(|e| io::Error::other(e.to_string()))?
+        .pool_size(THREADS);
+    let bound = server.server_addr();
+    thread::Builder::new().name("pages".to_owned()).spawn(move || server.run())?;
+    Ok(bound)
+}
+
+fn page(request: &Request, sources: &Sources) -> Response {
+    let path = request.url();
+    match (request.method(), path.as_str()) {
+        ("GET", "/livez") => Response::text("live\n"),
+        ("GET", "/readyz") => match (sources.ready)() {
+            Ok(()) => Response::text("ready\n"),
+            Err(why) => Response::text(format!("not ready: {why}\n")).with_status_code(503),
+        },
+        ("GET", "/metrics") => {
+            match TextEncoder::new().encode_to_string(&sources.registry.gather()) {
+                Ok(text) => Response::text(text),
+                Err(e) => Response::text(e.to_string()).with_status_code(500),
+            }
+        }
+        ("GET", "/status") => Response::from_data("application/json", (sources.status)()),
+        ("GET", other) => explain(other, sources),
+        _ => Response::text("only GET is served here\n").with_status_code(405),
+    }
+}
+
+fn explain(path: &str, sources: &Sources) -> Response {
+    let found = path.strip_prefix("/explain/").and_then(|id| (sources.explain)(id));
+    match found {
+        Some(json) => Response::from_data("application/json", json),
+        None => Response::text("nothing is known of this\n").with_status_code(404),
+    }
+}
--- /dev/null
+++ b/crates/operator/src/store.rs
@@ -0,0 +1,218 @@
+//! The configuration in the key-value service: one head record, many parts.
+//!
+//! Parts are written first and belong to one candidate; the head is then
+//! swapped. Whoever wins the swap has set the next version. A lost answer is
+//! settled by reading the head, which carries the writer's random token.
+
+use std::fmt;
+
+use mimosapass_core::ids::ConfigVersion;
+use mimosapass_core::version;
+use mimosapass_platform::kv::{Kv, KvError, Revision};
+use serde::{Deserialize, Serialize};
+
+use crate::document::{Document, Faults, read};
+
+/// Key of the head record.
+pub const HEAD: &str = "config/head";
+/// Longest part, in bytes of text; JSON may double it on the way.
+const PART: usize = 400_000;
+/// Reads that settle a lost answer.
+const SETTLE: u32 = 5;
+
+/// Head record.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeadRecord {
+    /// Version, from 1.
+    pub version: ConfigVersion,
+    /// Digest of the whole text.
+    pub digest: u64,
+    /// Keys of the parts, in order.
+    pub parts: Vec<String>,
+    /// Who applied it.
+    pub author: String,
+    /// Random token of the writer.
+    pub token: u64,
+}
+
+impl HeadRecord {
+    /// Returns version and digest.
+    pub fn head(&self) -> version::Head {
+        version::Head { version: self.version, digest: self.digest }
+    }
+}
+
+/// A head record with the revision of its key.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Stored {
+    /// The record; version 0 when there is none.
+    pub record: HeadRecord,
+    /// Revision of the key, 0 when there is none.
+    pub revision: Revision,
+}
+
+/// Why a configuration was not read or applied.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StoreError {
+    /// The text has faults.
+    Faults(Faults),
+    /// Another operator was first; the version found is stated.
+    Lost(ConfigVersion),
+    /// The key-value service failed; nothing was put in force.
+    Kv(KvError),
+    /// Whether the change was accepted is not known.
+    Unsettled,
+    /// The stored configuration is damaged.
+    Damaged(String),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Faults(faults) => write!(f, "{faults}"),
+            Self::Lost(found) => {
+                write!(f, "version {found} was applied meanwhile; nothing was changed")
+            }
+            Self::Kv(error) => write!(f, "{error}; nothing was changed"),
+            Self::Unsettled => write!(f, "the answer was lost; see `get` before another try"),
+            Self::Damaged(text) => write!(f, "the stored configuration is damaged: {text}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreError {}
+
+/// Reads the head record.
+///
+/// # Errors
+///
+/// Fails when the service does not answer or the record is damaged.
+pub fn head(kv: &Kv) -> Result<Stored, StoreError> {
+    match kv.get(HEAD).map_err(StoreError::Kv)? {
+        Some(entry) => parse_head(&entry.value, entry.revision),
+        None => Ok(Stored::default()),
+    }
+}
+
+/// Parses the value of the head key.
+///
+/// # Errors
+///
+/// [`StoreError::Damaged`] when it is no head record.
+pub fn parse_head(value: &str, revision: Revision) -> Result<Stored, StoreError> {
+    let record = serde_json::from_str(value).map_err(|e| StoreError::Damaged(e.to_string()))?;
+    Ok(Stored { record, revision })
+}
+
+/// Reads and checks the text that a head record names.
+///
+/// # Errors
+///
+/// Fails when a part is missing or the digest differs.
+pub fn text(kv: &Kv, record: &HeadRecord) -> Result<Document, StoreError> {
+    let mut whole = String::new();
+    for key in &record.parts {
+        let part = kv.get(key).map_err(StoreError::Kv)?;
+        let part = part.ok_or_else(|| StoreError::Damaged(format!("no part `{key}`")))?;
+        whole.push_str(&part.value);
+    }
+    let document = read(&whole).map_err(StoreError::Faults)?;
+    if document.digest == record.digest {
+        Ok(document)
+    } else {
+        Err(StoreError::Damaged("the digest differs".to_owned()))
+    }
+}
+
+/// Puts a checked document in force as the version after `base`.
+///
+/// # Errors
+///
+/// [`StoreError::Lost`] when the head is not at `base` any more.
+pub fn apply(
+    kv: &Kv,
+    document: &Document,
+    base: &Stored,
+    author: &str,
+    token: u64,
+) -> Result<HeadRecord, StoreError> {
+    let version = base.record.version + 1;
+    let parts = write_parts(kv, &document.text, version, token)?;
+    let record =
+        HeadRecord { version, digest: document.digest, parts, author: author.to_owned(), token };
+    let value = serde_json::to_string(&record).unwrap_or_default();
+    match kv.put(HEAD, &value, base.revision, None) {
+        Ok(_) => {}
+        Err(KvError::Conflict(_) | KvError::Unknown(_)) => settle(kv, token, base)?,
+        Err(e) => return Err(StoreError::Kv(e)),
+    }
+    remember(kv, &record);
+    Ok(record)
+}
+
+fn write_parts(
+    kv: &Kv,
+    text: &str,
+    version: ConfigVersion,
+    token: u64,
+) -> Result<Vec<String>, StoreError> {
+    let mut keys = Vec::new();
+    for part in pieces(text) {
+        let key = format!("config/parts/{version}-{token:016x}-{}", keys.len());
+        match kv.put(&key, part, 0, None) {
+            // The token makes the key ours, so that a conflict is our own
+            // write whose answer was lost.
+            Ok(_) | Err(KvError::Conflict(_)) => {}
+            Err(KvError::Unknown(_)) => confirm(kv, &key, part)?,
+            Err(e) => return Err(StoreError::Kv(e)),
+        }
+        keys.push(key);
+    }
+    Ok(keys)
+}
+
+fn confirm(kv: &Kv, key: &str, part: &str) -> Result<(), StoreError> {
+    match kv.get(key).map_err(StoreError::Kv)? {
+        Some(entry) if entry.value == part => Ok(()),
+        _ => kv.put(key, part, 0, None).map(drop).map_err(StoreError::Kv),
+    }
+}
+
+/// Finds out whether our swap took effect although its answer was lost.
+fn settle(kv: &Kv, token: u64, base: &Stored) -> Result<(), StoreError> {
+    for _ in 0..SETTLE {
+        match head(kv) {
+            Ok(found) if found.record.token == token => return Ok(()),
+            Ok(found) if found.revision != base.revision => {
+                return Err(StoreError::Lost(found.record.version));
+            }
+            _ => std::thread::sleep(std::time::Duration::from_millis(200)),
+        }
+    }
+    Err(StoreError::Unsettled)
+}
+
+/// Key of the record that `history` reads.
+pub fn history_key(version: ConfigVersion) -> String {
+    format!("config/history/{version}")
+}
+
+/// Keeps the record for `history`; the head alone decides what is in force.
+fn remember(kv: &Kv, record: &HeadRecord) {
+    let value = serde_json::to_string(record).unwrap_or_default();
+    if let Err(e) = kv.put(&history_key(record.version), &value, 0, None) {
+        log::warn!("operator: no history for version {}: {e}.", record.version);
+    }
+}
+
+/// Cuts the text into parts at character boundaries.
+fn pieces(text: &str) -> Vec<&str> {
+    let mut parts = Vec::new();
+    let mut rest = text;
+    while !rest.is_empty() {
+        let (part, after) = rest.split_at(rest.floor_char_boundary(PART.min(rest.len())));
+        parts.push(part);
+        rest = after;
+    }
+    parts
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-ins for the systems that mimosapass talks to, for tests and examples.
+//!
+//! They keep to loopback and are bounded in everything. Faults are set by a
+//! `POST /control` call with a JSON body, by tests and people alike.
+
+pub mod engine;
+pub mod platform;
+pub mod reply;
+pub mod service;
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,281 @@
+//! Stand-in for the platform: key-value service and instance list.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_caller::server::{Limits, Server};
+use mimosapass_platform::list::Member;
+use serde::{Deserialize, Serialize};
+
+use crate::reply::{self, number};
+
+/// Longest time that a watch waits.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+
+/// Faults that can be set while the platform runs.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Answer every call to the key-value service with status 503.
+    pub outage: bool,
+    /// Wait before each answer, in milliseconds.
+    pub delay_ms: u64,
+    /// Carry out so many writes and lose their answers.
+    pub lose_writes: u32,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Stored {
+    revision: u64,
+    value: String,
+    #[serde(skip)]
+    lease: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    end: Instant,
+}
+
+/// Calls that were counted.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Calls {
+    /// Reads and watches.
+    pub reads: u64,
+    /// Writes.
+    pub writes: u64,
+    /// Calls that came during an outage.
+    pub failed: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: Faults,
+    revision: u64,
+    keys: BTreeMap<String, Stored>,
+    leases: BTreeMap<u64, Lease>,
+    members: Vec<Member>,
+    calls: Calls,
+}
+
+/// A running platform.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    server: Server,
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+impl Platform {
+    /// Starts a platform on `addr`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn start(addr: SocketAddr) -> io::Result<Self> {
+        let inner = Arc::new(Inner::default());
+        let serving = Arc::clone(&inner);
+        let server = Server::start(addr, Limits::default(), Arc::new(move |e| serving.handle(e)))?;
+        Ok(Self { server, inner })
+    }
+
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Sets the faults.
+    pub fn set(&self, faults: Faults) {
+        self.inner.state().faults = faults;
+        self.inner.changed.notify_all();
+    }
+
+    /// Replaces the list of members.
+    pub fn list(&self, members: Vec<Member>) {
+        self.inner.state().members = members;
+    }
+
+    /// Returns the calls counted so far.
+    pub fn calls(&self) -> Calls {
+        self.inner.state().calls
+    }
+}
+
+impl Inner {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn handle(&self, exchange: &mut Exchange<'_>) {
+        let method = exchange.head.method.clone();
+        let path = exchange.head.path.clone();
+        if path == "/control" {
+            return self.control(exchange);
+        }
+        if self.fails() {
+            return reply::empty(exchange, 503);
+        }
+        match (method.as_str(), path.split_at(path.find('/').map_or(0, |_| 1)).1) {
+            ("GET", "instances") => reply::json(exchange, 200, &self.state().members.clone()),
+            ("PUT", "instances") => self.put_members(exchange),
+            ("POST", "leases") => self.grant(exchange),
+            (_, rest) => match rest.split_once('/') {
+                Some(("kv", key)) => self.key(exchange, &method, key),
+                Some(("leases", id)) => self.lease(exchange, &method, id.parse().unwrap_or(0)),
+                _ => reply::empty(exchange, 404),
+            },
+        }
+    }
+
+    fn fails(&self) -> bool {
+        let mut state = self.state();
+        let (outage, delay) = (state.faults.outage, state.faults.delay_ms);
+        if outage {
+            state.calls.failed += 1;
+        }
+        drop(state);
+        std::thread::sleep(Duration::from_millis(delay));
+        outage
+    }
+
+    fn control(&self, exchange: &mut Exchange<'_>) {
+        match serde_json::from_slice(&exchange.body) {
+            Ok(faults) => {
+                self.state().faults = faults;
+                reply::empty(exchange, 200);
+            }
+            Err(e) => reply::json(exchange, 400, &e.to_string()),
+        }
+    }
+
+    fn put_members(&self, exchange: &mut Exchange<'_>) {
+        match serde_json::from_slice(&exchange.body) {
+            Ok(members) => {
+                self.state().members = members;
+                reply::empty(exchange, 200);
+            }
+            Err(e) => reply::json(exchange, 400, &e.to_string()),
+        }
+    }
+
+    fn key(&self, exchange: &mut Exchange<'_>, method: &str, key: &str) {
+        match method {
+            "GET" => self.get(exchange, key),
+            "PUT" => self.write(exchange, key, true),
+            "DELETE" => self.write(exchange, key, false),
+            _ => reply::empty(exchange, 405),
+        }
+    }
+
+    fn get(&self, exchange: &mut Exchange<'_>, key: &str) {
+        let query = exchange.head.query.clone();
+        let after = number(&query, "after");
+        let wait = Duration::from_millis(number(&query, "wait_ms").unwrap_or(0));
+        let mut state = self.state();
+        state.calls.reads += 1;
+        state.expire();
+        if let Some(after) = after {
+            let waits = |s: &mut State| {
+                !s.faults.outage && s.keys.get(key).is_none_or(|k| k.revision <= after)
+            };
+            let (woken, timeout) = self
+                .changed
+                .wait_timeout_while(state, wait.min(LONGEST_WAIT), waits)
+                .unwrap_or_else(PoisonError::into_inner);
+            state = woken;
+            if timeout.timed_out() {
+                drop(state);
+                return reply::empty(exchange, 304);
+            }
+        }
+        let (found, outage) = (state.keys.get(key).cloned(), state.faults.outage);
+        drop(state);
+        match found {
+            _ if outage => reply::empty(exchange, 503),
+            Some(stored) => reply::json(exchange, 200, &stored),
+            None => reply::empty(exchange, 404),
+        }
+    }
+
+    fn write(&self, exchange: &mut Exchange<'_>, key: &str, put: bool) {
+        let expected = number(&exchange.head.query, "revision").unwrap_or(0);
+        let lease = number(&exchange.head.query, "lease");
+        let Ok(value) = String::from_utf8(exchange.body.to_vec()) else {
+            return reply::empty(exchange, 400);
+        };
+        let mut state = self.state();
+        state.calls.writes += 1;
+        state.expire();
+        if lease.is_some_and(|id| !state.leases.contains_key(&id)) {
+            drop(state);
+            return reply::empty(exchange, 410);
+        }
+        let current = state.keys.get(key).map_or(0, |k| k.revision);
+        let mut status = 409;
+        let mut revision = current;
+        if current == expected {
+            status = 200;
+            state.revision += 1;
+            revision = state.revision;
+            if put {
+                state.keys.insert(key.to_owned(), Stored { revision, value, lease });
+            } else {
+                state.keys.remove(key);
+            }
+        }
+        let lost = status == 200 && state.faults.lose_writes > 0;
+        state.faults.lose_writes -= u32::from(lost);
+        drop(state);
+        self.changed.notify_all();
+        if lost {
+            exchange.begin(200, &[]).unwrap_or_default();
+        } else {
+            reply::json(exchange, status, &BTreeMap::from([("revision", revision)]));
+        }
+    }
+
+    fn grant(&self, exchange: &mut Exchange<'_>) {
+        let ttl = Duration::from_millis(number(&exchange.head.query, "ttl_ms").unwrap_or(1000));
+        let mut state = self.state();
+        state.calls.writes += 1;
+        state.revision += 1;
+        let id = state.revision;
+        state.leases.insert(id, Lease { ttl, end: Instant::now() + ttl });
+        drop(state);
+        reply::json(exchange, 200, &BTreeMap::from([("id", id)]));
+    }
+
+    fn lease(&self, exchange: &mut Exchange<'_>, method: &str, id: u64) {
+        let mut state = self.state();
+        state.calls.writes += 1;
+        state.expire();
+        let known = match method {
+            "PUT" => state.leases.get_mut(&id).map(|l| l.end = Instant::now() + l.ttl).is_some(),
+            "DELETE" => state.leases.remove(&id).is_some(),
+            _ => false,
+        };
+        state.expire();
+        drop(state);
+        reply::empty(exchange, if known { 200 } else { 410 });
+    }
+}
+
+impl State {
+    /// Drops leases that lapsed and the keys that hang on them.
+    fn expire(&mut self) {
+        let now = Instant::now();
+        self.leases.retain(|_, l| l.end > now);
+        let leases = &self.leases;
+        self.keys.retain(|_, k| k.lease.is_none_or(|id| leases.contains_key(&id)));
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,126 @@
+//! Stand-in for a plain service: it counts its runs and echoes the call.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_caller::server::{Limits, Server};
+use mimosapass_target::engine::REFUSED;
+use serde::{Deserialize, Serialize};
+
+use crate::reply;
+
+/// Faults that can be set while the service runs.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Wait between the run and its answer, in milliseconds.
+    pub delay_ms: u64,
+    /// Run, then close without an answer.
+    pub lose_answer: bool,
+    /// Refuse new work as a leaving service does.
+    pub leaving: bool,
+}
+
+/// What the service answers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ran {
+    /// Method of the call.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// How often this body was run, this time included.
+    pub runs: u64,
+    /// Length of the body, in bytes.
+    pub bytes: usize,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    faults: Faults,
+    runs: BTreeMap<Vec<u8>, u64>,
+}
+
+/// A running service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    server: Server,
+    state: Arc<Mutex<State>>,
+}
+
+impl Service {
+    /// Starts a service on `addr`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn start(addr: SocketAddr) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let serving = Arc::clone(&state);
+        let server =
+            Server::start(addr, Limits::default(), Arc::new(move |e| handle(e, &serving)))?;
+        Ok(Self { server, state })
+    }
+
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Sets the faults.
+    pub fn set(&self, faults: Faults) {
+        lock(&self.state).faults = faults;
+    }
+
+    /// Returns how often each body was run.
+    pub fn runs(&self) -> Vec<u64> {
+        lock(&self.state).runs.values().copied().collect()
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn handle(exchange: &mut Exchange<'_>, state: &Mutex<State>) {
+    if exchange.head.path == "/control" {
+        match serde_json::from_slice(&exchange.body) {
+            Ok(faults) => {
+                lock(state).faults = faults;
+                reply::empty(exchange, 200);
+            }
+            Err(e) => reply::json(exchange, 400, &e.to_string()),
+        }
+        return;
+    }
+    if lock(state).faults.leaving {
+        exchange.answer(503, &[(REFUSED, "leaving".to_owned())], b"").unwrap_or_default();
+        return;
+    }
+    let (ran, faults) = run(exchange, state);
+    std::thread::sleep(Duration::from_millis(faults.delay_ms));
+    if faults.lose_answer {
+        // A streamed answer that is not finished breaks the connection.
+        exchange.begin(200, &[]).unwrap_or_default();
+    } else {
+        reply::json(exchange, 200, &ran);
+    }
+}
+
+fn run(exchange: &Exchange<'_>, state: &Mutex<State>) -> (Ran, Faults) {
+    let mut state = lock(state);
+    let runs = state.runs.entry(exchange.body.to_vec()).or_insert(0);
+    *runs += 1;
+    let head = &exchange.head;
+    let query = if head.query.is_empty() { String::new() } else { format!("?{}", head.query) };
+    let ran = Ran {
+        method: head.method.clone(),
+        path: format!("{}{query}", head.path),
+        runs: *runs,
+        bytes: exchange.body.len(),
+    };
+    (ran, state.faults.clone())
+}
--- /dev/null
+++ b/crates/target/src/engine.rs
@@ -0,0 +1,205 @@
+//! Client of model engines.
+//!
+//! A generate call carries the identifier of its attempt and the number of
+//! tokens that the caller already has. The engine echoes the identifier in
+//! every event, numbers the tokens, and ends a whole answer with an end mark.
+
+use std::io::{BufRead, BufReader};
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use ureq::Agent;
+
+use crate::client::fault;
+use crate::fault::Fault;
+
+/// Header with the attempt's identifier.
+pub const ATTEMPT: &str = "mimosapass-attempt";
+/// Header with the number of tokens that the caller already has.
+pub const OFFSET: &str = "mimosapass-offset";
+/// Header with the remaining time of the request, in milliseconds.
+pub const REMAINING: &str = "mimosapass-remaining-ms";
+/// Header with the priority, 0 to 100.
+pub const PRIORITY: &str = "mimosapass-priority";
+/// Header by which a target says that it refused without running; its value
+/// is `leaving` where the target takes no new work any more.
+pub const REFUSED: &str = "mimosapass-refused";
+/// Header with the trace context of W3C.
+pub const TRACE: &str = "traceparent";
+
+/// Longest event of an engine, in bytes.
+const LONGEST_EVENT: u64 = 1024 * 1024;
+/// Time added to a call's own timeout, so that the caller of this client,
+/// who watches the deadline itself, comes first.
+const GRACE: Duration = Duration::from_secs(2);
+/// Time for a short call such as a cancel or a load report.
+const SHORT: Duration = Duration::from_secs(2);
+
+/// One generate call.
+#[derive(Clone, Debug)]
+pub struct Generate {
+    /// Address of the engine, `IP:port`.
+    pub addr: String,
+    /// Path of the call.
+    pub path: &'static str,
+    /// Identifier of the attempt.
+    pub attempt: String,
+    /// Tokens that the caller already has.
+    pub offset: u64,
+    /// Remaining time of the request.
+    pub remaining: Duration,
+    /// Priority, 0 to 100.
+    pub priority: u8,
+    /// Trace context of W3C, where there is one.
+    pub trace: Option<String>,
+    /// Request body as the caller sent it.
+    pub body: Bytes,
+}
+
+/// One event of a generate call, as engines send it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(tag = "event", rename_all = "lowercase")]
+pub enum Event {
+    /// One generated token.
+    Token {
+        /// Attempt that it belongs to.
+        attempt: String,
+        /// Number of the token in the whole answer, from 0.
+        index: u64,
+        /// Its text.
+        text: String,
+    },
+    /// The end mark of a whole answer.
+    End {
+        /// Attempt that it belongs to.
+        attempt: String,
+        /// Tokens in the whole answer.
+        tokens: u64,
+        /// Tokens of the prompt.
+        prompt: u64,
+        /// Why it ended, such as `stop` or `length`.
+        reason: String,
+    },
+}
+
+/// Load report of an engine, as engines send it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Load {
+    /// Start number of the engine's process.
+    pub boot: u64,
+    /// Number of the report.
+    pub number: u64,
+    /// Prompt tokens accepted and not yet computed.
+    pub prefill: u64,
+    /// Requests that generate now.
+    pub running: u32,
+    /// Requests that may generate at once.
+    pub slots: u32,
+    /// Free KV cache, in tokens.
+    pub free: u64,
+    /// Whole KV cache, in tokens.
+    pub capacity: u64,
+    /// Prefill speed, in tokens a second.
+    pub speed: u64,
+    /// Whether the engine takes no new work.
+    pub leaving: bool,
+    /// Models that are loaded.
+    pub models: Vec<String>,
+}
+
+/// Runs a generate call; `sink` gets each event and says whether to go on.
+///
+/// Returning without an error means only that the engine closed the stream;
+/// the answer is whole when its end mark was among the events.
+///
+/// # Errors
+///
+/// Tells how far the call may have got.
+pub fn generate<F>(agent: &Agent, call: &Generate, mut sink: F) -> Result<(), Fault>
+where
+    F: FnMut(Event) -> bool,
+{
+    let url = format!("http://{}{}", call.addr, call.path);
+    let mut request = agent
+        .post(&url)
+        .config()
+        .timeout_global(Some(call.remaining + GRACE))
+        .build()
+        .content_type("application/json")
+        .header(ATTEMPT, &call.attempt)
+        .header(OFFSET, call.offset.to_string())
+        .header(PRIORITY, call.priority.to_string())
+        .header(REMAINING, call.remaining.as_millis().to_string());
+    if let Some(trace) = &call.trace {
+        request = request.header(TRACE, trace);
+    }
+    let response = request.send(&*call.body).map_err(|e| fault(&e))?;
+    let response = checked(response)?;
+    read_events(BufReader::new(response.into_body().into_reader()), &mut sink)
+}
+
+fn checked(
+    mut response: ureq::http::Response<ureq::Body>,
+) -> Result<ureq::http::Response<ureq::Body>, Fault> {
+    let status = response.status().as_u16();
+    if status == 200 {
+        return Ok(response);
+    }
+    let refused = response.headers().get(REFUSED).map(|v| v == "leaving");
+    let text = response.body_mut().read_to_string().unwrap_or_default();
+    Err(match refused {
+        Some(leaving) => Fault::Refused { leaving, text },
+        None if status < 500 => Fault::Rejected { status, text },
+        None => Fault::Broken(format!("status {status}: {text}")),
+    })
+}
+
+fn read_events<R, F>(mut reader: R, sink: &mut F) -> Result<(), Fault>
+where
+    R: BufRead,
+    F: FnMut(Event) -> bool,
+{
+    let mut line = String::new();
+    loop {
+        line.clear();
+        let mut bounded = std::io::Read::take(&mut reader, LONGEST_EVENT);
+        let read = bounded.read_line(&mut line).map_err(|e| Fault::Broken(e.to_string()))?;
+        if read == 0 {
+            return Ok(());
+        }
+        let Some(json) = line.strip_prefix("data: ") else { continue };
+        let event = serde_json::from_str(json).map_err(|e| Fault::Broken(e.to_string()))?;
+        if !sink(event) {
+            return Ok(());
+        }
+    }
+}
+
+/// Fetches the load report of an engine.
+///
+/// # Errors
+///
+/// Fails when the engine does not answer in time.
+pub fn load(agent: &Agent, addr: &str) -> Result<Load, Fault> {
+    let request = agent.get(format!("http://{addr}/load"));
+    let request = request.config().timeout_global(Some(SHORT)).build();
+    let response = request.call().map_err(|e| fault(&e))?;
+    let mut response = checked(response)?;
+    response.body_mut().read_json().map_err(|e| fault(&e))
+}
+
+/// Cancels an attempt and frees what the engine holds for it.
+///
+/// It is idempotent: cancelling an unknown attempt succeeds.
+///
+/// # Errors
+///
+/// Fails when the engine did not confirm; the cancel must then be repeated.
+pub fn cancel(agent: &Agent, addr: &str, attempt: &str) -> Result<(), Fault> {
+    let request = agent.post(format!("http://{addr}/cancel")).header(ATTEMPT, attempt);
+    let request = request.config().timeout_global(Some(SHORT)).build();
+    let response = request.send_empty().map_err(|e| fault(&e))?;
+    checked(response).map(drop)
+}
--- /dev/null
+++ b/crates/target/src/lib.rs
@@ -0,0 +1,9 @@
+//! The side towards targets: model engines and plain services.
+//!
+//! A client here reports facts only: what came, and how far a failed call may
+//! have got. What to do about it is decided elsewhere.
+
+pub mod client;
+pub mod engine;
+pub mod fault;
+pub mod service;
--- /dev/null
+++ b/crates/target/src/service.rs
@@ -0,0 +1,101 @@
+//! Client of plain services: any method, body and answer pass on whole.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use ureq::Agent;
+use ureq::http::Request;
+
+use crate::client::fault;
+use crate::engine::REFUSED;
+use crate::fault::Fault;
+
+/// Largest answer of a service that is passed on, in bytes.
+const LARGEST_ANSWER: u64 = 64 * 1024 * 1024;
+
+/// Headers of one connection, which are never passed on.
+const HOP_BY_HOP: [&str; 9] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+];
+
+/// One call to a service.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Address of the target, `IP:port`.
+    pub addr: String,
+    /// Method.
+    pub method: String,
+    /// Path and query as the service sees them, with a leading slash.
+    pub path: String,
+    /// Headers to pass on; those of one connection are left out here.
+    pub headers: Vec<(String, String)>,
+    /// Remaining time of the request.
+    pub remaining: Duration,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Whole answer of a service.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers without those of one connection.
+    pub headers: Vec<(String, String)>,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Returns whether a header may be passed on; `name` is in lower case.
+pub fn passes(name: &str) -> bool {
+    !HOP_BY_HOP.contains(&name)
+}
+
+/// Calls a service once and reads its whole answer.
+///
+/// # Errors
+///
+/// Tells how far the call may have got.
+pub fn call(agent: &Agent, call: &Call) -> Result<Answer, Fault> {
+    let mut builder = Request::builder()
+        .method(call.method.as_str())
+        .uri(format!("http://{}{}", call.addr, call.path));
+    for (name, value) in call.headers.iter().filter(|(n, _)| passes(n)) {
+        builder = builder.header(name, value);
+    }
+    let request = builder.body(&*call.body).map_err(|e| Fault::NotSent(e.to_string()))?;
+    let request = agent.configure_request(request).timeout_global(Some(call.remaining)).build();
+    let response = agent.run(request).map_err(|e| fault(&e))?;
+    read(response)
+}
+
+fn read(response: ureq::http::Response<ureq::Body>) -> Result<Answer, Fault> {
+    let status = response.status().as_u16();
+    let refused = response.headers().get(REFUSED).map(|v| v == "leaving");
+    let headers = response
+        .headers()
+        .iter()
+        .filter(|(name, _)| passes(name.as_str()))
+        .filter_map(|(n, v)| Some((n.as_str().to_owned(), v.to_str().ok()?.to_owned())))
+        .collect();
+    let body = response
+        .into_body()
+        .into_with_config()
+        .limit(LARGEST_ANSWER)
+        .read_to_vec()
+        .map_err(|e| Fault::Broken(e.to_string()))?;
+    match refused {
+        Some(leaving) => {
+            Err(Fault::Refused { leaving, text: String::from_utf8_lossy(&body).into_owned() })
+        }
+        None => Ok(Answer { status, headers, body: Bytes::from(body) }),
+    }
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,29 @@
+//! Command line of the daemon.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+
+/// Serving layer for language-model prompts of very unlike lengths.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+pub enum Command {
+    /// Serves callers until it gets SIGTERM, then stops without cutting a request.
+    ///
+    /// Example: mimosapass serve --config instance.yaml
+    #[bpaf(command)]
+    Serve {
+        /// Settings of this instance, a YAML file.
+        #[bpaf(long, argument("FILE"))]
+        config: PathBuf,
+    },
+    /// Checks a settings file and lists every fault.
+    ///
+    /// Example: mimosapass check instance.yaml
+    #[bpaf(command)]
+    Check {
+        /// Settings of an instance, a YAML file.
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,45 @@
+//! The daemon: one instance of mimosapass.
+//!
+//! Every instance runs the same program. Its parts each have one thread; each
+//! connection of a caller has one, and each attempt at a target has one.
+
+mod cli;
+mod flow;
+mod metrics;
+mod node;
+mod parts;
+mod serve;
+mod settings;
+mod story;
+mod timer;
+
+use std::error::Error;
+use std::process::ExitCode;
+
+/// Exit code for faulty settings.
+const FAULTY: u8 = 2;
+/// Exit code for a start or a run that failed.
+const FAILED: u8 = 1;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    match run(cli::command().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("mimosapass: {e}");
+            let faulty = e.is::<settings::Faults>();
+            ExitCode::from(if faulty { FAULTY } else { FAILED })
+        }
+    }
+}
+
+fn run(command: cli::Command) -> Result<(), Box<dyn Error>> {
+    match command {
+        cli::Command::Serve { config } => Ok(serve::run(settings::load(&config)?)?),
+        cli::Command::Check { file } => {
+            settings::load(&file)?;
+            println!("{}: no faults", file.display());
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,79 @@
+//! Metrics of one instance.
+
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Bounds of the time to first token, in seconds.
+const BOUNDS: [f64; 12] = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 1.8, 3.0, 6.0, 15.0, 60.0, 300.0];
+
+/// All metrics.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    /// Where they are registered.
+    pub registry: Registry,
+    /// Finished requests by outcome.
+    pub outcomes: IntCounterVec,
+    /// Attempts by outcome.
+    pub attempts: IntCounterVec,
+    /// Time to first token, in seconds.
+    pub first: Histogram,
+    /// Configuration version in force, 0 for none.
+    pub config: IntGauge,
+    /// Events that belonged to another attempt and were dropped.
+    pub crossed: IntCounter,
+    /// Attempts whose memory waits to be freed.
+    pub unfreed: IntGauge,
+    /// Peers that are alive.
+    pub peers: IntGauge,
+}
+
+impl Metrics {
+    /// Builds and registers all metrics.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a metric is declared wrongly, which is a bug here.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str| {
+            IntCounterVec::new(Opts::new(name, help), &["outcome"]).expect("metric is well formed")
+        };
+        let gauge =
+            |name: &str, help: &str| IntGauge::new(name, help).expect("metric is well formed");
+        let first = HistogramOpts::new("mimosapass_first_token_seconds", "Time to first token.");
+        let metrics = Self {
+            outcomes: counters("mimosapass_requests_total", "Finished requests."),
+            attempts: counters("mimosapass_attempts_total", "Attempts at targets."),
+            first: Histogram::with_opts(first.buckets(BOUNDS.to_vec()))
+                .expect("metric is well formed"),
+            config: gauge("mimosapass_config_version", "Configuration in force."),
+            crossed: IntCounter::new("mimosapass_crossed_total", "Events of another attempt.")
+                .expect("metric is well formed"),
+            unfreed: gauge("mimosapass_unfreed_attempts", "Attempts to be freed."),
+            peers: gauge("mimosapass_peers_alive", "Peers alive."),
+            registry,
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let all: [Box<dyn prometheus::core::Collector>; 7] = [
+            Box::new(self.outcomes.clone()),
+            Box::new(self.attempts.clone()),
+            Box::new(self.first.clone()),
+            Box::new(self.config.clone()),
+            Box::new(self.crossed.clone()),
+            Box::new(self.unfreed.clone()),
+            Box::new(self.peers.clone()),
+        ];
+        for collector in all {
+            self.registry.register(collector).expect("metric names differ");
+        }
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,209 @@
+//! What the parts of one instance share.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use mimosapass_core::board::Board;
+use mimosapass_core::budget::Budget;
+use mimosapass_core::estimate::Ratios;
+use mimosapass_core::ids::{InstanceId, WorkspaceId, ZoneId};
+use mimosapass_core::version::{Gate, Head};
+use mimosapass_core::view::{Beat, View};
+use mimosapass_instance::link::Links;
+use mimosapass_operator::document::Document;
+use mimosapass_platform::kv::Kv;
+use mimosapass_platform::list::Member;
+use ureq::Agent;
+
+use crate::metrics::Metrics;
+use crate::parts::reclaim::Freed;
+use crate::settings::Settings;
+use crate::story::Stories;
+use crate::timer::Timer;
+
+/// Idle connections kept for each target.
+const IDLE: usize = 16;
+
+/// Everything that changes while the instance runs.
+#[derive(Debug)]
+pub struct State {
+    /// Version gate of the configuration.
+    pub gate: Gate,
+    /// Configuration in force.
+    pub document: Option<Arc<Document>>,
+    /// Targets in reach.
+    pub board: Board,
+    /// Members in reach.
+    pub view: View,
+    /// Latest list of the platform.
+    pub members: Vec<Member>,
+    /// Learned lengths.
+    pub ratios: Ratios,
+    /// Retry budget.
+    pub budget: Budget,
+    /// Requests in flight by workspace.
+    pub flight: BTreeMap<WorkspaceId, usize>,
+}
+
+/// One instance, shared by its parts.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// Name of the instance.
+    pub name: InstanceId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Start number of this process, in milliseconds since 1970.
+    pub boot: u64,
+    /// Timer service.
+    pub timer: Timer,
+    /// Links to peers.
+    pub links: Links,
+    /// Key-value service.
+    pub kv: Kv,
+    /// Agent for calls that may be repeated.
+    pub pooled: Agent,
+    /// Agent for calls that must not meet a connection used before.
+    pub single: Agent,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Reasons of recent requests.
+    pub stories: Stories,
+    /// Attempts whose memory has to be freed.
+    pub freed: Sender<Freed>,
+    state: Mutex<State>,
+    stopping: AtomicBool,
+    counter: AtomicU64,
+}
+
+impl Node {
+    /// Builds the shared part of an instance.
+    pub fn new(
+        settings: Settings,
+        timer: Timer,
+        links: Links,
+        freed: Sender<Freed>,
+        boot: u64,
+    ) -> Self {
+        let name = InstanceId::from(settings.name.as_str());
+        let zone = ZoneId::from(settings.zone.as_str());
+        let state = State {
+            gate: Gate::default(),
+            document: None,
+            board: Board::default(),
+            view: View::new(InstanceId::clone(&name), ZoneId::clone(&zone)),
+            members: Vec::new(),
+            ratios: Ratios::default(),
+            budget: Budget::default(),
+            flight: BTreeMap::new(),
+        };
+        Self {
+            name,
+            zone,
+            boot,
+            timer,
+            links,
+            kv: Kv::new(&settings.platform.to_string()),
+            pooled: mimosapass_target::client::agent(IDLE),
+            single: mimosapass_target::client::agent(0),
+            metrics: Metrics::new(),
+            stories: Stories::default(),
+            freed,
+            state: Mutex::new(state),
+            stopping: AtomicBool::new(false),
+            counter: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// Locks the state; hold it for a few steps only, never across I/O.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the configuration in force.
+    pub fn document(&self) -> Option<Arc<Document>> {
+        self.state().document.clone()
+    }
+
+    /// Puts a configuration in force if it is newer; returns whether it did.
+    pub fn install(&self, version: u64, document: Document) -> bool {
+        let head = Head { version, digest: document.digest };
+        let mut state = self.state();
+        let newer = state.gate.install(head);
+        if newer {
+            state.document = Some(Arc::new(document));
+            log::info!("config: version {version} is in force.");
+            self.metrics.config.set(version as i64);
+            state.relist();
+        }
+        newer
+    }
+
+    /// Returns an identifier that is unique in the fleet.
+    pub fn unique(&self) -> String {
+        let count = self.counter.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{count:x}", self.name, self.boot)
+    }
+
+    /// Marks the instance as stopping.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        self.state().view.leave();
+    }
+
+    /// Returns whether the instance is stopping.
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether the instance takes requests, or else why not.
+    ///
+    /// # Errors
+    ///
+    /// Says why it does not.
+    pub fn ready(&self) -> Result<(), String> {
+        if self.stopping() {
+            return Err("the instance is stopping".to_owned());
+        }
+        match self.document() {
+            Some(_) => Ok(()),
+            None => Err("no configuration yet".to_owned()),
+        }
+    }
+
+    /// Returns the heartbeat of this instance.
+    pub fn beat(&self) -> Beat {
+        Beat {
+            name: InstanceId::clone(&self.name),
+            zone: ZoneId::clone(&self.zone),
+            boot: self.boot,
+            leaving: self.stopping(),
+            head: self.state().gate.head(),
+        }
+    }
+
+    /// Runs `job` after `delay` by the timer service.
+    pub fn sleep(&self, delay: Duration) {
+        let (done, waiting) = std::sync::mpsc::channel::<()>();
+        let ticket =
+            self.timer.at(Instant::now() + delay, move || done.send(()).unwrap_or_default());
+        if waiting.recv().is_err() {
+            log::error!("timer: a wait ended early.");
+        }
+        drop(ticket);
+    }
+}
+
+impl State {
+    /// Applies the platform's list and the configuration to the board.
+    pub fn relist(&mut self) {
+        let Some(document) = self.document.clone() else { return };
+        let listed = self.members.iter().filter_map(crate::parts::listing::listed).collect();
+        self.board.list(listed, &document.config);
+    }
+}
--- /dev/null
+++ b/src/parts/poll.rs
@@ -0,0 +1,117 @@
+//! Polls the engines that this instance owns and tells its zone peers.
+//!
+//! Each engine has one owner among the live instances of its zone, by
+//! rendezvous hash. Two owners while members change do no harm: a report
+//! carries its own number and the newest wins.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mimosapass_core::board::Report;
+use mimosapass_core::config::TargetKind;
+use mimosapass_core::rendezvous::holder;
+use mimosapass_instance::message::{Body, Record, Records};
+use mimosapass_target::engine::{self, Load};
+
+use crate::node::Node;
+use crate::parts::peers;
+
+/// Time between two polls of an engine.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Polls for as long as the process lives.
+pub fn run(node: &Arc<Node>) {
+    let ticks = node.timer.subscribe(PERIOD);
+    while ticks.recv().is_ok() {
+        let records: Vec<Record> =
+            owned(node).iter().filter_map(|(name, addr)| poll(node, name, addr)).collect();
+        if !records.is_empty() {
+            peers::tell_zone(node, &Body::Records(Records { records }));
+        }
+    }
+}
+
+/// Returns names and addresses of the engines that this instance owns.
+fn owned(node: &Node) -> Vec<(String, String)> {
+    let state = node.state();
+    let candidates = state.view.candidates(Instant::now());
+    let mine = |name: &str| holder(name, candidates.iter().copied()) == Some(&*node.name);
+    state
+        .board
+        .all()
+        .filter(|k| k.listed.kind == TargetKind::Engine && k.listed.zone == node.zone)
+        .filter(|k| mine(&k.listed.name))
+        .map(|k| (k.listed.name.to_string(), k.listed.addr.clone()))
+        .collect()
+}
+
+fn poll(node: &Node, name: &str, addr: &str) -> Option<Record> {
+    match engine::load(&node.pooled, addr) {
+        Ok(load) => {
+            node.state().board.report(name, report(&load), Instant::now());
+            Some(record(name, &load))
+        }
+        Err(e) => {
+            log::debug!("poll: no report of {name}: {e}.");
+            None
+        }
+    }
+}
+
+fn report(load: &Load) -> Report {
+    Report {
+        boot: load.boot,
+        number: load.number,
+        prefill: load.prefill,
+        running: load.running,
+        slots: load.slots,
+        free: load.free,
+        capacity: load.capacity,
+        speed: load.speed,
+        leaving: load.leaving,
+        models: load.models.iter().map(|m| m.as_str().into()).collect(),
+    }
+}
+
+fn record(name: &str, load: &Load) -> Record {
+    Record {
+        target: name.to_owned(),
+        boot: load.boot,
+        number: load.number,
+        prefill: load.prefill,
+        running: load.running,
+        slots: load.slots,
+        free: load.free,
+        capacity: load.capacity,
+        speed: load.speed,
+        leaving: load.leaving,
+        models: load.models.clone(),
+    }
+}
+
+/// Notes the records that a peer sent.
+pub fn note(node: &Node, records: Records) {
+    let now = Instant::now();
+    let mut state = node.state();
+    for record in records.records {
+        let report = Report {
+            boot: record.boot,
+            number: record.number,
+            prefill: record.prefill,
+            running: record.running,
+            slots: record.slots,
+            free: record.free,
+            capacity: record.capacity,
+            speed: record.speed,
+            leaving: record.leaving,
+            models: record.models.iter().map(|m| m.as_str().into()).collect(),
+        };
+        state.board.report(&record.target, report, now);
+    }
+}
+
+/// Parses an address of the platform's list, `IP:port`.
+pub fn address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
--- /dev/null
+++ b/tests/suite/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the real binary, one module for each theme.
+
+mod common;
+mod path;
+mod refusals;
+mod stop;
--- /dev/null
+++ b/tests/suite/path.rs
@@ -0,0 +1,79 @@
+//! The whole path: caller, instance, target and back.
+
+use std::io::{BufRead, BufReader};
+
+use crate::common::{CONFIG, Fleet, agent, chat, post, until};
+use mimosapass_standin::engine::{Faults, Settings};
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(&[("zone-a", Settings::default())]);
+    fleet.apply(CONFIG);
+    fleet.start("zone-a", "");
+    fleet.settle();
+    fleet
+}
+
+#[test]
+fn a_chat_is_answered_whole() {
+    let fleet = fleet();
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    let seen = post(&url, &[], &chat(100, 3, false)).expect("an answer");
+    assert_eq!(seen.status, 200, "{seen:?}");
+    let body: serde_json::Value = serde_json::from_str(&seen.body.expect("whole")).expect("JSON");
+    assert_eq!(body["choices"][0]["message"]["content"], "t0 t1 t2 ");
+    assert_eq!(body["usage"]["completion_tokens"], 3);
+}
+
+#[test]
+fn the_first_event_comes_before_the_last_is_made() {
+    let fleet = fleet();
+    let engine = &fleet.engines[0].1;
+    engine.set(Faults { hold_from: Some(1), ..Faults::default() });
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    let request = agent().post(&url).header("mimosapass-workspace", "atlas");
+    let response = request.send(chat(100, 4, true)).expect("an answer");
+    let mut lines = BufReader::new(response.into_body().into_reader()).lines();
+    let first = lines.next().expect("a line").expect("readable");
+    assert!(first.contains("t0 "), "{first}");
+    // Only now may the engine make the other tokens.
+    engine.set(Faults::default());
+    let rest: Vec<String> = lines.map(|l| l.expect("readable")).collect();
+    assert!(rest.iter().any(|l| l.contains("t3 ")), "{rest:?}");
+    assert!(rest.iter().any(|l| l == "data: [DONE]"), "{rest:?}");
+}
+
+#[test]
+fn a_service_call_passes_whole() {
+    let fleet = fleet();
+    let url = fleet.instances[0].url("/services/bookings/vans/7?day=2");
+    let seen = post(&url, &[], "one van").expect("an answer");
+    assert_eq!(seen.status, 200, "{seen:?}");
+    let body: serde_json::Value = serde_json::from_str(&seen.body.expect("whole")).expect("JSON");
+    assert_eq!(body["path"], "/vans/7?day=2");
+    assert_eq!(body["method"], "POST");
+    assert_eq!(fleet.desk.runs(), [1]);
+}
+
+#[test]
+fn a_caller_that_went_away_frees_the_engine() {
+    let fleet = fleet();
+    let engine = &fleet.engines[0].1;
+    engine.set(Faults { hold_from: Some(1), ..Faults::default() });
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    let request = agent().post(&url).header("mimosapass-workspace", "atlas");
+    let response = request.send(chat(100, 4, true)).expect("an answer");
+    assert_eq!(engine.held().len(), 1);
+    drop(response);
+    until("the engine holds nothing", || engine.held().is_empty());
+}
+
+#[test]
+fn a_new_configuration_reaches_all_instances() {
+    let mut fleet = fleet();
+    fleet.start("zone-b", "");
+    fleet.settle();
+    let version = fleet.apply(&format!("{CONFIG}  - name: dokaz\n"));
+    for instance in &fleet.instances {
+        until("the version is in force", || crate::common::status(instance)["config"] == version);
+    }
+}
--- /dev/null
+++ b/tests/suite/refusals.rs
@@ -0,0 +1,48 @@
+//! Refusals, bounds on callers, and what their answers promise.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use mimosapass_standin::engine::{Faults, Settings};
+
+use crate::common::{CONFIG, Fleet, PATIENCE, chat, post};
+
+fn fleet(extra: &str) -> Fleet {
+    let mut fleet = Fleet::new(&[("zone-a", Settings::default())]);
+    fleet.apply(CONFIG);
+    fleet.start("zone-a", extra);
+    fleet.settle();
+    fleet
+}
+
+#[test]
+fn an_unknown_workspace_is_refused_for_good() {
+    let fleet = fleet("");
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    let seen = post(&url, &[("mimosapass-workspace", "nobody")], &chat(10, 1, false));
+    let seen = seen.expect("an answer");
+    assert_eq!((seen.status, seen.not_run, seen.retry), (403, true, None));
+    assert_eq!(fleet.engines[0].1.runs(), 0);
+}
+
+#[test]
+fn an_engine_that_refuses_makes_a_true_refusal() {
+    let fleet = fleet("");
+    fleet.engines[0].1.set(Faults { refuse: true, ..Faults::default() });
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    let seen = post(&url, &[], &chat(10, 1, false)).expect("an answer");
+    assert_eq!((seen.status, seen.not_run), (503, true));
+    assert!(seen.retry.is_some_and(|s| s >= 1), "{seen:?}");
+    assert_eq!(fleet.engines[0].1.runs(), 0);
+}
+
+#[test]
+fn a_head_that_never_ends_is_answered() {
+    let fleet = fleet("callers: {head_ms: 300}\n");
+    let mut stream = TcpStream::connect(fleet.instances[0].callers()).expect("connects");
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    stream.write_all(b"GET /v1/models HTTP/1.1\r\nx-slow: ").expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+}
