--- a/src/flow/admit.rs
+++ b/src/flow/admit.rs
@@ -31,8 +31,6 @@
     pub class: Class,
     /// Identifier of the request.
     pub id: String,
-    /// Whether the caller chose the identifier.
-    pub named: bool,
     /// When the request came.
     pub start: Instant,
     /// When it must be answered.
@@ -98,7 +96,7 @@
     node: &Arc<Node>,
     exchange: &Exchange<'_>,
     document: &Arc<Document>,
-    id: Option<String>,
+    id: &str,
     asks: Asks<'_>,
 ) -> Result<Admitted, Failure> {
     let config = &document.config;
@@ -111,10 +109,9 @@
     let time = deadline(exchange)?.unwrap_or_else(|| class.deadline());
     let start = Instant::now();
     let place = enter(node, &space.name, space.in_flight)?;
-    let named = id.is_some();
-    let id = id.unwrap_or_else(|| node.unique());
+    let id = id.to_owned();
     let document = Arc::clone(document);
-    Ok(Admitted { document, class, id, named, start, end: start + time, place })
+    Ok(Admitted { document, class, id, start, end: start + time, place })
 }
 
 fn deadline(exchange: &Exchange<'_>) -> Result<Option<Duration>, Failure> {
--- a/src/flow/service.rs
+++ b/src/flow/service.rs
@@ -8,15 +8,17 @@
 use mimosapass_caller::answer::{self, REQUEST_ID};
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_core::classify::Asks;
-use mimosapass_core::config::TargetKind;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
-use mimosapass_core::route::{Ask, Choice, choose};
+use mimosapass_core::route::Choice;
 use mimosapass_target::engine::REMAINING;
 use mimosapass_target::fault::Fault;
 use mimosapass_target::service::{self, Answer, Call};
+use ureq::Agent;
 
 use crate::flow::admit::{Admitted, admit, caller_id};
+use crate::flow::pick::{self, Booked};
+use crate::flow::retry::{self, Ended};
 use crate::node::Node;
 use crate::story::Story;
 
@@ -29,30 +31,20 @@
 
 /// Answers one call; `rest` is the path behind `/services/`.
 pub fn handle(node: &Arc<Node>, exchange: &mut Exchange<'_>, rest: &str) {
-    let mut story =
-        Story { instance: node.name.to_string(), zone: node.zone.to_string(), ..Story::default() };
+    let mut story = Story::of(node);
     let start = Instant::now();
     let result = serve(node, exchange, rest, &mut story);
-    let outcome = match &result {
-        Ok(_) => "ok",
-        Err(failure) => failure.kind.row().code,
-    };
     let told = match &result {
-        Ok(answer) => pass(exchange, answer, &story.request),
+        Ok(answer) => {
+            let headers = [(REQUEST_ID, story.request.clone())];
+            exchange.relay(answer.status, &answer.headers, &headers, &answer.body)
+        }
         Err(failure) => answer::fail(exchange, failure, Some(&story.request)),
     };
     if let Err(e) = told {
         log::debug!("service: the caller went away: {e}.");
     }
-    node.metrics.outcomes.with_label_values(&[outcome]).inc();
-    log::info!(request = story.request.as_str(), outcome = outcome; "service: call ended.");
-    outcome.clone_into(&mut story.outcome);
-    story.total_ms = start.elapsed().as_millis() as u64;
-    node.stories.keep(story);
-}
-
-fn pass(exchange: &mut Exchange<'_>, answer: &Answer, id: &str) -> std::io::Result<()> {
-    exchange.relay(answer.status, &answer.headers, &[(REQUEST_ID, id.to_owned())], &answer.body)
+    story.end(node, start, result.err().map(|f| f.kind));
 }
 
 fn serve(
@@ -62,7 +54,6 @@
     story: &mut Story,
 ) -> Result<Answer, Failure> {
     let id = caller_id(exchange)?;
-    let named = id.is_some();
     story.request = id.unwrap_or_else(|| node.unique());
     let document =
         node.document().ok_or_else(|| Failure::new(Kind::NotReady, "no configuration yet"))?;
@@ -70,149 +61,121 @@
     if document.config.service(name).is_none() {
         return Err(Failure::new(Kind::NotFound, format!("no service `{name}`")));
     }
-    let request = Some(story.request.clone());
-    let mut admitted = admit(node, exchange, &document, request, Asks::Service(name))?;
-    admitted.named = named;
+    let admitted = admit(node, exchange, &document, &story.request, Asks::Service(name))?;
     admitted.workspace().clone_into(&mut story.workspace);
     story.class = admitted.class.name.to_string();
     let query = &exchange.head.query;
     let path = if query.is_empty() { format!("/{path}") } else { format!("/{path}?{query}") };
-    Run { node, exchange, admitted: &admitted, name, path }.run(story)
+    let idempotent = idempotent(&admitted, &exchange.head.method);
+    let mut run = Run { node, exchange, admitted, name, path, idempotent };
+    retry::attempts(node, &mut run, ATTEMPTS, story, Run::pick, Run::attempt)
+}
+
+/// Returns whether the class, or else the method, allows a repeat.
+fn idempotent(admitted: &Admitted, method: &str) -> bool {
+    let by_method = matches!(method, "GET" | "HEAD" | "OPTIONS" | "PUT" | "DELETE");
+    admitted.class.idempotent.unwrap_or(by_method)
 }
 
+/// State of one call while it runs.
 struct Run<'r, 'e> {
     node: &'r Arc<Node>,
     exchange: &'r Exchange<'e>,
-    admitted: &'r Admitted,
+    admitted: Admitted,
     name: &'r str,
     path: String,
+    idempotent: bool,
 }
 
-impl Run<'_, '_> {
-    fn run(&self, story: &mut Story) -> Result<Answer, Failure> {
-        let idempotent = self.idempotent();
-        let mut tried: Vec<TargetId> = Vec::new();
-        let mut last = Failure::new(Kind::NoTarget, "no target is open");
-        for number in 0..ATTEMPTS {
-            if number > 0 && !self.node.state().budget.spend() {
-                break;
-            }
-            let choice = match self.choose(&tried) {
-                Ok(choice) => choice,
-                Err(none) if number == 0 => return Err(none),
-                Err(_) => break,
-            };
-            story.steps.push(format!("{}: {}", choice.target, choice.reason));
-            story.target = choice.target.to_string();
-            tried.push(TargetId::clone(&choice.target));
-            match self.attempt(&choice, idempotent) {
-                Ok(answer) => {
-                    self.node.state().budget.earn();
-                    return Ok(answer);
-                }
-                Err((failure, again)) => {
-                    story.steps.push(failure.to_string());
-                    last = failure;
-                    if !again {
-                        break;
-                    }
-                }
-            }
-        }
-        Err(last)
-    }
+/// Why a call gave no answer.
+enum Failed {
+    Fault(Fault),
+    Deadline,
+    Gone,
+}
 
-    /// Returns whether the class, or else the method, allows a repeat.
-    fn idempotent(&self) -> bool {
-        let method = self.exchange.head.method.as_str();
-        let by_method = matches!(method, "GET" | "HEAD" | "OPTIONS" | "PUT" | "DELETE");
-        self.admitted.class.idempotent.unwrap_or(by_method)
+impl Run<'_, '_> {
+    fn pick(&self, tried: &[TargetId]) -> Result<Choice, Failure> {
+        pick::service(self.node, &self.admitted, self.name, tried)
     }
 
-    fn choose(&self, tried: &[TargetId]) -> Result<Choice, Failure> {
-        let config = &self.admitted.document.config;
-        let pool = config.service(self.name).map(|s| &s.pool);
-        let pools: Vec<_> = config.pools.iter().filter(|p| Some(&p.name) == pool).collect();
-        let ask = Ask {
-            kind: TargetKind::Service,
-            pools: &pools,
-            zone: &self.node.zone,
-            tokens: 0,
-            tried,
+    fn attempt(&mut self, _number: usize, choice: &Choice, _story: &mut Story) -> Ended<Answer> {
+        let mut booked = Booked::new(self.node, &choice.target, 0);
+        let failed = match self.wait(choice) {
+            Ok(answer) => return Ended::Whole(answer),
+            Err(failed) => failed,
         };
-        choose(&self.node.state().board, &ask, Instant::now())
-    }
-
-    /// Makes one attempt; the flag tells whether another may follow.
-    fn attempt(&self, choice: &Choice, idempotent: bool) -> Result<Answer, (Failure, bool)> {
-        self.node.state().board.sent(&choice.target, 0);
-        let result = self.call(choice, idempotent);
-        let ok = result.is_ok();
-        self.node.state().board.ended(&choice.target, ok, Instant::now());
-        let label = if ok { "whole" } else { "failed" };
-        self.node.metrics.attempts.with_label_values(&[label]).inc();
-        result.map_err(|ended| match ended {
-            Ended::Fault(fault) => {
-                if matches!(fault, Fault::Refused { leaving: true, .. }) {
-                    self.node.state().board.refused(&choice.target);
-                }
-                let kind = if fault.not_run() { Kind::Refused } else { Kind::TargetFailed };
-                (Failure::new(kind, fault.to_string()), fault.not_run() || idempotent)
+        match failed {
+            Failed::Gone => Ended::Over(Failure::new(Kind::CallerGone, "the caller went away")),
+            Failed::Deadline => {
+                booked.blame();
+                Ended::Over(Failure::new(Kind::RunTimeout, "no answer within the deadline"))
             }
-            Ended::Deadline => {
-                (Failure::new(Kind::RunTimeout, "no answer within the deadline"), false)
+            Failed::Fault(fault) => {
+                booked.blame();
+                self.failed(&booked, &fault)
             }
-            Ended::Gone => (Failure::new(Kind::CallerGone, "the caller went away"), false),
-        })
+        }
+    }
+
+    fn failed(&self, booked: &Booked, fault: &Fault) -> Ended<Answer> {
+        if matches!(fault, Fault::Refused { leaving: true, .. }) {
+            booked.leaving();
+        }
+        if fault.not_run() {
+            return Ended::Again(Failure::new(Kind::Refused, fault.to_string()));
+        }
+        let failure = Failure::new(Kind::TargetFailed, fault.to_string());
+        if self.idempotent { Ended::Again(failure) } else { Ended::Over(failure) }
     }
 
-    fn call(&self, choice: &Choice, idempotent: bool) -> Result<Answer, Ended> {
+    fn call(&self, choice: &Choice) -> Call {
         let left = self.admitted.left();
         let mut headers = self.exchange.head.headers.clone();
         headers.retain(|(n, _)| n != REQUEST_ID && n != REMAINING);
         headers.push((REQUEST_ID.to_owned(), self.admitted.id.clone()));
         headers.push((REMAINING.to_owned(), left.as_millis().to_string()));
-        let call = Call {
+        Call {
             addr: choice.addr.clone(),
             method: self.exchange.head.method.clone(),
             path: self.path.clone(),
             headers,
             remaining: left,
             body: self.exchange.body.clone(),
-        };
-        let agent = if idempotent { &self.node.pooled } else { &self.node.single };
-        self.wait(agent.clone(), call)
+        }
     }
 
-    fn wait(&self, agent: ureq::Agent, call: Call) -> Result<Answer, Ended> {
+    fn agent(&self) -> Agent {
+        if self.idempotent { self.node.pooled.clone() } else { self.node.single.clone() }
+    }
+
+    /// Makes the call in a thread of its own and watches deadline and caller.
+    fn wait(&self, choice: &Choice) -> Result<Answer, Failed> {
         let (sender, inbox) = channel();
-        let calling = move || drop(sender.send(service::call(&agent, &call)));
-        let spawned =
-            thread::Builder::new().name("attempt".to_owned()).stack_size(STACK).spawn(calling);
-        if let Err(e) = spawned {
-            return Err(Ended::Fault(Fault::NotSent(e.to_string())));
-        }
+        let (agent, call) = (self.agent(), self.call(choice));
+        let calling = move || {
+            // A request that has ended does not wait for this any more.
+            sender.send(service::call(&agent, &call)).unwrap_or_default();
+        };
+        thread::Builder::new()
+            .name("attempt".to_owned())
+            .stack_size(STACK)
+            .spawn(calling)
+            .map_err(|e| Failed::Fault(Fault::NotSent(e.to_string())))?;
         loop {
             match inbox.recv_timeout(LOOK.min(self.admitted.left())) {
-                Ok(result) => return result.map_err(Ended::Fault),
+                Ok(result) => return result.map_err(Failed::Fault),
                 Err(RecvTimeoutError::Disconnected) => {
-                    return Err(Ended::Fault(Fault::Broken("the attempt died".to_owned())));
+                    return Err(Failed::Fault(Fault::Broken("the attempt died".to_owned())));
                 }
                 Err(RecvTimeoutError::Timeout) if self.admitted.left().is_zero() => {
-                    return Err(Ended::Deadline);
+                    return Err(Failed::Deadline);
                 }
                 Err(RecvTimeoutError::Timeout) if self.exchange.caller_gone() => {
-                    return Err(Ended::Gone);
+                    return Err(Failed::Gone);
                 }
                 Err(RecvTimeoutError::Timeout) => {}
             }
         }
     }
 }
-
-/// Why a call gave no answer.
-enum Ended {
-    Fault(Fault),
-    Deadline,
-    Gone,
-}
--- a/src/parts/peers.rs
+++ b/src/parts/peers.rs
@@ -38,7 +38,7 @@
         let from = poll::address(&message.addr);
         match message.body {
             Body::Beat(beat) => heard(node, &message.from, from, &beat),
-            Body::Records(records) => poll::note(node, records),
+            Body::Records(records) => poll::note(node, &records),
             Body::Want(want) => wanted(node, from, want.above),
             Body::Config(config) => offered(node, &config),
         }
--- a/src/parts/poll.rs
+++ b/src/parts/poll.rs
@@ -49,8 +49,9 @@
 fn poll(node: &Node, name: &str, addr: &str) -> Option<Record> {
     match engine::load(&node.pooled, addr) {
         Ok(load) => {
-            node.state().board.report(name, report(&load), Instant::now());
-            Some(record(name, &load))
+            let record = record(name, load);
+            node.state().board.report(name, report(&record), Instant::now());
+            Some(record)
         }
         Err(e) => {
             log::debug!("poll: no report of {name}: {e}.");
@@ -59,8 +60,9 @@
     }
 }
 
-fn report(load: &Load) -> Report {
-    Report {
+fn record(name: &str, load: Load) -> Record {
+    Record {
+        target: name.to_owned(),
         boot: load.boot,
         number: load.number,
         prefill: load.prefill,
@@ -70,44 +72,31 @@
         capacity: load.capacity,
         speed: load.speed,
         leaving: load.leaving,
-        models: load.models.iter().map(|m| m.as_str().into()).collect(),
+        models: load.models,
     }
 }
 
-fn record(name: &str, load: &Load) -> Record {
-    Record {
-        target: name.to_owned(),
-        boot: load.boot,
-        number: load.number,
-        prefill: load.prefill,
-        running: load.running,
-        slots: load.slots,
-        free: load.free,
-        capacity: load.capacity,
-        speed: load.speed,
-        leaving: load.leaving,
-        models: load.models.clone(),
+fn report(record: &Record) -> Report {
+    Report {
+        boot: record.boot,
+        number: record.number,
+        prefill: record.prefill,
+        running: record.running,
+        slots: record.slots,
+        free: record.free,
+        capacity: record.capacity,
+        speed: record.speed,
+        leaving: record.leaving,
+        models: record.models.iter().map(|m| m.as_str().into()).collect(),
     }
 }
 
 /// Notes the records that a peer sent.
-pub fn note(node: &Node, records: Records) {
+pub fn note(node: &Node, records: &Records) {
     let now = Instant::now();
     let mut state = node.state();
-    for record in records.records {
-        let report = Report {
-            boot: record.boot,
-            number: record.number,
-            prefill: record.prefill,
-            running: record.running,
-            slots: record.slots,
-            free: record.free,
-            capacity: record.capacity,
-            speed: record.speed,
-            leaving: record.leaving,
-            models: record.models.iter().map(|m| m.as_str().into()).collect(),
-        };
-        state.board.report(&record.target, report, now);
+    for record in &records.records {
+        state.board.report(&record.target, report(record), now);
     }
 }
 
--- a/src/story.rs
+++ b/src/story.rs
@@ -2,9 +2,13 @@
 
 use std::collections::VecDeque;
 use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
 
+use mimosapass_core::error::Kind;
 use serde::Serialize;
 
+use crate::node::Node;
+
 /// Stories that are kept.
 const KEPT: usize = 2048;
 
@@ -35,6 +39,24 @@
     pub total_ms: u64,
 }
 
+impl Story {
+    /// Begins the story of a request that this instance took.
+    pub fn of(node: &Node) -> Self {
+        Self { instance: node.name.to_string(), zone: node.zone.to_string(), ..Self::default() }
+    }
+
+    /// Ends the story, logs and counts the outcome, and keeps it.
+    pub fn end(mut self, node: &Node, start: Instant, failed: Option<Kind>) {
+        let outcome = failed.map_or("ok", |kind| kind.row().code);
+        let (request, class) = (self.request.as_str(), self.class.as_str());
+        log::info!(request, class, outcome; "flow: request ended.");
+        node.metrics.outcomes.with_label_values(&[outcome]).inc();
+        outcome.clone_into(&mut self.outcome);
+        self.total_ms = start.elapsed().as_millis() as u64;
+        node.stories.keep(self);
+    }
+}
+
 /// A bounded ring of stories.
 #[derive(Debug, Default)]
 pub struct Stories {
