Settings and configuration: every fault in one run, each with file and line

Cause: both documents were read by a reader that stops at the first fault in shape, and faults found later had a path but no line. Change: one way for both. The text becomes a tree that knows its lines; reading it into the types goes on behind a fault with a placeholder; then the checks of the type follow (references, duplicate names, ranges, selectors, limits of each workspace, adapters). Unknown fields are refused. Ruled out: serde_saphyr's Spanned, since it stops at the first fault and would wrap each field of the types.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -3,7 +3,6 @@
 //! Operators steer only through this document. It is checked as a whole
 //! before it is accepted; every fault is listed with its path.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -228,86 +227,4 @@
                 && p.models.iter().any(|m| m.as_ref() == model)
         })
     }
-
-    /// Returns every fault; an empty list means that the configuration holds.
-    pub fn check(&self) -> Vec<Fault> {
-        let mut faults = Vec::new();
-        self.check_names(&mut faults);
-        self.check_references(&mut faults);
-        self.check_ranges(&mut faults);
-        faults
-    }
-
-    fn check_names(&self, faults: &mut Vec<Fault>) {
-        unique("models", self.models.iter().map(|m| m.name.as_ref()), faults);
-        unique("pools", self.pools.iter().map(|p| p.name.as_ref()), faults);
-        unique("classes", self.classes.iter().map(|c| c.name.as_ref()), faults);
-        unique("services", self.services.iter().map(|s| s.name.as_str()), faults);
-        unique("workspaces", self.workspaces.iter().map(|w| w.name.as_ref()), faults);
-        unique("targets", self.targets.iter().map(|t| t.name.as_ref()), faults);
-    }
-
-    fn check_references(&self, faults: &mut Vec<Fault>) {
-        for (i, pool) in self.pools.iter().enumerate() {
-            for (j, model) in pool.models.iter().enumerate() {
-                if self.model(model).is_none() {
-                    let path = format!("pools[{i}].models[{j}]");
-                    faults.push(fault(path, format!("no model `{model}`; add it under `models`")));
-                }
-            }
-        }
-        for (i, service) in self.services.iter().enumerate() {
-            let found = self.pools.iter().find(|p| p.name == service.pool);
-            if found.is_none_or(|p| p.kind != TargetKind::Service) {
-                let text = format!("`{}` is no pool with `kind: service`; name one", service.pool);
-                faults.push(fault(format!("services[{i}].pool"), text));
-            }
-        }
-        for (i, class) in self.classes.iter().enumerate() {
-            let fits = self.pools.iter().any(|p| crate::labels::matches(&class.select, &p.labels));
-            if !fits {
-                let text = "no pool has these labels; change the selector or label a pool";
-                faults.push(fault(format!("classes[{i}].select"), text.to_owned()));
-            }
-        }
-    }
-
-    fn check_ranges(&self, faults: &mut Vec<Fault>) {
-        for (i, class) in self.classes.iter().enumerate() {
-            if class.priority > 100 {
-                let text = format!("{} is over 100; write 0 to 100", class.priority);
-                faults.push(fault(format!("classes[{i}].priority"), text));
-            }
-            if class.deadline_ms == 0 {
-                let text = "0 leaves no time; write milliseconds, 1 or more";
-                faults.push(fault(format!("classes[{i}].deadline_ms"), text.to_owned()));
-            }
-            if class.promise_ms == 0 || class.promise_ms > class.deadline_ms {
-                let text = "write milliseconds from 1 to `deadline_ms`";
-                faults.push(fault(format!("classes[{i}].promise_ms"), text.to_owned()));
-            }
-        }
-        for (i, space) in self.workspaces.iter().enumerate() {
-            if !(1..=1000).contains(&space.share) {
-                let text = format!("{} is out of range; write 1 to 1000", space.share);
-                faults.push(fault(format!("workspaces[{i}].share"), text));
-            }
-        }
-    }
-}
-
-fn fault(path: String, text: String) -> Fault {
-    Fault { path, text }
-}
-
-fn unique<'a>(list: &str, names: impl Iterator<Item = &'a str>, faults: &mut Vec<Fault>) {
-    let mut seen = BTreeSet::new();
-    for (i, name) in names.enumerate() {
-        let path = format!("{list}[{i}].name");
-        if name.is_empty() {
-            faults.push(fault(path, "the name is empty; write one".to_owned()));
-        } else if !seen.insert(name) {
-            faults.push(fault(path, format!("`{name}` stands twice; rename one")));
-        }
-    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod board;
 pub mod budget;
+mod check;
 pub mod classify;
 pub mod config;
 pub mod error;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod document;
 pub mod pages;
 pub mod store;
+pub mod yaml;
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,8 @@
 use std::error::Error;
 use std::process::ExitCode;
 
+use mimosapass_operator::yaml::Faults;
+
 /// Exit code for faulty settings.
 const FAULTY: u8 = 2;
 /// Exit code for a start or a run that failed.
@@ -26,8 +28,9 @@
     match run(cli::command().run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("mimosapass: {e}");
-            let faulty = e.is::<settings::Faults>();
+            let faulty = e.is::<Faults>();
+            // Faults name file and line, so that editors can follow them.
+            eprintln!("{}{e}", if faulty { "" } else { "mimosapass: " });
             ExitCode::from(if faulty { FAULTY } else { FAILED })
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,12 +1,29 @@
 //! Settings of one instance, read from a YAML file and checked as a whole.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
+use mimosapass_caller::server::Limits;
+use mimosapass_core::config::Fault;
+use mimosapass_operator::yaml::{self, Faults};
 use serde::Deserialize;
 
+/// Longest wait that a setting may state, in milliseconds.
+const LONGEST_WAIT: u64 = 3_600_000;
+/// Longest planned stop, in milliseconds.
+const LONGEST_STOP: u64 = 86_400_000;
+/// Least limit of a body, in bytes.
+const SMALLEST_BODY: usize = 1024;
+/// Largest limit of a body, in bytes.
+const LARGEST_BODY: usize = 256 * 1024 * 1024;
+/// Most connections that a setting may state.
+const MOST_CONNECTIONS: usize = 65_536;
+/// Longest name, in bytes.
+const LONGEST_NAME: usize = 64;
+/// What to write as a name.
+const NAME: &str = "write 1 to 64 letters, digits, `-`, `_`, `.` or `:`";
+
 /// Settings as they stand in the file.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -63,7 +80,7 @@
 
 impl Default for Callers {
     fn default() -> Self {
-        let limits = mimosapass_caller::server::Limits::default();
+        let limits = Limits::default();
         Self {
             head_ms: limits.head_time.as_millis() as u64,
             body_ms: limits.body_time.as_millis() as u64,
@@ -93,49 +110,33 @@
     /// Longest time for a planned stop.
     pub stop_limit: Duration,
     /// Bounds on callers.
-    pub limits: mimosapass_caller::server::Limits,
+    pub limits: Limits,
 }
 
-/// Faults in a settings file, one a line, each with file and line.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Faults(pub Vec<String>);
-
-impl fmt::Display for Faults {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0.join("\n"))
-    }
-}
-
-impl std::error::Error for Faults {}
-
 /// Reads and checks a settings file.
 ///
 /// # Errors
 ///
 /// Lists every fault that was found.
 pub fn load(path: &Path) -> Result<Settings, Faults> {
+    let name = path.display().to_string();
     let text = std::fs::read_to_string(path)
-        .map_err(|e| Faults(vec![format!("{}: {e}", path.display())]))?;
-    parse(&text)
-        .map_err(|f| Faults(f.0.iter().map(|l| format!("{}: {l}", path.display())).collect()))
+        .map_err(|e| Faults::whole(e.to_string()).of(name.as_str()))?;
+    let file = yaml::read(&text, check).map_err(|faults| faults.of(name))?;
+    Ok(settings(file))
 }
 
-fn parse(text: &str) -> Result<Settings, Faults> {
-    let file: File = serde_saphyr::from_str(text).map_err(|e| Faults(vec![e.to_string()]))?;
-    let faults = check(&file);
-    if !faults.is_empty() {
-        return Err(Faults(faults));
-    }
-    let limits = mimosapass_caller::server::Limits {
+fn settings(file: File) -> Settings {
+    let limits = Limits {
         head_time: Duration::from_millis(file.callers.head_ms),
         body_time: Duration::from_millis(file.callers.body_ms),
         idle_time: Duration::from_millis(file.callers.idle_ms),
         write_time: Duration::from_millis(file.callers.write_ms),
         body_bytes: file.callers.body_bytes,
         connections: file.callers.connections,
-        ..mimosapass_caller::server::Limits::default()
+        ..Limits::default()
     };
-    Ok(Settings {
+    Settings {
         name: file.name,
         zone: file.zone,
         listen: file.listen,
@@ -144,23 +145,63 @@
         notice: Duration::from_millis(file.stop.notice_ms),
         stop_limit: Duration::from_millis(file.stop.limit_ms),
         limits,
-    })
+    }
 }
 
-fn check(file: &File) -> Vec<String> {
+fn check(file: &File) -> Vec<Fault> {
     let mut faults = Vec::new();
-    let mut need = |holds: bool, text: &str| {
+    let mut need = |holds: bool, path: &str, text: &str| {
         if !holds {
-            faults.push(text.to_owned());
+            faults.push(Fault { path: path.to_owned(), text: text.to_owned() });
         }
     };
-    need(!file.name.is_empty(), "name: it is empty; write a name unique in the fleet");
-    need(!file.zone.is_empty(), "zone: it is empty; write the availability zone");
-    need(file.stop.limit_ms >= file.stop.notice_ms, "stop.limit_ms: write at least `notice_ms`");
-    need(file.callers.head_ms > 0, "callers.head_ms: write 1 or more");
-    need(file.callers.body_ms > 0, "callers.body_ms: write 1 or more");
-    need(file.callers.idle_ms > 0, "callers.idle_ms: write 1 or more");
-    need(file.callers.write_ms > 0, "callers.write_ms: write 1 or more");
-    need(file.callers.connections > 0, "callers.connections: write 1 or more");
+    need(named(&file.name), "name", NAME);
+    need(named(&file.zone), "zone", NAME);
+    let Listen { callers, peers, operators } = &file.listen;
+    need(callers != peers, "listen.peers", "it is the address for callers; write another");
+    need(
+        operators != callers && operators != peers,
+        "listen.operators",
+        "another side listens on this address; write another",
+    );
+    need(!peers.ip().is_unspecified(), "listen.peers", "write the address that peers reach");
+    need(file.platform.port() > 0, "platform", "write the port of the platform");
+    need(!file.seeds.contains(peers), "seeds", "this instance is among them; remove it");
+    check_times(file, need);
     faults
 }
+
+fn check_times(file: &File, mut need: impl FnMut(bool, &str, &str)) {
+    let times = [
+        ("callers.head_ms", file.callers.head_ms),
+        ("callers.body_ms", file.callers.body_ms),
+        ("callers.idle_ms", file.callers.idle_ms),
+        ("callers.write_ms", file.callers.write_ms),
+    ];
+    for (path, time) in times {
+        need((1..=LONGEST_WAIT).contains(&time), path, "write milliseconds, 1 to 3600000");
+    }
+    let Stop { notice_ms, limit_ms } = file.stop;
+    need(notice_ms <= LONGEST_WAIT, "stop.notice_ms", "write milliseconds, 0 to 3600000");
+    need(
+        (notice_ms.max(1)..=LONGEST_STOP).contains(&limit_ms),
+        "stop.limit_ms",
+        "write milliseconds, from `notice_ms` to 86400000",
+    );
+    need(
+        (SMALLEST_BODY..=LARGEST_BODY).contains(&file.callers.body_bytes),
+        "callers.body_bytes",
+        "write bytes, 1024 to 268435456",
+    );
+    need(
+        (1..=MOST_CONNECTIONS).contains(&file.callers.connections),
+        "callers.connections",
+        "write 1 to 65536",
+    );
+}
+
+/// Returns whether a text can be a name in headers, metrics and keys.
+fn named(text: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b':');
+    (1..=LONGEST_NAME).contains(&text.len()) && text.bytes().all(plain)
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,4 +3,5 @@
 mod common;
 mod path;
 mod refusals;
+mod settings;
 mod stop;
--- /dev/null
+++ b/tests/suite/settings.rs
@@ -0,0 +1,66 @@
+//! Settings checked as a whole by the real program.
+
+use std::process::Command;
+
+use rstest::rstest;
+
+const GOOD: &str = "name: entry-1
+zone: charguia
+platform: 127.0.0.1:7000
+listen:
+  callers: 127.0.0.1:8080
+  peers: 127.0.0.1:8081
+  operators: 127.0.0.1:8082
+stop:
+  notice_ms: 3000
+callers: {head_ms: 5000}
+";
+
+/// Runs `mimosapass check` and returns its exit code and what it told.
+fn check(text: &str, name: &str) -> (Option<i32>, String) {
+    let file = std::env::temp_dir().join(format!("mimosapass-{}-{name}.yaml", std::process::id()));
+    std::fs::write(&file, text).expect("written");
+    let output = Command::new(env!("CARGO_BIN_EXE_mimosapass")).arg("check").arg(&file).output();
+    std::fs::remove_file(&file).expect("removed");
+    let output = output.expect("it runs");
+    let told = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8(told).expect("text"))
+}
+
+#[test]
+fn sound_settings_pass() {
+    let (code, told) = check(GOOD, "sound");
+    assert_eq!(code, Some(0), "{told}");
+}
+
+#[rstest]
+#[case::unknown("zone: charguia", "zones: charguia", 2, "zones: there is no such field")]
+#[case::missing("zone: charguia", "", 1, "zone: the field `zone` is missing; add it")]
+#[case::address("127.0.0.1:7000", "localhost", 3, "write an IP address and port")]
+#[case::same_address("127.0.0.1:8081", "127.0.0.1:8080", 6, "it is the address for callers")]
+#[case::time("notice_ms: 3000", "notice_ms: 3s", 9, "`3s` is not right")]
+#[case::range("head_ms: 5000", "head_ms: 0", 10, "write milliseconds, 1 to 3600000")]
+#[case::body("head_ms: 5000", "body_bytes: 10", 10, "write bytes, 1024 to 268435456")]
+#[case::connections("head_ms: 5000", "connections: 0", 10, "write 1 to 65536")]
+#[case::name("name: entry-1", "name: entry 1", 1, "write 1 to 64 letters")]
+fn a_faulty_setting_is_told_with_its_line(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] line: usize,
+    #[case] text: &str,
+) {
+    let (code, told) = check(&GOOD.replacen(from, to, 1), &format!("{line}-{}", text.len()));
+    assert_eq!(code, Some(2), "{told}");
+    assert!(told.contains(&format!(".yaml:{line}: ")) && told.contains(text), "{told}");
+}
+
+#[test]
+fn all_faults_come_in_one_run() {
+    let text = GOOD
+        .replace("zone: charguia", "zone:")
+        .replace("127.0.0.1:7000", "nowhere")
+        .replace("notice_ms", "notice");
+    let (code, told) = check(&text, "all");
+    assert_eq!(code, Some(2));
+    assert!([2, 3, 9].iter().all(|line| told.contains(&format!(".yaml:{line}: "))), "{told}");
+}
