mimosactl: diff, history, a status table, explain, drain, and exit codes

Cause: an operator who lost a race was told just that; there was no way to see a change before it, who made which version, or the fleet at a glance, and draining meant to edit a file by hand. Change: diff, history, get of earlier versions, status over several instances as a table or JSON, explain asked of several instances, drain and undrain as ordinary changes by compare-and-swap that keep the rest of the text as written. A lost race shows the other change and ours and changes nothing. Exit codes by meaning, listed in the help; completion by bpaf. Ruled out: writing the edited configuration back from its parsed form, which would lose comments and order.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -1,16 +1,34 @@
 //! Command line of the operator tool.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
 
-use bpaf::Bpaf;
+use bpaf::{Bpaf, Parser};
+
+/// Exit codes and environment, shown below each help text.
+const FOOTER: &str = "Exit codes:
+  0  done
+  1  wrong use, or a failure that is told
+  2  the file has faults; each is told with its line
+  3  another change came first; both are shown, nothing was changed
+  4  the platform or an instance did not answer; nothing was changed
+  5  the answer was lost; look with `get` before another try
+  6  there is no such request or configuration
+  7  `diff` found differences
+
+MIMOSAPASS_PLATFORM and MIMOSAPASS_INSTANCE may stand for --platform and
+--instance. `mimosactl --bpaf-complete-style-bash` (or -zsh, -fish, -elvish)
+prints shell completion.";
 
 /// Operator tool of mimosapass: configuration, state and reasons.
 #[derive(Bpaf, Clone, Debug)]
-#[bpaf(options, version)]
+#[bpaf(options, version, footer(FOOTER))]
 pub enum Command {
     /// Checks a configuration and lists every fault.
     ///
+    ///
     /// Example: mimosactl check fleet.yaml
     #[bpaf(command)]
     Check {
@@ -18,16 +36,27 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
-    /// Puts a configuration in force, unless another one came first.
+    /// Shows what `apply` would change.
+    ///
     ///
-    /// Example: mimosactl apply --platform 127.0.0.1:7000 fleet.yaml
+    /// Example: mimosactl diff --platform 127.0.0.1:7000 fleet.yaml
+    #[bpaf(command)]
+    Diff {
+        #[bpaf(external)]
+        platform: SocketAddr,
+        /// Configuration, a YAML file.
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Puts a configuration in force, unless another change came first.
+    ///
+    ///
+    /// Example: mimosactl apply --platform 127.0.0.1:7000 --base 7 fleet.yaml
     #[bpaf(command)]
     Apply {
-        /// Address of the platform.
-        #[bpaf(long, env("MIMOSAPASS_PLATFORM"), argument("ADDR"))]
+        #[bpaf(external)]
         platform: SocketAddr,
-        /// Name that the history shows.
-        #[bpaf(long, env("USER"), argument("NAME"), fallback("operator".to_owned()))]
+        #[bpaf(external)]
         author: String,
         /// Version that the change was made from; the present one if absent.
         #[bpaf(long, argument("VERSION"))]
@@ -36,34 +65,140 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
-    /// Prints the configuration in the key-value service.
+    /// Prints a configuration; its version and author go to standard error.
+    ///
     ///
-    /// Example: mimosactl get --platform 127.0.0.1:7000
+    /// Example: mimosactl get --platform 127.0.0.1:7000 > fleet.yaml
     #[bpaf(command)]
     Get {
-        /// Address of the platform.
-        #[bpaf(long, env("MIMOSAPASS_PLATFORM"), argument("ADDR"))]
+        #[bpaf(external)]
         platform: SocketAddr,
+        /// Version; the accepted one if absent.
+        #[bpaf(long, argument("VERSION"))]
+        version: Option<u64>,
     },
-    /// Prints what an instance knows of itself, its peers and its targets.
+    /// Lists who applied which version, the newest first.
+    ///
+    ///
+    /// Example: mimosactl history --platform 127.0.0.1:7000 --last 5
+    #[bpaf(command)]
+    History {
+        #[bpaf(external)]
+        platform: SocketAddr,
+        /// Versions to list.
+        #[bpaf(long, argument("COUNT"), fallback(10), display_fallback)]
+        last: u64,
+    },
+    /// Shows instances and targets, as the stated instances see them.
+    ///
     ///
-    /// Example: mimosactl status --instance 127.0.0.1:8082
+    /// Example: mimosactl status --instance 127.0.0.1:8082,127.0.0.2:8082
     #[bpaf(command)]
     Status {
-        /// Address of an instance for operators.
-        #[bpaf(long, env("MIMOSAPASS_INSTANCE"), argument("ADDR"))]
-        instance: SocketAddr,
+        #[bpaf(external)]
+        instances: Addresses,
+        /// Print JSON, one element for each instance.
+        #[bpaf(long)]
+        json: bool,
     },
     /// Tells why a request went where it went.
     ///
+    ///
     /// Example: mimosactl explain --instance 127.0.0.1:8082 order-17
     #[bpaf(command)]
     Explain {
-        /// Address of the instance that took the request.
-        #[bpaf(long, env("MIMOSAPASS_INSTANCE"), argument("ADDR"))]
-        instance: SocketAddr,
+        #[bpaf(external)]
+        instances: Addresses,
         /// Identifier of the request.
         #[bpaf(positional("REQUEST"))]
         request: String,
     },
+    /// Stops new work to all targets with these labels, by a configuration change.
+    ///
+    ///
+    /// Example: mimosactl drain --platform 127.0.0.1:7000 rack=r7 zone=charguia
+    #[bpaf(command)]
+    Drain {
+        #[bpaf(external)]
+        platform: SocketAddr,
+        #[bpaf(external)]
+        author: String,
+        #[bpaf(external)]
+        labels: Vec<Label>,
+    },
+    /// Takes back a `drain` with the same labels.
+    ///
+    ///
+    /// Example: mimosactl undrain --platform 127.0.0.1:7000 rack=r7 zone=charguia
+    #[bpaf(command)]
+    Undrain {
+        #[bpaf(external)]
+        platform: SocketAddr,
+        #[bpaf(external)]
+        author: String,
+        #[bpaf(external)]
+        labels: Vec<Label>,
+    },
+}
+
+fn platform() -> impl Parser<SocketAddr> {
+    bpaf::long("platform")
+        .env("MIMOSAPASS_PLATFORM")
+        .help("Address of the platform, IP:port")
+        .argument::<SocketAddr>("ADDR")
+}
+
+fn author() -> impl Parser<String> {
+    bpaf::long("author")
+        .env("USER")
+        .help("Name that the history shows")
+        .argument::<String>("NAME")
+        .fallback("operator".to_owned())
+}
+
+fn instances() -> impl Parser<Addresses> {
+    bpaf::long("instance")
+        .env("MIMOSAPASS_INSTANCE")
+        .help("Addresses of instances for operators, IP:port, with commas between")
+        .argument::<Addresses>("ADDRS")
+}
+
+fn labels() -> impl Parser<Vec<Label>> {
+    bpaf::positional::<Label>("NAME=VALUE")
+        .help("Labels that a target must all have")
+        .some("state one label or more, such as zone=charguia")
+}
+
+/// Addresses of instances.
+#[derive(Clone, Debug)]
+pub struct Addresses(pub Vec<SocketAddr>);
+
+impl FromStr for Addresses {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        s.split(',').map(|one| one.trim().parse()).collect::<Result<_, _>>().map(Self)
+    }
+}
+
+/// One term of a selector.
+#[derive(Clone, Debug)]
+pub struct Label(String, String);
+
+impl FromStr for Label {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        let (name, value) = s.split_once('=').ok_or("write NAME=VALUE")?;
+        if name.is_empty() {
+            Err("the name is empty".to_owned())
+        } else {
+            Ok(Self(name.to_owned(), value.to_owned()))
+        }
+    }
+}
+
+/// Returns the selector of all labels.
+pub fn selector(labels: Vec<Label>) -> BTreeMap<String, String> {
+    labels.into_iter().map(|Label(name, value)| (name, value)).collect()
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,99 +1,67 @@
 //! Operator tool of mimosapass.
+//!
+//! Operators steer only by the configuration: this tool checks it, puts it in
+//! force by compare-and-swap, and shows what the fleet makes of it.
 
+mod change;
 mod cli;
+mod fail;
+mod fleet;
+mod table;
+mod versions;
 
-use std::error::Error;
+use std::io::Write;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::process::ExitCode;
 
-use mimosapass_operator::document::{self, Document, Faults};
-use mimosapass_operator::store::{self, StoreError};
 use mimosapass_platform::kv::Kv;
+use mimosapass_platform::list::List;
 
-/// Exit code for a failure.
-const FAILED: u8 = 1;
-/// Exit code for faults in a file.
-const FAULTY: u8 = 2;
-/// Exit code for a race lost to another operator.
-const LOST: u8 = 3;
+use crate::cli::{Command, selector};
+use crate::fail::Fail;
 
 fn main() -> ExitCode {
     env_logger::init();
     match run(cli::command().run()) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("mimosactl: {e}");
-            ExitCode::from(code(&*e))
+        Err(fail) => {
+            eprintln!("{fail}");
+            ExitCode::from(fail.code())
         }
     }
 }
 
-fn code(error: &(dyn Error + 'static)) -> u8 {
-    if error.is::<Faults>() {
-        return FAULTY;
-    }
-    match error.downcast_ref() {
-        Some(StoreError::Faults(_)) => FAULTY,
-        Some(StoreError::Lost(_)) => LOST,
-        _ => FAILED,
-    }
-}
-
-fn run(command: cli::Command) -> Result<(), Box<dyn Error>> {
+fn run(command: Command) -> Result<(), Fail> {
+    let kv = |platform: SocketAddr| Kv::new(&platform.to_string());
+    let list = |platform: SocketAddr| List::new(&platform.to_string());
     match command {
-        cli::Command::Check { file } => {
-            read(&file)?;
-            println!("{}: no faults", file.display());
+        Command::Check { file } => {
+            let document = change::read(&file)?;
+            let (name, size) = (file.display(), document.text.len());
+            show(&format!("{name}: no faults, {size} bytes\n"));
             Ok(())
         }
-        cli::Command::Apply { platform, author, base, file } => {
-            let document = read(&file)?;
-            apply(&Kv::new(&platform.to_string()), &document, base, &author)
+        Command::Diff { platform, file } => change::diff(&kv(platform), &file),
+        Command::Apply { platform, author, base, file } => {
+            change::apply(&kv(platform), &file, base, &author)
         }
-        cli::Command::Get { platform } => get(&Kv::new(&platform.to_string())),
-        cli::Command::Status { instance } => show(instance, "status"),
-        cli::Command::Explain { instance, request } => {
-            show(instance, &format!("explain/{request}"))
+        Command::Get { platform, version } => versions::get(&kv(platform), version),
+        Command::History { platform, last } => versions::history(&kv(platform), last),
+        Command::Status { instances, json } => fleet::status(&instances.0, json),
+        Command::Explain { instances, request } => fleet::explain(&instances.0, &request),
+        Command::Drain { platform, author, labels } => {
+            let by = selector(labels);
+            change::edit(&kv(platform), &list(platform), change::drain, &by, &author)
+        }
+        Command::Undrain { platform, author, labels } => {
+            let by = selector(labels);
+            change::edit(&kv(platform), &list(platform), change::undrain, &by, &author)
         }
     }
 }
 
-fn read(file: &Path) -> Result<Document, Box<dyn Error>> {
-    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-    Ok(document::read(&text)?)
-}
-
-fn apply(
-    kv: &Kv,
-    document: &Document,
-    base: Option<u64>,
-    author: &str,
-) -> Result<(), Box<dyn Error>> {
-    let stored = store::head(kv)?;
-    if let Some(base) = base
-        && base != stored.record.version
-    {
-        return Err(StoreError::Lost(stored.record.version).into());
-    }
-    let token = rand::random();
-    let record = store::apply(kv, document, &stored, author, token)?;
-    println!("version {} is accepted", record.version);
-    Ok(())
-}
-
-fn get(kv: &Kv) -> Result<(), Box<dyn Error>> {
-    let stored = store::head(kv)?;
-    if stored.record.version == 0 {
-        return Err("there is no configuration yet; use `apply`".into());
-    }
-    println!("# version {} by {}", stored.record.version, stored.record.author);
-    print!("{}", store::text(kv, &stored.record)?.text);
-    Ok(())
-}
-
-fn show(instance: SocketAddr, page: &str) -> Result<(), Box<dyn Error>> {
-    let mut response = ureq::get(format!("http://{instance}/{page}")).call()?;
-    println!("{}", response.body_mut().read_to_string()?);
-    Ok(())
+/// Prints a text; a reader that went away, such as `head`, is no failure.
+fn show(text: &str) {
+    let mut output = std::io::stdout().lock();
+    output.write_all(text.as_bytes()).and_then(|()| output.flush()).unwrap_or_default();
 }
--- a/crates/operator/src/yaml/mod.rs
+++ b/crates/operator/src/yaml/mod.rs
@@ -13,7 +13,7 @@
 use mimosapass_core::config::Fault;
 use serde::de::DeserializeOwned;
 
-pub use tree::Tree;
+pub use tree::{Node, Tree};
 
 /// One fault in a document.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -10,6 +10,7 @@
 pub enum Command {
     /// Serves callers until it gets SIGTERM, then stops without cutting a request.
     ///
+    ///
     /// Example: mimosapass serve --config instance.yaml
     #[bpaf(command)]
     Serve {
@@ -19,6 +20,7 @@
     },
     /// Checks a settings file and lists every fault.
     ///
+    ///
     /// Example: mimosapass check instance.yaml
     #[bpaf(command)]
     Check {
