A trace span for each hop, with the reason of its decision

Cause: traceparent was passed on to engines unchanged, and nothing told where a request spent its time. Change: an entry span under the caller's context, a child for each attempt with its reason and outcome, exported by the OpenTelemetry library's batch thread, off by default and on by 'trace: stdout'. Without export the header passes as it came. Requests are not forwarded between instances, so there is no peer hop in the path of a request. Ruled out: the library's global provider, since each instance owns its own. Seen: with the caller's header passed on unchanged, each_hop_has_a_span_with_its_reason fails; now it passes, as do the two cases without export.

--- a/src/flow/model.rs
+++ b/src/flow/model.rs
@@ -9,6 +9,8 @@
 use mimosapass_core::classify::Asks;
 use mimosapass_core::error::{Failure, Kind};
 
+use mimosapass_target::engine::TRACE;
+
 use crate::flow::admit::{Admitted, admit, caller_id};
 use crate::flow::stream::Run;
 use crate::node::Node;
@@ -16,7 +18,7 @@
 
 /// Answers one model request.
 pub fn handle(node: &Arc<Node>, exchange: &mut Exchange<'_>, call: Call) {
-    let mut story = Story::of(node);
+    let mut story = Story::of(node, exchange.head.header(TRACE));
     let start = Instant::now();
     let result = prepare(node, exchange, call, &mut story).and_then(|(admitted, prompt)| {
         Run::new(node, exchange, admitted, prompt, call).run(&mut story)
--- a/src/flow/retry.rs
+++ b/src/flow/retry.rs
@@ -49,7 +49,15 @@
         story.steps.push(format!("{}: {}", choice.target, choice.reason));
         story.target = choice.target.to_string();
         tried.push(TargetId::clone(&choice.target));
-        match attempt(run, number, &choice, story) {
+        story.trace.hop("attempt", &format!("{}: {}", choice.target, choice.reason));
+        let ended = attempt(run, number, &choice, story);
+        match &ended {
+            Ended::Whole(_) => story.trace.leave("ok"),
+            Ended::Again(failure) | Ended::Over(failure) => {
+                story.trace.leave(&failure.to_string());
+            }
+        }
+        match ended {
             Ended::Whole(answer) => {
                 node.state().budget.earn();
                 return Ok(answer);
--- a/src/flow/service.rs
+++ b/src/flow/service.rs
@@ -11,7 +11,7 @@
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
 use mimosapass_core::route::Choice;
-use mimosapass_target::engine::REMAINING;
+use mimosapass_target::engine::{REMAINING, TRACE};
 use mimosapass_target::fault::Fault;
 use mimosapass_target::service::{self, Answer, Call};
 use ureq::Agent;
@@ -31,7 +31,7 @@
 
 /// Answers one call; `rest` is the path behind `/services/`.
 pub fn handle(node: &Arc<Node>, exchange: &mut Exchange<'_>, rest: &str) {
-    let mut story = Story::of(node);
+    let mut story = Story::of(node, exchange.head.header(TRACE));
     let start = Instant::now();
     let result = serve(node, exchange, rest, &mut story);
     let told = match &result {
@@ -99,9 +99,9 @@
         pick::service(self.node, &self.admitted, self.name, tried)
     }
 
-    fn attempt(&mut self, _number: usize, choice: &Choice, _story: &mut Story) -> Ended<Answer> {
+    fn attempt(&mut self, _number: usize, choice: &Choice, story: &mut Story) -> Ended<Answer> {
         let mut booked = Booked::new(self.node, &choice.target, 0);
-        let failed = match self.wait(choice) {
+        let failed = match self.wait(choice, story) {
             Ok(answer) => return Ended::Whole(answer),
             Err(failed) => failed,
         };
@@ -129,10 +129,11 @@
         if self.idempotent { Ended::Again(failure) } else { Ended::Over(failure) }
     }
 
-    fn call(&self, choice: &Choice) -> Call {
+    fn call(&self, choice: &Choice, story: &Story) -> Call {
         let left = self.admitted.left();
         let mut headers = self.exchange.head.headers.clone();
-        headers.retain(|(n, _)| n != REQUEST_ID && n != REMAINING);
+        headers.retain(|(n, _)| n != REQUEST_ID && n != REMAINING && n != TRACE);
+        headers.extend(story.trace.parent().map(|trace| (TRACE.to_owned(), trace)));
         headers.push((REQUEST_ID.to_owned(), self.admitted.id.clone()));
         headers.push((REMAINING.to_owned(), left.as_millis().to_string()));
         Call {
@@ -150,9 +151,9 @@
     }
 
     /// Makes the call in a thread of its own and watches deadline and caller.
-    fn wait(&self, choice: &Choice) -> Result<Answer, Failed> {
+    fn wait(&self, choice: &Choice, story: &Story) -> Result<Answer, Failed> {
         let (sender, inbox) = channel();
-        let (agent, call) = (self.agent(), self.call(choice));
+        let (agent, call) = (self.agent(), self.call(choice, story));
         let calling = move || {
             // A request that has ended does not wait for this any more.
             sender.send(service::call(&agent, &call)).unwrap_or_default();
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -127,7 +127,7 @@
             heard: Instant::now(),
             booked: Booked::new(self.node, &choice.target, self.tokens),
         };
-        let ended = match self.send(&attempt) {
+        let ended = match self.send(&attempt, story) {
             Ok(()) => self.follow(&mut attempt, story),
             Err(failure) => Ended::Over(failure),
         };
@@ -136,7 +136,7 @@
     }
 
     /// Starts the thread that reads the engine's stream.
-    fn send(&self, attempt: &Attempt) -> Result<(), Failure> {
+    fn send(&self, attempt: &Attempt, story: &Story) -> Result<(), Failure> {
         let call = Generate {
             addr: attempt.addr.clone(),
             path: self.call.path(),
@@ -144,7 +144,7 @@
             offset: self.delivered,
             remaining: self.admitted.left(),
             priority: self.admitted.class.priority,
-            trace: self.exchange.head.header(engine::TRACE).map(str::to_owned),
+            trace: story.trace.parent(),
             body: self.exchange.body.clone(),
         };
         let agent = self.node.pooled.clone();
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
 mod settings;
 mod story;
 mod timer;
+mod trace;
 
 use std::error::Error;
 use std::process::ExitCode;
--- a/src/node.rs
+++ b/src/node.rs
@@ -23,6 +23,7 @@
 use crate::settings::Settings;
 use crate::story::Stories;
 use crate::timer::Timer;
+use crate::trace::Traces;
 
 /// Idle connections kept for each target.
 const IDLE: usize = 16;
@@ -69,6 +70,8 @@
     pub pooled: Agent,
     /// Agent for calls that must not meet a connection used before.
     pub single: Agent,
+    /// Traces.
+    pub traces: Traces,
     /// Metrics.
     pub metrics: Metrics,
     /// Reasons of recent requests.
@@ -110,6 +113,7 @@
             kv: Kv::new(&settings.platform.to_string()),
             pooled: mimosapass_target::client::agent(IDLE),
             single: mimosapass_target::client::agent(0),
+            traces: Traces::new(settings.trace, &settings.name, &settings.zone),
             metrics: Metrics::new(),
             stories: Stories::default(),
             freed,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -51,6 +51,7 @@
     log::info!("serve: callers at {}, operators at {operators}.", server.addr());
     if signals.forever().next().is_some() {
         stop(&node, &server, &mut signals);
+        node.traces.stop();
     }
     Ok(())
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,6 +9,8 @@
 use mimosapass_operator::yaml::{self, Faults};
 use serde::Deserialize;
 
+use crate::trace::Export;
+
 /// Longest wait that a setting may state, in milliseconds.
 const LONGEST_WAIT: u64 = 3_600_000;
 /// Longest planned stop, in milliseconds.
@@ -38,6 +40,8 @@
     stop: Stop,
     #[serde(default)]
     callers: Callers,
+    #[serde(default)]
+    trace: Export,
 }
 
 /// Addresses on which the instance listens.
@@ -111,6 +115,8 @@
     pub stop_limit: Duration,
     /// Bounds on callers.
     pub limits: Limits,
+    /// Where trace spans go.
+    pub trace: Export,
 }
 
 /// Reads and checks a settings file.
@@ -145,6 +151,7 @@
         notice: Duration::from_millis(file.stop.notice_ms),
         stop_limit: Duration::from_millis(file.stop.limit_ms),
         limits,
+        trace: file.trace,
     }
 }
 
--- a/src/story.rs
+++ b/src/story.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::node::Node;
+use crate::trace::Trace;
 
 /// Stories that are kept.
 const KEPT: usize = 2048;
@@ -37,12 +38,19 @@
     pub first_ms: Option<u64>,
     /// Whole time, in milliseconds.
     pub total_ms: u64,
+    /// Spans of the request.
+    #[serde(skip)]
+    pub trace: Trace,
 }
 
 impl Story {
     /// Begins the story of a request that this instance took.
-    pub fn of(node: &Node) -> Self {
-        Self { instance: node.name.to_string(), zone: node.zone.to_string(), ..Self::default() }
+    ///
+    /// `trace` is the caller's trace context, as the header gives it.
+    pub fn of(node: &Node, trace: Option<&str>) -> Self {
+        let trace = node.traces.enter(trace);
+        let (instance, zone) = (node.name.to_string(), node.zone.to_string());
+        Self { instance, zone, trace, ..Self::default() }
     }
 
     /// Ends the story, logs and counts the outcome, and keeps it.
@@ -52,6 +60,10 @@
         log::info!(request, class, outcome; "flow: request ended.");
         node.metrics.outcomes.with_label_values(&[outcome]).inc();
         outcome.clone_into(&mut self.outcome);
+        self.trace.note("request", &self.request);
+        self.trace.note("workspace", &self.workspace);
+        self.trace.note("class", &self.class);
+        self.trace.end(outcome);
         self.total_ms = start.elapsed().as_millis() as u64;
         node.stories.keep(self);
     }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -5,3 +5,4 @@
 mod refusals;
 mod settings;
 mod stop;
+mod trace;
--- /dev/null
+++ b/tests/suite/trace.rs
@@ -0,0 +1,124 @@
+//! Trace context in and out, and a span for each hop.
+
+use std::io::Read;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
+
+use mimosapass_caller::server::{Limits, Server};
+use rstest::rstest;
+
+use crate::common::{CONFIG, Fleet, agent, fresh_ip, post, until};
+
+const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
+const SPAN: &str = "b7ad6b7169203331";
+
+/// One instance whose output is kept, and a service that tells what it was sent.
+struct Traced {
+    _fleet: Fleet,
+    _service: Server,
+    child: Child,
+    sent: Receiver<Option<String>>,
+    ip: Ipv4Addr,
+}
+
+impl Traced {
+    fn new(extra: &str) -> Self {
+        let fleet = Fleet::new(&[]);
+        fleet.apply(CONFIG);
+        let (sender, sent) = channel();
+        let sender = Mutex::new(sender);
+        let local = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        let service = Server::start(
+            local,
+            Limits::default(),
+            Arc::new(move |exchange| {
+                let trace = exchange.head.header("traceparent").map(str::to_owned);
+                sender.lock().expect("whole").send(trace).expect("wanted");
+                exchange.answer(200, &[], b"").unwrap_or_default();
+            }),
+        );
+        let service = service.expect("service starts");
+        let mut members = fleet.members();
+        members[0].addr = service.addr().to_string();
+        fleet.platform.list(members);
+        let ip = fresh_ip();
+        let text = format!(
+            "name: traced\nzone: zone-a\nplatform: {}\nstop: {{notice_ms: 0}}\nlisten:\n  callers: {ip}:8080\n  peers: {ip}:8081\n  operators: {ip}:8082\n{extra}",
+            fleet.platform.addr(),
+        );
+        let file = std::env::temp_dir().join(format!("mimosapass-trace-{ip}.yaml"));
+        std::fs::write(&file, text).expect("written");
+        let child = Command::new(env!("CARGO_BIN_EXE_mimosapass"))
+            .args(["serve", "--config"])
+            .arg(&file)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn();
+        let traced =
+            Self { _fleet: fleet, _service: service, child: child.expect("it starts"), sent, ip };
+        let status = format!("http://{ip}:8082/status");
+        until("the instance knows its service", || {
+            let page = agent().get(&status).call().ok();
+            let text = page.and_then(|mut r| r.body_mut().read_to_string().ok());
+            text.is_some_and(|t| t.contains("\"ready\":true") && t.contains("desk-0"))
+        });
+        std::fs::remove_file(&file).expect("removed");
+        traced
+    }
+
+    fn call(&self, given: Option<&str>) -> Option<String> {
+        let headers: Vec<(&str, &str)> = given.map(|g| ("traceparent", g)).into_iter().collect();
+        let url = format!("http://{}:8080/services/lookups/x", self.ip);
+        assert_eq!(post(&url, &headers, "").expect("an answer").status, 200);
+        self.sent.recv().expect("the service was called")
+    }
+
+    /// Stops the instance and returns what it exported.
+    fn stop(&mut self) -> String {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+        let mut text = String::new();
+        let output = self.child.stdout.as_mut().expect("piped");
+        output.read_to_string(&mut text).expect("readable");
+        text
+    }
+}
+
+impl Drop for Traced {
+    fn drop(&mut self) {
+        self.child.kill().unwrap_or_default();
+        self.child.wait().map(drop).unwrap_or_default();
+    }
+}
+
+#[rstest]
+#[case::off("")]
+#[case::stated("trace: off\n")]
+fn without_export_the_header_is_passed_on_as_it_came(#[case] extra: &str) {
+    let mut traced = Traced::new(extra);
+    let given = format!("00-{TRACE}-{SPAN}-01");
+    assert_eq!(traced.call(Some(&given)), Some(given));
+    assert_eq!(traced.call(None), None);
+    assert_eq!(traced.stop(), "");
+}
+
+#[test]
+fn each_hop_has_a_span_with_its_reason() {
+    let mut traced = Traced::new("trace: stdout\n");
+    let sent = traced.call(Some(&format!("00-{TRACE}-{SPAN}-01"))).expect("a trace");
+    let parts: Vec<&str> = sent.split('-').collect();
+    assert_eq!((parts[0], parts[1], parts[3]), ("00", TRACE, "01"));
+    assert_ne!(parts[2], SPAN);
+    let fresh = traced.call(None).expect("a trace of its own");
+    assert!(!fresh.contains(TRACE), "{fresh}");
+    let told = traced.stop();
+    // The exporter prints a block for each span.
+    let spans: Vec<&str> = told.split("Span #").filter(|s| s.contains(TRACE)).collect();
+    let named = |name: &str| spans.iter().find(|s| s.contains(&format!(": {name}\n"))).copied();
+    let entry = named("entry").expect("an entry span");
+    assert!(entry.contains(SPAN) && entry.contains("lookups"), "{entry}");
+    let attempt = named("attempt").expect("an attempt span");
+    assert!(attempt.contains(parts[2]) && attempt.contains("desk-0: "), "{attempt}");
+}
