Bounds on callers: each with an answer, and strict framing of requests

By reading: a refusal could be lost to a reset while the caller still sent; the cap on connections closed without a word; a caller reading a byte now and then held a request past its deadline, as each write had a time of its own. Change: those are mended; all bodies together have a bound on memory; each piece of an answer must be taken within a time and never much past the deadline; a refused caller is read for two seconds more.

--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -1,18 +1,26 @@
 //! One request and the ways to answer it.
 
+use std::cell::Cell;
 use std::io::{self, Write};
 use std::mem::MaybeUninit;
-use std::net::{Shutdown, TcpStream};
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chunked_transfer::Encoder;
 use socket2::SockRef;
 
 use crate::head::Head;
+use crate::paced::Paced;
 
 /// Flags of Linux: look without taking, and do not wait.
 const PEEK: i32 = 0x02 | 0x40;
 
+/// Longest body that is copied to be sent in one write with its head, in bytes.
+const SMALL: usize = 16 * 1024;
+/// Longest piece of a whole body that has one bound on its time, in bytes.
+const PIECE: usize = 64 * 1024;
+
 /// Name and value of a response header.
 pub type Header = (&'static str, String);
 
@@ -22,8 +30,10 @@
     pub head: Head,
     /// Whole body.
     pub body: Bytes,
-    stream: &'a TcpStream,
-    encoder: Option<Encoder<&'a TcpStream>>,
+    paced: Paced<'a>,
+    encoder: Option<Encoder<Paced<'a>>>,
+    streaming: bool,
+    end: Cell<Option<Instant>>,
     close: bool,
     state: State,
 }
@@ -46,14 +56,29 @@
 }
 
 impl<'a> Exchange<'a> {
-    pub(crate) fn new(head: Head, body: Bytes, stream: &'a TcpStream, close: bool) -> Self {
-        Self { head, body, stream, encoder: None, close, state: State::Open }
+    pub(crate) fn new(head: Head, body: Bytes, paced: Paced<'a>, close: bool) -> Self {
+        let state = State::Open;
+        Self {
+            head,
+            body,
+            paced,
+            encoder: None,
+            streaming: false,
+            end: Cell::new(None),
+            close,
+            state,
+        }
     }
 
     pub(crate) fn reusable(&self) -> bool {
         self.state == State::Whole && !self.close
     }
 
+    /// States the deadline of the request; no write waits much longer.
+    pub fn end_by(&self, end: Instant) {
+        self.end.set(Some(end));
+    }
+
     /// Returns whether no answer was begun.
     pub fn unanswered(&self) -> bool {
         self.state == State::Open
@@ -62,7 +87,7 @@
     /// Returns whether the caller has closed its side or the connection broke.
     pub fn caller_gone(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(self.stream).recv_with_flags(&mut byte, PEEK) {
+        match SockRef::from(self.paced.stream).recv_with_flags(&mut byte, PEEK) {
             Ok(read) => read == 0,
             Err(e) => e.kind() != io::ErrorKind::WouldBlock,
         }
@@ -75,6 +100,7 @@
     /// Fails when the caller went away or reads too slowly.
     pub fn answer(&mut self, status: u16, headers: &[Header], body: &[u8]) -> io::Result<()> {
         self.state = State::Broken;
+        self.paced.end = self.end.get();
         let head = self.start(status, headers);
         self.write(head, body)
     }
@@ -82,10 +108,14 @@
     fn write(&mut self, mut head: String, body: &[u8]) -> io::Result<()> {
         push(&mut head, "content-length", &body.len().to_string());
         head.push_str("\r\n");
-        let mut stream = self.stream;
-        stream.write_all(head.as_bytes())?;
-        if self.head.method != "HEAD" {
-            stream.write_all(body)?;
+        if self.head.method == "HEAD" {
+            self.paced.write_all(head.as_bytes())?;
+        } else if body.len() <= SMALL {
+            let whole = [head.as_bytes(), body].concat();
+            self.paced.write_all(&whole)?;
+        } else {
+            self.paced.write_all(head.as_bytes())?;
+            body.chunks(PIECE).try_for_each(|piece| self.paced.write_all(piece))?;
         }
         self.state = State::Whole;
         Ok(())
@@ -104,6 +134,7 @@
         body: &[u8],
     ) -> io::Result<()> {
         self.state = State::Broken;
+        self.paced.end = self.end.get();
         let mut head = self.start(status, headers);
         for (name, value) in relayed {
             push(&mut head, name, value);
@@ -121,11 +152,15 @@
     /// Fails when the caller went away.
     pub fn begin(&mut self, status: u16, headers: &[Header]) -> io::Result<()> {
         self.state = State::Broken;
+        self.paced.end = self.end.get();
+        // A caller of HTTP/1.0 knows no chunks: there the end of the connection
+        // ends the answer, and one that breaks off ends with a reset.
+        self.close |= self.head.old;
         let mut head = self.start(status, headers);
-        head.push_str("transfer-encoding: chunked\r\n\r\n");
-        let mut stream = self.stream;
-        stream.write_all(head.as_bytes())?;
-        self.encoder = Some(Encoder::with_flush_after_write(self.stream));
+        head.push_str(if self.head.old { "\r\n" } else { "transfer-encoding: chunked\r\n\r\n" });
+        self.paced.write_all(head.as_bytes())?;
+        self.streaming = true;
+        self.encoder = (!self.head.old).then(|| Encoder::with_flush_after_write(self.paced));
         Ok(())
     }
 
@@ -136,13 +171,18 @@
     /// Fails when the caller went away, reads too slowly, or when no streamed
     /// answer was begun.
     pub fn send(&mut self, piece: &[u8]) -> io::Result<()> {
-        let encoder = self.encoder.as_mut().ok_or(io::ErrorKind::NotConnected)?;
-        encoder.write_all(piece)
+        match &mut self.encoder {
+            Some(encoder) => encoder.write_all(piece),
+            None if self.streaming => self.paced.write_all(piece),
+            None => Err(io::ErrorKind::NotConnected.into()),
+        }
     }
 
     /// Ends a streamed answer as whole.
     pub fn finish(&mut self) {
-        if self.encoder.take().is_some() {
+        self.encoder = None;
+        if self.streaming {
+            self.streaming = false;
             self.state = State::Whole;
         }
     }
@@ -165,8 +205,13 @@
     /// The encoder writes its closing chunk when it is dropped, right after
     /// this. Without the shutdown a truncated answer would look whole.
     fn drop(&mut self) {
-        if self.encoder.is_some() {
-            self.stream.shutdown(Shutdown::Both).unwrap_or_default();
+        if !self.streaming {
+            return;
+        }
+        if self.head.old {
+            SockRef::from(self.paced.stream).set_linger(Some(Duration::ZERO)).unwrap_or_default();
+        } else {
+            self.paced.stream.shutdown(Shutdown::Both).unwrap_or_default();
         }
     }
 }
--- a/crates/caller/src/head.rs
+++ b/crates/caller/src/head.rs
@@ -32,18 +32,29 @@
 
     /// Returns how the body is framed, or `None` when that makes no sense.
     pub fn framing(&self) -> Option<Framing> {
-        let coding = self.header("transfer-encoding");
+        let mut codings = self.headers.iter().filter(|(n, _)| n == "transfer-encoding");
+        let coding = codings.next().map(|(_, v)| v);
+        if codings.next().is_some() {
+            return None;
+        }
         let stated = self.headers.iter().filter(|(n, _)| n == "content-length");
-        let mut lengths = stated.map(|(_, v)| v.parse::<u64>());
+        let mut lengths = stated.map(|(_, v)| length(v));
         match (coding, lengths.next(), lengths.next()) {
-            (Some(v), None, None) if v.eq_ignore_ascii_case("chunked") => Some(Framing::Chunked),
-            (None, Some(Ok(length)), None) => Some(Framing::Length(length)),
+            (Some(v), None, None) if v.eq_ignore_ascii_case("chunked") && !self.old => {
+                Some(Framing::Chunked)
+            }
+            (None, Some(Some(length)), None) => Some(Framing::Length(length)),
             (None, None, None) => Some(Framing::Length(0)),
             _ => None,
         }
     }
 }
 
+/// Returns the length that just digits state.
+fn length(text: &str) -> Option<u64> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
 /// How a body is framed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Framing {
@@ -60,6 +71,8 @@
     Whole(Head, usize),
     /// More bytes are needed.
     Partial,
+    /// There are too many headers.
+    Large,
     /// The bytes are no HTTP request.
     Bad,
 }
@@ -71,6 +84,7 @@
     match request.parse(bytes) {
         Ok(httparse::Status::Complete(length)) => build(&request, length),
         Ok(httparse::Status::Partial) => Parsed::Partial,
+        Err(httparse::Error::TooManyHeaders) => Parsed::Large,
         Err(_) => Parsed::Bad,
     }
 }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -6,7 +6,9 @@
 //! every wait for a caller has a bound. One thread serves one connection.
 
 pub mod answer;
+mod body;
 pub mod exchange;
 pub mod head;
 pub mod openai;
+mod paced;
 pub mod server;
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -1,19 +1,20 @@
 //! The HTTP server: accepts connections and bounds every wait for a caller.
 
 use std::io::{self, Read};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use chunked_transfer::Decoder;
 use mimosapass_core::error::{Failure, Kind};
 
 use crate::answer;
+use crate::body::{self, Body, Memory, Timed, cut, slow};
 use crate::exchange::Exchange;
-use crate::head::{Framing, Head, Parsed, parse};
+use crate::head::{Head, Parsed, parse};
+use crate::paced::Paced;
 
 /// Stack of a connection's thread, in bytes.
 const STACK: usize = 256 * 1024;
@@ -21,6 +22,10 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Bytes read at once.
 const READ: usize = 16 * 1024;
+/// Connections over the limit that are told so; any more are closed at once.
+const TOLD: usize = 64;
+/// Time to tell a caller of a refusal before its connection is closed.
+const FAREWELL: Duration = Duration::from_secs(2);
 
 /// Bounds of the server.
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +34,8 @@
     pub head_bytes: usize,
     /// Most bytes in a body.
     pub body_bytes: usize,
+    /// Most bytes in the bodies of all requests together.
+    pub bodies_bytes: usize,
     /// Most connections at once.
     pub connections: usize,
     /// Time for a whole head, from its first byte.
@@ -37,7 +44,7 @@
     pub body_time: Duration,
     /// Time that a connection may stay silent between requests.
     pub idle_time: Duration,
-    /// Time that one write to a caller may block.
+    /// Time within which a caller must take one piece of an answer.
     pub write_time: Duration,
 }
 
@@ -46,6 +53,7 @@
         Self {
             head_bytes: 32 * 1024,
             body_bytes: 16 * 1024 * 1024,
+            bodies_bytes: 1024 * 1024 * 1024,
             connections: 4096,
             head_time: Duration::from_secs(10),
             body_time: Duration::from_mins(1),
@@ -77,6 +85,7 @@
     stopping: AtomicBool,
     open: AtomicUsize,
     busy: AtomicUsize,
+    memory: Memory,
 }
 
 impl Server {
@@ -94,6 +103,7 @@
             stopping: AtomicBool::new(false),
             open: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
+            memory: Memory::new(limits.bodies_bytes),
         });
         let accepting = Arc::clone(&shared);
         thread::Builder::new()
@@ -144,17 +154,24 @@
 }
 
 fn admit(stream: TcpStream, shared: &Arc<Shared>) {
-    if shared.open.fetch_add(1, Ordering::SeqCst) >= shared.limits.connections {
+    let open = shared.open.fetch_add(1, Ordering::SeqCst);
+    let limit = shared.limits.connections;
+    if open >= limit + TOLD {
         shared.open.fetch_sub(1, Ordering::SeqCst);
-        log::warn!("caller: too many connections, one was closed.");
+        log::warn!("caller: far too many connections, one was closed.");
         return;
     }
     let serving = Arc::clone(shared);
-    let spawned =
-        thread::Builder::new().name("caller".to_owned()).stack_size(STACK).spawn(move || {
+    let work = move || {
+        if open < limit {
             serve(&stream, &serving);
-            serving.open.fetch_sub(1, Ordering::SeqCst);
-        });
+        } else {
+            let text = format!("all {limit} connections of this instance are in use");
+            refuse(&stream, &Failure::new(Kind::QueueFull, text));
+        }
+        serving.open.fetch_sub(1, Ordering::SeqCst);
+    };
+    let spawned = thread::Builder::new().name("caller".to_owned()).stack_size(STACK).spawn(work);
     if let Err(e) = spawned {
         shared.open.fetch_sub(1, Ordering::SeqCst);
         log::error!("caller: no thread for a connection: {e}.");
@@ -162,10 +179,7 @@
 }
 
 fn serve(stream: &TcpStream, shared: &Shared) {
-    let limits = &shared.limits;
-    if stream.set_nodelay(true).is_err()
-        || stream.set_write_timeout(Some(limits.write_time)).is_err()
-    {
+    if stream.set_nodelay(true).is_err() {
         return;
     }
     let mut kept = Vec::new();
@@ -186,22 +200,34 @@
     }
 }
 
-fn handle(head: Head, body: Bytes, stream: &TcpStream, shared: &Shared) -> bool {
+fn handle(head: Head, body: Body, stream: &TcpStream, shared: &Shared) -> bool {
     let close = head.closes() || shared.stopping.load(Ordering::SeqCst);
-    let mut exchange = Exchange::new(head, body, stream, close);
+    let Body { bytes, reserved } = body;
+    let paced = Paced { stream, time: shared.limits.write_time, end: None };
+    let mut exchange = Exchange::new(head, bytes, paced, close);
     (shared.handler)(&mut exchange);
     if exchange.unanswered() {
         let failure = Failure::new(Kind::Internal, "the request was not answered");
         answer::fail(&mut exchange, &failure, None).unwrap_or_default();
     }
     let reusable = exchange.reusable();
+    drop(exchange);
+    drop(reserved);
     shared.busy.fetch_sub(1, Ordering::SeqCst);
     reusable
 }
 
+/// Answers a request that was not read whole, and closes.
+///
+/// What the caller still sends is read and dropped for a while: closing before
+/// that would reset the connection and lose the answer on its way.
 fn refuse(stream: &TcpStream, failure: &Failure) {
-    let mut exchange = Exchange::new(Head::default(), Bytes::new(), stream, true);
-    answer::fail(&mut exchange, failure, None).unwrap_or_default();
+    let paced = Paced { stream, time: FAREWELL, end: None };
+    let mut exchange = Exchange::new(Head::default(), Bytes::new(), paced, true);
+    let told = answer::fail(&mut exchange, failure, None);
+    if told.and_then(|()| stream.shutdown(Shutdown::Write)).is_ok() {
+        Timed { stream, end: Instant::now() + FAREWELL }.drain();
+    }
 }
 
 /// Reads one request; `None` means that the caller closed or stayed idle.
@@ -211,13 +237,14 @@
     stream: &TcpStream,
     kept: &mut Vec<u8>,
     shared: &Shared,
-) -> Result<Option<(Head, Bytes)>, Failure> {
+) -> Result<Option<(Head, Body)>, Failure> {
     if kept.is_empty() && !wait_first(stream, kept, shared) {
         return Ok(None);
     }
     shared.busy.fetch_add(1, Ordering::SeqCst);
-    let read = read_head(stream, kept, &shared.limits)
-        .and_then(|head| Ok((read_body(&head, stream, kept, &shared.limits)?, head)));
+    let limits = &shared.limits;
+    let read = read_head(stream, kept, limits)
+        .and_then(|head| Ok((body::read(&head, stream, kept, limits, &shared.memory)?, head)));
     match read {
         Ok((body, head)) => Ok(Some((head, body))),
         Err(failure) => {
@@ -234,9 +261,9 @@
     matches!(read_some(stream, kept), Ok(read) if read > 0)
 }
 
-fn read_some(mut stream: &TcpStream, kept: &mut Vec<u8>) -> io::Result<usize> {
+fn read_some(mut source: impl Read, kept: &mut Vec<u8>) -> io::Result<usize> {
     let mut buffer = [0; READ];
-    let read = stream.read(&mut buffer)?;
+    let read = source.read(&mut buffer)?;
     kept.extend_from_slice(&buffer[..read]);
     Ok(read)
 }
@@ -250,114 +277,17 @@
                 return Ok(head);
             }
             Parsed::Bad => return Err(Failure::new(Kind::BadRequest, "this is no HTTP request")),
+            Parsed::Large => return Err(Failure::new(Kind::TooLarge, "too many headers")),
             Parsed::Partial if kept.len() > limits.head_bytes => {
                 let text = format!("the head is over {} bytes", limits.head_bytes);
                 return Err(Failure::new(Kind::TooLarge, text));
             }
             Parsed::Partial => {}
         }
-        let mut timed = Timed { stream, end };
-        timed.arm().and_then(|()| read_some(stream, kept)).map_err(|e| slow(&e)).and_then(whole)?;
+        read_some(Timed { stream, end }, kept).map_err(|e| slow(&e)).and_then(whole)?;
     }
 }
 
 fn whole(read: usize) -> Result<(), Failure> {
-    match read {
-        0 => Err(Failure::new(Kind::CallerGone, "the caller closed in mid-request")),
-        _ => Ok(()),
-    }
-}
-
-fn slow(error: &io::Error) -> Failure {
-    match error.kind() {
-        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => {
-            Failure::new(Kind::SlowRequest, "the request came too slowly")
-        }
-        _ => Failure::new(Kind::CallerGone, error.to_string()),
-    }
-}
-
-fn read_body(
-    head: &Head,
-    mut stream: &TcpStream,
-    kept: &mut Vec<u8>,
-    limits: &Limits,
-) -> Result<Bytes, Failure> {
-    let bad = || Failure::new(Kind::BadRequest, "the length of the body is not clear");
-    let framing = head.framing().ok_or_else(bad)?;
-    if matches!(framing, Framing::Length(n) if n > limits.body_bytes as u64) {
-        return Err(over(limits));
-    }
-    let expects = head.header("expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"));
-    if expects && kept.is_empty() {
-        io::Write::write_all(&mut stream, b"HTTP/1.1 100 Continue\r\n\r\n")
-            .map_err(|e| slow(&e))?;
-    }
-    let timed = Timed { stream, end: Instant::now() + limits.body_time };
-    match framing {
-        Framing::Length(length) => read_length(timed, kept, length as usize),
-        Framing::Chunked => read_chunks(timed, kept, limits),
-    }
-}
-
-fn over(limits: &Limits) -> Failure {
-    Failure::new(Kind::TooLarge, format!("the body is over {} bytes", limits.body_bytes))
-}
-
-/// Reads a body of known length into memory of just that size.
-fn read_length(mut timed: Timed<'_>, kept: &mut Vec<u8>, length: usize) -> Result<Bytes, Failure> {
-    let ready = kept.len().min(length);
-    let mut body = Vec::with_capacity(length);
-    body.extend(kept.drain(..ready));
-    let missing = (length - ready) as u64;
-    let read = timed.by_ref().take(missing).read_to_end(&mut body).map_err(|e| slow(&e))?;
-    if read as u64 != missing {
-        return Err(Failure::new(Kind::CallerGone, "the caller closed in mid-request"));
-    }
-    Ok(Bytes::from(body))
-}
-
-fn read_chunks(timed: Timed<'_>, kept: &mut Vec<u8>, limits: &Limits) -> Result<Bytes, Failure> {
-    let ready = std::mem::take(kept);
-    // A chunked request is the last one on its connection as far as bytes go:
-    // the decoder takes byte by byte and leaves what follows in the socket.
-    let mut source = io::Cursor::new(ready).chain(timed);
-    let mut body = Vec::new();
-    let most = limits.body_bytes as u64 + 1;
-    Decoder::new(&mut source).take(most).read_to_end(&mut body).map_err(|e| match e.kind() {
-        io::ErrorKind::InvalidInput | io::ErrorKind::Other => {
-            Failure::new(Kind::BadRequest, "the chunked body is broken")
-        }
-        _ => slow(&e),
-    })?;
-    if body.len() as u64 == most {
-        return Err(over(limits));
-    }
-    let (cursor, _) = source.into_inner();
-    let at = cursor.position() as usize;
-    *kept = cursor.into_inner().split_off(at);
-    Ok(Bytes::from(body))
-}
-
-/// A stream whose reads together end at one point in time.
-struct Timed<'a> {
-    stream: &'a TcpStream,
-    end: Instant,
-}
-
-impl Timed<'_> {
-    fn arm(&mut self) -> io::Result<()> {
-        let left = self.end.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err(io::ErrorKind::TimedOut.into());
-        }
-        self.stream.set_read_timeout(Some(left))
-    }
-}
-
-impl Read for Timed<'_> {
-    fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
-        self.arm()?;
-        self.stream.read(buf)
-    }
+    if read == 0 { Err(cut()) } else { Ok(()) }
 }
--- /dev/null
+++ b/crates/caller/tests/openai.rs
@@ -0,0 +1,137 @@
+//! Shapes of model requests and answers.
+
+use mimosapass_caller::openai::{Call, Style, Usage, error_event, read};
+use mimosapass_core::error::{Failure, Kind};
+use rstest::rstest;
+use serde_json::Value;
+
+#[rstest]
+#[case::chat(Call::Chat, r#"{"model":"m","messages":[]}"#, "m", None, false, None)]
+#[case::text(Call::Text, r#"{"model":"m","prompt":"p"}"#, "m", None, false, None)]
+#[case::token_list(Call::Text, r#"{"model":"m","prompt":[1,2]}"#, "m", None, false, None)]
+#[case::streamed(Call::Chat, r#"{"model":"m","messages":[],"stream":true}"#, "m", None, true, None)]
+#[case::bounded(
+    Call::Chat,
+    r#"{"model":"m","messages":[],"max_tokens":7}"#,
+    "m",
+    None,
+    false,
+    Some(7)
+)]
+#[case::newer_bound(
+    Call::Chat,
+    r#"{"model":"m","messages":[],"max_tokens":7,"max_completion_tokens":8}"#,
+    "m",
+    None,
+    false,
+    Some(8)
+)]
+#[case::adapter(Call::Chat, r#"{"model":"m:a","messages":[]}"#, "m", Some("a"), false, None)]
+#[case::other_fields(
+    Call::Chat,
+    r#"{"model":"m","messages":[],"temperature":0.1,"user":{"x":[1]}}"#,
+    "m",
+    None,
+    false,
+    None
+)]
+#[case::escapes(
+    Call::Chat,
+    r#"{"model":"m\u0041","messages":["\ud83d\ude00"]}"#,
+    "mA",
+    None,
+    false,
+    None
+)]
+fn a_request_is_read(
+    #[case] call: Call,
+    #[case] body: &str,
+    #[case] model: &str,
+    #[case] adapter: Option<&str>,
+    #[case] stream: bool,
+    #[case] max_tokens: Option<u32>,
+) {
+    let prompt = read(call, body.as_bytes()).expect("a request");
+    assert_eq!((prompt.model.as_str(), prompt.adapter.as_deref()), (model, adapter));
+    assert_eq!((prompt.stream, prompt.max_tokens), (stream, max_tokens));
+}
+
+#[rstest]
+#[case::no_json(Call::Chat, "hello")]
+#[case::nothing(Call::Chat, "")]
+#[case::no_model(Call::Chat, r#"{"messages":[]}"#)]
+#[case::no_messages(Call::Chat, r#"{"model":"m"}"#)]
+#[case::prompt_for_chat(Call::Chat, r#"{"model":"m","prompt":"p"}"#)]
+#[case::messages_for_text(Call::Text, r#"{"model":"m","messages":[]}"#)]
+#[case::cut(Call::Chat, r#"{"model":"m","messages":["#)]
+#[case::more(Call::Chat, r#"{"model":"m","messages":[]} {}"#)]
+#[case::model_number(Call::Chat, r#"{"model":7,"messages":[]}"#)]
+#[case::negative_bound(Call::Chat, r#"{"model":"m","messages":[],"max_tokens":-1}"#)]
+#[case::no_text(Call::Chat, "{\"model\":\"\u{fffd}")]
+fn a_faulty_request_is_refused(#[case] call: Call, #[case] body: &str) {
+    let failure = read(call, body.as_bytes()).expect_err("a fault");
+    assert_eq!(failure.kind, Kind::BadRequest);
+    assert!(!failure.detail.is_empty());
+}
+
+fn style(call: Call) -> Style {
+    Style { call, id: "r-1".to_owned(), model: "m".to_owned(), created: 1_700_000_000 }
+}
+
+fn usage() -> Usage {
+    Usage { prompt_tokens: 2, completion_tokens: 3, total_tokens: 5 }
+}
+
+fn event(bytes: &[u8]) -> Value {
+    let text = std::str::from_utf8(bytes).expect("text");
+    let json = text.strip_prefix("data: ").and_then(|t| t.strip_suffix("\n\n"));
+    serde_json::from_str(json.expect("one event")).expect("JSON")
+}
+
+#[rstest]
+#[case::chat(Call::Chat, "chat.completion.chunk", "/delta/content")]
+#[case::text(Call::Text, "text_completion", "/text")]
+fn a_piece_is_one_event(#[case] call: Call, #[case] object: &str, #[case] place: &str) {
+    let piece = event(&style(call).event("a \"b\"\n"));
+    assert_eq!((piece["id"].as_str(), piece["model"].as_str()), (Some("r-1"), Some("m")));
+    assert_eq!(piece["object"], object);
+    assert_eq!(piece["choices"][0].pointer(place), Some(&Value::from("a \"b\"\n")));
+    assert_eq!(piece["choices"][0]["index"], 0);
+}
+
+#[rstest]
+#[case::chat(Call::Chat)]
+#[case::text(Call::Text)]
+fn a_stream_ends_with_reason_usage_and_mark(#[case] call: Call) {
+    let end = style(call).end("length", usage());
+    let text = String::from_utf8(end).expect("text");
+    let last = text.strip_suffix("data: [DONE]\n\n").expect("the end mark");
+    let last = event(last.as_bytes());
+    assert_eq!(last["choices"][0]["finish_reason"], "length");
+    assert_eq!(last["usage"]["total_tokens"], 5);
+}
+
+#[rstest]
+#[case::chat(Call::Chat, "chat.completion", "/message/content")]
+#[case::text(Call::Text, "text_completion", "/text")]
+fn a_whole_answer_has_text_reason_and_usage(
+    #[case] call: Call,
+    #[case] object: &str,
+    #[case] place: &str,
+) {
+    let whole: Value =
+        serde_json::from_slice(&style(call).whole("hello", "stop", usage())).expect("JSON");
+    assert_eq!(whole["object"], object);
+    assert_eq!(whole["choices"][0].pointer(place), Some(&Value::from("hello")));
+    assert_eq!(whole["choices"][0]["finish_reason"], "stop");
+    assert_eq!(whole["usage"]["prompt_tokens"], 2);
+}
+
+#[test]
+fn a_failure_in_mid_stream_is_an_event_with_its_code() {
+    let failure = Failure::new(Kind::CutAnswer, "the engine fell silent");
+    let error = event(&error_event(&failure));
+    assert_eq!(error["error"]["code"], "cut_answer");
+    assert_eq!(error["error"]["message"], "the engine fell silent");
+    assert_eq!(error["error"]["not_run"], false);
+}
--- a/src/flow/admit.rs
+++ b/src/flow/admit.rs
@@ -111,6 +111,7 @@
     let place = enter(node, &space.name, space.in_flight)?;
     let id = id.to_owned();
     let document = Arc::clone(document);
+    exchange.end_by(start + time);
     Ok(Admitted { document, class, id, start, end: start + time, place })
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -19,6 +19,8 @@
 const SMALLEST_BODY: usize = 1024;
 /// Largest limit of a body, in bytes.
 const LARGEST_BODY: usize = 256 * 1024 * 1024;
+/// Largest limit of all bodies together, in bytes.
+const LARGEST_BODIES: usize = 64 * 1024 * 1024 * 1024;
 /// Most connections that a setting may state.
 const MOST_CONNECTIONS: usize = 65_536;
 /// Longest name, in bytes.
@@ -79,6 +81,7 @@
     idle_ms: u64,
     write_ms: u64,
     body_bytes: usize,
+    bodies_bytes: usize,
     connections: usize,
 }
 
@@ -91,6 +94,7 @@
             idle_ms: limits.idle_time.as_millis() as u64,
             write_ms: limits.write_time.as_millis() as u64,
             body_bytes: limits.body_bytes,
+            bodies_bytes: limits.bodies_bytes,
             connections: limits.connections,
         }
     }
@@ -139,6 +143,7 @@
         idle_time: Duration::from_millis(file.callers.idle_ms),
         write_time: Duration::from_millis(file.callers.write_ms),
         body_bytes: file.callers.body_bytes,
+        bodies_bytes: file.callers.bodies_bytes,
         connections: file.callers.connections,
         ..Limits::default()
     };
@@ -200,6 +205,11 @@
         "callers.body_bytes",
         "write bytes, 1024 to 268435456",
     );
+    need(
+        (file.callers.body_bytes..=LARGEST_BODIES).contains(&file.callers.bodies_bytes),
+        "callers.bodies_bytes",
+        "write bytes, from `body_bytes` to 68719476736",
+    );
     need(
         (1..=MOST_CONNECTIONS).contains(&file.callers.connections),
         "callers.connections",
