--- /dev/null
+++ b/crates/core/src/summary.rs
@@ -0,0 +1,87 @@
+//! What a zone tells the others of its pools, one line for each pool.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::board::{Board, Known};
+use crate::config::{Config, Pool};
+use crate::ids::{PoolId, ZoneId};
+use crate::labels::matches;
+
+/// Age after which a summary says nothing any more.
+pub const FRESH: Duration = Duration::from_secs(10);
+
+/// State of one pool in one zone.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PoolState {
+    /// Name of the pool.
+    pub pool: PoolId,
+    /// Targets that take new work.
+    pub open: u32,
+    /// Free KV cache of these targets, in tokens.
+    pub free: u64,
+    /// Free KV cache of the target that has most, in tokens.
+    pub widest: u64,
+    /// Prompt tokens that wait to be computed.
+    pub prefill: u64,
+    /// Prefill speed of these targets together, in tokens a second.
+    pub speed: u64,
+}
+
+impl PoolState {
+    /// Returns the estimated wait of a new prompt, or `None` without a target.
+    pub fn wait(&self) -> Option<Duration> {
+        let wait = Duration::from_secs_f64(self.prefill as f64 / self.speed.max(1) as f64);
+        (self.open > 0).then_some(wait)
+    }
+}
+
+/// Latest summaries of the other zones.
+#[derive(Clone, Debug, Default)]
+pub struct Summaries {
+    zones: BTreeMap<ZoneId, (Vec<PoolState>, Instant)>,
+}
+
+impl Summaries {
+    /// Notes the summary of a zone that was heard at `now`.
+    pub fn note(&mut self, zone: ZoneId, pools: Vec<PoolState>, now: Instant) {
+        self.zones.insert(zone, (pools, now));
+    }
+
+    /// Returns the fresh states of a pool by zone.
+    pub fn of<'a>(
+        &'a self,
+        pool: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = (&'a ZoneId, &'a PoolState)> + 'a {
+        self.fresh(now).filter_map(move |(zone, pools)| {
+            pools.iter().find(|p| p.pool.as_ref() == pool).map(|p| (zone, p))
+        })
+    }
+
+    /// Returns the fresh summaries by zone.
+    pub fn fresh(&self, now: Instant) -> impl Iterator<Item = (&ZoneId, &[PoolState])> {
+        let fresh = move |heard: &Instant| now.saturating_duration_since(*heard) < FRESH;
+        self.zones.iter().filter(move |(_, (_, heard))| fresh(heard)).map(|(z, (p, _))| (z, &**p))
+    }
+}
+
+/// Sums up the targets of `zone` by pool.
+pub fn summarize(board: &Board, config: &Config, zone: &ZoneId, now: Instant) -> Vec<PoolState> {
+    let near: Vec<&Known> = board.all().filter(|k| k.listed.zone == *zone && k.open(now)).collect();
+    config.pools.iter().map(|pool| state(pool, &near)).collect()
+}
+
+fn state(pool: &Pool, near: &[&Known]) -> PoolState {
+    let mut state = PoolState { pool: PoolId::clone(&pool.name), ..PoolState::default() };
+    let held = |k: &&&Known| k.listed.kind == pool.kind && matches(&pool.select, &k.listed.labels);
+    for known in near.iter().filter(held) {
+        let report = &known.report;
+        state.open += 1;
+        state.free += report.free;
+        state.widest = state.widest.max(report.free);
+        state.prefill += report.prefill;
+        state.speed += report.speed;
+    }
+    state
+}
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -5,15 +5,20 @@
 //! alive, whatever the list says.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use crate::ids::{InstanceId, ZoneId};
 use crate::version::Head;
 
-/// Interval between heartbeats to each peer.
+/// Interval between heartbeats to each peer of the own zone.
 pub const BEAT: Duration = Duration::from_secs(1);
-/// Silence after which a peer counts as dead.
+/// Interval between heartbeats to a peer of another zone.
+pub const FAR_BEAT: Duration = Duration::from_secs(2);
+/// Silence after which a peer of the own zone counts as dead.
 pub const SILENCE: Duration = Duration::from_secs(4);
+/// Silence after which a peer of another zone counts as dead.
+pub const FAR_SILENCE: Duration = Duration::from_secs(8);
 
 /// What a heartbeat says of its sender.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -26,6 +31,10 @@
     pub boot: u64,
     /// Whether the sender is leaving and takes no roles.
     pub leaving: bool,
+    /// Whether the sender could not reach the platform at its last try.
+    pub cut: bool,
+    /// Address on which the sender takes links, where it is known.
+    pub addr: Option<SocketAddr>,
     /// Configuration in force at the sender.
     pub head: Head,
 }
@@ -42,24 +51,47 @@
     me: InstanceId,
     zone: ZoneId,
     leaving: bool,
+    cut: bool,
     peers: BTreeMap<InstanceId, Peer>,
 }
 
 impl View {
     /// Builds the view of an instance that has heard of nobody yet.
     pub fn new(me: InstanceId, zone: ZoneId) -> Self {
-        Self { me, zone, leaving: false, peers: BTreeMap::new() }
+        Self { me, zone, leaving: false, cut: false, peers: BTreeMap::new() }
     }
 
-    /// Notes a heartbeat; one of an older process of the same name is dropped.
-    pub fn hear(&mut self, beat: Beat, now: Instant) {
+    /// Notes a heartbeat; returns whether its sender was not known.
+    ///
+    /// A late heartbeat of an older process of the same name is dropped while
+    /// the newer one is alive. After that a lower start number is taken, since
+    /// the clock of the replacement may be behind.
+    pub fn hear(&mut self, beat: Beat, now: Instant) -> bool {
         if beat.name == self.me {
-            return;
+            return false;
         }
-        let stale = self.peers.get(&beat.name).is_some_and(|p| p.beat.boot > beat.boot);
-        if !stale {
-            self.peers.insert(InstanceId::clone(&beat.name), Peer { beat, heard: now });
+        let known = self.peers.get(&beat.name);
+        if known.is_some_and(|p| p.beat.boot > beat.boot && self.lives(p, now)) {
+            return false;
         }
+        let new = known.is_none_or(|p| p.beat.boot != beat.boot);
+        self.peers.insert(InstanceId::clone(&beat.name), Peer { beat, heard: now });
+        new
+    }
+
+    fn lives(&self, peer: &Peer, now: Instant) -> bool {
+        let silence = if peer.beat.zone == self.zone { SILENCE } else { FAR_SILENCE };
+        now.saturating_duration_since(peer.heard) < silence
+    }
+
+    /// Notes whether this instance reaches the platform.
+    pub fn set_cut(&mut self, cut: bool) {
+        self.cut = cut;
+    }
+
+    /// Returns whether this instance could not reach the platform.
+    pub fn cut(&self) -> bool {
+        self.cut
     }
 
     /// Marks this instance as leaving, so that it takes no roles.
@@ -69,23 +101,28 @@
 
     /// Forgets peers that have been silent for ten times [`SILENCE`].
     pub fn prune(&mut self, now: Instant) {
-        self.peers.retain(|_, p| now.duration_since(p.heard) < SILENCE * 10);
+        self.peers.retain(|_, p| now.saturating_duration_since(p.heard) < SILENCE * 10);
     }
 
     /// Returns the last heartbeats of peers that are alive, by name.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Beat> {
-        self.peers.values().filter(move |p| now.duration_since(p.heard) < SILENCE).map(|p| &p.beat)
+        self.peers.values().filter(move |p| self.lives(p, now)).map(|p| &p.beat)
     }
 
     /// Returns the names in this zone that may hold roles, this one included.
     pub fn candidates(&self, now: Instant) -> Vec<&str> {
-        let mut names: Vec<&str> = self
+        self.reaching(now).into_iter().map(|(name, _)| name).collect()
+    }
+
+    /// Returns the candidates and whether each is cut off from the platform.
+    pub fn reaching(&self, now: Instant) -> Vec<(&str, bool)> {
+        let mut names: Vec<(&str, bool)> = self
             .alive(now)
             .filter(|b| b.zone == self.zone && !b.leaving)
-            .map(|b| b.name.as_ref())
+            .map(|b| (b.name.as_ref(), b.cut))
             .collect();
         if !self.leaving {
-            names.push(&self.me);
+            names.push((&self.me, self.cut));
         }
         names
     }
--- /dev/null
+++ b/crates/core/tests/configuration.rs
@@ -0,0 +1,113 @@
+//! Properties of the version gate and of the entrance of a new instance.
+
+use std::time::{Duration, Instant};
+
+use mimosapass_core::join::{ASK, FETCH, Join, Told, Wait};
+use mimosapass_core::version::{Gate, Head, Heard};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+fn fixed() -> ProptestConfig {
+    ProptestConfig { rng_seed: RngSeed::Fixed(5), cases: 256, ..ProptestConfig::default() }
+}
+
+fn head(version: u64) -> Head {
+    Head { version, digest: version * 7 }
+}
+
+fn heads() -> impl Strategy<Value = Head> {
+    (0_u64..20, 0_u64..3).prop_map(|(version, digest)| Head { version, digest })
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    #[test]
+    fn a_version_never_reverts(offered in prop::collection::vec(heads(), 0..60)) {
+        let mut gate = Gate::default();
+        for head in offered {
+            let before = gate.head();
+            let heard = gate.hear(head);
+            let newer = gate.install(head);
+            prop_assert_eq!(newer, heard == Heard::Fetch);
+            prop_assert!(gate.head().version >= before.version);
+            // The text of a version does not change under it.
+            prop_assert!(gate.head().version > before.version || gate.head() == before);
+        }
+    }
+
+    #[test]
+    fn all_that_hear_the_same_heads_agree(
+        offered in prop::collection::vec(1_u64..30, 1..40),
+        seed in any::<u64>(),
+    ) {
+        let mut shuffled = offered.clone();
+        let by = |v: &u64| v.wrapping_mul(seed | 1).rotate_left(17);
+        shuffled.sort_by_key(by);
+        let end = |order: &[u64]| order.iter().fold(Gate::default(), |mut gate, v| {
+            gate.install(head(*v));
+            gate
+        }).head();
+        prop_assert_eq!(end(&offered), end(&shuffled));
+    }
+
+    #[test]
+    fn no_instance_is_ready_without_a_version_or_below_what_it_heard(
+        mine in 0_u64..6,
+        platform in prop::option::of(0_u64..6),
+        highest in 0_u64..6,
+        silent in 0_usize..3,
+        ms in 0_u64..19_000,
+    ) {
+        let start = Instant::now();
+        let mut join = Join::new(start);
+        if let Some(version) = platform {
+            join.platform(version);
+        }
+        let told = Told { highest, heard: usize::from(highest > 0), silent };
+        let now = start + Duration::from_millis(ms);
+        let ready = join.check(head(mine), told, now).is_ok();
+        let best = highest.max(platform.unwrap_or(0));
+        prop_assert!(!ready || (mine > 0 && mine >= best));
+        let asked = now >= start + ASK;
+        let complete = platform.is_some() && silent == 0;
+        prop_assert_eq!(ready, mine > 0 && mine >= best && (complete || asked));
+    }
+}
+
+#[rstest]
+#[case::nothing_known(0, None, 0, 0, Wait::Nothing { platform: false, peers: 0 })]
+#[case::empty_store(0, Some(0), 0, 0, Wait::Nothing { platform: true, peers: 0 })]
+#[case::peer_knows_more(3, Some(3), 4, 0, Wait::Behind(4))]
+#[case::store_knows_more(3, Some(5), 3, 0, Wait::Behind(5))]
+#[case::store_is_silent(3, None, 3, 0, Wait::Asking { platform: false, silent: 0 })]
+#[case::peer_is_silent(3, Some(3), 3, 2, Wait::Asking { platform: true, silent: 2 })]
+fn a_new_instance_waits(
+    #[case] mine: u64,
+    #[case] platform: Option<u64>,
+    #[case] highest: u64,
+    #[case] silent: usize,
+    #[case] wait: Wait,
+) {
+    let start = Instant::now();
+    let mut join = Join::new(start);
+    if let Some(version) = platform {
+        join.platform(version);
+    }
+    let told = Told { highest, heard: 0, silent };
+    assert_eq!(join.check(head(mine), told, start), Err(wait));
+    // What cannot be had is let go in the end, except for having none.
+    let late = join.check(head(mine), told, start + FETCH);
+    assert_eq!(late.is_ok(), mine > 0);
+}
+
+#[test]
+fn the_entrance_stays_open() {
+    let start = Instant::now();
+    let mut join = Join::new(start);
+    join.platform(3);
+    assert_eq!(join.check(head(3), Told::default(), start), Ok(()));
+    let told = Told { highest: 9, heard: 1, silent: 4 };
+    assert_eq!(join.check(head(3), told, start), Ok(()));
+}
--- /dev/null
+++ b/crates/core/tests/pace.rs
@@ -0,0 +1,83 @@
+//! Properties of back-off and rate limit.
+
+use std::time::{Duration, Instant};
+
+use mimosapass_core::pace::{Backoff, Bucket, spread};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn fixed() -> ProptestConfig {
+    ProptestConfig { rng_seed: RngSeed::Fixed(6), cases: 128, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    #[test]
+    fn a_bucket_gives_no_more_than_its_rate_and_burst(
+        steps in prop::collection::vec(0_u64..400, 1..200),
+    ) {
+        let start = Instant::now();
+        let mut bucket = Bucket::new(2.0, 6.0, start);
+        let mut now = start;
+        let mut taken = 0.0;
+        for ms in steps {
+            now += Duration::from_millis(ms);
+            taken += f64::from(u8::from(bucket.take(now)));
+            let most = 6.0 + 2.0 * (now - start).as_secs_f64();
+            prop_assert!(taken <= most + 1e-6, "{taken} of {most}");
+        }
+    }
+
+    #[test]
+    fn a_backoff_grows_within_its_bounds(randoms in prop::collection::vec(0.0_f64..1.0, 1..20)) {
+        let (least, most) = (Duration::from_millis(500), Duration::from_secs(4));
+        let mut backoff = Backoff::new(least, most);
+        let now = Instant::now();
+        for random in &randoms {
+            backoff.failed(now, *random);
+            prop_assert!(!backoff.ready(now + least / 2 * 9 / 10));
+            prop_assert!(backoff.ready(now + most + most / 2));
+        }
+        backoff.worked();
+        prop_assert!(backoff.ready(now));
+    }
+
+    #[test]
+    fn a_spread_keeps_its_mean_within_half(random in 0.0_f64..1.0) {
+        let span = Duration::from_secs(30);
+        let spread = spread(span, random);
+        prop_assert!(spread >= span / 2 && spread <= span * 3 / 2);
+    }
+}
+
+/// Calls of a fleet in each second after an outage of a minute.
+#[test]
+fn a_fleet_comes_back_without_a_rush() {
+    let start = Instant::now();
+    let end = start + Duration::from_mins(1);
+    let mut seed = 1_u64;
+    let mut random = || {
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (seed >> 40) as f64 / f64::from(1_u32 << 24)
+    };
+    let mut calls = vec![0; 70];
+    for _ in 0..380 {
+        let mut backoff = Backoff::new(Duration::from_millis(500), Duration::from_secs(4));
+        let mut now = start;
+        while now < end + Duration::from_secs(8) {
+            if backoff.ready(now) {
+                calls[(now - start).as_secs() as usize] += 1;
+                if now >= end {
+                    break;
+                }
+                backoff.failed(now, random());
+            }
+            now += Duration::from_millis(50);
+        }
+    }
+    // A service of two thousand reads a second is to see a tenth of it.
+    let most = calls[4..].iter().max().copied().unwrap_or(0);
+    assert!(most <= 200, "{calls:?}");
+    assert_eq!(calls[60..].iter().sum::<i32>(), 380, "{calls:?}");
+}
--- a/crates/instance/src/link.rs
+++ b/crates/instance/src/link.rs
@@ -3,15 +3,18 @@
 //! Each peer address has one outgoing link; answers go out on the sender's own
 //! outgoing link. A link that breaks is opened again at the next message. A
 //! peer that is slow loses messages rather than holding up others: everything
-//! sent here is repeated by its sender.
+//! sent here is repeated by its sender. The first message of a link names the
+//! sender, so that heartbeats stay small; what goes to many peers is encoded
+//! once.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
@@ -32,6 +35,8 @@
 /// Time after which an unused outgoing link is closed.
 const UNUSED: Duration = Duration::from_secs(30);
 
+type Link = Framed<TcpStream, LengthDelimitedCodec>;
+
 /// A message from a peer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Incoming {
@@ -45,8 +50,8 @@
 
 #[derive(Debug)]
 struct Outgoing {
-    to: SocketAddr,
-    body: Body,
+    to: Vec<SocketAddr>,
+    frames: Vec<Bytes>,
 }
 
 /// Sends messages to peers without waiting.
@@ -90,12 +95,26 @@
 
     /// Sends a message to the peer at `to`; it may be lost.
     pub fn send(&self, to: SocketAddr, body: Body) {
-        if self.out.send(Outgoing { to, body }).is_err() {
+        self.post(vec![to], vec![body]);
+    }
+
+    /// Sends messages to each of `peers`; any of them may be lost.
+    pub fn tell(&self, peers: &BTreeSet<SocketAddr>, bodies: Vec<Body>) {
+        self.post(peers.iter().copied().collect(), bodies);
+    }
+
+    fn post(&self, to: Vec<SocketAddr>, bodies: Vec<Body>) {
+        let frames = bodies.into_iter().map(|b| frame(&Envelope::of(b))).collect();
+        if self.out.send(Outgoing { to, frames }).is_err() {
             log::error!("links: the thread has ended.");
         }
     }
 }
 
+fn frame(envelope: &Envelope) -> Bytes {
+    Bytes::from(envelope.encode_to_vec())
+}
+
 async fn take(listener: TcpListener, sink: Sender<Incoming>) {
     loop {
         match listener.accept().await {
@@ -110,6 +129,7 @@
 
 async fn receive(stream: TcpStream, sink: Sender<Incoming>) {
     let mut framed = Framed::new(stream, codec());
+    let (mut from, mut addr) = (String::new(), String::new());
     while let Ok(Some(Ok(frame))) = timeout(SILENT, framed.next()).await {
         let envelope = match Envelope::decode(frame.freeze()) {
             Ok(envelope) if envelope.version == VERSION => envelope,
@@ -122,36 +142,42 @@
                 return;
             }
         };
+        if !envelope.from.is_empty() {
+            (from, addr) = (envelope.from, envelope.addr);
+        }
         let Some(body) = envelope.body else { continue };
-        if sink.send(Incoming { from: envelope.from, addr: envelope.addr, body }).is_err() {
+        if from.is_empty() {
+            log::warn!("links: a peer did not name itself.");
+            return;
+        }
+        let message = Incoming { from: from.clone(), addr: addr.clone(), body };
+        if sink.send(message).is_err() {
             return;
         }
     }
 }
 
 async fn send(name: String, addr: SocketAddr, mut outgoing: mpsc::UnboundedReceiver<Outgoing>) {
-    let mut peers: HashMap<SocketAddr, mpsc::Sender<Envelope>> = HashMap::new();
-    while let Some(Outgoing { to, body }) = outgoing.recv().await {
+    let hello = Envelope { from: name, addr: addr.to_string(), ..Envelope::empty() };
+    let hello = frame(&hello);
+    let mut peers: HashMap<SocketAddr, mpsc::Sender<Vec<Bytes>>> = HashMap::new();
+    while let Some(Outgoing { to, frames }) = outgoing.recv().await {
         peers.retain(|_, queue| !queue.is_closed());
-        let queue = peers.entry(to).or_insert_with(|| {
-            let (queue, waiting) = mpsc::channel(QUEUE);
-            tokio::spawn(write(to, waiting));
-            queue
-        });
-        let envelope = Envelope {
-            version: VERSION,
-            from: name.clone(),
-            addr: addr.to_string(),
-            body: Some(body),
-        };
-        if queue.try_send(envelope).is_err() {
-            log::debug!("links: a message to {to} was dropped.");
+        for to in to {
+            let queue = peers.entry(to).or_insert_with(|| {
+                let (queue, waiting) = mpsc::channel(QUEUE);
+                tokio::spawn(write(to, hello.clone(), waiting));
+                queue
+            });
+            if queue.try_send(frames.clone()).is_err() {
+                log::debug!("links: a message to {to} was dropped.");
+            }
         }
     }
 }
 
 /// Writes the messages for one peer and ends when the link breaks.
-async fn write(to: SocketAddr, mut waiting: mpsc::Receiver<Envelope>) {
+async fn write(to: SocketAddr, hello: Bytes, mut waiting: mpsc::Receiver<Vec<Bytes>>) {
     let Ok(Ok(stream)) = timeout(OPEN, TcpStream::connect(to)).await else {
         log::debug!("links: cannot reach {to}.");
         return;
@@ -160,15 +186,25 @@
         return;
     }
     let mut framed = Framed::new(stream, codec());
-    while let Ok(Some(envelope)) = timeout(UNUSED, waiting.recv()).await {
-        let frame = bytes::Bytes::from(envelope.encode_to_vec());
-        if !matches!(timeout(WRITE, framed.send(frame)).await, Ok(Ok(()))) {
+    let mut first = vec![hello];
+    while let Ok(Some(frames)) = timeout(UNUSED, waiting.recv()).await {
+        first.extend(frames);
+        let batch = std::mem::take(&mut first);
+        if !matches!(timeout(WRITE, all(&mut framed, batch)).await, Ok(Ok(()))) {
             log::debug!("links: the link to {to} broke.");
             return;
         }
     }
 }
 
+/// Writes messages together, so that they share a packet where they fit.
+async fn all(link: &mut Link, frames: Vec<Bytes>) -> io::Result<()> {
+    for frame in frames {
+        link.feed(frame).await?;
+    }
+    SinkExt::<Bytes>::flush(link).await
+}
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(LONGEST).new_codec()
 }
--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -11,17 +11,29 @@
     /// Version of the messages.
     #[prost(uint32, tag = "1")]
     pub version: u32,
-    /// Name of the sender.
+    /// Name of the sender; empty after the first message of a link.
     #[prost(string, tag = "2")]
     pub from: String,
-    /// Address on which the sender takes links, `IP:port`.
+    /// Address on which the sender takes links, `IP:port`; empty as `from`.
     #[prost(string, tag = "3")]
     pub addr: String,
     /// The message; absent when this version does not know its kind.
-    #[prost(oneof = "Body", tags = "10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 30, 31")]
     pub body: Option<Body>,
 }
 
+impl Envelope {
+    /// Returns an envelope without a message.
+    pub fn empty() -> Self {
+        Self { version: VERSION, ..Self::default() }
+    }
+
+    /// Returns the envelope of a message that follows the first one of a link.
+    pub fn of(body: Body) -> Self {
+        Self { body: Some(body), ..Self::empty() }
+    }
+}
+
 /// The kinds of messages.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum Body {
@@ -37,6 +49,12 @@
     /// Text of a configuration.
     #[prost(message, tag = "13")]
     Config(Config),
+    /// Addresses of instances that a new one should ask.
+    #[prost(message, tag = "30")]
+    Contacts(Contacts),
+    /// State of the sender's zone, for other zones.
+    #[prost(message, tag = "31")]
+    Summary(Summary),
 }
 
 /// A sign of life and the sender's configuration version.
@@ -57,6 +75,9 @@
     /// Digest of that configuration.
     #[prost(fixed64, tag = "5")]
     pub digest: u64,
+    /// Whether the sender could not reach the platform at its last try.
+    #[prost(bool, tag = "6")]
+    pub cut: bool,
 }
 
 /// Load of several targets.
@@ -126,3 +147,45 @@
     #[prost(string, tag = "3")]
     pub text: String,
 }
+
+/// Addresses of instances, for one that the platform's list does not name.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Contacts {
+    /// Addresses on which they take links, `IP:port`.
+    #[prost(string, repeated, tag = "1")]
+    pub addrs: Vec<String>,
+}
+
+/// State of the pools of one zone.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Summary {
+    /// Availability zone.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// One entry for each pool.
+    #[prost(message, repeated, tag = "2")]
+    pub pools: Vec<Pool>,
+}
+
+/// State of one pool in one zone.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Pool {
+    /// Name of the pool.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Targets that take new work.
+    #[prost(uint32, tag = "2")]
+    pub open: u32,
+    /// Free KV cache of these targets, in tokens.
+    #[prost(uint64, tag = "3")]
+    pub free: u64,
+    /// Free KV cache of the target that has most, in tokens.
+    #[prost(uint64, tag = "4")]
+    pub widest: u64,
+    /// Prompt tokens that wait to be computed.
+    #[prost(uint64, tag = "5")]
+    pub prefill: u64,
+    /// Prefill speed of these targets together, in tokens a second.
+    #[prost(uint64, tag = "6")]
+    pub speed: u64,
+}
--- a/crates/operator/src/store.rs
+++ b/crates/operator/src/store.rs
@@ -2,7 +2,9 @@
 //!
 //! Parts are written first and belong to one candidate; the head is then
 //! swapped. Whoever wins the swap has set the next version. A lost answer is
-//! settled by reading the head, which carries the writer's random token.
+//! settled by reading the head, which carries the writer's random token and
+//! those of the versions before it. Old versions are deleted by the changes
+//! that follow, so that the store is bounded.
 
 use std::fmt;
 
@@ -19,6 +21,12 @@
 const PART: usize = 400_000;
 /// Reads that settle a lost answer.
 const SETTLE: u32 = 5;
+/// Versions that are kept beside the one in force.
+pub const KEPT: ConfigVersion = 50;
+/// Old versions that one change deletes, at most.
+const SWEEP: ConfigVersion = 4;
+/// Tokens of earlier versions that a head carries.
+const TRAIL: usize = 16;
 
 /// Head record.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -33,9 +41,23 @@
     pub author: String,
     /// Random token of the writer.
     pub token: u64,
+    /// Tokens of the versions before this one, the newest first.
+    #[serde(default)]
+    pub trail: Vec<u64>,
+    /// Oldest version that may still be in the store.
+    #[serde(default)]
+    pub oldest: ConfigVersion,
 }
 
 impl HeadRecord {
+    /// Returns the token of a version; `None` where it is no more known.
+    fn token_of(&self, version: ConfigVersion) -> Option<u64> {
+        match self.version.checked_sub(version)? {
+            0 => Some(self.token),
+            back => self.trail.get(back as usize - 1).copied(),
+        }
+    }
+
     /// Returns version and digest.
     pub fn head(&self) -> version::Head {
         version::Head { version: self.version, digest: self.digest }
@@ -137,17 +159,34 @@
     token: u64,
 ) -> Result<HeadRecord, StoreError> {
     let version = base.record.version + 1;
+    if base.record.version > 0 {
+        // The tool that set it may have died before it wrote the history.
+        remember(kv, &base.record);
+    }
+    let oldest = sweep(kv, base.record.oldest.max(1), version.saturating_sub(KEPT));
     let parts = write_parts(kv, &document.text, version, token)?;
-    let record =
-        HeadRecord { version, digest: document.digest, parts, author: author.to_owned(), token };
+    let trail = std::iter::once(base.record.token).chain(base.record.trail.iter().copied());
+    let record = HeadRecord {
+        version,
+        digest: document.digest,
+        parts,
+        author: author.to_owned(),
+        token,
+        trail: trail.take(TRAIL).collect(),
+        oldest,
+    };
     let value = serde_json::to_string(&record).unwrap_or_default();
-    match kv.put(HEAD, &value, base.revision, None) {
-        Ok(_) => {}
-        Err(KvError::Conflict(_) | KvError::Unknown(_)) => settle(kv, token, base)?,
-        Err(e) => return Err(StoreError::Kv(e)),
+    let swapped = match kv.put(HEAD, &value, base.revision, None) {
+        Ok(_) => Ok(()),
+        Err(KvError::Conflict(_) | KvError::Unknown(_)) => settle(kv, version, token, base),
+        Err(e) => Err(StoreError::Kv(e)),
+    };
+    match swapped {
+        Ok(()) => remember(kv, &record),
+        Err(StoreError::Lost(_)) => record.parts.iter().for_each(|key| drop(erase(kv, key))),
+        Err(_) => {}
     }
-    remember(kv, &record);
-    Ok(record)
+    swapped.map(|()| record)
 }
 
 fn write_parts(
@@ -179,11 +218,16 @@
 }
 
 /// Finds out whether our swap took effect although its answer was lost.
-fn settle(kv: &Kv, token: u64, base: &Stored) -> Result<(), StoreError> {
+///
+/// Another operator may have gone on from ours meanwhile; the tokens that the
+/// head carries tell. A head older than `base` is a stale read.
+fn settle(kv: &Kv, version: ConfigVersion, token: u64, base: &Stored) -> Result<(), StoreError> {
     for _ in 0..SETTLE {
         match head(kv) {
-            Ok(found) if found.record.token == token => return Ok(()),
-            Ok(found) if found.revision != base.revision => {
+            Ok(found) if found.record.token_of(version) == Some(token) => return Ok(()),
+            Ok(found)
+                if found.revision > base.revision && found.record.token_of(version).is_some() =>
+            {
                 return Err(StoreError::Lost(found.record.version));
             }
             _ => std::thread::sleep(std::time::Duration::from_millis(200)),
@@ -192,6 +236,28 @@
     Err(StoreError::Unsettled)
 }
 
+/// Deletes versions from `oldest` up to `end`; returns the oldest that is left.
+fn sweep(kv: &Kv, oldest: ConfigVersion, end: ConfigVersion) -> ConfigVersion {
+    let old = oldest..end.min(oldest + SWEEP);
+    old.clone().find(|v| sweep_one(kv, *v).is_err()).unwrap_or(old.end.max(oldest))
+}
+
+fn sweep_one(kv: &Kv, version: ConfigVersion) -> Result<(), KvError> {
+    let key = history_key(version);
+    let Some(entry) = kv.get(&key)? else { return Ok(()) };
+    if let Ok(record) = serde_json::from_str::<HeadRecord>(&entry.value) {
+        record.parts.iter().try_for_each(|part| erase(kv, part))?;
+    }
+    kv.delete(&key, entry.revision)
+}
+
+fn erase(kv: &Kv, key: &str) -> Result<(), KvError> {
+    match kv.get(key)? {
+        Some(entry) => kv.delete(key, entry.revision),
+        None => Ok(()),
+    }
+}
+
 /// Key of the record that `history` reads.
 pub fn history_key(version: ConfigVersion) -> String {
     format!("config/history/{version}")
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod http;
 pub mod kv;
 pub mod list;
+pub mod pacing;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod engine;
 pub mod platform;
+pub mod relay;
 pub mod reply;
 pub mod service;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -19,6 +19,7 @@
 /// Faults that can be set while the platform runs.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
+#[expect(clippy::struct_excessive_bools, reason = "each fault is set alone")]
 pub struct Faults {
     /// Answer every call to the key-value service with status 503.
     pub outage: bool,
@@ -26,6 +27,12 @@
     pub delay_ms: u64,
     /// Carry out so many writes and lose their answers.
     pub lose_writes: u32,
+    /// Answer reads with the value before the last write.
+    pub stale: bool,
+    /// Let watches run out although the key has changed.
+    pub skip_watches: bool,
+    /// Answer watches at once although the key has not changed.
+    pub repeat_watches: bool,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -51,6 +58,8 @@
     pub writes: u64,
     /// Calls that came during an outage.
     pub failed: u64,
+    /// Watches that wait now.
+    pub waiting: u64,
 }
 
 #[derive(Debug, Default)]
@@ -58,6 +67,7 @@
     faults: Faults,
     revision: u64,
     keys: BTreeMap<String, Stored>,
+    former: BTreeMap<String, Stored>,
     leases: BTreeMap<u64, Lease>,
     members: Vec<Member>,
     calls: Calls,
@@ -109,6 +119,12 @@
     pub fn calls(&self) -> Calls {
         self.inner.state().calls
     }
+
+    /// Returns the keys that begin with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.inner.state();
+        state.keys.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
+    }
 }
 
 impl Inner {
@@ -186,19 +202,24 @@
         state.expire();
         if let Some(after) = after {
             let waits = |s: &mut State| {
-                !s.faults.outage && s.keys.get(key).is_none_or(|k| k.revision <= after)
+                let old = s.keys.get(key).is_none_or(|k| k.revision <= after);
+                let faults = &s.faults;
+                !faults.outage && !faults.repeat_watches && (old || faults.skip_watches)
             };
-            let (woken, timeout) = self
+            state.calls.waiting += 1;
+            let (mut woken, timeout) = self
                 .changed
                 .wait_timeout_while(state, wait.min(LONGEST_WAIT), waits)
                 .unwrap_or_else(PoisonError::into_inner);
+            woken.calls.waiting -= 1;
             state = woken;
             if timeout.timed_out() {
                 drop(state);
                 return reply::empty(exchange, 304);
             }
         }
-        let (found, outage) = (state.keys.get(key).cloned(), state.faults.outage);
+        let outage = state.faults.outage;
+        let found = state.read(key);
         drop(state);
         match found {
             _ if outage => reply::empty(exchange, 503),
@@ -227,6 +248,9 @@
             status = 200;
             state.revision += 1;
             revision = state.revision;
+            if let Some(old) = state.keys.get(key).cloned() {
+                state.former.insert(key.to_owned(), old);
+            }
             if put {
                 state.keys.insert(key.to_owned(), Stored { revision, value, lease });
             } else {
@@ -271,6 +295,12 @@
 }
 
 impl State {
+    /// Returns a key, or its former value where reads are stale.
+    fn read(&self, key: &str) -> Option<Stored> {
+        let former = self.former.get(key).filter(|_| self.faults.stale);
+        former.or_else(|| self.keys.get(key)).cloned()
+    }
+
     /// Drops leases that lapsed and the keys that hang on them.
     fn expire(&mut self) {
         let now = Instant::now();
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,15 +10,19 @@
 use mimosapass_core::budget::Budget;
 use mimosapass_core::estimate::Ratios;
 use mimosapass_core::ids::{InstanceId, WorkspaceId, ZoneId};
+use mimosapass_core::join::{Join, Wait};
+use mimosapass_core::summary::Summaries;
 use mimosapass_core::version::{Gate, Head};
 use mimosapass_core::view::{Beat, View};
 use mimosapass_instance::link::Links;
 use mimosapass_operator::document::Document;
 use mimosapass_platform::kv::Kv;
 use mimosapass_platform::list::Member;
+use mimosapass_platform::pacing::Paced;
 use ureq::Agent;
 
 use crate::metrics::Metrics;
+use crate::parts::contacts::{Contacts, answers};
 use crate::parts::reclaim::Freed;
 use crate::settings::Settings;
 use crate::story::Stories;
@@ -26,6 +30,8 @@
 
 /// Idle connections kept for each target.
 const IDLE: usize = 16;
+/// Source of a fault of the configuration that is no peer.
+pub const PLATFORM: &str = "platform";
 
 /// Everything that changes while the instance runs.
 #[derive(Debug)]
@@ -34,10 +40,20 @@
     pub gate: Gate,
     /// Configuration in force.
     pub document: Option<Arc<Document>>,
+    /// Entrance that a new instance passes.
+    pub join: Join,
+    /// Faults of the configuration by who showed them.
+    pub faults: BTreeMap<String, String>,
+    /// When a peer was last asked for a configuration.
+    pub asked: Option<Instant>,
     /// Targets in reach.
     pub board: Board,
     /// Members in reach.
     pub view: View,
+    /// Peers that the list does not name.
+    pub contacts: Contacts,
+    /// What other zones told of their pools.
+    pub summaries: Summaries,
     /// Latest list of the platform.
     pub members: Vec<Member>,
     /// Learned lengths.
@@ -65,6 +81,8 @@
     pub links: Links,
     /// Key-value service.
     pub kv: Kv,
+    /// Key-value service, paced, for what goes on without requests.
+    pub control: Paced,
     /// Agent for calls that may be repeated.
     pub pooled: Agent,
     /// Agent for calls that must not meet a connection used before.
@@ -91,11 +109,17 @@
     ) -> Self {
         let name = InstanceId::from(settings.name.as_str());
         let zone = ZoneId::from(settings.zone.as_str());
+        let kv = Kv::new(&settings.platform.to_string());
         let state = State {
             gate: Gate::default(),
             document: None,
+            join: Join::new(Instant::now()),
+            faults: BTreeMap::new(),
+            asked: None,
             board: Board::default(),
             view: View::new(InstanceId::clone(&name), ZoneId::clone(&zone)),
+            contacts: Contacts::default(),
+            summaries: Summaries::default(),
             members: Vec::new(),
             ratios: Ratios::default(),
             budget: Budget::default(),
@@ -107,7 +131,8 @@
             boot,
             timer,
             links,
-            kv: Kv::new(&settings.platform.to_string()),
+            control: Paced::new(kv.clone()),
+            kv,
             pooled: mimosapass_target::client::agent(IDLE),
             single: mimosapass_target::client::agent(0),
             metrics: Metrics::new(),
@@ -125,9 +150,41 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the configuration in force.
+    /// Returns the configuration in force, once the instance may use it.
     pub fn document(&self) -> Option<Arc<Document>> {
-        self.state().document.clone()
+        let state = self.state();
+        state.document.clone().filter(|_| state.join.joined())
+    }
+
+    /// Returns whether the head has to be read before anything else.
+    pub fn seeks(&self) -> bool {
+        let state = self.state();
+        state.join.seeks(state.gate.head().version)
+    }
+
+    /// Passes the entrance if the instance may be ready now.
+    ///
+    /// # Errors
+    ///
+    /// Says what is being waited for.
+    pub fn enter(&self) -> Result<(), Wait> {
+        let mut state = self.state();
+        let (mine, told) = (state.gate.head(), answers(&state, self));
+        state.join.check(mine, told, Instant::now())
+    }
+
+    /// Notes what is wrong with the configuration that `source` has, if anything.
+    pub fn tell_fault(&self, source: &str, fault: Option<String>) {
+        let mut state = self.state();
+        let known = state.faults.get(source) == fault.as_ref();
+        match fault {
+            Some(text) if !known => {
+                log::error!("config: {text}.");
+                state.faults.insert(source.to_owned(), text);
+            }
+            Some(_) => {}
+            None => drop(state.faults.remove(source)),
+        }
     }
 
     /// Puts a configuration in force if it is newer; returns whether it did.
@@ -170,20 +227,20 @@
         if self.stopping() {
             return Err("the instance is stopping".to_owned());
         }
-        match self.document() {
-            Some(_) => Ok(()),
-            None => Err("no configuration yet".to_owned()),
-        }
+        self.enter().map_err(|wait| wait.to_string())
     }
 
     /// Returns the heartbeat of this instance.
     pub fn beat(&self) -> Beat {
+        let state = self.state();
         Beat {
             name: InstanceId::clone(&self.name),
             zone: ZoneId::clone(&self.zone),
             boot: self.boot,
             leaving: self.stopping(),
-            head: self.state().gate.head(),
+            cut: state.view.cut(),
+            addr: Some(self.links.addr()),
+            head: state.gate.head(),
         }
     }
 
--- a/src/parts/configure.rs
+++ b/src/parts/configure.rs
@@ -7,70 +7,111 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use mimosapass_core::rendezvous::order;
+use mimosapass_core::pace::spread;
+use mimosapass_core::roles::watchers;
 use mimosapass_core::version::Heard;
 use mimosapass_operator::store::{self, StoreError, Stored};
-use mimosapass_platform::kv::Revision;
+use mimosapass_platform::kv::{Entry, Revision};
 
-use crate::node::Node;
+use crate::node::{Node, PLATFORM};
 
-/// Instances of a zone that wait on the head.
-const WATCHERS: usize = 2;
-/// Time that one watch waits.
-const WAIT: Duration = Duration::from_secs(10);
+/// Time that one watch waits; a read follows in case it missed a change.
+const WAIT: Duration = Duration::from_secs(6);
 /// Time between rounds.
 const ROUND: Duration = Duration::from_secs(1);
-/// Rounds between two reads of an instance that does not watch.
-const NET: u64 = 30;
+/// Time between two reads of an instance that does not watch, before jitter.
+const NET: Duration = Duration::from_secs(30);
 
 /// Follows the head for as long as the process lives.
 pub fn run(node: &Arc<Node>) {
     let ticks = node.timer.subscribe(ROUND);
-    let mut seen: Revision = 0;
-    let mut round = 0_u64;
+    let mut follower = Follower { node, seen: 0, net: Instant::now() };
     loop {
-        let unconfigured = node.document().is_none();
-        let result = if unconfigured || round % NET == 1 {
-            look(node, &mut seen)
-        } else if watches(node) {
-            watch(node, &mut seen)
-        } else {
-            Ok(())
-        };
-        if let Err(e) = result {
-            log::warn!("config: {e}.");
+        if node.control.ready() {
+            follower.round();
         }
-        round += 1;
         if ticks.recv().is_err() {
             return;
         }
     }
 }
 
-fn watches(node: &Node) -> bool {
-    let state = node.state();
-    let names = state.view.candidates(Instant::now());
-    order("watcher", &names).iter().take(WATCHERS).any(|n| *n == node.name.as_ref())
+struct Follower<'a> {
+    node: &'a Node,
+    seen: Revision,
+    net: Instant,
 }
 
-fn look(node: &Node, seen: &mut Revision) -> Result<(), StoreError> {
-    take(node, &store::head(&node.kv)?, seen)
-}
+impl Follower<'_> {
+    fn round(&mut self) {
+        let result = if self.node.seeks() || Instant::now() >= self.net {
+            self.look()
+        } else if self.watches() {
+            self.watch()
+        } else {
+            return;
+        };
+        let cut = matches!(result, Err(StoreError::Kv(_)));
+        self.node.state().view.set_cut(cut);
+        if let Err(e) = result {
+            log::warn!("config: the head was not read: {e}.");
+        }
+    }
 
-fn watch(node: &Node, seen: &mut Revision) -> Result<(), StoreError> {
-    let found = node.kv.watch(store::HEAD, *seen, WAIT).map_err(StoreError::Kv)?;
-    match found {
-        Some(entry) => take(node, &store::parse_head(&entry.value, entry.revision)?, seen),
-        None => Ok(()),
+    fn watches(&self) -> bool {
+        let state = self.node.state();
+        let names = state.view.reaching(Instant::now());
+        watchers(&names).contains(&self.node.name.as_ref())
+    }
+
+    fn look(&mut self) -> Result<(), StoreError> {
+        self.net = Instant::now() + spread(NET, rand::random());
+        let found = self.node.control.call(|kv| kv.get(store::HEAD)).map_err(StoreError::Kv)?;
+        self.take(found.as_ref())
+    }
+
+    fn watch(&mut self) -> Result<(), StoreError> {
+        let seen = self.seen;
+        let found = self.node.control.call(|kv| kv.watch(store::HEAD, seen, WAIT));
+        match found.map_err(StoreError::Kv)? {
+            Some(entry) => self.take(Some(&entry)),
+            None => self.look(),
+        }
+    }
+
+    fn take(&mut self, found: Option<&Entry>) -> Result<(), StoreError> {
+        let stored = match found {
+            Some(entry) => store::parse_head(&entry.value, entry.revision)?,
+            None => Stored::default(),
+        };
+        let version = stored.record.version;
+        let mut state = self.node.state();
+        state.join.platform(version);
+        let mine = state.gate.head();
+        let heard = state.gate.hear(stored.record.head());
+        drop(state);
+        let fault = match heard {
+            Heard::Fetch => return self.fetch(&stored),
+            Heard::Same => None,
+            Heard::Older => Some(format!(
+                "the key-value service went back to version {version} while {} is in force",
+                mine.version
+            )),
+            Heard::Conflict => {
+                Some(format!("the key-value service has another text for version {version}"))
+            }
+        };
+        self.node.tell_fault(PLATFORM, fault);
+        self.seen = stored.revision;
+        Ok(())
     }
-}
 
-fn take(node: &Node, stored: &Stored, seen: &mut Revision) -> Result<(), StoreError> {
-    let heard = node.state().gate.hear(stored.record.head());
-    if heard == Heard::Fetch {
-        let document = store::text(&node.kv, &stored.record)?;
-        node.install(stored.record.version, document);
+    fn fetch(&mut self, stored: &Stored) -> Result<(), StoreError> {
+        let read = store::text(&self.node.kv, &stored.record);
+        self.node.control.note(read.is_ok());
+        self.node.install(stored.record.version, read?);
+        self.node.tell_fault(PLATFORM, None);
+        self.seen = stored.revision;
+        Ok(())
     }
-    *seen = stored.revision;
-    Ok(())
 }
--- a/src/parts/listing.rs
+++ b/src/parts/listing.rs
@@ -18,6 +18,9 @@
     let ticks = node.timer.subscribe(PERIOD);
     loop {
         match list.read() {
+            // A list that names nobody, not even this instance, is no news:
+            // the platform has lost it or has just begun anew.
+            Ok(members) if members.is_empty() => log::warn!("listing: the list is empty."),
             Ok(members) => {
                 let mut state = node.state();
                 state.members = members;
--- a/src/parts/mod.rs
+++ b/src/parts/mod.rs
@@ -1,6 +1,7 @@
 //! The parts of an instance that run beside the requests.
 
 pub mod configure;
+pub mod contacts;
 pub mod listing;
 pub mod peers;
 pub mod poll;
--- a/src/parts/peers.rs
+++ b/src/parts/peers.rs
@@ -1,37 +1,66 @@
 //! Heartbeats among instances, and what peers tell each other.
+//!
+//! All instances of a zone tell each other each second. Between zones each
+//! instance tells a few partners, with a summary of its own zone; every
+//! instance is told by partners of each other zone. All heartbeats carry the
+//! head of the configuration, so that a change reaches every zone while the
+//! key-value service is out.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use mimosapass_core::summary::{PoolState, summarize};
 use mimosapass_core::version::{Head, Heard};
-use mimosapass_core::view::{BEAT, Beat};
+use mimosapass_core::view::{BEAT, Beat, FAR_BEAT};
 use mimosapass_instance::link::Incoming;
 use mimosapass_instance::message::{self, Body};
 use mimosapass_operator::document;
-use mimosapass_platform::list::Role;
 
 use crate::node::Node;
-use crate::parts::poll;
+use crate::parts::{contacts, poll};
+
+/// Share of [`BEAT`] within which a second heartbeat is left out.
+const RECENT: f64 = 0.8;
+/// Time between two requests for the text of a configuration.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
 
 /// Sends heartbeats for as long as the process lives.
 pub fn beat(node: &Arc<Node>) {
     let ticks = node.timer.subscribe(BEAT);
+    let mut far = Instant::now();
     loop {
-        tell(node, &peers(node, false), &beat_body(node));
-        let mut state = node.state();
-        state.view.prune(Instant::now());
-        let alive = state.view.alive(Instant::now()).count();
-        drop(state);
-        node.metrics.peers.set(alive as i64);
+        let told = node.state().contacts.told();
+        if told.is_none_or(|at| at.elapsed() >= BEAT.mul_f64(RECENT)) {
+            tell_zone(node, None);
+        }
+        if Instant::now() >= far {
+            far = Instant::now() + FAR_BEAT.mul_f64(RECENT);
+            tell_far(node);
+        }
+        housekeeping(node);
         if ticks.recv().is_err() {
             return;
         }
     }
 }
 
+fn housekeeping(node: &Node) {
+    let now = Instant::now();
+    let mut state = node.state();
+    state.view.prune(now);
+    state.contacts.prune(now);
+    let alive: BTreeSet<String> = state.view.alive(now).map(|b| b.name.to_string()).collect();
+    state.faults.retain(|source, _| source == crate::node::PLATFORM || alive.contains(source));
+    drop(state);
+    node.metrics.peers.set(alive.len() as i64);
+    if let Err(wait) = node.enter() {
+        log::info!("config: not ready: {wait}.");
+    }
+}
+
 /// Handles what peers send for as long as the links live.
 pub fn listen(node: &Arc<Node>, incoming: &Receiver<Incoming>) {
     while let Ok(message) = incoming.recv() {
@@ -41,40 +70,32 @@
             Body::Records(records) => poll::note(node, &records),
             Body::Want(want) => wanted(node, from, want.above),
             Body::Config(config) => offered(node, &config),
+            Body::Contacts(named) => contacts::note(node, &named),
+            Body::Summary(summary) => summed_up(node, summary),
         }
     }
 }
 
-/// Tells all instances of this zone.
-pub fn tell_zone(node: &Node, body: &Body) {
-    tell(node, &peers(node, true), body);
-}
-
-/// Tells all instances that this one leaves.
-pub fn tell_leaving(node: &Node) {
-    tell(node, &peers(node, false), &beat_body(node));
+/// Sends a heartbeat and `more` to all instances of this zone.
+pub fn tell_zone(node: &Node, more: Option<Body>) {
+    let near = contacts::near(node);
+    node.state().contacts.tell(Instant::now());
+    node.links.tell(&near, std::iter::once(beat_body(node)).chain(more).collect());
 }
 
-fn tell(node: &Node, peers: &BTreeSet<SocketAddr>, body: &Body) {
-    for peer in peers {
-        node.links.send(*peer, body.clone());
+/// Sends a heartbeat and the summary of this zone to partners in other zones.
+fn tell_far(node: &Node) {
+    let far = contacts::far(node);
+    if !far.is_empty() {
+        let summary = summary_body(node);
+        node.links.tell(&far, std::iter::once(beat_body(node)).chain(summary).collect());
     }
 }
 
-/// Returns the addresses of other instances, by the list and the seeds.
-fn peers(node: &Node, zone_only: bool) -> BTreeSet<SocketAddr> {
-    let state = node.state();
-    let mut found: BTreeSet<SocketAddr> = state
-        .members
-        .iter()
-        .filter(|m| m.role == Role::Entry && (!zone_only || m.zone == *node.zone))
-        .filter_map(|m| poll::address(&m.addr))
-        .collect();
-    if !zone_only {
-        found.extend(&node.settings.seeds);
-    }
-    found.remove(&node.links.addr());
-    found
+/// Tells all that listen to this instance that it leaves.
+pub fn tell_leaving(node: &Node) {
+    tell_zone(node, None);
+    tell_far(node);
 }
 
 fn beat_body(node: &Node) -> Body {
@@ -85,30 +106,70 @@
         leaving: beat.leaving,
         config: beat.head.version,
         digest: beat.head.digest,
+        cut: beat.cut,
     })
 }
 
+fn summary_body(node: &Node) -> Option<Body> {
+    let state = node.state();
+    let document = state.document.clone()?;
+    let pools = summarize(&state.board, &document.config, &node.zone, Instant::now());
+    drop(state);
+    let pools = pools.iter().map(|p| message::Pool {
+        name: p.pool.to_string(),
+        open: p.open,
+        free: p.free,
+        widest: p.widest,
+        prefill: p.prefill,
+        speed: p.speed,
+    });
+    Some(Body::Summary(message::Summary { zone: node.zone.to_string(), pools: pools.collect() }))
+}
+
+fn summed_up(node: &Node, summary: message::Summary) {
+    let pools = summary.pools.into_iter().map(|p| PoolState {
+        pool: p.name.into(),
+        open: p.open,
+        free: p.free,
+        widest: p.widest,
+        prefill: p.prefill,
+        speed: p.speed,
+    });
+    node.state().summaries.note(summary.zone.into(), pools.collect(), Instant::now());
+}
+
 fn heard(node: &Node, name: &str, from: Option<SocketAddr>, beat: &message::Beat) {
     let head = Head { version: beat.config, digest: beat.digest };
-    let mut state = node.state();
     let seen = Beat {
         name: name.into(),
         zone: beat.zone.as_str().into(),
         boot: beat.boot,
         leaving: beat.leaving,
+        cut: beat.cut,
+        addr: from,
         head,
     };
-    state.view.hear(seen, Instant::now());
+    let now = Instant::now();
+    let mut state = node.state();
+    let new = state.view.hear(seen, now);
     let verdict = state.gate.hear(head);
     let above = state.gate.head().version;
+    let asks = verdict == Heard::Fetch && state.asked.is_none_or(|at| now >= at + ASK_AGAIN);
+    if asks {
+        state.asked = Some(now);
+    }
     drop(state);
-    match (verdict, from) {
-        (Heard::Fetch, Some(to)) => node.links.send(to, Body::Want(message::Want { above })),
-        (Heard::Conflict, _) if above > 0 => {
-            log::error!("config: {name} has another text for version {above}.");
+    if let Some(to) = from {
+        if asks {
+            node.links.send(to, Body::Want(message::Want { above }));
+        }
+        if new {
+            contacts::introduce(node, to, &beat.zone);
         }
-        _ => {}
     }
+    let fault = (verdict == Heard::Conflict && above > 0)
+        .then(|| format!("{name} has another text for version {above}"));
+    node.tell_fault(name, fault);
 }
 
 fn wanted(node: &Node, from: Option<SocketAddr>, above: u64) {
--- a/src/parts/poll.rs
+++ b/src/parts/poll.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use mimosapass_core::board::Report;
@@ -24,14 +25,22 @@
 pub fn run(node: &Arc<Node>) {
     let ticks = node.timer.subscribe(PERIOD);
     while ticks.recv().is_ok() {
-        let records: Vec<Record> =
-            owned(node).iter().filter_map(|(name, addr)| poll(node, name, addr)).collect();
+        let records = poll_all(node, &owned(node));
         if !records.is_empty() {
-            peers::tell_zone(node, &Body::Records(Records { records }));
+            peers::tell_zone(node, Some(Body::Records(Records { records })));
         }
     }
 }
 
+/// Polls engines at the same time, so that a frozen one holds up no other.
+fn poll_all(node: &Node, owned: &[(String, String)]) -> Vec<Record> {
+    thread::scope(|scope| {
+        let polls: Vec<_> =
+            owned.iter().map(|(name, addr)| scope.spawn(move || poll(node, name, addr))).collect();
+        polls.into_iter().filter_map(|p| p.join().ok().flatten()).collect()
+    })
+}
+
 /// Returns names and addresses of the engines that this instance owns.
 fn owned(node: &Node) -> Vec<(String, String)> {
     let state = node.state();
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -93,7 +93,11 @@
     ready: bool,
     stopping: bool,
     config: u64,
+    digest: String,
+    fault: String,
+    waiting: String,
     peers: Vec<PeerStatus>,
+    zones: Vec<ZoneStatus>,
     targets: Vec<TargetStatus>,
 }
 
@@ -105,6 +109,13 @@
     config: u64,
 }
 
+#[derive(Serialize)]
+struct ZoneStatus {
+    name: String,
+    open: u32,
+    free: u64,
+}
+
 #[derive(Serialize)]
 struct TargetStatus {
     name: String,
@@ -117,7 +128,7 @@
 
 fn status(node: &Node) -> String {
     let now = Instant::now();
-    let ready = node.ready().is_ok();
+    let waiting = node.ready().err().unwrap_or_default();
     let state = node.state();
     let peers = state.view.alive(now).map(|b| PeerStatus {
         name: b.name.to_string(),
@@ -125,6 +136,11 @@
         leaving: b.leaving,
         config: b.head.version,
     });
+    let zones = state.summaries.fresh(now).map(|(zone, pools)| ZoneStatus {
+        name: zone.to_string(),
+        open: pools.iter().map(|p| p.open).sum(),
+        free: pools.iter().map(|p| p.free).sum(),
+    });
     let targets = state.board.all().map(|k| TargetStatus {
         name: k.listed.name.to_string(),
         zone: k.listed.zone.to_string(),
@@ -136,10 +152,14 @@
     let status = Status {
         instance: node.name.to_string(),
         zone: node.zone.to_string(),
-        ready,
+        ready: waiting.is_empty(),
         stopping: node.stopping(),
         config: state.gate.head().version,
+        digest: format!("{:016x}", state.gate.head().digest),
+        fault: state.faults.values().cloned().collect::<Vec<_>>().join("; "),
+        waiting,
         peers: peers.collect(),
+        zones: zones.collect(),
         targets: targets.collect(),
     };
     serde_json::to_string(&status).unwrap_or_default()
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -92,6 +92,11 @@
         SocketAddr::new(IpAddr::V4(self.ip), 8080)
     }
 
+    /// Returns the address for peers.
+    pub fn peers(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), 8081)
+    }
+
     /// Sends a signal, such as `TERM`, to the process.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
@@ -192,14 +197,27 @@
 
     /// Starts an instance; `extra` is added to its settings.
     pub fn start(&mut self, zone: &str, extra: &str) -> usize {
+        let seeds: Vec<SocketAddr> = self.instances.iter().map(Instance::peers).collect();
+        let at = self.launch(zone, extra, self.platform.addr(), &seeds);
+        self.publish();
+        at
+    }
+
+    /// Starts an instance that knows only `seeds` and reaches the platform at
+    /// `platform`; the list does not name it yet.
+    pub fn launch(
+        &mut self,
+        zone: &str,
+        extra: &str,
+        platform: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> usize {
         let ip = fresh_ip();
         let name = format!("{zone}-{}", self.instances.len());
-        let seeds: Vec<String> =
-            self.instances.iter().map(|i| format!("\"{}:8081\"", i.ip)).collect();
+        let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let text = format!(
-            "name: {name}\nzone: {zone}\nplatform: {}\nseeds: [{}]\nlisten:\n  \
+            "name: {name}\nzone: {zone}\nplatform: {platform}\nseeds: [{}]\nlisten:\n  \
              callers: {ip}:8080\n  peers: {ip}:8081\n  operators: {ip}:8082\n{extra}",
-            self.platform.addr(),
             seeds.join(", "),
         );
         let file = self.dir.join(format!("{name}.yaml"));
@@ -212,7 +230,6 @@
             .spawn()
             .expect("the daemon starts");
         self.instances.push(Instance { name, child, ip, zone: zone.to_owned() });
-        self.publish();
         self.instances.len() - 1
     }
 
@@ -254,7 +271,12 @@
 
 /// Waits until something holds.
 pub fn until(what: &str, holds: impl Fn() -> bool) {
-    let end = Instant::now() + PATIENCE;
+    within(PATIENCE, what, holds);
+}
+
+/// Waits until something holds, for a bound that comes from a stated target.
+pub fn within(bound: Duration, what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + bound;
     while !holds() {
         assert!(Instant::now() < end, "in vain: {what}");
         std::thread::sleep(Duration::from_millis(20));
