Store tests use a configuration that the stricter check accepts

Cause: the check now refuses a configuration without pools or classes, and the fixture of the store tests had neither. Ruled out: a fault of the store; the texts were refused before it was asked. Change: the fixture is a whole configuration; every assertion stays. Seen: 5 of 5 store tests failed before, pass after.

--- a/crates/operator/tests/store.rs
+++ b/crates/operator/tests/store.rs
@@ -16,7 +16,11 @@
 }
 
 fn document(name: &str) -> Document {
-    read(&format!("pools: []\nclasses: []\nworkspaces:\n  - name: {name}\n")).expect("it holds")
+    let text = format!(
+        "models: [{{name: m}}]\npools: [{{name: p, models: [m]}}]\n\
+         classes: [{{name: c, promise_ms: 1, deadline_ms: 1}}]\nworkspaces: [{{name: {name}}}]\n"
+    );
+    read(&text).expect("it holds")
 }
 
 fn apply(kv: &Kv, name: &str, base: &Stored, token: u64) -> Result<u64, StoreError> {
