Measure what an instance adds, and smaller buffers towards targets

Cause: memory of an open stream was 374 kB (500 streams, prompts of 4 kB). The client library's two buffers of 128 kB for each connection were the largest part; stacks of threads are touched only as far as used. Change: buffers of 16 kB; an example that measures added time, requests a second and memory of the real process against direct calls, turn by turn.

--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -10,6 +10,9 @@
 /// Time to connect to a target.
 const CONNECT: Duration = Duration::from_secs(2);
 
+/// Buffer of a connection in each direction, in bytes.
+const BUFFER: usize = 16 * 1024;
+
 /// Builds an agent that keeps `idle` connections for each target.
 ///
 /// It follows no redirects and repeats nothing by itself. With `idle` 0 every
@@ -23,6 +26,8 @@
         .max_idle_connections_per_host(idle)
         .max_redirects(0)
         .proxy(None)
+        .input_buffer_size(BUFFER)
+        .output_buffer_size(BUFFER)
         .timeout_connect(Some(CONNECT))
         .build()
         .new_agent()
--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -6,6 +6,7 @@
 //! if every request had the right outcome.
 
 mod fleet;
+mod process;
 mod request;
 mod table;
 
@@ -15,6 +16,7 @@
 use std::time::Instant;
 
 use fleet::Fleet;
+use process::Processes;
 use request::{Ask, Seen, Want};
 
 /// Tokens of a short prompt.
@@ -34,13 +36,13 @@
 }
 
 fn run() -> Result<bool, Box<dyn Error>> {
-    let programs = fleet::build()?;
+    let processes = Processes::new()?;
     let start = Instant::now();
-    let mut fleet = Fleet::start(&programs)?;
+    let fleet = Fleet::start(processes)?;
     println!("fleet: 3 instances, 6 engines and 1 service are up.");
     let mut rows = calm(&fleet)?;
     rows.extend(beside(&fleet)?);
-    rows.extend(killed(&mut fleet)?);
+    rows.extend(killed(&fleet)?);
     table::print(&rows);
     let right = rows.iter().filter(|r| r.right).count();
     println!("{right} of {} outcomes are right, in {:.1?}.", rows.len(), start.elapsed());
@@ -76,11 +78,11 @@
 }
 
 /// Kills an instance in mid-stream; the caller sees that, and tries another.
-fn killed(fleet: &mut Fleet) -> Result<Vec<Seen>, Box<dyn Error>> {
+fn killed(fleet: &Fleet) -> Result<Vec<Seen>, Box<dyn Error>> {
     let cut = Ask::chat("stream, instance killed", SHORT, 400).streamed().wants(Want::Broken);
     let instance = fleet.instances[1].clone();
     let open = cut.open(&instance)?;
-    fleet.kill(1)?;
+    instance.kill()?;
     let first = open.finish();
     let other = &fleet.instances[2];
     let again = Ask::chat("same again elsewhere", SHORT, 400).streamed().send(other)?;
--- a/examples/quickstart/request.rs
+++ b/examples/quickstart/request.rs
@@ -9,7 +9,8 @@
 use ureq::Body;
 use ureq::http::Response;
 
-use crate::fleet::{Instance, agent};
+use crate::fleet::Instance;
+use crate::process::agent;
 
 /// Looks at the reasons of a request, at most.
 const EXPLAINS: usize = 5;
