Non-idempotent requests run at most once, and refusals tell the truth

Cause: once.rs was a sketch that nothing called, so every repeat of a booking ran again. The retry loop answered with its last failure, so an attempt that broke after the send, followed by a refusal, was answered as not run. An engine's 4xx was answered as `bad_request`, which promises not run, though the engine never said so.

Ruled out: a second write before the first byte (claimed, then sending). It moves the one ambiguous moment, a write whose answer is lost, to the second write and costs a third write for each booking. Deleting a record that was given up: a lost create may still land after the delete was found needless.

Change: one create with a random token before the first byte. Whoever gives up without sending writes `unsent` at the revision of the write in doubt, which fences a late one; only then may another request claim the record, by compare-and-swap. Outcomes are written in the background, also for callers that went away. Records share one lease for ten minutes' worth of them. A tally of attempts says not run only if none may have run; a request that must not run twice gets no attempt after one that may have run. New kinds: already_ran, id_mismatch, rejected.

Figures: 20 bookings cost 40 writes of records (counted by the stand-in).

Conclusion: at most one run in all cases; what stays unknown is told as such.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -44,6 +44,12 @@
     Running,
     /// A request with the same identifier was sent and its outcome is unknown.
     OutcomeUnknown,
+    /// A request with the same identifier ran and its answer was not stored.
+    AlreadyRan,
+    /// The identifier belongs to another request.
+    Mismatch,
+    /// The target answered that the request is wrong; how far it ran is not known.
+    Rejected,
     /// Every target tried refused the request before running it.
     Refused,
     /// The target failed after the request may have reached it.
@@ -91,7 +97,7 @@
 }
 
 /// The whole table, one row for each kind in the order of [`Kind`].
-pub const TABLE: [Row; 23] = [
+pub const TABLE: [Row; 26] = [
     row(Kind::BadRequest, 400, "bad_request", true, NEVER),
     row(Kind::TooLarge, 413, "too_large", true, NEVER),
     row(Kind::SlowRequest, 408, "slow_request", true, SOON),
@@ -109,6 +115,9 @@
     row(Kind::RecordUnavailable, 503, "record_unavailable", true, LATER),
     row(Kind::Running, 409, "running", false, SOON),
     row(Kind::OutcomeUnknown, 409, "outcome_unknown", false, NEVER),
+    row(Kind::AlreadyRan, 409, "already_ran", false, NEVER),
+    row(Kind::Mismatch, 409, "id_mismatch", false, NEVER),
+    row(Kind::Rejected, 400, "rejected", false, NEVER),
     row(Kind::Refused, 503, "refused", true, SOON),
     row(Kind::TargetFailed, 502, "target_failed", false, SOON),
     row(Kind::CutAnswer, 502, "cut_answer", false, SOON),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,8 +6,10 @@
 //! is always an argument, so that each rule can be tested without a socket
 //! or a clock.
 
+pub mod attempts;
 pub mod board;
 pub mod budget;
+pub mod claim;
 pub mod classify;
 pub mod config;
 pub mod error;
--- a/crates/platform/src/kv.rs
+++ b/crates/platform/src/kv.rs
@@ -69,12 +69,23 @@
 pub struct Kv {
     agent: Agent,
     base: String,
+    time: Duration,
 }
 
 impl Kv {
     /// Builds a client for the service at `addr`, `IP:port`.
     pub fn new(addr: &str) -> Self {
-        Self { agent: agent(), base: format!("http://{addr}") }
+        Self { agent: agent(), base: format!("http://{addr}"), time: CALL }
+    }
+
+    /// Returns a client whose calls each take at most `time`.
+    ///
+    /// A time longer than that of an ordinary call changes nothing.
+    #[must_use]
+    pub fn within(&self, time: Duration) -> Self {
+        // A call with no time at all would wait for ever.
+        let time = time.clamp(Duration::from_millis(1), CALL);
+        Self { time, ..self.clone() }
     }
 
     /// Reads a key; `None` when it is absent.
@@ -83,7 +94,7 @@
     ///
     /// Fails when the service gives no answer in time.
     pub fn get(&self, key: &str) -> Result<Option<Entry>, KvError> {
-        self.read(&format!("/kv/{key}"), CALL)
+        self.read(&format!("/kv/{key}"), self.time)
     }
 
     /// Waits until the key is past revision `after`; `None` when `wait` ran out.
@@ -98,7 +109,7 @@
         wait: Duration,
     ) -> Result<Option<Entry>, KvError> {
         let path = format!("/kv/{key}?after={after}&wait_ms={}", wait.as_millis());
-        self.read(&path, wait + CALL)
+        self.read(&path, wait + self.time)
     }
 
     /// Writes a key if it is at `revision`; 0 creates it.
@@ -116,7 +127,7 @@
     ) -> Result<Revision, KvError> {
         let lease = lease.map(|id| format!("&lease={id}")).unwrap_or_default();
         let url = format!("{}/kv/{key}?revision={revision}{lease}", self.base);
-        let request = self.agent.put(url).config().timeout_global(Some(CALL)).build();
+        let request = self.agent.put(url).config().timeout_global(Some(self.time)).build();
         let mut response = checked(request.send(value).map_err(|e| failed(&e))?)?;
         let written: Written = response.body_mut().read_json().map_err(|e| failed(&e))?;
         Ok(written.revision)
@@ -129,7 +140,7 @@
     /// As [`Kv::put`].
     pub fn delete(&self, key: &str, revision: Revision) -> Result<(), KvError> {
         let url = format!("{}/kv/{key}?revision={revision}", self.base);
-        let request = self.agent.delete(url).config().timeout_global(Some(CALL)).build();
+        let request = self.agent.delete(url).config().timeout_global(Some(self.time)).build();
         checked(request.call().map_err(|e| failed(&e))?).map(drop)
     }
 
@@ -140,7 +151,7 @@
     /// Fails when the service gives no answer in time.
     pub fn grant(&self, ttl: Duration) -> Result<LeaseId, KvError> {
         let url = format!("{}/leases?ttl_ms={}", self.base, ttl.as_millis());
-        let request = self.agent.post(url).config().timeout_global(Some(CALL)).build();
+        let request = self.agent.post(url).config().timeout_global(Some(self.time)).build();
         let mut response = checked(request.send_empty().map_err(|e| failed(&e))?)?;
         let granted: Granted = response.body_mut().read_json().map_err(|e| failed(&e))?;
         Ok(granted.id)
@@ -153,7 +164,7 @@
     /// [`KvError::NoLease`] when it has lapsed.
     pub fn renew(&self, lease: LeaseId) -> Result<(), KvError> {
         let url = format!("{}/leases/{lease}", self.base);
-        let request = self.agent.put(url).config().timeout_global(Some(CALL)).build();
+        let request = self.agent.put(url).config().timeout_global(Some(self.time)).build();
         checked(request.send_empty().map_err(|e| failed(&e))?).map(drop)
     }
 
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -24,8 +24,14 @@
     pub outage: bool,
     /// Wait before each answer, in milliseconds.
     pub delay_ms: u64,
-    /// Carry out so many writes and lose their answers.
+    /// Carry out so many writes of keys and lose their answers.
     pub lose_writes: u32,
+    /// Neither carry out nor answer so many writes of keys.
+    pub drop_writes: u32,
+    /// Begin an outage of the service after a write whose answer was lost.
+    pub out_after_loss: bool,
+    /// Wait between carrying out a write of a key and answering it, in milliseconds.
+    pub answer_ms: u64,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -61,6 +67,7 @@
     leases: BTreeMap<u64, Lease>,
     members: Vec<Member>,
     calls: Calls,
+    written: BTreeMap<String, u64>,
 }
 
 /// A running platform.
@@ -105,6 +112,11 @@
         self.inner.state().members = members;
     }
 
+    /// Returns how many writes keys got whose first part is `part`.
+    pub fn written(&self, part: &str) -> u64 {
+        self.inner.state().written.get(part).copied().unwrap_or(0)
+    }
+
     /// Returns the calls counted so far.
     pub fn calls(&self) -> Calls {
         self.inner.state().calls
@@ -214,7 +226,14 @@
             return reply::empty(exchange, 400);
         };
         let mut state = self.state();
+        if state.faults.drop_writes > 0 {
+            state.faults.drop_writes -= 1;
+            drop(state);
+            return exchange.begin(200, &[]).unwrap_or_default();
+        }
         state.calls.writes += 1;
+        let part = key.split('/').next().unwrap_or_default().to_owned();
+        *state.written.entry(part).or_default() += 1;
         state.expire();
         if lease.is_some_and(|id| !state.leases.contains_key(&id)) {
             drop(state);
@@ -235,8 +254,11 @@
         }
         let lost = status == 200 && state.faults.lose_writes > 0;
         state.faults.lose_writes -= u32::from(lost);
+        state.faults.outage |= lost && state.faults.out_after_loss;
+        let pause = Duration::from_millis(state.faults.answer_ms);
         drop(state);
         self.changed.notify_all();
+        std::thread::sleep(pause);
         if lost {
             exchange.begin(200, &[]).unwrap_or_default();
         } else {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use mimosapass_caller::exchange::Exchange;
@@ -16,6 +16,7 @@
 /// Faults that can be set while the service runs.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
+#[expect(clippy::struct_excessive_bools, reason = "each fault is set alone")]
 pub struct Faults {
     /// Wait between the run and its answer, in milliseconds.
     pub delay_ms: u64,
@@ -23,6 +24,10 @@
     pub lose_answer: bool,
     /// Refuse new work as a leaving service does.
     pub leaving: bool,
+    /// Refuse new work without running it.
+    pub refuse: bool,
+    /// Run, then hold the answer back until the value changes.
+    pub hold: bool,
 }
 
 /// What the service answers.
@@ -44,11 +49,17 @@
     runs: BTreeMap<Vec<u8>, u64>,
 }
 
+#[derive(Debug, Default)]
+struct Inner {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
 /// A running service.
 #[derive(Clone, Debug)]
 pub struct Service {
     server: Server,
-    state: Arc<Mutex<State>>,
+    inner: Arc<Inner>,
 }
 
 impl Service {
@@ -58,11 +69,11 @@
     ///
     /// Fails when the address cannot be bound.
     pub fn start(addr: SocketAddr) -> io::Result<Self> {
-        let state = Arc::new(Mutex::new(State::default()));
-        let serving = Arc::clone(&state);
+        let inner = Arc::new(Inner::default());
+        let serving = Arc::clone(&inner);
         let server =
             Server::start(addr, Limits::default(), Arc::new(move |e| handle(e, &serving)))?;
-        Ok(Self { server, state })
+        Ok(Self { server, inner })
     }
 
     /// Returns the bound address.
@@ -72,35 +83,50 @@
 
     /// Sets the faults.
     pub fn set(&self, faults: Faults) {
-        lock(&self.state).faults = faults;
+        self.inner.set(faults);
     }
 
     /// Returns how often each body was run.
     pub fn runs(&self) -> Vec<u64> {
-        lock(&self.state).runs.values().copied().collect()
+        self.inner.state().runs.values().copied().collect()
     }
 }
 
-fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
+impl Inner {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set(&self, faults: Faults) {
+        self.state().faults = faults;
+        self.changed.notify_all();
+    }
+
+    fn hold(&self) {
+        let held = self.changed.wait_while(self.state(), |s| s.faults.hold);
+        drop(held.unwrap_or_else(PoisonError::into_inner));
+    }
 }
 
-fn handle(exchange: &mut Exchange<'_>, state: &Mutex<State>) {
+fn handle(exchange: &mut Exchange<'_>, inner: &Inner) {
     if exchange.head.path == "/control" {
         match serde_json::from_slice(&exchange.body) {
             Ok(faults) => {
-                lock(state).faults = faults;
+                inner.set(faults);
                 reply::empty(exchange, 200);
             }
             Err(e) => reply::json(exchange, 400, &e.to_string()),
         }
         return;
     }
-    if lock(state).faults.leaving {
-        exchange.answer(503, &[(REFUSED, "leaving".to_owned())], b"").unwrap_or_default();
+    let faults = inner.state().faults.clone();
+    if faults.leaving || faults.refuse {
+        let why = if faults.leaving { "leaving" } else { "busy" };
+        exchange.answer(503, &[(REFUSED, why.to_owned())], b"").unwrap_or_default();
         return;
     }
-    let (ran, faults) = run(exchange, state);
+    let (ran, faults) = run(exchange, inner);
+    inner.hold();
     std::thread::sleep(Duration::from_millis(faults.delay_ms));
     if faults.lose_answer {
         // A streamed answer that is not finished breaks the connection.
@@ -110,8 +136,8 @@
     }
 }
 
-fn run(exchange: &Exchange<'_>, state: &Mutex<State>) -> (Ran, Faults) {
-    let mut state = lock(state);
+fn run(exchange: &Exchange<'_>, inner: &Inner) -> (Ran, Faults) {
+    let mut state = inner.state();
     let runs = state.runs.entry(exchange.body.to_vec()).or_insert(0);
     *runs += 1;
     let head = &exchange.head;
--- a/src/flow/admit.rs
+++ b/src/flow/admit.rs
@@ -9,6 +9,7 @@
 use mimosapass_core::config::Class;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::WorkspaceId;
+use mimosapass_core::once::LONGEST;
 use mimosapass_operator::document::Document;
 
 use crate::node::Node;
@@ -44,6 +45,11 @@
         &self.place.workspace
     }
 
+    /// Caps the deadline to what an idempotency record can protect.
+    pub fn cap(&mut self) {
+        self.end = self.end.min(self.start + LONGEST);
+    }
+
     /// Returns the time that is left.
     pub fn left(&self) -> Duration {
         self.end.saturating_duration_since(Instant::now())
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -3,6 +3,7 @@
 pub mod admit;
 pub mod entry;
 pub mod model;
+pub mod once;
 pub mod pick;
 pub mod retry;
 pub mod service;
--- a/src/flow/model.rs
+++ b/src/flow/model.rs
@@ -8,8 +8,10 @@
 use mimosapass_caller::openai::{Call, Prompt, error_event, read};
 use mimosapass_core::classify::Asks;
 use mimosapass_core::error::{Failure, Kind};
+use mimosapass_core::once::{LONGEST, State, digest};
 
 use crate::flow::admit::{Admitted, admit, caller_id};
+use crate::flow::once::{Guard, Halt, Pending, Subject};
 use crate::flow::stream::Run;
 use crate::node::Node;
 use crate::story::Story;
@@ -19,7 +21,12 @@
     let mut story = Story::of(node);
     let start = Instant::now();
     let result = prepare(node, exchange, call, &mut story).and_then(|(admitted, prompt)| {
-        Run::new(node, exchange, admitted, prompt, call).run(&mut story)
+        let guard = protect(node, exchange, &admitted, call)?;
+        let result = Run::new(node, exchange, admitted, prompt, call).run(&mut story);
+        if let Some(guard) = guard {
+            settle(&guard, &result);
+        }
+        result
     });
     if let Err(failure) = &result {
         conclude(exchange, failure, &story.request);
@@ -27,6 +34,42 @@
     story.end(node, start, result.err().map(|f| f.kind));
 }
 
+/// Claims the record of a request whose class says that it must not run twice.
+fn protect(
+    node: &Arc<Node>,
+    exchange: &Exchange<'_>,
+    admitted: &Admitted,
+    call: Call,
+) -> Result<Option<Arc<Guard>>, Failure> {
+    let Some(id) = caller_id(exchange)?.filter(|_| admitted.class.idempotent == Some(false)) else {
+        return Ok(None);
+    };
+    let service = call.path();
+    let digest = digest("POST", service, &exchange.body);
+    let subject = Subject { workspace: admitted.workspace(), service, id: &id, digest };
+    let end = admitted.end.min(admitted.start + LONGEST);
+    match Pending::look(node, subject, end).and_then(Pending::win) {
+        Ok(guard) => {
+            // From here on an engine may run it at any moment.
+            guard.sending();
+            Ok(Some(guard))
+        }
+        Err(Halt::Refuse(failure)) => Err(failure),
+        Err(Halt::Replay(_)) => {
+            Err(Failure::new(Kind::AlreadyRan, "it ran; its answer was not stored"))
+        }
+    }
+}
+
+/// Writes beside the record what became of the request.
+fn settle(guard: &Guard, result: &Result<(), Failure>) {
+    match result {
+        Ok(()) => guard.ended(State::Ran(200)),
+        Err(failure) if failure.kind.row().not_run => guard.not_run(),
+        Err(_) => guard.ended(State::Broken),
+    }
+}
+
 /// Tells the caller of a failure, as an answer or as the last event.
 fn conclude(exchange: &mut Exchange<'_>, failure: &Failure, id: &str) {
     let id = (!id.is_empty()).then_some(id);
--- a/src/flow/retry.rs
+++ b/src/flow/retry.rs
@@ -1,5 +1,8 @@
 //! The loop of attempts at one request, within the retry budget.
 
+use std::time::Instant;
+
+use mimosapass_core::attempts::Tally;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
 use mimosapass_core::route::Choice;
@@ -18,33 +21,51 @@
     Over(Failure),
 }
 
-/// Makes up to `most` attempts until one ends the request.
+/// Bounds on the attempts at one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Attempts, at most.
+    pub most: usize,
+    /// When the request must be answered.
+    pub end: Instant,
+    /// Whether an attempt may follow one that may have run.
+    pub repeatable: bool,
+}
+
+/// Makes attempts until one ends the request or a bound is met.
 ///
 /// `pick` chooses a target beside those tried before; `attempt` makes one
 /// attempt there.
 ///
 /// # Errors
 ///
-/// The failure of the last attempt, or that of the first choice.
+/// What all attempts together say; it promises that nothing ran only if none
+/// of them may have run.
 pub fn attempts<R, T>(
     node: &Node,
     run: &mut R,
-    most: usize,
+    bounds: Bounds,
     story: &mut Story,
     pick: fn(&R, &[TargetId]) -> Result<Choice, Failure>,
     attempt: fn(&mut R, usize, &Choice, &mut Story) -> Ended<T>,
 ) -> Result<T, Failure> {
     let mut tried: Vec<TargetId> = Vec::new();
-    let mut last = Failure::new(Kind::NoTarget, "no target is open");
-    for number in 0..most {
+    let mut tally = Tally::default();
+    for number in 0..bounds.most {
+        if Instant::now() >= bounds.end {
+            tally.note(Failure::new(Kind::QueueTimeout, "the deadline passed before it was sent"));
+            break;
+        }
         if number > 0 && !node.state().budget.spend() {
             story.steps.push("no retry: the budget is spent".to_owned());
             break;
         }
         let choice = match pick(run, &tried) {
             Ok(choice) => choice,
-            Err(failure) if number == 0 => return Err(failure),
-            Err(_) => break,
+            Err(failure) => {
+                tally.miss(failure);
+                break;
+            }
         };
         story.steps.push(format!("{}: {}", choice.target, choice.reason));
         story.target = choice.target.to_string();
@@ -56,10 +77,17 @@
             }
             Ended::Again(failure) => {
                 story.steps.push(failure.to_string());
-                last = failure;
+                tally.note(failure);
+            }
+            Ended::Over(failure) => {
+                tally.note(failure);
+                break;
             }
-            Ended::Over(failure) => return Err(failure),
+        }
+        if tally.may_have_run() && !bounds.repeatable {
+            story.steps.push("no retry: it may have run".to_owned());
+            break;
         }
     }
-    Err(last)
+    Err(tally.end())
 }
--- a/src/flow/service.rs
+++ b/src/flow/service.rs
@@ -5,11 +5,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use mimosapass_caller::answer::{self, REQUEST_ID};
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_core::classify::Asks;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
+use mimosapass_core::once::{State, digest};
 use mimosapass_core::route::Choice;
 use mimosapass_target::engine::REMAINING;
 use mimosapass_target::fault::Fault;
@@ -17,8 +19,9 @@
 use ureq::Agent;
 
 use crate::flow::admit::{Admitted, admit, caller_id};
+use crate::flow::once::{Guard, Halt, Pending, Subject};
 use crate::flow::pick::{self, Booked};
-use crate::flow::retry::{self, Ended};
+use crate::flow::retry::{self, Bounds, Ended};
 use crate::node::Node;
 use crate::story::Story;
 
@@ -26,6 +29,10 @@
 const ATTEMPTS: usize = 3;
 /// Time between two looks at whether the caller is still there.
 const LOOK: Duration = Duration::from_millis(250);
+/// Time past the deadline for which the outcome of a protected call is awaited.
+const LINGER: Duration = Duration::from_secs(30);
+/// Header that marks an answer as the stored one of an earlier call.
+const REPLAYED: &str = "mimosapass-replayed";
 /// Stack of an attempt's thread, in bytes.
 const STACK: usize = 256 * 1024;
 
@@ -54,7 +61,7 @@
     story: &mut Story,
 ) -> Result<Answer, Failure> {
     let id = caller_id(exchange)?;
-    story.request = id.unwrap_or_else(|| node.unique());
+    story.request = id.clone().unwrap_or_else(|| node.unique());
     let document =
         node.document().ok_or_else(|| Failure::new(Kind::NotReady, "no configuration yet"))?;
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
@@ -67,8 +74,11 @@
     let query = &exchange.head.query;
     let path = if query.is_empty() { format!("/{path}") } else { format!("/{path}?{query}") };
     let idempotent = idempotent(&admitted, &exchange.head.method);
-    let mut run = Run { node, exchange, admitted, name, path, idempotent };
-    retry::attempts(node, &mut run, ATTEMPTS, story, Run::pick, Run::attempt)
+    let mut run = Run { node, exchange, admitted, name, path, idempotent, guard: None };
+    match id.filter(|_| !idempotent) {
+        Some(id) => run.protect(&id, story),
+        None => run.run(story),
+    }
 }
 
 /// Returns whether the class, or else the method, allows a repeat.
@@ -85,6 +95,7 @@
     name: &'r str,
     path: String,
     idempotent: bool,
+    guard: Option<Arc<Guard>>,
 }
 
 /// Why a call gave no answer.
@@ -95,6 +106,38 @@
 }
 
 impl Run<'_, '_> {
+    /// Runs the call under its idempotency record.
+    fn protect(&mut self, id: &str, story: &mut Story) -> Result<Answer, Failure> {
+        self.admitted.cap();
+        let method = &self.exchange.head.method;
+        let subject = Subject {
+            workspace: self.admitted.workspace(),
+            service: self.name,
+            id,
+            digest: digest(method, &self.path, &self.exchange.body),
+        };
+        let claimed = Pending::look(self.node, subject, self.admitted.end).and_then(Pending::win);
+        match claimed {
+            Ok(guard) => {
+                self.guard = Some(guard);
+                self.run(story)
+            }
+            Err(Halt::Replay(outcome)) => {
+                story.steps.push("replayed from its idempotency record".to_owned());
+                let mut headers = outcome.headers;
+                headers.push((REPLAYED.to_owned(), "true".to_owned()));
+                let body = Bytes::from(outcome.body);
+                Ok(Answer { status: outcome.status, headers, body })
+            }
+            Err(Halt::Refuse(failure)) => Err(failure),
+        }
+    }
+
+    fn run(&mut self, story: &mut Story) -> Result<Answer, Failure> {
+        let bounds = Bounds { most: ATTEMPTS, end: self.admitted.end, repeatable: self.idempotent };
+        retry::attempts(self.node, self, bounds, story, Self::pick, Self::attempt)
+    }
+
     fn pick(&self, tried: &[TargetId]) -> Result<Choice, Failure> {
         pick::service(self.node, &self.admitted, self.name, tried)
     }
@@ -113,22 +156,11 @@
             }
             Failed::Fault(fault) => {
                 booked.blame();
-                self.failed(&booked, &fault)
+                failed_call(&booked, &fault)
             }
         }
     }
 
-    fn failed(&self, booked: &Booked, fault: &Fault) -> Ended<Answer> {
-        if matches!(fault, Fault::Refused { leaving: true, .. }) {
-            booked.leaving();
-        }
-        if fault.not_run() {
-            return Ended::Again(Failure::new(Kind::Refused, fault.to_string()));
-        }
-        let failure = Failure::new(Kind::TargetFailed, fault.to_string());
-        if self.idempotent { Ended::Again(failure) } else { Ended::Over(failure) }
-    }
-
     fn call(&self, choice: &Choice) -> Call {
         let left = self.admitted.left();
         let mut headers = self.exchange.head.headers.clone();
@@ -140,7 +172,7 @@
             method: self.exchange.head.method.clone(),
             path: self.path.clone(),
             headers,
-            remaining: left,
+            remaining: if self.guard.is_some() { left + LINGER } else { left },
             body: self.exchange.body.clone(),
         }
     }
@@ -153,9 +185,13 @@
     fn wait(&self, choice: &Choice) -> Result<Answer, Failed> {
         let (sender, inbox) = channel();
         let (agent, call) = (self.agent(), self.call(choice));
+        let (guard, end) = (self.guard.clone(), self.admitted.end);
         let calling = move || {
+            let result = send(&agent, &call, guard.as_deref(), end);
+            // The right to send goes back before the request hears of it.
+            drop(guard);
             // A request that has ended does not wait for this any more.
-            sender.send(service::call(&agent, &call)).unwrap_or_default();
+            sender.send(result).unwrap_or_default();
         };
         thread::Builder::new()
             .name("attempt".to_owned())
@@ -179,3 +215,29 @@
         }
     }
 }
+
+fn failed_call(booked: &Booked, fault: &Fault) -> Ended<Answer> {
+    if matches!(fault, Fault::Refused { leaving: true, .. }) {
+        booked.leaving();
+    }
+    let kind = if fault.not_run() { Kind::Refused } else { Kind::TargetFailed };
+    Ended::Again(Failure::new(kind, fault.to_string()))
+}
+
+/// Makes the call unless its time is over, and notes what became of it.
+///
+/// The outcome is written even when the request has ended by then.
+fn send(agent: &Agent, call: &Call, guard: Option<&Guard>, end: Instant) -> Result<Answer, Fault> {
+    if Instant::now() >= end {
+        return Err(Fault::NotSent("the deadline has passed".to_owned()));
+    }
+    let Some(guard) = guard else { return service::call(agent, call) };
+    guard.sending();
+    let result = service::call(agent, call);
+    match &result {
+        Ok(a) => guard.ended(State::answered(a.status, &a.headers, &a.body)),
+        Err(fault) if fault.not_run() => guard.not_run(),
+        Err(_) => guard.ended(State::Broken),
+    }
+    result
+}
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -20,7 +20,7 @@
 
 use crate::flow::admit::Admitted;
 use crate::flow::pick::{self, Booked};
-use crate::flow::retry::{self, Ended};
+use crate::flow::retry::{self, Bounds, Ended};
 use crate::node::Node;
 use crate::parts::reclaim::Freed;
 use crate::story::Story;
@@ -112,7 +112,9 @@
     /// Says why there is no whole answer; part of it may have been streamed.
     pub fn run(mut self, story: &mut Story) -> Result<(), Failure> {
         let node = Arc::clone(self.node);
-        retry::attempts(&node, &mut self, ATTEMPTS, story, Self::pick, Self::attempt)
+        let repeatable = self.admitted.class.idempotent != Some(false);
+        let bounds = Bounds { most: ATTEMPTS, end: self.admitted.end, repeatable };
+        retry::attempts(&node, &mut self, bounds, story, Self::pick, Self::attempt)
     }
 
     fn pick(&self, tried: &[TargetId]) -> Result<Choice, Failure> {
@@ -196,7 +198,7 @@
             Ok(()) => return Ended::Again(Failure::new(Kind::CutAnswer, "no end mark came")),
             Err(Fault::Rejected { status, text }) => {
                 let text = format!("the engine answered {status}: {text}");
-                return Ended::Over(Failure::new(Kind::BadRequest, text));
+                return Ended::Over(Failure::new(Kind::Rejected, text));
             }
             Err(fault) => fault,
         };
@@ -299,7 +301,7 @@
             Ended::Whole(()) => return,
             Ended::Again(failure) | Ended::Over(failure) => failure,
         };
-        if !matches!(failure.kind, Kind::CallerGone | Kind::BadRequest) {
+        if !matches!(failure.kind, Kind::CallerGone | Kind::Rejected) {
             attempt.booked.blame();
         }
         if failure.kind != Kind::Refused {
--- a/src/node.rs
+++ b/src/node.rs
@@ -20,6 +20,7 @@
 
 use crate::metrics::Metrics;
 use crate::parts::reclaim::Freed;
+use crate::parts::records::Records;
 use crate::settings::Settings;
 use crate::story::Stories;
 use crate::timer::Timer;
@@ -75,6 +76,8 @@
     pub stories: Stories,
     /// Attempts whose memory has to be freed.
     pub freed: Sender<Freed>,
+    /// Idempotency records that wait to be settled.
+    pub records: Records,
     state: Mutex<State>,
     stopping: AtomicBool,
     counter: AtomicU64,
@@ -87,6 +90,7 @@
         timer: Timer,
         links: Links,
         freed: Sender<Freed>,
+        records: Records,
         boot: u64,
     ) -> Self {
         let name = InstanceId::from(settings.name.as_str());
@@ -113,6 +117,7 @@
             metrics: Metrics::new(),
             stories: Stories::default(),
             freed,
+            records,
             state: Mutex::new(state),
             stopping: AtomicBool::new(false),
             counter: AtomicU64::new(0),
--- a/src/parts/mod.rs
+++ b/src/parts/mod.rs
@@ -5,6 +5,7 @@
 pub mod peers;
 pub mod poll;
 pub mod reclaim;
+pub mod records;
 
 use std::io;
 use std::thread;
--- /dev/null
+++ b/src/parts/records.rs
@@ -0,0 +1,146 @@
+//! Settles idempotency records: outcomes, and rights to send that were given up.
+//!
+//! One thread writes them one after the other, so that an instance never
+//! loads the key-value service with more than one such write at a time.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use mimosapass_core::claim::settle;
+use mimosapass_core::once::{KEEP, Record, Revision, SLOT, State};
+use mimosapass_platform::kv::{Kv, KvError, LeaseId};
+
+use crate::node::Node;
+
+/// Records that may wait to be settled.
+const MOST: usize = 4096;
+/// First pause after a failed write.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause after failed writes.
+const LONGEST_PAUSE: Duration = Duration::from_secs(10);
+
+/// A record to be settled.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Job {
+    /// Key of the record.
+    pub key: String,
+    /// Record as its writer last wrote it.
+    pub record: Record,
+    /// Revision at which it was last written, or tried to be.
+    pub revision: Revision,
+    /// Lease on which it hangs.
+    pub lease: LeaseId,
+}
+
+/// A lease that new records hang on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Lease {
+    /// Identifier.
+    pub id: LeaseId,
+    begun: Instant,
+}
+
+/// Records of one instance that wait to be settled, and their lease.
+#[derive(Debug)]
+pub struct Records {
+    jobs: SyncSender<Job>,
+    open: AtomicUsize,
+    lease: Mutex<Option<Lease>>,
+}
+
+impl Records {
+    /// Builds the queue of records and its reading end for [`run`].
+    pub fn new() -> (Self, Receiver<Job>) {
+        let (jobs, inbox) = sync_channel(MOST);
+        (Self { jobs, open: AtomicUsize::new(0), lease: Mutex::new(None) }, inbox)
+    }
+
+    /// Has `state` written in the background.
+    pub fn settle(&self, mut job: Job, state: State) {
+        job.record.state = state;
+        self.open.fetch_add(1, Ordering::SeqCst);
+        if let Err(e) = self.jobs.try_send(job) {
+            self.open.fetch_sub(1, Ordering::SeqCst);
+            // The record goes on to say that it may have been sent.
+            log::error!("records: a record is not settled: {e}.");
+        }
+    }
+
+    /// Returns how many records wait.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    /// Returns the lease for a new record; each lease serves for one [`SLOT`].
+    ///
+    /// # Errors
+    ///
+    /// Says why no lease was granted.
+    pub fn lease(&self, kv: &Kv, time: Duration) -> Result<Lease, String> {
+        let fresh = |l: &Lease| l.begun.elapsed() < SLOT;
+        if let Some(lease) = self.held().filter(fresh) {
+            return Ok(lease);
+        }
+        let begun = Instant::now();
+        let id = kv.within(time).grant(KEEP + SLOT).map_err(|e| e.to_string())?;
+        let lease = Lease { id, begun };
+        *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = Some(lease);
+        Ok(lease)
+    }
+
+    fn held(&self) -> Option<Lease> {
+        *self.lease.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Forgets a lease that the service does not know any more.
+    pub fn forget(&self, lease: Lease) {
+        let mut held = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        if *held == Some(lease) {
+            *held = None;
+        }
+    }
+}
+
+/// Settles records for as long as the process lives.
+pub fn run(node: &Arc<Node>, inbox: &Receiver<Job>) {
+    while let Ok(job) = inbox.recv() {
+        finish(node, job);
+        node.records.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn finish(node: &Node, mut job: Job) {
+    let begun = Instant::now();
+    let mut pause = PAUSE;
+    while begun.elapsed() < KEEP {
+        match attempt(&node.kv, &job) {
+            Ok(None) => return,
+            Ok(Some(revision)) => job.revision = revision,
+            Err(KvError::NoLease) => {
+                log::debug!("records: {} has aged out.", job.key);
+                return;
+            }
+            Err(e) => {
+                log::debug!("records: {} is not settled yet: {e}.", job.key);
+                node.sleep(pause.mul_f64(rand::random_range(0.5..1.5)));
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+/// Tries one write; returns the revision for the next one, if one is needed.
+fn attempt(kv: &Kv, job: &Job) -> Result<Option<Revision>, KvError> {
+    let text = serde_json::to_string(&job.record).unwrap_or_default();
+    match kv.put(&job.key, &text, job.revision, Some(job.lease)) {
+        Ok(_) => return Ok(None),
+        Err(KvError::Conflict(_)) => {}
+        Err(e) => return Err(e),
+    }
+    let found = kv.get(&job.key)?;
+    let record: Option<(Revision, Record)> =
+        found.and_then(|e| Some((e.revision, serde_json::from_str(&e.value).ok()?)));
+    Ok(settle(&job.record, record.as_ref().map(|(at, r)| (*at, r))))
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -14,12 +14,15 @@
 
 use crate::flow::entry;
 use crate::node::Node;
+use crate::parts::records::{self, Records};
 use crate::parts::{configure, listing, peers, poll, reclaim, spawn};
 use crate::settings::Settings;
 use crate::timer::Timer;
 
 /// Time between two looks at whether all requests have ended.
 const LOOK: Duration = Duration::from_millis(50);
+/// Longest wait for idempotency records after the last request ended.
+const SETTLE: Duration = Duration::from_secs(5);
 
 /// Serves until a signal asks to stop.
 ///
@@ -32,8 +35,10 @@
     let (incoming, inbox) = channel();
     let links = Links::start(&settings.name, settings.listen.peers, incoming)?;
     let (freed, wanted) = channel();
+    let (records, unsettled) = Records::new();
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let node = Arc::new(Node::new(settings, timer, links, freed, now.as_millis() as u64));
+    let boot = now.as_millis() as u64;
+    let node = Arc::new(Node::new(settings, timer, links, freed, records, boot));
     let part = |name: &str, run: fn(&Arc<Node>)| {
         let node = Arc::clone(&node);
         spawn(name, move || run(&node))
@@ -46,6 +51,8 @@
     spawn("listen", move || peers::listen(&listening, &inbox))?;
     let reclaiming = Arc::clone(&node);
     spawn("reclaim", move || reclaim::run(&reclaiming, &wanted))?;
+    let settling = Arc::clone(&node);
+    spawn("records", move || records::run(&settling, &unsettled))?;
     let server = serve_callers(&node)?;
     let operators = pages::start(node.settings.listen.operators, sources(&node))?;
     log::info!("serve: callers at {}, operators at {operators}.", server.addr());
@@ -55,6 +62,14 @@
     Ok(())
 }
 
+/// Gives outcomes of the last requests time to reach their records.
+fn settle(node: &Node) {
+    let begun = Instant::now();
+    while node.records.open() > 0 && begun.elapsed() < SETTLE {
+        node.sleep(LOOK);
+    }
+}
+
 fn serve_callers(node: &Arc<Node>) -> io::Result<Server> {
     let serving = Arc::clone(node);
     Server::start(
@@ -83,6 +98,7 @@
         }
         node.sleep(LOOK);
     }
+    settle(node);
     log::info!("serve: stopped.");
 }
 
--- /dev/null
+++ b/tests/suite/once.rs
@@ -0,0 +1,289 @@
+//! A non-idempotent request runs at most once.
+
+use std::thread;
+use std::time::Duration;
+
+use mimosapass_standin::engine::{self, Settings};
+use mimosapass_standin::platform;
+use mimosapass_standin::service::Faults;
+use rstest::rstest;
+
+use crate::common::{CONFIG, Fleet, Seen, agent, chat, post, until};
+
+/// Path of a booking.
+const PATH: &str = "/services/bookings/vans/7";
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(&[("zone-a", Settings::default())]);
+    fleet.apply(&format!("{CONFIG}  - name: dokaz\n"));
+    for zone in ["zone-a", "zone-a", "zone-b"] {
+        fleet.start(zone, "");
+    }
+    fleet.settle();
+    fleet
+}
+
+fn book(fleet: &Fleet, instance: usize, headers: &[(&str, &str)]) -> Seen {
+    let url = fleet.instances[instance].url(PATH);
+    let headers = [&[("idempotency-key", "b-1")], headers].concat();
+    post(&url, &headers, "one van").expect("an answer")
+}
+
+fn code(seen: &Seen) -> String {
+    let body = seen.body.as_deref().unwrap_or_default();
+    let value: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+    value["error"]["code"].as_str().unwrap_or("ok").to_owned()
+}
+
+/// Repeats until the answer has this code, and returns that answer.
+fn repeat(fleet: &Fleet, instance: usize, wanted: &str) -> Seen {
+    until(wanted, || code(&book(fleet, instance, &[])) == wanted);
+    book(fleet, instance, &[])
+}
+
+/// Returns how often records were written.
+fn written(fleet: &Fleet) -> u64 {
+    fleet.platform.written("once")
+}
+
+#[test]
+fn a_booking_costs_the_store_two_writes() {
+    let fleet = fleet();
+    let url = fleet.instances[0].url(PATH);
+    for i in 0..20 {
+        let id = format!("b-{i}");
+        let seen = post(&url, &[("idempotency-key", &id)], "one van").expect("an answer");
+        assert_eq!(seen.status, 200, "{seen:?}");
+    }
+    until("all outcomes are written", || written(&fleet) >= 40);
+    assert_eq!(written(&fleet), 40);
+}
+
+#[test]
+fn repeats_at_one_moment_through_all_instances_run_once() {
+    let fleet = fleet();
+    fleet.desk.set(Faults { hold: true, ..Faults::default() });
+    let seen: Vec<Seen> = thread::scope(|scope| {
+        let fleet = &fleet;
+        let asked: Vec<_> = (0..12).map(|i| scope.spawn(move || book(fleet, i % 3, &[]))).collect();
+        until("all but one are answered", || {
+            asked.iter().filter(|a| a.is_finished()).count() == 11
+        });
+        fleet.desk.set(Faults::default());
+        asked.into_iter().map(|a| a.join().expect("an answer")).collect()
+    });
+    assert_eq!(seen.iter().filter(|s| s.status == 200).count(), 1, "{seen:?}");
+    assert!(seen.iter().all(|s| s.status == 200 || code(s) == "running"), "{seen:?}");
+    let first = seen.into_iter().find(|s| s.status == 200).expect("one ran");
+    let again = repeat(&fleet, 2, "ok");
+    assert_eq!((again.status, again.body), (200, first.body));
+    assert_eq!(fleet.desk.runs(), [1]);
+}
+
+#[rstest]
+#[case::create(platform::Faults { lose_writes: 1, ..platform::Faults::default() })]
+#[case::create_and_outcome(platform::Faults { lose_writes: 2, ..platform::Faults::default() })]
+#[case::create_never_done(platform::Faults { drop_writes: 1, ..platform::Faults::default() })]
+#[case::each_once(platform::Faults {
+    drop_writes: 2,
+    lose_writes: 2,
+    ..platform::Faults::default()
+})]
+fn a_lost_answer_of_the_store_is_settled(#[case] faults: platform::Faults) {
+    let fleet = fleet();
+    fleet.platform.set(faults);
+    let first = book(&fleet, 0, &[]);
+    assert_eq!(first.status, 200, "{first:?}");
+    let again = repeat(&fleet, 1, "ok");
+    assert_eq!((again.status, again.body), (200, first.body));
+    assert_eq!(fleet.desk.runs(), [1]);
+}
+
+#[rstest]
+#[case::out(platform::Faults { outage: true, ..platform::Faults::default() })]
+#[case::slow(platform::Faults { delay_ms: 3_000, ..platform::Faults::default() })]
+#[case::out_once_the_record_stands(platform::Faults {
+    lose_writes: 1,
+    out_after_loss: true,
+    ..platform::Faults::default()
+})]
+fn without_the_store_bookings_are_refused_and_lookups_go_on(#[case] faults: platform::Faults) {
+    let fleet = fleet();
+    fleet.platform.set(faults);
+    let seen = book(&fleet, 0, &[]);
+    assert_eq!((seen.status, seen.not_run), (503, true), "{seen:?}");
+    assert_eq!(code(&seen), "record_unavailable");
+    assert!(seen.retry.is_some_and(|s| (5..=10).contains(&s)), "{seen:?}");
+    assert!(fleet.desk.runs().is_empty());
+    let url = fleet.instances[0].url("/services/lookups/vans");
+    assert_eq!(post(&url, &[], "which").expect("an answer").status, 200);
+    // The refusal was true: the same booking runs when the store is back.
+    fleet.platform.set(platform::Faults::default());
+    assert_eq!(repeat(&fleet, 1, "ok").status, 200);
+    assert_eq!(fleet.desk.runs(), [1, 1]);
+}
+
+#[test]
+fn an_identifier_of_another_request_is_refused() {
+    let fleet = fleet();
+    assert_eq!(book(&fleet, 0, &[]).status, 200);
+    let url = fleet.instances[1].url(PATH);
+    let other = post(&url, &[("idempotency-key", "b-1")], "two vans").expect("an answer");
+    assert_eq!((code(&other).as_str(), other.not_run), ("id_mismatch", false));
+    assert_eq!(fleet.desk.runs(), [1]);
+    // The same identifier of another workspace is another request.
+    let seen = book(&fleet, 1, &[("mimosapass-workspace", "dokaz")]);
+    assert_eq!(seen.status, 200, "{seen:?}");
+    assert_eq!(fleet.desk.runs(), [2]);
+}
+
+#[test]
+fn an_instance_killed_between_record_and_send_leaves_it_unknown() {
+    let mut fleet = fleet();
+    fleet.platform.set(platform::Faults { answer_ms: 20_000, ..platform::Faults::default() });
+    let url = fleet.instances[0].url(PATH);
+    let headers = [("idempotency-key", "b-1"), ("mimosapass-deadline-ms", "2000")];
+    let asking = thread::spawn(move || post(&url, &headers, "one van").is_err());
+    until("the record stands", || written(&fleet) == 1);
+    fleet.instances[0].child.kill().expect("killed");
+    assert!(asking.join().expect("it ends"));
+    fleet.platform.set(platform::Faults::default());
+    assert!(["running", "outcome_unknown"].contains(&code(&book(&fleet, 1, &[])).as_str()));
+    let seen = repeat(&fleet, 2, "outcome_unknown");
+    assert_eq!((seen.status, seen.not_run, seen.retry), (409, false, None));
+    assert!(fleet.desk.runs().is_empty());
+}
+
+#[test]
+fn an_instance_killed_between_send_and_answer_leaves_it_unknown() {
+    let mut fleet = fleet();
+    fleet.desk.set(Faults { hold: true, ..Faults::default() });
+    let url = fleet.instances[0].url(PATH);
+    let headers = [("idempotency-key", "b-1"), ("mimosapass-deadline-ms", "2000")];
+    let asking = thread::spawn(move || post(&url, &headers, "one van").is_err());
+    until("it runs", || fleet.desk.runs() == [1]);
+    fleet.instances[0].child.kill().expect("killed");
+    assert!(asking.join().expect("it ends"));
+    fleet.desk.set(Faults::default());
+    let seen = repeat(&fleet, 1, "outcome_unknown");
+    assert_eq!((seen.status, seen.not_run, seen.retry), (409, false, None));
+    assert_eq!(fleet.desk.runs(), [1]);
+}
+
+#[rstest]
+#[case::past_its_deadline("1500", Duration::from_secs(3))]
+#[case::within_its_deadline("20000", Duration::from_secs(1))]
+#[case::for_a_moment("20000", Duration::from_millis(100))]
+fn a_writer_paused_between_record_and_send_does_no_harm(
+    #[case] deadline: &str,
+    #[case] pause: Duration,
+) {
+    let fleet = fleet();
+    fleet.platform.set(platform::Faults { answer_ms: 500, ..platform::Faults::default() });
+    thread::scope(|scope| {
+        let fleet = &fleet;
+        let headers = [("mimosapass-deadline-ms", deadline)];
+        let first = scope.spawn(move || book(fleet, 0, &headers));
+        until("the record stands", || written(fleet) == 1);
+        fleet.instances[0].signal("STOP");
+        fleet.platform.set(platform::Faults::default());
+        assert_eq!(code(&book(fleet, 1, &[])), "running");
+        thread::sleep(pause);
+        fleet.instances[0].signal("CONT");
+        let seen = first.join().expect("an answer");
+        assert!(seen.status == 200 || seen.not_run, "{seen:?}");
+    });
+    // Sent or not: the repeat gets an answer and the desk ran it once.
+    assert_eq!(repeat(&fleet, 1, "ok").status, 200);
+    assert_eq!(fleet.desk.runs(), [1]);
+}
+
+#[test]
+fn a_refusal_by_the_target_leaves_the_next_try_free() {
+    let fleet = fleet();
+    fleet.desk.set(Faults { refuse: true, ..Faults::default() });
+    let seen = book(&fleet, 0, &[]);
+    assert_eq!((code(&seen).as_str(), seen.not_run), ("refused", true));
+    fleet.desk.set(Faults::default());
+    assert_eq!(repeat(&fleet, 1, "ok").status, 200);
+    assert_eq!(fleet.desk.runs(), [1]);
+}
+
+#[test]
+fn a_broken_call_is_never_sent_again() {
+    let fleet = fleet();
+    fleet.desk.set(Faults { lose_answer: true, ..Faults::default() });
+    let seen = book(&fleet, 0, &[]);
+    assert_eq!((code(&seen).as_str(), seen.not_run), ("target_failed", false));
+    fleet.desk.set(Faults::default());
+    let seen = repeat(&fleet, 1, "outcome_unknown");
+    assert_eq!((seen.status, seen.not_run, seen.retry), (409, false, None));
+    assert_eq!(fleet.desk.runs(), [1]);
+}
+
+#[test]
+fn the_outcome_is_kept_for_a_caller_that_went_away() {
+    let fleet = fleet();
+    fleet.desk.set(Faults { hold: true, ..Faults::default() });
+    let url = fleet.instances[0].url(PATH);
+    let hasty = thread::spawn(move || {
+        let request = agent().post(url).header("mimosapass-workspace", "atlas");
+        let request = request.header("idempotency-key", "b-1");
+        let request = request.config().timeout_global(Some(Duration::from_millis(700))).build();
+        request.send("one van").is_err()
+    });
+    assert!(hasty.join().expect("it ends"), "no answer came in time");
+    assert_eq!(code(&book(&fleet, 1, &[])), "running");
+    fleet.desk.set(Faults::default());
+    assert_eq!(repeat(&fleet, 1, "ok").status, 200);
+    assert_eq!(fleet.desk.runs(), [1]);
+}
+
+/// A class of model requests that must not run twice.
+const CHECKS: &str = "  - name: checks
+    select: {work: model}
+    promise_ms: 1800
+    deadline_ms: 5000
+    idempotent: false
+services:
+  - name: bookings";
+
+fn check(fleet: &Fleet, instance: usize, id: &[(&str, &str)]) -> Seen {
+    let url = fleet.instances[instance].url("/v1/chat/completions");
+    let headers = [&[("mimosapass-class", "checks")], id].concat();
+    post(&url, &headers, &chat(10, 2, false)).expect("an answer")
+}
+
+#[rstest]
+#[case::whole(engine::Faults::default(), "ok", "already_ran")]
+#[case::broken(
+    engine::Faults { cut_after: Some(0), ..engine::Faults::default() },
+    "target_failed",
+    "outcome_unknown"
+)]
+fn a_photo_check_runs_once(
+    #[case] faults: engine::Faults,
+    #[case] first: &str,
+    #[case] again: &str,
+) {
+    let mut fleet = Fleet::new(&[("zone-a", Settings::default()), ("zone-a", Settings::default())]);
+    fleet.apply(&CONFIG.replacen("services:\n  - name: bookings", CHECKS, 1));
+    fleet.start("zone-a", "");
+    fleet.start("zone-b", "");
+    fleet.settle();
+    let set = |faults: &engine::Faults| {
+        fleet.engines.iter().for_each(|(_, e)| e.set(faults.clone()));
+    };
+    let runs = || fleet.engines.iter().map(|(_, e)| e.runs()).sum::<u64>();
+    set(&faults);
+    let id = [("idempotency-key", "p-1")];
+    assert_eq!(code(&check(&fleet, 0, &id)), first);
+    assert_eq!(runs(), 1);
+    set(&engine::Faults::default());
+    until(again, || code(&check(&fleet, 1, &id)) == again);
+    assert_eq!(runs(), 1);
+    // Without an identifier there is no record, and still no second attempt.
+    set(&faults);
+    assert_eq!(code(&check(&fleet, 1, &[])), first);
+    assert_eq!(runs(), 2);
+}
--- a/tests/suite/refusals.rs
+++ b/tests/suite/refusals.rs
@@ -46,3 +46,22 @@
     stream.read_to_string(&mut answer).expect("an answer");
     assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
 }
+
+#[test]
+fn a_refusal_after_a_broken_attempt_does_not_say_not_run() {
+    let mut fleet = Fleet::new(&[("zone-a", Settings::default()), ("zone-a", Settings::default())]);
+    fleet.apply(CONFIG);
+    fleet.start("zone-a", "");
+    fleet.settle();
+    let [broken, busy] = [&fleet.engines[0].1, &fleet.engines[1].1];
+    broken.set(Faults { cut_after: Some(0), ..Faults::default() });
+    busy.set(Faults { refuse: true, ..Faults::default() });
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    for _ in 0..4 {
+        let before = broken.runs();
+        let seen = post(&url, &[], &chat(10, 1, false)).expect("an answer");
+        assert_eq!(seen.not_run, broken.runs() == before, "{seen:?}");
+        assert_ne!(seen.status, 200, "{seen:?}");
+    }
+    assert!(broken.runs() > 0);
+}
