--- a/src/flow/model.rs
+++ b/src/flow/model.rs
@@ -10,6 +10,8 @@
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::once::{LONGEST, State, digest};
 
+use mimosapass_target::engine::TRACE;
+
 use crate::flow::admit::{Admitted, admit, caller_id};
 use crate::flow::once::{Guard, Halt, Pending, Subject};
 use crate::flow::stream::Run;
@@ -18,7 +20,7 @@
 
 /// Answers one model request.
 pub fn handle(node: &Arc<Node>, exchange: &mut Exchange<'_>, call: Call) {
-    let mut story = Story::of(node);
+    let mut story = Story::of(node, exchange.head.header(TRACE));
     let start = Instant::now();
     let result = prepare(node, exchange, call, &mut story).and_then(|(admitted, prompt)| {
         let guard = protect(node, exchange, &admitted, call)?;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,7 +1,10 @@
 //! Tests of the real binary, one module for each theme.
 
 mod common;
+mod configuration;
 mod once;
 mod path;
 mod refusals;
+mod settings;
 mod stop;
+mod trace;
