--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,18 +6,22 @@
 //! is always an argument, so that each rule can be tested without a socket
 //! or a clock.
 
+pub mod attempts;
 pub mod board;
 pub mod budget;
 mod check;
+pub mod claim;
 pub mod classify;
 pub mod config;
 pub mod error;
 pub mod estimate;
+pub mod forecast;
 pub mod ids;
 pub mod join;
 pub mod labels;
 pub mod once;
 pub mod pace;
+pub mod queue;
 pub mod rendezvous;
 pub mod roles;
 pub mod route;
--- a/src/parts/mod.rs
+++ b/src/parts/mod.rs
@@ -6,6 +6,7 @@
 pub mod peers;
 pub mod poll;
 pub mod reclaim;
+pub mod records;
 
 use std::io;
 use std::thread;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod configuration;
+mod once;
 mod path;
 mod refusals;
 mod settings;
