Membership proved under loss, pauses and churn; the list is read only when it changed

Cause: nothing showed that owner, zone leader and watchers move, or that a late heartbeat does no harm. A replacement whose clock is behind was taken for an old process for 40 s. Instances that the list does not name found each other only through a common seed.

Change: property tests over views of one zone with loss by direction, pauses, replacements and kills: after quiet of 5 s all agree on 67 owners, leader and watchers, and all holders live. A lower start number is taken once the higher is silent for 4 s. Process tests for introductions, silence and zone summaries. The list client sends the entity tag it has; the stand-in answers 304.

--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,270 @@
+//! Views and roles under loss, asymmetric cuts, pauses and churn.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use mimosapass_core::ids::InstanceId;
+use mimosapass_core::rendezvous::holder;
+use mimosapass_core::roles::{PARTNERS, leader, partners, watchers};
+use mimosapass_core::version::Head;
+use mimosapass_core::view::{BEAT, Beat, SILENCE, View};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+/// Time within which each role moves to a live instance.
+const MOVED: Duration = Duration::from_secs(SILENCE.as_secs() + BEAT.as_secs());
+/// Targets whose owner is looked at.
+const TARGETS: usize = 67;
+
+fn fixed(cases: u32) -> ProptestConfig {
+    ProptestConfig { rng_seed: RngSeed::Fixed(7), cases, ..ProptestConfig::default() }
+}
+
+fn beat(name: &str, zone: &str, boot: u64) -> Beat {
+    Beat {
+        name: name.into(),
+        zone: zone.into(),
+        boot,
+        leaving: false,
+        cut: false,
+        addr: None,
+        head: Head::default(),
+    }
+}
+
+/// What befalls one instance or one direction between two.
+#[derive(Clone, Debug)]
+enum Trouble {
+    /// It loses so many percent of what `from` sends to `to`.
+    Loss { from: usize, to: usize, percent: u8 },
+    /// It neither sends nor hears.
+    Paused(usize),
+    /// It dies and a new one with a higher start number takes its place.
+    Replaced(usize),
+    /// It dies.
+    Killed(usize),
+}
+
+struct Member {
+    view: View,
+    beat: Beat,
+    alive: bool,
+    paused: bool,
+}
+
+struct Zone {
+    members: Vec<Member>,
+    loss: Vec<(usize, usize, u8)>,
+    now: Instant,
+    seed: u64,
+}
+
+impl Zone {
+    fn new(count: usize) -> Self {
+        let member = |i: usize| {
+            let name = format!("zone-a-{i}");
+            let view = View::new(name.as_str().into(), "zone-a".into());
+            Member { view, beat: beat(&name, "zone-a", 1), alive: true, paused: false }
+        };
+        let members = (0..count).map(member).collect();
+        Self { members, loss: Vec::new(), now: Instant::now(), seed: 9 }
+    }
+
+    fn random(&mut self) -> u8 {
+        self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        ((self.seed >> 33) % 100) as u8
+    }
+
+    fn suffer(&mut self, trouble: &Trouble) {
+        match trouble {
+            Trouble::Loss { from, to, percent } => self.loss.push((*from, *to, *percent)),
+            Trouble::Paused(at) => self.members[*at].paused = true,
+            Trouble::Killed(at) => self.members[*at].alive = false,
+            Trouble::Replaced(at) => {
+                let member = &mut self.members[*at];
+                member.beat.boot += 1;
+                member.view = View::new(InstanceId::clone(&member.beat.name), "zone-a".into());
+            }
+        }
+    }
+
+    fn calm(&mut self) {
+        self.loss.clear();
+        self.members.iter_mut().for_each(|m| m.paused = false);
+    }
+
+    /// Runs for a time; each member tells all others each beat.
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += BEAT;
+            for from in 0..self.members.len() {
+                for to in 0..self.members.len() {
+                    self.deliver(from, to);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize) {
+        let up = |m: &Member| m.alive && !m.paused;
+        if from == to || !up(&self.members[from]) || !up(&self.members[to]) {
+            return;
+        }
+        let rolled = self.random();
+        let lost = self.loss.iter().any(|(f, t, p)| (*f, *t) == (from, to) && rolled < *p);
+        if !lost {
+            let (beat, now) = (self.members[from].beat.clone(), self.now);
+            self.members[to].view.hear(beat, now);
+        }
+    }
+
+    fn live(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(|m| m.alive)
+    }
+
+    /// Returns the holders of all roles as each live member sees them.
+    fn roles(&self) -> BTreeSet<Vec<String>> {
+        self.live().map(|m| roles(&m.view, self.now)).collect()
+    }
+}
+
+fn roles(view: &View, now: Instant) -> Vec<String> {
+    let names = view.candidates(now);
+    let owners = (0..TARGETS).filter_map(|t| holder(&format!("engine-{t}"), names.iter().copied()));
+    let lead = leader(&names).into_iter();
+    let watch = watchers(&view.reaching(now));
+    owners.chain(lead).chain(watch).map(str::to_owned).collect()
+}
+
+fn trouble(count: usize) -> impl Strategy<Value = Trouble> {
+    let at = 0..count;
+    prop_oneof![
+        3 => (0..count, 0..count, 5_u8..=100)
+            .prop_map(|(from, to, percent)| Trouble::Loss { from, to, percent }),
+        1 => at.clone().prop_map(Trouble::Paused),
+        1 => at.clone().prop_map(Trouble::Replaced),
+        // One is never killed, so that someone is left.
+        1 => (1..count).prop_map(Trouble::Killed),
+    ]
+}
+
+proptest! {
+    #![proptest_config(fixed(48))]
+
+    #[test]
+    fn after_any_trouble_roles_are_agreed_and_held_by_the_living(
+        troubles in prop::collection::vec((trouble(7), 0_u64..9), 1..10),
+    ) {
+        let mut zone = Zone::new(7);
+        zone.run(BEAT * 2);
+        for (trouble, secs) in &troubles {
+            zone.suffer(trouble);
+            zone.run(Duration::from_secs(*secs));
+        }
+        zone.calm();
+        zone.run(MOVED);
+        let seen = zone.roles();
+        prop_assert_eq!(seen.len(), 1, "views differ");
+        let live: BTreeSet<String> = zone.live().map(|m| m.beat.name.to_string()).collect();
+        for holder in seen.iter().flatten() {
+            prop_assert!(live.contains(holder), "{holder} is dead and holds a role");
+        }
+    }
+
+    #[test]
+    fn a_replacement_moves_only_what_it_held(count in 2_usize..43, at in 0_usize..42) {
+        let names: Vec<String> = (0..count).map(|i| format!("zone-a-{i}")).collect();
+        let gone = &names[at % count];
+        let left: Vec<&str> = names.iter().filter(|n| *n != gone).map(String::as_str).collect();
+        for target in 0..600 {
+            let role = format!("engine-{target}");
+            let before = holder(&role, names.iter().map(String::as_str));
+            let after = holder(&role, left.iter().copied());
+            prop_assert!(before == Some(gone) || before == after);
+        }
+    }
+
+    #[test]
+    fn every_instance_is_told_by_every_other_zone(ours in 1_usize..50, theirs in 1_usize..50) {
+        let mine: Vec<String> = (0..ours).map(|i| format!("zone-a-{i}")).collect();
+        let mine: Vec<&str> = mine.iter().map(String::as_str).collect();
+        let other: Vec<InstanceId> = (0..theirs).map(|i| format!("zone-b-{i}").into()).collect();
+        let mut told = vec![0; theirs];
+        let most = PARTNERS * theirs.div_ceil(ours) + PARTNERS;
+        for me in &mine {
+            let partners = partners(me, &mine, &other);
+            prop_assert!(partners.len() <= most, "{} over {most}", partners.len());
+            prop_assert!(partners.len() >= PARTNERS.min(theirs));
+            for partner in partners {
+                told[other.iter().position(|n| n == partner).expect("a member")] += 1;
+            }
+        }
+        prop_assert!(told.iter().all(|n| *n >= PARTNERS.min(ours)), "{told:?}");
+    }
+}
+
+#[rstest]
+#[case::killed(Trouble::Killed(0))]
+#[case::paused(Trouble::Paused(0))]
+fn roles_move_within_the_stated_time(#[case] trouble: Trouble) {
+    for at in 0..9 {
+        let mut zone = Zone::new(9);
+        zone.run(BEAT * 2);
+        let trouble = match trouble {
+            Trouble::Killed(_) => Trouble::Killed(at),
+            _ => Trouble::Paused(at),
+        };
+        zone.suffer(&trouble);
+        zone.run(MOVED);
+        let gone = format!("zone-a-{at}");
+        let others = zone.members.iter().enumerate().filter(|(i, _)| *i != at);
+        for (_, member) in others {
+            assert!(!roles(&member.view, zone.now).contains(&gone), "{gone} still holds a role");
+        }
+    }
+}
+
+/// A day's churn in one zone: 17 replacements among 42, and quiet between.
+#[test]
+fn a_day_of_replacements_leaves_no_doubt() {
+    let mut zone = Zone::new(42);
+    zone.run(BEAT * 2);
+    for i in 0..17 {
+        zone.suffer(&Trouble::Replaced(i * 5 % 42));
+        // The new process hears of all within one beat.
+        zone.run(BEAT * 2);
+        assert_eq!(zone.roles().len(), 1, "views differ after replacement {i}");
+    }
+}
+
+#[rstest]
+#[case::late_heartbeat_of_the_old_process(2, 1, 1, 2)]
+#[case::restart(1, 2, 1, 2)]
+#[case::replacement_whose_clock_is_behind(2, 1, 5, 1)]
+fn the_newest_process_of_a_name_counts(
+    #[case] first: u64,
+    #[case] second: u64,
+    #[case] after: u64,
+    #[case] counts: u64,
+) {
+    let start = Instant::now();
+    let mut view = View::new("me".into(), "zone-a".into());
+    view.hear(beat("other", "zone-a", first), start);
+    let now = start + Duration::from_secs(after);
+    view.hear(beat("other", "zone-a", second), now);
+    let boots: Vec<u64> = view.alive(now).map(|b| b.boot).collect();
+    assert_eq!(boots, [counts]);
+}
+
+#[test]
+fn those_that_reach_the_platform_watch_first() {
+    let all: Vec<(&str, bool)> = vec![("a", false), ("b", false), ("c", false), ("d", false)];
+    let first = watchers(&all);
+    let cut = |(name, _): &(&'static str, bool)| (*name, first.contains(name));
+    let moved = watchers(&all.iter().map(cut).collect::<Vec<_>>());
+    assert!(moved.iter().all(|name| !first.contains(name)), "{first:?} then {moved:?}");
+    let none: Vec<(&str, bool)> = all.iter().map(|(name, _)| (*name, true)).collect();
+    assert_eq!(watchers(&none), first, "all are cut, so the first two go on trying");
+}
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -7,6 +7,9 @@
 use crate::http::{CALL, agent};
 use crate::kv::KvError;
 
+/// Longest list, in bytes.
+const LONGEST: u64 = 4 * 1024 * 1024;
+
 /// Kind of member.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -57,12 +60,32 @@
     ///
     /// Fails when the platform gives no answer in time.
     pub fn read(&self) -> Result<Vec<Member>, KvError> {
-        let request = self.agent.get(&self.url).config().timeout_global(Some(CALL)).build();
+        Ok(self.changed(&mut None)?.unwrap_or_default())
+    }
+
+    /// Reads the list unless it still has the entity tag `tag`; `None` if so.
+    ///
+    /// At 980 members the whole list has some 150 KB, and few changes an hour.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform gives no answer in time.
+    pub fn changed(&self, tag: &mut Option<String>) -> Result<Option<Vec<Member>>, KvError> {
+        let mut request = self.agent.get(&self.url);
+        if let Some(tag) = tag {
+            request = request.header("if-none-match", tag.as_str());
+        }
+        let request = request.config().timeout_global(Some(CALL)).build();
         let mut response = request.call().map_err(|e| KvError::Unavailable(e.to_string()))?;
-        if response.status() != 200 {
-            return Err(KvError::Unavailable(format!("status {}", response.status())));
+        match response.status().as_u16() {
+            304 => return Ok(None),
+            200 => {}
+            status => return Err(KvError::Unavailable(format!("status {status}"))),
         }
-        let body = response.body_mut().with_config().limit(4 * 1024 * 1024);
-        body.read_json().map_err(|e| KvError::Unavailable(e.to_string()))
+        let found = response.headers().get("etag").and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let body = response.body_mut().with_config().limit(LONGEST);
+        let members = body.read_json().map_err(|e| KvError::Unavailable(e.to_string()))?;
+        *tag = found;
+        Ok(Some(members))
     }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -129,6 +129,11 @@
         self.inner.set(faults);
     }
 
+    /// Returns how many load reports were asked for.
+    pub fn reports(&self) -> u64 {
+        self.inner.state().number
+    }
+
     /// Returns how many generate calls began to run.
     pub fn runs(&self) -> u64 {
         self.inner.state().runs
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,6 +1,7 @@
 //! Stand-in for the platform: key-value service and instance list.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -58,6 +59,8 @@
     pub writes: u64,
     /// Calls that came during an outage.
     pub failed: u64,
+    /// Reads of the list of members.
+    pub lists: u64,
     /// Watches that wait now.
     pub waiting: u64,
 }
@@ -142,7 +145,7 @@
             return reply::empty(exchange, 503);
         }
         match (method.as_str(), path.split_at(path.find('/').map_or(0, |_| 1)).1) {
-            ("GET", "instances") => reply::json(exchange, 200, &self.state().members.clone()),
+            ("GET", "instances") => self.members(exchange),
             ("PUT", "instances") => self.put_members(exchange),
             ("POST", "leases") => self.grant(exchange),
             (_, rest) => match rest.split_once('/') {
@@ -174,6 +177,21 @@
         }
     }
 
+    /// Answers with the list, or with 304 to one who has it.
+    fn members(&self, exchange: &mut Exchange<'_>) {
+        let mut state = self.state();
+        state.calls.lists += 1;
+        let body = serde_json::to_vec(&state.members).unwrap_or_default();
+        drop(state);
+        let mut hasher = DefaultHasher::new();
+        body.hash(&mut hasher);
+        let tag = format!("\"{:016x}\"", hasher.finish());
+        let known = exchange.head.header("if-none-match") == Some(&tag);
+        let headers = [("content-type", "application/json".to_owned()), ("etag", tag)];
+        let (status, body) = if known { (304, Vec::new()) } else { (200, body) };
+        exchange.answer(status, &headers, &body).unwrap_or_default();
+    }
+
     fn put_members(&self, exchange: &mut Exchange<'_>) {
         match serde_json::from_slice(&exchange.body) {
             Ok(members) => {
--- a/src/parts/listing.rs
+++ b/src/parts/listing.rs
@@ -16,12 +16,14 @@
 pub fn run(node: &Arc<Node>) {
     let list = List::new(&node.settings.platform.to_string());
     let ticks = node.timer.subscribe(PERIOD);
+    let mut tag = None;
     loop {
-        match list.read() {
+        match list.changed(&mut tag) {
+            Ok(None) => {}
             // A list that names nobody, not even this instance, is no news:
             // the platform has lost it or has just begun anew.
-            Ok(members) if members.is_empty() => log::warn!("listing: the list is empty."),
-            Ok(members) => {
+            Ok(Some(members)) if members.is_empty() => log::warn!("listing: the list is empty."),
+            Ok(Some(members)) => {
                 let mut state = node.state();
                 state.members = members;
                 state.relist();
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod configuration;
+mod membership;
 mod path;
 mod refusals;
 mod stop;
--- /dev/null
+++ b/tests/suite/membership.rs
@@ -0,0 +1,77 @@
+//! Who knows whom, by list, seeds and introductions, and what zones tell.
+
+use mimosapass_standin::engine::Settings;
+use mimosapass_standin::platform::Faults;
+use rstest::rstest;
+
+use crate::common::{CONFIG, Fleet, Instance, status, until};
+
+fn names(instance: &Instance) -> Vec<String> {
+    let peers = status(instance)["peers"].as_array().cloned().unwrap_or_default();
+    peers.iter().filter_map(|p| p["name"].as_str().map(str::to_owned)).collect()
+}
+
+fn all_know_all(fleet: &Fleet) {
+    let others = fleet.instances.len() - 1;
+    until("all know all", || fleet.instances.iter().all(|i| names(i).len() == others));
+}
+
+#[rstest]
+#[case::no_list(false)]
+#[case::platform_out(true)]
+fn instances_that_no_list_names_are_introduced(#[case] outage: bool) {
+    let mut fleet = Fleet::new(&[]);
+    fleet.apply(CONFIG);
+    fleet.launch("zone-a", "", fleet.platform.addr(), &[]);
+    until("the first is ready", || fleet.instances[0].ready());
+    fleet.platform.set(Faults { outage, ..Faults::default() });
+    // Each of the others knows only the first.
+    let seed = [fleet.instances[0].peers()];
+    for _ in 0..3 {
+        fleet.launch("zone-a", "", fleet.platform.addr(), &seed);
+    }
+    all_know_all(&fleet);
+    until("all are ready", || fleet.instances.iter().all(Instance::ready));
+}
+
+#[rstest]
+#[case::killed("KILL")]
+#[case::stopped("STOP")]
+fn a_silent_instance_leaves_the_view_and_its_targets_are_polled(#[case] signal: &str) {
+    let engines = [("zone-a", Settings::default()), ("zone-a", Settings::default())];
+    let mut fleet = Fleet::new(&engines);
+    fleet.apply(CONFIG);
+    for _ in 0..3 {
+        fleet.start("zone-a", "");
+    }
+    fleet.settle();
+    all_know_all(&fleet);
+    for at in 0..2 {
+        fleet.instances[at].signal(signal);
+    }
+    until("the last is alone", || names(&fleet.instances[2]).is_empty());
+    let polled: Vec<u64> = fleet.engines.iter().map(|(_, e)| e.reports()).collect();
+    until("it polls all engines", || {
+        fleet.engines.iter().zip(&polled).all(|((_, e), old)| e.reports() > old + 1)
+    });
+    if signal == "STOP" {
+        fleet.instances[0].signal("CONT");
+        until("one is back", || names(&fleet.instances[2]).len() == 1);
+    }
+}
+
+#[test]
+fn zones_tell_each_other_of_their_pools() {
+    let engines = [("zone-a", Settings::default()), ("zone-b", Settings::default())];
+    let mut fleet = Fleet::new(&engines);
+    fleet.apply(CONFIG);
+    fleet.start("zone-a", "");
+    fleet.start("zone-b", "");
+    fleet.settle();
+    let tells = |of: usize, zone: &str| {
+        let seen = status(&fleet.instances[of]);
+        let zones = seen["zones"].as_array().cloned().unwrap_or_default();
+        zones.iter().any(|z| z["name"] == zone && z["free"].as_u64() > Some(0))
+    };
+    until("each knows the other zone", || tells(0, "zone-b") && tells(1, "zone-a"));
+}
