Leaving targets proved by each way that tells of them

Change: a table of ways (list, vanished from it, drained by configuration, own report, report in a zone cut off from the platform, refusal by a service), each over two processes: no run begins at the target once 5 s have passed, and the streams that were open end whole. An empty list is no news.

--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod configuration;
+mod leaving;
 mod membership;
 mod path;
 mod refusals;
