--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,8 @@
 
 mod common;
 mod configuration;
+mod leaving;
+mod membership;
 mod once;
 mod path;
 mod refusals;
