--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,6 +1,7 @@
 //! Stand-in for the platform: key-value service and instance list.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -25,8 +26,14 @@
     pub outage: bool,
     /// Wait before each answer, in milliseconds.
     pub delay_ms: u64,
-    /// Carry out so many writes and lose their answers.
+    /// Carry out so many writes of keys and lose their answers.
     pub lose_writes: u32,
+    /// Neither carry out nor answer so many writes of keys.
+    pub drop_writes: u32,
+    /// Begin an outage of the service after a write whose answer was lost.
+    pub out_after_loss: bool,
+    /// Wait between carrying out a write of a key and answering it, in milliseconds.
+    pub answer_ms: u64,
     /// Answer reads with the value before the last write.
     pub stale: bool,
     /// Let watches run out although the key has changed.
@@ -58,6 +65,8 @@
     pub writes: u64,
     /// Calls that came during an outage.
     pub failed: u64,
+    /// Reads of the list of members.
+    pub lists: u64,
     /// Watches that wait now.
     pub waiting: u64,
 }
@@ -71,6 +80,7 @@
     leases: BTreeMap<u64, Lease>,
     members: Vec<Member>,
     calls: Calls,
+    written: BTreeMap<String, u64>,
 }
 
 /// A running platform.
@@ -115,6 +125,11 @@
         self.inner.state().members = members;
     }
 
+    /// Returns how many writes keys got whose first part is `part`.
+    pub fn written(&self, part: &str) -> u64 {
+        self.inner.state().written.get(part).copied().unwrap_or(0)
+    }
+
     /// Returns the calls counted so far.
     pub fn calls(&self) -> Calls {
         self.inner.state().calls
@@ -142,7 +157,7 @@
             return reply::empty(exchange, 503);
         }
         match (method.as_str(), path.split_at(path.find('/').map_or(0, |_| 1)).1) {
-            ("GET", "instances") => reply::json(exchange, 200, &self.state().members.clone()),
+            ("GET", "instances") => self.members(exchange),
             ("PUT", "instances") => self.put_members(exchange),
             ("POST", "leases") => self.grant(exchange),
             (_, rest) => match rest.split_once('/') {
@@ -174,6 +189,21 @@
         }
     }
 
+    /// Answers with the list, or with 304 to one who has it.
+    fn members(&self, exchange: &mut Exchange<'_>) {
+        let mut state = self.state();
+        state.calls.lists += 1;
+        let body = serde_json::to_vec(&state.members).unwrap_or_default();
+        drop(state);
+        let mut hasher = DefaultHasher::new();
+        body.hash(&mut hasher);
+        let tag = format!("\"{:016x}\"", hasher.finish());
+        let known = exchange.head.header("if-none-match") == Some(&tag);
+        let headers = [("content-type", "application/json".to_owned()), ("etag", tag)];
+        let (status, body) = if known { (304, Vec::new()) } else { (200, body) };
+        exchange.answer(status, &headers, &body).unwrap_or_default();
+    }
+
     fn put_members(&self, exchange: &mut Exchange<'_>) {
         match serde_json::from_slice(&exchange.body) {
             Ok(members) => {
@@ -235,7 +265,14 @@
             return reply::empty(exchange, 400);
         };
         let mut state = self.state();
+        if state.faults.drop_writes > 0 {
+            state.faults.drop_writes -= 1;
+            drop(state);
+            return exchange.begin(200, &[]).unwrap_or_default();
+        }
         state.calls.writes += 1;
+        let part = key.split('/').next().unwrap_or_default().to_owned();
+        *state.written.entry(part).or_default() += 1;
         state.expire();
         if lease.is_some_and(|id| !state.leases.contains_key(&id)) {
             drop(state);
@@ -259,8 +296,11 @@
         }
         let lost = status == 200 && state.faults.lose_writes > 0;
         state.faults.lose_writes -= u32::from(lost);
+        state.faults.outage |= lost && state.faults.out_after_loss;
+        let pause = Duration::from_millis(state.faults.answer_ms);
         drop(state);
         self.changed.notify_all();
+        std::thread::sleep(pause);
         if lost {
             exchange.begin(200, &[]).unwrap_or_default();
         } else {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,9 @@
 
 mod common;
 mod configuration;
+mod leaving;
+mod membership;
+mod once;
 mod path;
 mod refusals;
 mod settings;
