--- a/crates/ctl/tests/tool.rs
+++ b/crates/ctl/tests/tool.rs
@@ -206,6 +206,17 @@
     assert_eq!(ran.code, code, "{ran:?}");
 }
 
+#[rstest]
+#[case::atlas("atlas/fleet.yaml")]
+#[case::dokaz("dokaz/fleet.yaml")]
+#[case::quickstart("quickstart.yaml")]
+#[case::overhead("overhead.yaml")]
+fn the_example_configurations_hold(#[case] name: &str) {
+    let file = format!("{}/../../examples/config/{name}", env!("CARGO_MANIFEST_DIR"));
+    let ran = Bench::new(&name.replace('/', "-")).run(&["check", &file]);
+    assert_eq!(ran.code, 0, "{}", ran.err);
+}
+
 #[test]
 fn an_outage_changes_nothing_and_says_so() {
     let bench = Bench::new("outage");
--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -24,6 +24,9 @@
 /// Tokens of a long prompt.
 const LONG: usize = 200_000;
 
+/// A booking that must not run twice.
+const VAN: &str = "van 4 on Friday";
+
 fn main() -> ExitCode {
     match run() {
         Ok(true) => ExitCode::SUCCESS,
@@ -55,7 +58,8 @@
         (0, Ask::chat("short chat", SHORT, 16)),
         (1, Ask::chat("streamed chat", SHORT, 64).streamed()),
         (2, Ask::service("photo check", "photo-checks/parcels/17", "photo of parcel 17")),
-        (0, Ask::service("booking", "bookings/vans/4", "van 4 on Friday")),
+        (0, Ask::service("booking", "bookings/vans/4", VAN).id("order-4")),
+        (1, Ask::service("same booking again", "bookings/vans/4", VAN).id("order-4")),
         (1, Ask::chat("unknown workspace", SHORT, 16).of("nobody").wants(Want::NotRun(403))),
     ];
     asks.into_iter().map(|(zone, ask)| ask.send(&fleet.instances[zone])).collect()
--- a/examples/quickstart/request.rs
+++ b/examples/quickstart/request.rs
@@ -37,6 +37,7 @@
     body: String,
     stream: bool,
     tokens: Option<u64>,
+    id: Option<&'static str>,
     want: Want,
 }
 
@@ -70,14 +71,23 @@
         );
         let path = "v1/chat/completions".to_owned();
         let tokens = Some(answer);
-        Self { name, path, workspace: "atlas", body, stream: false, tokens, want: Want::Whole }
+        Self { tokens, ..Self::new(name, path, body) }
     }
 
     /// Builds a call to a plain service.
     pub fn service(name: &'static str, path: &str, body: &str) -> Self {
-        let (path, body) = (format!("services/{path}"), body.to_owned());
-        let (workspace, want) = ("atlas", Want::Whole);
-        Self { name, path, workspace, body, stream: false, tokens: None, want }
+        Self::new(name, format!("services/{path}"), body.to_owned())
+    }
+
+    fn new(name: &'static str, path: String, body: String) -> Self {
+        let want = Want::Whole;
+        Self { name, path, workspace: "atlas", body, stream: false, tokens: None, id: None, want }
+    }
+
+    /// States the caller's identifier of the request.
+    pub fn id(mut self, id: &'static str) -> Self {
+        self.id = Some(id);
+        self
     }
 
     /// Asks for a streamed answer.
@@ -108,10 +118,12 @@
     pub fn open(&self, instance: &Instance) -> Result<Open, Box<dyn Error>> {
         let start = Instant::now();
         let stream = if self.stream { "true" } else { "false" };
-        let response = agent()
-            .post(instance.url(&self.path))
-            .header("mimosapass-workspace", self.workspace)
-            .send(self.body.replacen("STREAM", stream, 1))?;
+        let mut request = agent().post(instance.url(&self.path));
+        request = request.header("mimosapass-workspace", self.workspace);
+        if let Some(id) = self.id {
+            request = request.header("mimosapass-request-id", id);
+        }
+        let response = request.send(self.body.replacen("STREAM", stream, 1))?;
         let header = |name: &str| {
             response
                 .headers()
@@ -212,8 +224,10 @@
     }
 
     /// Returns whether every token came, in order, with the end mark.
+    ///
+    /// A service tells how often it ran the call: just once.
     fn complete(&self) -> bool {
-        let Some(tokens) = self.ask.tokens else { return true };
+        let Some(tokens) = self.ask.tokens else { return self.text.contains("\"runs\":1,") };
         let answer: String = if self.ask.stream {
             let events = self.text.lines().filter_map(|l| l.strip_prefix("data: "));
             let parsed = events.filter_map(|e| serde_json::from_str::<Value>(e).ok());
--- a/src/flow/service.rs
+++ b/src/flow/service.rs
@@ -116,7 +116,9 @@
             id,
             digest: digest(method, &self.path, &self.exchange.body),
         };
+        story.trace.hop("record", "a non-idempotent call needs its record first");
         let claimed = Pending::look(self.node, subject, self.admitted.end).and_then(Pending::win);
+        story.trace.leave(if claimed.is_ok() { "ok" } else { "not to be sent" });
         match claimed {
             Ok(guard) => {
                 self.guard = Some(guard);
--- a/tests/suite/settings.rs
+++ b/tests/suite/settings.rs
@@ -64,3 +64,18 @@
     assert_eq!(code, Some(2));
     assert!([2, 3, 9].iter().all(|line| told.contains(&format!(".yaml:{line}: "))), "{told}");
 }
+
+#[rstest]
+#[case::atlas("atlas")]
+#[case::dokaz("dokaz")]
+fn the_example_settings_hold(#[case] user: &str) {
+    let dir = format!("{}/examples/config/{user}", env!("CARGO_MANIFEST_DIR"));
+    let files = std::fs::read_dir(dir).expect("examples").map(|f| f.expect("a file").path());
+    let settings: Vec<_> = files.filter(|f| !f.ends_with("fleet.yaml")).collect();
+    assert_eq!(settings.len(), 3, "one for each availability zone");
+    for file in settings {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_mimosapass"));
+        let output = command.arg("check").arg(&file).output().expect("it runs");
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    }
+}
