Metrics: time to first token by length of prompt, requests by class

Cause: the users measure time to first token by prompt length; one histogram over all lengths hides the short ones behind the long ones. Change: bands up to 1k, 8k, 32k, 100k, 300k tokens and over; finished requests are counted by class and outcome. Seen: metrics_tell_the_first_token_by_length_of_prompt passes.

--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -250,7 +250,7 @@
         if story.first_ms.is_none() {
             let took = self.admitted.start.elapsed();
             story.first_ms = Some(took.as_millis() as u64);
-            self.node.metrics.first.observe(took.as_secs_f64());
+            self.node.metrics.first_token(self.tokens, took);
         }
     }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,21 +1,31 @@
 //! Metrics of one instance.
 
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use std::time::Duration;
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
 
 /// Bounds of the time to first token, in seconds.
 const BOUNDS: [f64; 12] = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 1.8, 3.0, 6.0, 15.0, 60.0, 300.0];
 
+/// Upper bounds of the bands of prompt length, in tokens, and their labels.
+const BANDS: [(u64, &str); 5] =
+    [(1_000, "1k"), (8_000, "8k"), (32_000, "32k"), (100_000, "100k"), (300_000, "300k")];
+/// Label of the longest band.
+const LONGEST: &str = "over";
+
 /// All metrics.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     /// Where they are registered.
     pub registry: Registry,
-    /// Finished requests by outcome.
+    /// Finished requests by class and outcome.
     pub outcomes: IntCounterVec,
     /// Attempts by outcome.
     pub attempts: IntCounterVec,
-    /// Time to first token, in seconds.
-    pub first: Histogram,
+    /// Time to first token, in seconds, by band of prompt length.
+    first: HistogramVec,
     /// Configuration version in force, 0 for none.
     pub config: IntGauge,
     /// Events that belonged to another attempt and were dropped.
@@ -34,16 +44,20 @@
     /// Panics when a metric is declared wrongly, which is a bug here.
     pub fn new() -> Self {
         let registry = Registry::new();
-        let counters = |name: &str, help: &str| {
-            IntCounterVec::new(Opts::new(name, help), &["outcome"]).expect("metric is well formed")
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(name, help), labels).expect("metric is well formed")
         };
         let gauge =
             |name: &str, help: &str| IntGauge::new(name, help).expect("metric is well formed");
         let first = HistogramOpts::new("mimosapass_first_token_seconds", "Time to first token.");
         let metrics = Self {
-            outcomes: counters("mimosapass_requests_total", "Finished requests."),
-            attempts: counters("mimosapass_attempts_total", "Attempts at targets."),
-            first: Histogram::with_opts(first.buckets(BOUNDS.to_vec()))
+            outcomes: counters(
+                "mimosapass_requests_total",
+                "Finished requests.",
+                &["class", "outcome"],
+            ),
+            attempts: counters("mimosapass_attempts_total", "Attempts at targets.", &["outcome"]),
+            first: HistogramVec::new(first.buckets(BOUNDS.to_vec()), &["prompt"])
                 .expect("metric is well formed"),
             config: gauge("mimosapass_config_version", "Configuration in force."),
             crossed: IntCounter::new("mimosapass_crossed_total", "Events of another attempt.")
@@ -56,6 +70,12 @@
         metrics
     }
 
+    /// Notes the time to first token of a prompt of so many tokens.
+    pub fn first_token(&self, tokens: u64, took: Duration) {
+        let band = BANDS.iter().find(|(most, _)| tokens <= *most).map_or(LONGEST, |(_, name)| name);
+        self.first.with_label_values(&[band]).observe(took.as_secs_f64());
+    }
+
     fn register(&self) {
         let all: [Box<dyn prometheus::core::Collector>; 7] = [
             Box::new(self.outcomes.clone()),
--- a/src/story.rs
+++ b/src/story.rs
@@ -58,7 +58,7 @@
         let outcome = failed.map_or("ok", |kind| kind.row().code);
         let (request, class) = (self.request.as_str(), self.class.as_str());
         log::info!(request, class, outcome; "flow: request ended.");
-        node.metrics.outcomes.with_label_values(&[outcome]).inc();
+        node.metrics.outcomes.with_label_values(&[class, outcome]).inc();
         outcome.clone_into(&mut self.outcome);
         self.trace.note("request", &self.request);
         self.trace.note("workspace", &self.workspace);
--- a/tests/suite/path.rs
+++ b/tests/suite/path.rs
@@ -77,3 +77,21 @@
         until("the version is in force", || crate::common::status(instance)["config"] == version);
     }
 }
+
+#[test]
+fn metrics_tell_the_first_token_by_length_of_prompt() {
+    let fleet = fleet();
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    for tokens in [500, 500, 5_000, 50_000] {
+        assert_eq!(post(&url, &[], &chat(tokens, 1, false)).expect("an answer").status, 200);
+    }
+    let counted = |text: &str, line: &str| text.lines().any(|l| l == line);
+    until("all are counted", || {
+        let page = agent().get(fleet.instances[0].page("/metrics")).call().ok();
+        let text = page.and_then(|mut r| r.body_mut().read_to_string().ok()).unwrap_or_default();
+        counted(&text, "mimosapass_first_token_seconds_count{prompt=\"1k\"} 2")
+            && counted(&text, "mimosapass_first_token_seconds_count{prompt=\"8k\"} 1")
+            && counted(&text, "mimosapass_first_token_seconds_count{prompt=\"100k\"} 1")
+            && counted(&text, "mimosapass_requests_total{class=\"chats\",outcome=\"ok\"} 4")
+    });
+}
