--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -154,5 +154,5 @@
     let targets = members.iter().filter(|m| m.role != Role::Entry);
     let fitting: Vec<&str> =
         targets.filter(|m| matches(by, &labels(m))).map(|m| m.name.as_str()).collect();
-    format!("{} targets have these labels now: {}\n", fitting.len(), fitting.join(", "))
+    format!("targets with these labels now: {}\n", fitting.join(", "))
 }
