Judge each event of an engine by one pure rule, and resume where it was cut

Cause: the order of tokens was checked in the middle of the socket code; a cut stream always moved to another engine and asked it for an offset without knowing whether it can resume; a repeated token ended the attempt; an engine frozen before its first token held a request until its deadline.

Ruled out: a flag in the load report for engines that can resume (it lags and is missing for other zones; the header in the very answer cannot be stale); a bound on the time to first token from the class's promise (it would end long prefills that are well under way).

Change: core::answer decides what is passed on. An engine echoes the offset in its response or counts as unable to resume. The engine whose stream was cut gets one more attempt, which takes over the memory of the earlier one, before another engine is asked. Before the first token an engine of the zone is given up after 8 s without a load report. The stand-in engine keeps holder and expiry of all it holds, and has renew, reserve, export, import and cache events.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,8 +6,10 @@
 //! is always an argument, so that each rule can be tested without a socket
 //! or a clock.
 
+pub mod answer;
 pub mod board;
 pub mod budget;
+pub mod claims;
 pub mod classify;
 pub mod config;
 pub mod error;
@@ -15,6 +17,7 @@
 pub mod ids;
 pub mod labels;
 pub mod once;
+pub mod pending;
 pub mod rendezvous;
 pub mod route;
 pub mod version;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -3,27 +3,27 @@
 //! It computes prompts at a set speed, one after the other, then generates
 //! tokens at a set pace. Memory stays held for an attempt until its answer is
 //! whole or it is cancelled: a cut connection frees nothing, since the stream
-//! could be resumed.
+//! could be resumed, and neither does an expiry.
 
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mimosapass_caller::exchange::Exchange;
-use mimosapass_caller::openai::{Call, read};
+use mimosapass_caller::openai::Call;
 use mimosapass_caller::server::{Limits, Server};
-use mimosapass_target::engine::{ATTEMPT, Event, Load, OFFSET, REFUSED};
+use mimosapass_target::engine::{Load, REFUSED};
+use mimosapass_target::memory::{
+    Block, Cancel, Change, Claim, Export, Holdings, Import, Renew, Renewed, Reserve, Use,
+};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::memory::Memory;
 use crate::reply;
 
-/// Bytes of JSON that make one token here.
-const BYTES_PER_TOKEN: usize = 4;
-/// Tokens generated where the request states none.
-const ANSWER: u32 = 16;
-
 /// Settings of an engine.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -75,15 +75,36 @@
     pub crossed: bool,
     /// Leave out the end mark.
     pub no_end: bool,
+    /// Cut the connection once after so many tokens, then forget this fault.
+    pub cut_once: Option<u64>,
+    /// Start every answer at its first token, whatever the offset.
+    pub no_resume: bool,
+    /// Send the token of this number twice.
+    pub repeat: Option<u64>,
+    /// Leave out the token of this number.
+    pub skip: Option<u64>,
+    /// Count one token too many in the end mark.
+    pub miscount: bool,
+    /// Do what memory calls ask for, but break off before the answer.
+    pub lose_answers: bool,
+    /// Answer with a load report that may be this old, in milliseconds.
+    pub load_lag_ms: u64,
+    /// Hold back cache events for so long, in milliseconds.
+    pub event_lag_ms: u64,
+    /// Leave out every cache event whose number is a multiple of this one.
+    pub event_gap: Option<u64>,
 }
 
 #[derive(Debug, Default)]
-struct State {
-    faults: Faults,
+pub(crate) struct State {
+    pub(crate) faults: Faults,
+    pub(crate) boot: u64,
+    pub(crate) prefill: u64,
+    pub(crate) memory: Memory,
+    pub(crate) runs: u64,
     number: u64,
-    prefill: u64,
-    held: BTreeMap<String, u64>,
-    runs: u64,
+    reported: Option<(Instant, Load)>,
+    changes: Vec<(Instant, Change)>,
 }
 
 /// A running engine.
@@ -94,11 +115,11 @@
 }
 
 #[derive(Debug)]
-struct Inner {
-    settings: Settings,
+pub(crate) struct Inner {
+    pub(crate) settings: Settings,
+    pub(crate) changed: Condvar,
+    pub(crate) compute: Mutex<()>,
     state: Mutex<State>,
-    changed: Condvar,
-    compute: Mutex<()>,
 }
 
 impl Engine {
@@ -109,8 +130,8 @@
     /// Fails when the address cannot be bound.
     pub fn start(addr: SocketAddr, settings: Settings) -> io::Result<Self> {
         let inner = Arc::new(Inner {
+            state: Mutex::new(State { boot: settings.boot, ..State::default() }),
             settings,
-            state: Mutex::default(),
             changed: Condvar::new(),
             compute: Mutex::new(()),
         });
@@ -134,14 +155,25 @@
         self.inner.state().runs
     }
 
-    /// Returns the tokens held for each attempt.
+    /// Returns the tokens held by identifier.
     pub fn held(&self) -> BTreeMap<String, u64> {
-        self.inner.state().held.clone()
+        self.inner.state().memory.sizes()
+    }
+
+    /// Loses all memory and every stream, as a restart does.
+    pub fn restart(&self) {
+        let mut state = self.inner.state();
+        state.boot += 1;
+        state.number = 0;
+        state.reported = None;
+        state.memory = Memory::default();
+        drop(state);
+        self.inner.changed.notify_all();
     }
 }
 
 impl Inner {
-    fn state(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -151,7 +183,7 @@
     }
 
     /// Waits while `held_back` says so of the faults, then returns them.
-    fn wait(&self, held_back: impl Fn(&Faults) -> bool) -> Faults {
+    pub(crate) fn wait(&self, held_back: impl Fn(&Faults) -> bool) -> Faults {
         let state = self.state();
         let state = self
             .changed
@@ -166,14 +198,19 @@
         }
         let faults = self.wait(|f| f.frozen);
         std::thread::sleep(Duration::from_millis(faults.delay_ms));
+        if let Some(call) = Call::at(&exchange.head.path) {
+            return self.generate(exchange, call, &faults);
+        }
         match exchange.head.path.as_str() {
             "/load" => self.load(exchange),
-            "/held" => reply::json(exchange, 200, &self.state().held),
-            "/cancel" => self.cancel(exchange),
-            path => match Call::at(path) {
-                Some(call) => self.generate(exchange, call, &faults),
-                None => reply::empty(exchange, 404),
-            },
+            "/held" => self.held(exchange),
+            "/events" => self.events(exchange),
+            "/renew" => self.memory_call(exchange, &faults, |s, asked| Some(s.renew(asked))),
+            "/cancel" => self.memory_call(exchange, &faults, |s, asked| Some(s.cancel(asked))),
+            "/reserve" => self.memory_call(exchange, &faults, Self::reserve),
+            "/export" => self.memory_call(exchange, &faults, Self::export),
+            "/import" => self.memory_call(exchange, &faults, Self::import),
+            _ => reply::empty(exchange, 404),
         }
     }
 
@@ -188,126 +225,120 @@
     }
 
     fn load(&self, exchange: &mut Exchange<'_>) {
-        let settings = &self.settings;
         let mut state = self.state();
+        let lag = Duration::from_millis(state.faults.load_lag_ms);
+        let load = match &state.reported {
+            Some((at, load)) if at.elapsed() < lag => load.clone(),
+            _ => self.report(&mut state),
+        };
+        drop(state);
+        reply::json(exchange, 200, &load);
+    }
+
+    fn report(&self, state: &mut State) -> Load {
+        let settings = &self.settings;
         state.number += 1;
-        let used: u64 = state.held.values().sum();
         let load = Load {
-            boot: settings.boot,
+            boot: state.boot,
             number: state.number,
             prefill: state.prefill,
-            running: state.held.len() as u32,
+            running: state.memory.streams(),
             slots: settings.slots,
-            free: settings.capacity.saturating_sub(used),
+            free: settings.capacity.saturating_sub(state.memory.used()),
             capacity: settings.capacity,
             speed: settings.speed,
             leaving: state.faults.leaving,
             models: settings.models.clone(),
         };
+        state.reported = Some((Instant::now(), load.clone()));
+        load
+    }
+
+    fn held(&self, exchange: &mut Exchange<'_>) {
+        let expired = reply::number(&exchange.head.query, "expired") == Some(1);
+        let state = self.state();
+        let holdings = Holdings { boot: state.boot, held: state.memory.list(expired) };
         drop(state);
-        reply::json(exchange, 200, &load);
+        reply::json(exchange, 200, &holdings);
     }
 
-    fn cancel(&self, exchange: &mut Exchange<'_>) {
-        let attempt = exchange.head.header(ATTEMPT).unwrap_or_default().to_owned();
-        self.state().held.remove(&attempt);
-        self.changed.notify_all();
-        reply::empty(exchange, 200);
+    /// Notes that the prefix of a prompt is cached.
+    pub(crate) fn cached(&self, prefix: u64, tokens: u64) {
+        let mut state = self.state();
+        let number = state.changes.last().map_or(1, |(_, c)| c.number + 1);
+        state.changes.push((Instant::now(), Change { number, prefix, tokens }));
     }
 
-    fn generate(&self, exchange: &mut Exchange<'_>, call: Call, faults: &Faults) {
-        if faults.leaving || faults.refuse {
-            let why = if faults.leaving { "leaving" } else { "busy" };
-            let headers = [(REFUSED, why.to_owned())];
-            exchange.answer(503, &headers, b"").unwrap_or_default();
-            return;
-        }
-        let prompt = match read(call, &exchange.body) {
-            Ok(prompt) => prompt,
+    fn events(&self, exchange: &mut Exchange<'_>) {
+        let after = reply::number(&exchange.head.query, "after").unwrap_or(0);
+        let state = self.state();
+        let lag = Duration::from_millis(state.faults.event_lag_ms);
+        let gap = |n: u64| state.faults.event_gap.is_some_and(|g| n.is_multiple_of(g));
+        let changes: Vec<Change> = state
+            .changes
+            .iter()
+            .filter(|(at, c)| c.number > after && at.elapsed() >= lag && !gap(c.number))
+            .map(|(_, c)| c.clone())
+            .collect();
+        drop(state);
+        reply::json(exchange, 200, &changes);
+    }
+
+    /// Runs a memory call; its answer may be lost after it took effect.
+    fn memory_call<A, B>(
+        &self,
+        exchange: &mut Exchange<'_>,
+        faults: &Faults,
+        run: fn(&Self, &A) -> Option<B>,
+    ) where
+        A: DeserializeOwned,
+        B: Serialize,
+    {
+        let asked: A = match serde_json::from_slice(&exchange.body) {
+            Ok(asked) => asked,
             Err(e) => return reply::json(exchange, 400, &e.to_string()),
         };
-        let job = Job {
-            attempt: exchange.head.header(ATTEMPT).unwrap_or_default().to_owned(),
-            offset: exchange.head.header(OFFSET).and_then(|v| v.parse().ok()).unwrap_or(0),
-            prompt: (prompt.bytes / BYTES_PER_TOKEN).max(1) as u64,
-            tokens: u64::from(prompt.max_tokens.unwrap_or(ANSWER)),
-        };
-        let used: u64 = self.state().held.values().sum();
-        if used + job.prompt + job.tokens > self.settings.capacity {
-            let headers = [(REFUSED, "memory".to_owned())];
-            exchange.answer(503, &headers, b"").unwrap_or_default();
-            return;
+        let answer = run(self, &asked);
+        self.changed.notify_all();
+        match answer {
+            _ if faults.lose_answers => exchange.begin(200, &[]).unwrap_or_default(),
+            Some(answer) => reply::json(exchange, 200, &answer),
+            None => refuse(exchange, "memory"),
         }
-        self.run(exchange, &job);
     }
 
-    fn run(&self, exchange: &mut Exchange<'_>, job: &Job) {
-        self.hold(job);
-        self.prefill(job);
-        let headers =
-            [("content-type", "text/event-stream".to_owned()), (ATTEMPT, job.attempt.clone())];
-        let sent = exchange.begin(200, &headers).and_then(|()| self.tokens(exchange, job));
-        if sent.is_ok() {
-            exchange.finish();
-        }
+    fn renew(&self, asked: &Renew) -> Renewed {
+        let mut state = self.state();
+        let unknown = state.memory.renew(asked);
+        Renewed { boot: state.boot, unknown }
     }
 
-    fn hold(&self, job: &Job) {
-        let mut state = self.state();
-        state.runs += 1;
-        state.prefill += job.prompt;
-        state.held.insert(job.attempt.clone(), job.prompt + job.tokens);
+    fn cancel(&self, asked: &Cancel) -> BTreeMap<String, u64> {
+        self.state().memory.cancel(asked);
+        BTreeMap::new()
     }
 
-    fn prefill(&self, job: &Job) {
-        let computing = self.compute.lock().unwrap_or_else(PoisonError::into_inner);
-        let micros = job.prompt * 1_000_000 / self.settings.speed;
-        std::thread::sleep(Duration::from_micros(micros));
-        drop(computing);
-        self.state().prefill -= job.prompt;
+    fn reserve(&self, asked: &Reserve) -> Option<BTreeMap<String, u64>> {
+        let held = self.hold(&asked.claim, Use::Reservation, asked.tokens);
+        held.then(BTreeMap::new)
     }
 
-    fn tokens(&self, exchange: &mut Exchange<'_>, job: &Job) -> io::Result<()> {
-        for index in job.offset..job.tokens {
-            let faults = self.wait(|f| f.frozen || f.hold_from.is_some_and(|n| index >= n));
-            let cancelled = !self.state().held.contains_key(&job.attempt);
-            if cancelled || faults.cut_after.is_some_and(|n| index >= n) {
-                return Err(io::ErrorKind::ConnectionAborted.into());
-            }
-            std::thread::sleep(self.settings.pace);
-            let attempt = echoed(job, &faults);
-            send(exchange, &Event::Token { attempt, index, text: format!("t{index} ") })?;
-        }
-        let faults = self.state().faults.clone();
-        if !faults.no_end {
-            send(
-                exchange,
-                &Event::End {
-                    attempt: echoed(job, &faults),
-                    tokens: job.tokens,
-                    prompt: job.prompt,
-                    reason: "stop".to_owned(),
-                },
-            )?;
-        }
-        self.state().held.remove(&job.attempt);
-        Ok(())
+    fn export(&self, asked: &Export) -> Option<Block> {
+        let tokens = self.state().memory.size(&asked.attempt)?;
+        self.hold(&asked.claim, Use::Block, tokens).then_some(Block { tokens })
     }
-}
 
-#[derive(Debug)]
-struct Job {
-    attempt: String,
-    offset: u64,
-    prompt: u64,
-    tokens: u64,
-}
+    fn import(&self, asked: &Import) -> Option<BTreeMap<String, u64>> {
+        self.hold(&asked.claim, Use::Block, asked.tokens).then(BTreeMap::new)
+    }
 
-fn echoed(job: &Job, faults: &Faults) -> String {
-    if faults.crossed { format!("{}-other", job.attempt) } else { job.attempt.clone() }
+    pub(crate) fn hold(&self, claim: &Claim, used: Use, tokens: u64) -> bool {
+        self.state().memory.hold(claim, used, tokens, self.settings.capacity)
+    }
 }
 
-fn send(exchange: &mut Exchange<'_>, event: &Event) -> io::Result<()> {
-    let json = serde_json::to_string(event)?;
-    exchange.send(format!("data: {json}\n\n").as_bytes())
+/// Refuses without running; `why` is `leaving` where no new work is taken.
+pub(crate) fn refuse(exchange: &mut Exchange<'_>, why: &str) {
+    let headers = [(REFUSED, why.to_owned())];
+    exchange.answer(503, &headers, b"").unwrap_or_default();
 }
--- /dev/null
+++ b/crates/standin/src/generate.rs
@@ -0,0 +1,170 @@
+//! How a stand-in engine computes a prompt and streams its answer.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_caller::openai::{Call, read};
+use mimosapass_target::engine::{ATTEMPT, EXPIRY, Event, GROUP, HOLDER, OFFSET, RESUMES};
+use mimosapass_target::memory::{Cancel, Claim, Use};
+
+use crate::engine::{Faults, Inner, refuse};
+use crate::reply;
+
+/// Bytes of JSON that make one token here.
+const BYTES_PER_TOKEN: usize = 4;
+/// Tokens generated where the request states none.
+const ANSWER: u32 = 16;
+/// Bytes of a prompt that make its prefix.
+const PREFIX: usize = 256;
+/// Expiry of what is held where the request states none, in milliseconds.
+const EXPIRY_MS: u64 = 30_000;
+
+/// One generate call.
+#[derive(Debug)]
+struct Job {
+    claim: Claim,
+    offset: u64,
+    prompt: u64,
+    tokens: u64,
+    prefix: u64,
+}
+
+impl Inner {
+    /// Answers a generate call.
+    pub(crate) fn generate(&self, exchange: &mut Exchange<'_>, call: Call, faults: &Faults) {
+        if faults.leaving || faults.refuse {
+            return refuse(exchange, if faults.leaving { "leaving" } else { "busy" });
+        }
+        let job = match job(exchange, call, faults) {
+            Ok(job) => job,
+            Err(text) => return reply::json(exchange, 400, &text),
+        };
+        if !self.begin(exchange, &job) {
+            return refuse(exchange, "memory");
+        }
+        self.prefill(&job);
+        if self.stream(exchange, &job).is_ok() {
+            exchange.finish();
+        }
+    }
+
+    /// Holds memory for the job; returns whether there is enough.
+    fn begin(&self, exchange: &Exchange<'_>, job: &Job) -> bool {
+        if let Some(earlier) = exchange.head.header(RESUMES) {
+            self.state().memory.pass(earlier, &job.claim.id);
+        }
+        let need = job.prompt + job.tokens;
+        let enough = match exchange.head.header(GROUP) {
+            Some(group) => self.reserved(group, job) && shares(group) >= need,
+            None => need <= self.settings.capacity,
+        };
+        if !enough || !self.hold(&job.claim, Use::Stream, need) {
+            return false;
+        }
+        let mut state = self.state();
+        state.runs += 1;
+        state.prefill += job.prompt;
+        true
+    }
+
+    fn reserved(&self, group: &str, job: &Job) -> bool {
+        !group.is_empty() && self.state().memory.size(&job.claim.id).is_some()
+    }
+
+    fn prefill(&self, job: &Job) {
+        let computing = self.compute.lock().unwrap_or_else(PoisonError::into_inner);
+        let micros = job.prompt * 1_000_000 / self.settings.speed;
+        std::thread::sleep(Duration::from_micros(micros));
+        drop(computing);
+        self.state().prefill -= job.prompt;
+        self.cached(job.prefix, job.prompt);
+    }
+
+    fn stream(&self, exchange: &mut Exchange<'_>, job: &Job) -> io::Result<()> {
+        let mut headers =
+            vec![("content-type", "text/event-stream".to_owned()), (ATTEMPT, job.claim.id.clone())];
+        if job.offset > 0 {
+            headers.push((OFFSET, job.offset.to_string()));
+        }
+        exchange.begin(200, &headers)?;
+        for index in job.offset..job.tokens {
+            self.token(exchange, job, index)?;
+        }
+        self.end(exchange, job)
+    }
+
+    fn token(&self, exchange: &mut Exchange<'_>, job: &Job, index: u64) -> io::Result<()> {
+        let faults = self.wait(|f| f.frozen || f.hold_from.is_some_and(|n| index >= n));
+        let mut state = self.state();
+        let cancelled = state.memory.size(&job.claim.id).is_none();
+        let once = state.faults.cut_once.take_if(|n| index >= *n).is_some();
+        drop(state);
+        if cancelled || once || faults.cut_after.is_some_and(|n| index >= n) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        std::thread::sleep(self.settings.pace);
+        let attempt = echoed(job, &faults);
+        let event = Event::Token { attempt, index, text: format!("t{index} ") };
+        let times = match index {
+            _ if faults.skip == Some(index) => 0,
+            _ if faults.repeat == Some(index) => 2,
+            _ => 1,
+        };
+        (0..times).try_for_each(|_| send(exchange, &event))
+    }
+
+    fn end(&self, exchange: &mut Exchange<'_>, job: &Job) -> io::Result<()> {
+        let faults = self.state().faults.clone();
+        if !faults.no_end {
+            let event = Event::End {
+                attempt: echoed(job, &faults),
+                tokens: job.tokens + u64::from(faults.miscount),
+                prompt: job.prompt,
+                reason: "stop".to_owned(),
+            };
+            send(exchange, &event)?;
+        }
+        let ids = vec![job.claim.id.clone()];
+        self.state().memory.cancel(&Cancel { ids, expired: false });
+        Ok(())
+    }
+}
+
+fn job(exchange: &Exchange<'_>, call: Call, faults: &Faults) -> Result<Job, String> {
+    let prompt = read(call, &exchange.body).map_err(|e| e.to_string())?;
+    let header = |name: &str| exchange.head.header(name).unwrap_or_default().to_owned();
+    let claim = Claim {
+        id: header(ATTEMPT),
+        holder: header(HOLDER),
+        expiry_ms: header(EXPIRY).parse().unwrap_or(EXPIRY_MS),
+    };
+    let mut hasher = DefaultHasher::new();
+    exchange.body.iter().take(PREFIX).for_each(|b| b.hash(&mut hasher));
+    let offset = if faults.no_resume { 0 } else { header(OFFSET).parse().unwrap_or(0) };
+    Ok(Job {
+        claim,
+        offset,
+        prompt: (prompt.bytes / BYTES_PER_TOKEN).max(1) as u64,
+        tokens: u64::from(prompt.max_tokens.unwrap_or(ANSWER)),
+        prefix: hasher.finish(),
+    })
+}
+
+/// Returns the sum of the shares of a group, in tokens.
+fn shares(group: &str) -> u64 {
+    let share = |part: &str| part.split_once('=').and_then(|(_, n)| n.parse::<u64>().ok());
+    group.split(',').filter_map(share).sum()
+}
+
+fn echoed(job: &Job, faults: &Faults) -> String {
+    let id = &job.claim.id;
+    if faults.crossed { format!("{id}-other") } else { id.clone() }
+}
+
+fn send(exchange: &mut Exchange<'_>, event: &Event) -> io::Result<()> {
+    let json = serde_json::to_string(event)?;
+    exchange.send(format!("data: {json}\n\n").as_bytes())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,8 @@
 //! `POST /control` call with a JSON body, by tests and people alike.
 
 pub mod engine;
+mod generate;
+pub mod memory;
 pub mod platform;
 pub mod reply;
 pub mod service;
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -17,7 +17,18 @@
 /// Header with the attempt's identifier.
 pub const ATTEMPT: &str = "mimosapass-attempt";
 /// Header with the number of tokens that the caller already has.
+///
+/// An engine that starts its answer there says so by the same header in its
+/// response; one that does not say so cannot resume.
 pub const OFFSET: &str = "mimosapass-offset";
+/// Header with the attempt whose memory on the same engine this one takes over.
+pub const RESUMES: &str = "mimosapass-resumes";
+/// Header with the instance that renews what the engine holds.
+pub const HOLDER: &str = "mimosapass-holder";
+/// Header with the time to the expiry of what the engine holds, in milliseconds.
+pub const EXPIRY: &str = "mimosapass-expiry-ms";
+/// Header with the engines of a group, as `IP:port=TOKENS` parted by commas.
+pub const GROUP: &str = "mimosapass-group";
 /// Header with the remaining time of the request, in milliseconds.
 pub const REMAINING: &str = "mimosapass-remaining-ms";
 /// Header with the priority, 0 to 100.
@@ -33,7 +44,7 @@
 /// Time added to a call's own timeout, so that the caller of this client,
 /// who watches the deadline itself, comes first.
 const GRACE: Duration = Duration::from_secs(2);
-/// Time for a short call such as a cancel or a load report.
+/// Time for a load report.
 const SHORT: Duration = Duration::from_secs(2);
 
 /// One generate call.
@@ -47,6 +58,14 @@
     pub attempt: String,
     /// Tokens that the caller already has.
     pub offset: u64,
+    /// Earlier attempt on this engine whose memory is taken over.
+    pub resumes: Option<String>,
+    /// Instance that renews what the engine holds for the attempt.
+    pub holder: String,
+    /// Time to the expiry of what the engine holds.
+    pub expiry: Duration,
+    /// Engines of the group with their shares, in tokens; empty for one engine.
+    pub group: Vec<(String, u64)>,
     /// Remaining time of the request.
     pub remaining: Duration,
     /// Priority, 0 to 100.
@@ -131,16 +150,38 @@
         .header(ATTEMPT, &call.attempt)
         .header(OFFSET, call.offset.to_string())
         .header(PRIORITY, call.priority.to_string())
-        .header(REMAINING, call.remaining.as_millis().to_string());
+        .header(REMAINING, call.remaining.as_millis().to_string())
+        .header(HOLDER, &call.holder)
+        .header(EXPIRY, call.expiry.as_millis().to_string());
+    if let Some(resumes) = &call.resumes {
+        request = request.header(RESUMES, resumes);
+    }
+    if !call.group.is_empty() {
+        request = request.header(GROUP, shares(&call.group));
+    }
     if let Some(trace) = &call.trace {
         request = request.header(TRACE, trace);
     }
     let response = request.send(&*call.body).map_err(|e| fault(&e))?;
     let response = checked(response)?;
+    if call.offset > 0 && !starts_at(&response, call.offset) {
+        return Err(Fault::NotResumed);
+    }
     read_events(BufReader::new(response.into_body().into_reader()), &mut sink)
 }
 
-fn checked(
+fn shares(group: &[(String, u64)]) -> String {
+    let shares: Vec<String> = group.iter().map(|(addr, share)| format!("{addr}={share}")).collect();
+    shares.join(",")
+}
+
+/// Returns whether the engine says that its answer starts at token `offset`.
+fn starts_at(response: &ureq::http::Response<ureq::Body>, offset: u64) -> bool {
+    let stated = response.headers().get(OFFSET).and_then(|v| v.to_str().ok());
+    stated.and_then(|v| v.parse().ok()) == Some(offset)
+}
+
+pub(crate) fn checked(
     mut response: ureq::http::Response<ureq::Body>,
 ) -> Result<ureq::http::Response<ureq::Body>, Fault> {
     let status = response.status().as_u16();
@@ -189,17 +230,3 @@
     let mut response = checked(response)?;
     response.body_mut().read_json().map_err(|e| fault(&e))
 }
-
-/// Cancels an attempt and frees what the engine holds for it.
-///
-/// It is idempotent: cancelling an unknown attempt succeeds.
-///
-/// # Errors
-///
-/// Fails when the engine did not confirm; the cancel must then be repeated.
-pub fn cancel(agent: &Agent, addr: &str, attempt: &str) -> Result<(), Fault> {
-    let request = agent.post(format!("http://{addr}/cancel")).header(ATTEMPT, attempt);
-    let request = request.config().timeout_global(Some(SHORT)).build();
-    let response = request.send_empty().map_err(|e| fault(&e))?;
-    checked(response).map(drop)
-}
--- a/crates/target/src/fault.rs
+++ b/crates/target/src/fault.rs
@@ -21,6 +21,8 @@
         /// Body of the answer.
         text: String,
     },
+    /// The engine did not start its answer at the offset that was asked for.
+    NotResumed,
     /// The call broke after the request may have reached the target.
     Broken(String),
 }
@@ -38,6 +40,7 @@
             Self::NotSent(text) => write!(f, "not sent: {text}"),
             Self::Refused { text, .. } => write!(f, "refused: {text}"),
             Self::Rejected { status, text } => write!(f, "rejected with {status}: {text}"),
+            Self::NotResumed => f.write_str("the engine cannot resume at an offset"),
             Self::Broken(text) => write!(f, "broken: {text}"),
         }
     }
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -12,6 +12,7 @@
 use mimosapass_caller::answer::REQUEST_ID;
 use mimosapass_caller::exchange::{Exchange, Header};
 use mimosapass_caller::openai::{Call, Prompt, Style, Usage};
+use mimosapass_core::answer::{Progress, Verdict};
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::{ModelId, TargetId};
 use mimosapass_core::route::Choice;
@@ -22,6 +23,7 @@
 use crate::flow::pick::{self, Booked};
 use crate::flow::retry::{self, Ended};
 use crate::node::Node;
+use crate::parts::memory::{self, Claimed};
 use crate::parts::reclaim::Freed;
 use crate::story::Story;
 use crate::timer::Ticket;
@@ -32,6 +34,11 @@
 const LOOK: Duration = Duration::from_millis(250);
 /// Silence of an engine after its first token that ends an attempt.
 const STALL: Duration = Duration::from_secs(10);
+/// Silence of an engine before its first token that ends an attempt, if its
+/// load reports, which come each second, have been missing for as long.
+///
+/// It exceeds the time in which another instance takes over the polls.
+const UNHEARD: Duration = Duration::from_secs(8);
 /// Stack of an attempt's thread, in bytes.
 const STACK: usize = 256 * 1024;
 
@@ -52,8 +59,18 @@
     number: usize,
     id: String,
     addr: String,
+    target: TargetId,
+    resumes: Option<String>,
     heard: Instant,
     booked: Booked,
+    _claimed: Claimed,
+}
+
+/// An engine that may go on where its stream was cut.
+#[derive(Debug)]
+struct Resume {
+    choice: Choice,
+    attempt: String,
 }
 
 /// State of one model request while it runs.
@@ -67,7 +84,8 @@
     style: Style,
     tokens: u64,
     text: String,
-    delivered: u64,
+    progress: Progress,
+    resume: Option<Resume>,
     sender: Sender<Message>,
     inbox: Receiver<Message>,
     _deadline: Ticket,
@@ -98,7 +116,8 @@
             style,
             tokens,
             text: String::new(),
-            delivered: 0,
+            progress: Progress::default(),
+            resume: None,
             sender,
             inbox,
             _deadline: deadline,
@@ -115,18 +134,17 @@
         retry::attempts(&node, &mut self, ATTEMPTS, story, Self::pick, Self::attempt)
     }
 
+    /// Chooses the engine whose stream was cut, or else another one.
     fn pick(&self, tried: &[TargetId]) -> Result<Choice, Failure> {
+        if let Some(resume) = &self.resume {
+            return Ok(resume.choice.clone());
+        }
         pick::engine(self.node, &self.admitted, &self.prompt.model, self.tokens, tried)
     }
 
     fn attempt(&mut self, number: usize, choice: &Choice, story: &mut Story) -> Ended<()> {
-        let mut attempt = Attempt {
-            number,
-            id: self.node.unique(),
-            addr: choice.addr.clone(),
-            heard: Instant::now(),
-            booked: Booked::new(self.node, &choice.target, self.tokens),
-        };
+        let resumes = self.resume.take().map(|r| r.attempt);
+        let mut attempt = self.start(number, choice, resumes);
         let ended = match self.send(&attempt) {
             Ok(()) => self.follow(&mut attempt, story),
             Err(failure) => Ended::Over(failure),
@@ -135,13 +153,32 @@
         ended
     }
 
+    fn start(&mut self, number: usize, choice: &Choice, resumes: Option<String>) -> Attempt {
+        let id = self.node.unique();
+        self.progress.start(&id);
+        Attempt {
+            number,
+            addr: choice.addr.clone(),
+            target: TargetId::clone(&choice.target),
+            resumes,
+            heard: Instant::now(),
+            booked: Booked::new(self.node, &choice.target, self.tokens),
+            _claimed: Claimed::new(self.node, &choice.addr, &id),
+            id,
+        }
+    }
+
     /// Starts the thread that reads the engine's stream.
     fn send(&self, attempt: &Attempt) -> Result<(), Failure> {
         let call = Generate {
             addr: attempt.addr.clone(),
             path: self.call.path(),
             attempt: attempt.id.clone(),
-            offset: self.delivered,
+            offset: self.progress.passed(),
+            resumes: attempt.resumes.clone(),
+            holder: memory::holder(&self.node.name, self.node.boot),
+            expiry: self.node.settings.claims.expiry,
+            group: Vec::new(),
             remaining: self.admitted.left(),
             priority: self.admitted.class.priority,
             trace: self.exchange.head.header(engine::TRACE).map(str::to_owned),
@@ -177,8 +214,8 @@
                 Err(_) if self.exchange.caller_gone() => {
                     return Ended::Over(Failure::new(Kind::CallerGone, "the caller went away"));
                 }
-                Err(_) if attempt.booked.first_came() && attempt.heard.elapsed() > STALL => {
-                    return Ended::Again(Failure::new(Kind::CutAnswer, "the engine fell silent"));
+                Err(_) if self.stalled(attempt) => {
+                    return Ended::Again(self.failed("the engine fell silent".to_owned()));
                 }
                 // What an earlier attempt still says counts no more.
                 Ok(_) | Err(_) => {}
@@ -186,29 +223,68 @@
         }
     }
 
+    /// Returns whether the engine has been silent for too long.
+    ///
+    /// Before the first token it may compute a long prompt, so that only
+    /// missing load reports tell a frozen engine from one at work. Engines of
+    /// other zones report to their own zone; there the deadline decides.
+    fn stalled(&self, attempt: &Attempt) -> bool {
+        let silent = attempt.heard.elapsed();
+        if attempt.booked.first_came() {
+            return silent > STALL;
+        }
+        let state = self.node.state();
+        let unheard = state.board.get(&attempt.target).is_some_and(|known| {
+            let missing = known.heard.is_none_or(|at| at.elapsed() > UNHEARD);
+            known.listed.zone == self.node.zone && missing
+        });
+        silent > UNHEARD && unheard
+    }
+
+    /// Returns the failure of an attempt that may have run.
+    fn failed(&self, text: String) -> Failure {
+        let kind = if self.progress.passed() == 0 { Kind::TargetFailed } else { Kind::CutAnswer };
+        Failure::new(kind, text)
+    }
+
     fn too_late(&self) -> Ended<()> {
         let text = format!("no whole answer within {:?}", self.admitted.start.elapsed());
         Ended::Over(Failure::new(Kind::RunTimeout, text))
     }
 
-    fn done(&self, attempt: &Attempt, result: Result<(), Fault>) -> Ended<()> {
+    /// Judges the end of a stream that came before a whole answer.
+    fn done(&mut self, attempt: &Attempt, result: Result<(), Fault>) -> Ended<()> {
         let fault = match result {
-            Ok(()) => return Ended::Again(Failure::new(Kind::CutAnswer, "no end mark came")),
-            Err(Fault::Rejected { status, text }) => {
+            Ok(()) => {
+                self.go_on(attempt);
+                return Ended::Again(self.failed("no end mark came".to_owned()));
+            }
+            Err(Fault::Rejected { status, text }) if self.progress.passed() == 0 => {
                 let text = format!("the engine answered {status}: {text}");
                 return Ended::Over(Failure::new(Kind::BadRequest, text));
             }
             Err(fault) => fault,
         };
+        if matches!(fault, Fault::Broken(_)) {
+            self.go_on(attempt);
+        }
         if matches!(fault, Fault::Refused { leaving: true, .. }) {
             attempt.booked.leaving();
         }
-        let kind = match (self.delivered, fault.not_run()) {
-            (0, true) => Kind::Refused,
-            (0, false) => Kind::TargetFailed,
-            _ => Kind::CutAnswer,
-        };
-        Ended::Again(Failure::new(kind, fault.to_string()))
+        if self.progress.passed() == 0 && fault.not_run() {
+            return Ended::Again(Failure::new(Kind::Refused, fault.to_string()));
+        }
+        Ended::Again(self.failed(fault.to_string()))
+    }
+
+    /// Prefers the same engine for the next attempt, once for each engine.
+    fn go_on(&mut self, attempt: &Attempt) {
+        if attempt.booked.first_came() && attempt.resumes.is_none() {
+            let reason = format!("resumes at token {}", self.progress.passed());
+            let (target, addr) = (TargetId::clone(&attempt.target), attempt.addr.clone());
+            let choice = Choice { target, addr, reason };
+            self.resume = Some(Resume { choice, attempt: attempt.id.clone() });
+        }
     }
 
     /// Handles one event; returns how the attempt ended, if it did.
@@ -218,29 +294,29 @@
         event: Event,
         story: &mut Story,
     ) -> Option<Ended<()>> {
-        let (Event::Token { attempt: echoed, .. } | Event::End { attempt: echoed, .. }) = &event;
-        if *echoed != attempt.id {
+        let verdict = match &event {
+            Event::Token { attempt, index, .. } => self.progress.token(attempt, *index),
+            Event::End { attempt, tokens, .. } => self.progress.end(attempt, *tokens),
+        };
+        if verdict == Verdict::Crossed {
             self.node.metrics.crossed.inc();
             return None;
         }
         attempt.heard = Instant::now();
-        let gone = |e: io::Error| Ended::Over(Failure::new(Kind::CallerGone, e.to_string()));
-        match event {
-            Event::Token { index, .. } if index != self.delivered => {
-                Some(cut(format!("token {index} came in place of {}", self.delivered)))
-            }
-            Event::Token { text, .. } => {
+        let passed = match (verdict, event) {
+            (Verdict::Pass, Event::Token { text, .. }) => {
                 self.first(attempt, story);
-                self.token(&text).err().map(gone)
+                self.token(&text).map(|()| None)
             }
-            Event::End { tokens, .. } if tokens != self.delivered => {
-                Some(cut(format!("{} of {tokens} tokens came", self.delivered)))
+            (Verdict::Whole, Event::End { prompt, reason, .. }) => {
+                self.finish(prompt, &reason).map(|()| Some(Ended::Whole(())))
             }
-            Event::End { prompt, reason, .. } => match self.finish(prompt, &reason) {
-                Ok(()) => Some(Ended::Whole(())),
-                Err(e) => Some(gone(e)),
-            },
-        }
+            (Verdict::Cut(flaw), _) => Ok(Some(Ended::Again(self.failed(flaw.to_string())))),
+            // The engine repeated a token.
+            _ => Ok(None),
+        };
+        let gone = |e: io::Error| Ended::Over(Failure::new(Kind::CallerGone, e.to_string()));
+        passed.unwrap_or_else(|e| Some(gone(e)))
     }
 
     fn first(&self, attempt: &mut Attempt, story: &mut Story) {
@@ -253,7 +329,6 @@
     }
 
     fn token(&mut self, text: &str) -> io::Result<()> {
-        self.delivered += 1;
         if !self.prompt.stream {
             self.text.push_str(text);
             return Ok(());
@@ -275,8 +350,8 @@
         self.node.state().ratios.learn(&model, self.prompt.bytes, prompt);
         let usage = Usage {
             prompt_tokens: prompt,
-            completion_tokens: self.delivered,
-            total_tokens: prompt + self.delivered,
+            completion_tokens: self.progress.passed(),
+            total_tokens: prompt + self.progress.passed(),
         };
         if !self.prompt.stream {
             let headers = self.headers("application/json");
@@ -310,7 +385,3 @@
         }
     }
 }
-
-fn cut(text: String) -> Ended<()> {
-    Ended::Again(Failure::new(Kind::CutAnswer, text))
-}
--- a/src/node.rs
+++ b/src/node.rs
@@ -8,6 +8,7 @@
 
 use mimosapass_core::board::Board;
 use mimosapass_core::budget::Budget;
+use mimosapass_core::claims::Claims;
 use mimosapass_core::estimate::Ratios;
 use mimosapass_core::ids::{InstanceId, WorkspaceId, ZoneId};
 use mimosapass_core::version::{Gate, Head};
@@ -46,6 +47,8 @@
     pub budget: Budget,
     /// Requests in flight by workspace.
     pub flight: BTreeMap<WorkspaceId, usize>,
+    /// Claims on the memory of engines.
+    pub claims: Claims,
 }
 
 /// One instance, shared by its parts.
@@ -100,6 +103,7 @@
             ratios: Ratios::default(),
             budget: Budget::default(),
             flight: BTreeMap::new(),
+            claims: Claims::default(),
         };
         Self {
             name,
--- a/src/parts/reclaim.rs
+++ b/src/parts/reclaim.rs
@@ -1,17 +1,23 @@
 //! Frees what engines hold for attempts that ended badly.
 //!
-//! A cancel is repeated until the engine confirms it.
+//! A cancel is repeated until the engine confirms it or has restarted. Should
+//! this instance die before, the keeper of the engine frees it after its expiry.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::mpsc::Receiver;
-use std::time::Duration;
+use std::sync::Mutex;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::{Duration, Instant};
 
-use mimosapass_target::engine;
+use mimosapass_core::pending::Pending;
+use mimosapass_target::fault::Fault;
+use mimosapass_target::memory::{self, Cancel};
 
 use crate::node::Node;
+use crate::parts::each;
 
 /// Time between two rounds of cancels.
-const ROUND: Duration = Duration::from_secs(1);
+const ROUND: Duration = Duration::from_millis(500);
 
 /// An attempt whose memory has to be freed.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -22,27 +28,52 @@
     pub attempt: String,
 }
 
+/// Outcome of one call.
+type Called = (String, Vec<String>, Result<(), Fault>);
+
 /// Frees memory for as long as the process lives.
 pub fn run(node: &Arc<Node>, wanted: &Receiver<Freed>) {
-    let mut waiting: Vec<Freed> = Vec::new();
+    let mut pending = Pending::default();
     loop {
-        match wanted.recv_timeout(ROUND) {
-            Ok(freed) => waiting.push(freed),
-            Err(std::sync::mpsc::RecvTimeoutError::Timeout) => {}
-            Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => return,
+        let first = match wanted.recv_timeout(ROUND) {
+            Ok(freed) => Some(freed),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        let boots = boots(node);
+        let now = Instant::now();
+        for freed in first.into_iter().chain(wanted.try_iter()) {
+            let boot = boots.get(&freed.addr).copied().unwrap_or(0);
+            pending.add(&freed.addr, &freed.attempt, boot, now);
+        }
+        pending.settle(now, |addr| boots.get(addr).copied());
+        for (addr, ids, result) in call(node, &pending.due(now)) {
+            match result {
+                Ok(()) => pending.confirmed(&addr, &ids, Instant::now()),
+                Err(e) => {
+                    log::debug!("reclaim: {} at {addr} are not freed: {e}.", ids.len());
+                    pending.failed(&addr, Instant::now());
+                }
+            }
         }
-        waiting.extend(wanted.try_iter());
-        waiting.retain(|f| !free(node, f));
-        node.metrics.unfreed.set(waiting.len() as i64);
+        node.metrics.unfreed.set(pending.count() as i64);
     }
 }
 
-fn free(node: &Node, freed: &Freed) -> bool {
-    match engine::cancel(&node.pooled, &freed.addr, &freed.attempt) {
-        Ok(()) => true,
-        Err(e) => {
-            log::debug!("reclaim: {} at {} is not freed: {e}.", freed.attempt, freed.addr);
-            false
+/// Returns the boot numbers of all engines that are listed, by address.
+fn boots(node: &Node) -> BTreeMap<String, u64> {
+    let state = node.state();
+    state.board.all().map(|k| (k.listed.addr.clone(), k.report.boot)).collect()
+}
+
+fn call(node: &Node, due: &[(String, Vec<String>)]) -> Vec<Called> {
+    let called = Mutex::new(Vec::new());
+    each(due, |(addr, ids)| {
+        let cancel = Cancel { ids: ids.clone(), expired: false };
+        let result = memory::cancel(&node.pooled, addr, &cancel);
+        if let Ok(mut called) = called.lock() {
+            called.push((addr.clone(), ids.clone(), result));
         }
-    }
+    });
+    called.into_inner().unwrap_or_default()
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -14,7 +14,7 @@
 
 use crate::flow::entry;
 use crate::node::Node;
-use crate::parts::{configure, listing, peers, poll, reclaim, spawn};
+use crate::parts::{configure, listing, memory, peers, poll, reclaim, spawn};
 use crate::settings::Settings;
 use crate::timer::Timer;
 
@@ -42,6 +42,8 @@
     part("configure", configure::run)?;
     part("listing", listing::run)?;
     part("poll", poll::run)?;
+    part("renew", memory::renew)?;
+    part("sweep", memory::sweep)?;
     let listening = Arc::clone(&node);
     spawn("listen", move || peers::listen(&listening, &inbox))?;
     let reclaiming = Arc::clone(&node);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -21,6 +21,8 @@
     stop: Stop,
     #[serde(default)]
     callers: Callers,
+    #[serde(default)]
+    claims: ClaimTimes,
 }
 
 /// Addresses on which the instance listens.
@@ -49,6 +51,29 @@
     }
 }
 
+/// How claims on the memory of engines are renewed.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+struct ClaimTimes {
+    period_ms: u64,
+    expiry_ms: u64,
+}
+
+impl Default for ClaimTimes {
+    fn default() -> Self {
+        Self { period_ms: 10_000, expiry_ms: 30_000 }
+    }
+}
+
+/// Times of claims on the memory of engines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Claims {
+    /// Time between two renewals.
+    pub period: Duration,
+    /// Time after which an engine may free what was not renewed.
+    pub expiry: Duration,
+}
+
 /// Bounds on callers.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
@@ -94,6 +119,8 @@
     pub stop_limit: Duration,
     /// Bounds on callers.
     pub limits: mimosapass_caller::server::Limits,
+    /// Times of claims on the memory of engines.
+    pub claims: Claims,
 }
 
 /// Faults in a settings file, one a line, each with file and line.
@@ -144,6 +171,10 @@
         notice: Duration::from_millis(file.stop.notice_ms),
         stop_limit: Duration::from_millis(file.stop.limit_ms),
         limits,
+        claims: Claims {
+            period: Duration::from_millis(file.claims.period_ms),
+            expiry: Duration::from_millis(file.claims.expiry_ms),
+        },
     })
 }
 
@@ -161,6 +192,9 @@
     need(file.callers.body_ms > 0, "callers.body_ms: write 1 or more");
     need(file.callers.idle_ms > 0, "callers.idle_ms: write 1 or more");
     need(file.callers.write_ms > 0, "callers.write_ms: write 1 or more");
+    need(file.claims.period_ms > 0, "claims.period_ms: write 1 or more");
+    let lasting = file.claims.expiry_ms / 3 >= file.claims.period_ms;
+    need(lasting, "claims.expiry_ms: write at least three times `period_ms`");
     need(file.callers.connections > 0, "callers.connections: write 1 or more");
     faults
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the real binary, one module for each theme.
 
+mod answers;
 mod common;
 mod path;
 mod refusals;
