--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod common;
+mod memory;
 mod path;
 mod refusals;
 mod stop;
--- /dev/null
+++ b/tests/suite/memory.rs
@@ -0,0 +1,200 @@
+//! No engine loses memory for good, and none that is in use is freed.
+
+use std::io::{BufRead, BufReader, Lines};
+use std::time::{Duration, Instant};
+
+use mimosapass_core::claims::keeper;
+use mimosapass_standin::engine::{Engine, Faults, Settings};
+use mimosapass_target::client;
+use mimosapass_target::memory::{Claim, Reserve, reserve};
+use rstest::rstest;
+use ureq::BodyReader;
+
+use crate::common::{CONFIG, Fleet, agent, chat, status, until};
+
+/// Claims that are renewed and expire quickly.
+const QUICK: &str = "claims: {period_ms: 300, expiry_ms: 3000}\n";
+/// The expiry in these settings.
+const EXPIRY: Duration = Duration::from_secs(3);
+
+type Stream = Lines<BufReader<BodyReader<'static>>>;
+
+fn held_at_two() -> Faults {
+    Faults { hold_from: Some(2), ..Faults::default() }
+}
+
+/// Starts engines in one zone and so many instances beside them.
+fn fleet(engines: usize, instances: usize) -> Fleet {
+    let mut fleet = Fleet::new(&vec![("zone-a", Settings::default()); engines]);
+    fleet.apply(CONFIG);
+    for _ in 0..instances {
+        fleet.start("zone-a", QUICK);
+    }
+    fleet.settle();
+    for instance in &fleet.instances {
+        until("all peers are known", || peers(&fleet, &instance.name) == instances - 1);
+    }
+    fleet
+}
+
+/// Returns how many peers the instance `name` sees.
+fn peers(fleet: &Fleet, name: &str) -> usize {
+    let instance = fleet.instances.iter().find(|i| i.name == name).expect("it runs");
+    status(instance)["peers"].as_array().map_or(0, Vec::len)
+}
+
+/// Starts a stream at an instance and reads its first two tokens.
+fn stream(fleet: &Fleet, instance: usize) -> Stream {
+    fleet.engines.iter().for_each(|(_, e)| e.set(held_at_two()));
+    let url = fleet.instances[instance].url("/v1/chat/completions");
+    let request = agent().post(&url).header("mimosapass-workspace", "atlas");
+    let response = request.send(chat(100, 6, true)).expect("an answer");
+    let mut lines = BufReader::new(response.into_body().into_reader()).lines();
+    let mut seen = String::new();
+    while !seen.contains("t1 ") {
+        seen = lines.next().expect("a line").expect("readable");
+    }
+    lines
+}
+
+/// Moves the keeper of the first engine to the end of the instances.
+fn keeper_last(fleet: &mut Fleet) {
+    let members: Vec<(&str, &str)> =
+        fleet.instances.iter().map(|i| (i.name.as_str(), i.zone.as_str())).collect();
+    let name = keeper("engine-0", "zone-a", &members).expect("one lives").to_owned();
+    fleet.instances.sort_by_key(|i| i.name == name);
+}
+
+fn freeze(fleet: &Fleet) {
+    let frozen = Faults { frozen: true, ..held_at_two() };
+    fleet.engines.iter().for_each(|(_, e)| e.set(frozen.clone()));
+}
+
+fn thaw(fleet: &Fleet) {
+    fleet.engines.iter().for_each(|(_, e)| e.set(held_at_two()));
+}
+
+fn unfreed(fleet: &Fleet, count: usize) -> bool {
+    let page = agent().get(fleet.instances[0].page("/metrics")).call();
+    let text = page.and_then(|mut r| r.body_mut().read_to_string()).unwrap_or_default();
+    text.contains(&format!("mimosapass_unfreed_attempts {count}\n"))
+}
+
+fn caller_gone(_: &mut Fleet, stream: Stream) {
+    drop(stream);
+}
+
+fn caller_gone_and_answers_lost(fleet: &mut Fleet, stream: Stream) {
+    fleet.engines[0].1.set(Faults { lose_answers: true, ..held_at_two() });
+    drop(stream);
+    until("the cancel took effect", || fleet.engines[0].1.held().is_empty());
+    until("it is not confirmed", || unfreed(fleet, 1));
+    thaw(fleet);
+    until("it is confirmed", || unfreed(fleet, 0));
+}
+
+fn caller_gone_and_engine_frozen(fleet: &mut Fleet, stream: Stream) {
+    freeze(fleet);
+    drop(stream);
+    until("the cancel waits", || unfreed(fleet, 1));
+    thaw(fleet);
+}
+
+fn caller_gone_and_engine_restarted(fleet: &mut Fleet, stream: Stream) {
+    freeze(fleet);
+    drop(stream);
+    until("the cancel waits", || unfreed(fleet, 1));
+    fleet.engines[0].1.restart();
+    thaw(fleet);
+    until("nothing waits", || unfreed(fleet, 0));
+}
+
+fn holder_killed(fleet: &mut Fleet, stream: Stream) {
+    fleet.instances[0].signal("KILL");
+    drop(stream);
+}
+
+fn holder_killed_then_keeper_killed_while_freeing(fleet: &mut Fleet, stream: Stream) {
+    freeze(fleet);
+    fleet.instances[0].signal("KILL");
+    drop(stream);
+    let last = fleet.instances.len() - 1;
+    let keeper = fleet.instances[last].name.clone();
+    until("the keeper misses the holder", || peers(fleet, &keeper) == last - 1);
+    // Its calls to the frozen engine are under way from here on.
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.instances[last].signal("KILL");
+    thaw(fleet);
+}
+
+fn holder_paused_past_its_expiry(fleet: &mut Fleet, stream: Stream) {
+    fleet.instances[0].signal("STOP");
+    until("what the paused holder claimed is freed", || fleet.engines[0].1.held().is_empty());
+    fleet.instances[0].signal("CONT");
+    fleet.engines[0].1.set(Faults::default());
+    let rest: Vec<String> = stream.map_while(Result::ok).collect();
+    let whole = rest.iter().any(|l| l == "data: [DONE]");
+    assert!(whole || rest.iter().any(|l| l.contains("cut_answer")), "{rest:?}");
+}
+
+#[rstest]
+#[case::caller_gone(caller_gone)]
+#[case::caller_gone_and_answers_lost(caller_gone_and_answers_lost)]
+#[case::caller_gone_and_engine_frozen(caller_gone_and_engine_frozen)]
+#[case::caller_gone_and_engine_restarted(caller_gone_and_engine_restarted)]
+#[case::holder_killed(holder_killed)]
+#[case::holder_and_keeper_killed(holder_killed_then_keeper_killed_while_freeing)]
+#[case::holder_paused(holder_paused_past_its_expiry)]
+fn memory_comes_back_after(#[case] fault: fn(&mut Fleet, Stream)) {
+    let mut fleet = fleet(1, 3);
+    keeper_last(&mut fleet);
+    let stream = stream(&fleet, 0);
+    assert_eq!(fleet.engines[0].1.held().len(), 1);
+    fault(&mut fleet, stream);
+    until("the engine holds nothing", || fleet.engines[0].1.held().is_empty());
+}
+
+#[test]
+fn a_frozen_engine_holds_up_no_other() {
+    let fleet = fleet(2, 1);
+    let streams: Vec<Stream> = (0..40).map(|_| stream(&fleet, 0)).collect();
+    let (one, other) = (&fleet.engines[0].1, &fleet.engines[1].1);
+    assert!(!one.held().is_empty() && !other.held().is_empty(), "both engines work");
+    one.set(Faults { frozen: true, ..held_at_two() });
+    drop(streams);
+    until("the other engine is freed", || other.held().is_empty());
+    assert!(!one.held().is_empty());
+    thaw(&fleet);
+    until("the frozen engine is freed", || one.held().is_empty());
+}
+
+/// Holds memory for an instance that does not exist and waits until it is freed.
+fn lose(engine: &Engine) {
+    let claim = Claim { id: "lost".to_owned(), holder: "nobody/1".to_owned(), expiry_ms: 1 };
+    let addr = engine.addr().to_string();
+    reserve(&client::agent(0), &addr, &Reserve { claim, tokens: 10 }).expect("it is reserved");
+    until("lost memory is freed", || !engine.held().contains_key("lost"));
+}
+
+#[test]
+fn an_instance_cut_off_from_the_keeper_keeps_its_stream() {
+    // Two fleets that share nothing but the engine do not know each other.
+    let near = fleet(1, 1);
+    let engine = near.engines[0].1.clone();
+    let mut far = Fleet::new(&[]);
+    far.engines.push(("engine-0".to_owned(), engine.clone()));
+    far.engine_zones.push("zone-a".to_owned());
+    far.apply(CONFIG);
+    far.start("zone-a", QUICK);
+    far.settle();
+    let stream = stream(&near, 0);
+    let begun = Instant::now();
+    while begun.elapsed() < EXPIRY * 2 {
+        lose(&engine);
+        assert_eq!(engine.held().len(), 1, "the stream is in use");
+    }
+    engine.set(Faults::default());
+    let rest: Vec<String> = stream.map(|l| l.expect("readable")).collect();
+    assert!(rest.iter().any(|l| l == "data: [DONE]"), "{rest:?}");
+    assert!(engine.held().is_empty());
+}
