--- a/tests/suite/memory.rs
+++ b/tests/suite/memory.rs
@@ -158,7 +158,10 @@
 fn a_frozen_engine_holds_up_no_other() {
     let fleet = fleet(2, 1);
     let streams: Vec<Stream> = (0..40).map(|_| stream(&fleet, 0)).collect();
-    let (one, other) = (&fleet.engines[0].1, &fleet.engines[1].1);
+    let mut engines: Vec<&Engine> = fleet.engines.iter().map(|(_, e)| e).collect();
+    // Calls one after the other would begin with the first address.
+    engines.sort_by_key(|e| e.addr().to_string());
+    let (one, other) = (engines[0], engines[1]);
     assert!(!one.held().is_empty() && !other.held().is_empty(), "both engines work");
     one.set(Faults { frozen: true, ..held_at_two() });
     drop(streams);
