--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,18 +7,27 @@
 //! or a clock.
 
 pub mod answer;
+pub mod attempts;
 pub mod board;
 pub mod budget;
-pub mod claims;
+mod check;
+pub mod claim;
 pub mod classify;
 pub mod config;
 pub mod error;
 pub mod estimate;
+pub mod forecast;
 pub mod ids;
+pub mod join;
 pub mod labels;
+pub mod memory;
 pub mod once;
+pub mod pace;
 pub mod pending;
+pub mod queue;
 pub mod rendezvous;
+pub mod roles;
 pub mod route;
+pub mod summary;
 pub mod version;
 pub mod view;
--- a/crates/core/tests/claims.rs
+++ b/crates/core/tests/memory.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use mimosapass_core::claims::{Claims, GRACE, keeper, lost};
+use mimosapass_core::memory::{Claims, GRACE, keeper, lost};
 use mimosapass_core::pending::{GONE, Pending};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,5 +7,6 @@
 mod generate;
 pub mod memory;
 pub mod platform;
+pub mod relay;
 pub mod reply;
 pub mod service;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,6 +1,7 @@
 //! Stand-in for the platform: key-value service and instance list.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -19,13 +20,26 @@
 /// Faults that can be set while the platform runs.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
+#[expect(clippy::struct_excessive_bools, reason = "each fault is set alone")]
 pub struct Faults {
     /// Answer every call to the key-value service with status 503.
     pub outage: bool,
     /// Wait before each answer, in milliseconds.
     pub delay_ms: u64,
-    /// Carry out so many writes and lose their answers.
+    /// Carry out so many writes of keys and lose their answers.
     pub lose_writes: u32,
+    /// Neither carry out nor answer so many writes of keys.
+    pub drop_writes: u32,
+    /// Begin an outage of the service after a write whose answer was lost.
+    pub out_after_loss: bool,
+    /// Wait between carrying out a write of a key and answering it, in milliseconds.
+    pub answer_ms: u64,
+    /// Answer reads with the value before the last write.
+    pub stale: bool,
+    /// Let watches run out although the key has changed.
+    pub skip_watches: bool,
+    /// Answer watches at once although the key has not changed.
+    pub repeat_watches: bool,
 }
 
 #[derive(Clone, Debug, Serialize)]
@@ -51,6 +65,10 @@
     pub writes: u64,
     /// Calls that came during an outage.
     pub failed: u64,
+    /// Reads of the list of members.
+    pub lists: u64,
+    /// Watches that wait now.
+    pub waiting: u64,
 }
 
 #[derive(Debug, Default)]
@@ -58,9 +76,11 @@
     faults: Faults,
     revision: u64,
     keys: BTreeMap<String, Stored>,
+    former: BTreeMap<String, Stored>,
     leases: BTreeMap<u64, Lease>,
     members: Vec<Member>,
     calls: Calls,
+    written: BTreeMap<String, u64>,
 }
 
 /// A running platform.
@@ -105,10 +125,21 @@
         self.inner.state().members = members;
     }
 
+    /// Returns how many writes keys got whose first part is `part`.
+    pub fn written(&self, part: &str) -> u64 {
+        self.inner.state().written.get(part).copied().unwrap_or(0)
+    }
+
     /// Returns the calls counted so far.
     pub fn calls(&self) -> Calls {
         self.inner.state().calls
     }
+
+    /// Returns the keys that begin with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.inner.state();
+        state.keys.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
+    }
 }
 
 impl Inner {
@@ -126,7 +157,7 @@
             return reply::empty(exchange, 503);
         }
         match (method.as_str(), path.split_at(path.find('/').map_or(0, |_| 1)).1) {
-            ("GET", "instances") => reply::json(exchange, 200, &self.state().members.clone()),
+            ("GET", "instances") => self.members(exchange),
             ("PUT", "instances") => self.put_members(exchange),
             ("POST", "leases") => self.grant(exchange),
             (_, rest) => match rest.split_once('/') {
@@ -158,6 +189,21 @@
         }
     }
 
+    /// Answers with the list, or with 304 to one who has it.
+    fn members(&self, exchange: &mut Exchange<'_>) {
+        let mut state = self.state();
+        state.calls.lists += 1;
+        let body = serde_json::to_vec(&state.members).unwrap_or_default();
+        drop(state);
+        let mut hasher = DefaultHasher::new();
+        body.hash(&mut hasher);
+        let tag = format!("\"{:016x}\"", hasher.finish());
+        let known = exchange.head.header("if-none-match") == Some(&tag);
+        let headers = [("content-type", "application/json".to_owned()), ("etag", tag)];
+        let (status, body) = if known { (304, Vec::new()) } else { (200, body) };
+        exchange.answer(status, &headers, &body).unwrap_or_default();
+    }
+
     fn put_members(&self, exchange: &mut Exchange<'_>) {
         match serde_json::from_slice(&exchange.body) {
             Ok(members) => {
@@ -186,19 +232,24 @@
         state.expire();
         if let Some(after) = after {
             let waits = |s: &mut State| {
-                !s.faults.outage && s.keys.get(key).is_none_or(|k| k.revision <= after)
+                let old = s.keys.get(key).is_none_or(|k| k.revision <= after);
+                let faults = &s.faults;
+                !faults.outage && !faults.repeat_watches && (old || faults.skip_watches)
             };
-            let (woken, timeout) = self
+            state.calls.waiting += 1;
+            let (mut woken, timeout) = self
                 .changed
                 .wait_timeout_while(state, wait.min(LONGEST_WAIT), waits)
                 .unwrap_or_else(PoisonError::into_inner);
+            woken.calls.waiting -= 1;
             state = woken;
             if timeout.timed_out() {
                 drop(state);
                 return reply::empty(exchange, 304);
             }
         }
-        let (found, outage) = (state.keys.get(key).cloned(), state.faults.outage);
+        let outage = state.faults.outage;
+        let found = state.read(key);
         drop(state);
         match found {
             _ if outage => reply::empty(exchange, 503),
@@ -214,7 +265,14 @@
             return reply::empty(exchange, 400);
         };
         let mut state = self.state();
+        if state.faults.drop_writes > 0 {
+            state.faults.drop_writes -= 1;
+            drop(state);
+            return exchange.begin(200, &[]).unwrap_or_default();
+        }
         state.calls.writes += 1;
+        let part = key.split('/').next().unwrap_or_default().to_owned();
+        *state.written.entry(part).or_default() += 1;
         state.expire();
         if lease.is_some_and(|id| !state.leases.contains_key(&id)) {
             drop(state);
@@ -227,6 +285,9 @@
             status = 200;
             state.revision += 1;
             revision = state.revision;
+            if let Some(old) = state.keys.get(key).cloned() {
+                state.former.insert(key.to_owned(), old);
+            }
             if put {
                 state.keys.insert(key.to_owned(), Stored { revision, value, lease });
             } else {
@@ -235,8 +296,11 @@
         }
         let lost = status == 200 && state.faults.lose_writes > 0;
         state.faults.lose_writes -= u32::from(lost);
+        state.faults.outage |= lost && state.faults.out_after_loss;
+        let pause = Duration::from_millis(state.faults.answer_ms);
         drop(state);
         self.changed.notify_all();
+        std::thread::sleep(pause);
         if lost {
             exchange.begin(200, &[]).unwrap_or_default();
         } else {
@@ -271,6 +335,12 @@
 }
 
 impl State {
+    /// Returns a key, or its former value where reads are stale.
+    fn read(&self, key: &str) -> Option<Stored> {
+        let former = self.former.get(key).filter(|_| self.faults.stale);
+        former.or_else(|| self.keys.get(key)).cloned()
+    }
+
     /// Drops leases that lapsed and the keys that hang on them.
     fn expire(&mut self) {
         let now = Instant::now();
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -21,7 +21,7 @@
 
 use crate::flow::admit::Admitted;
 use crate::flow::pick::{self, Booked};
-use crate::flow::retry::{self, Ended};
+use crate::flow::retry::{self, Bounds, Ended};
 use crate::node::Node;
 use crate::parts::memory::{self, Claimed};
 use crate::parts::reclaim::Freed;
@@ -131,7 +131,9 @@
     /// Says why there is no whole answer; part of it may have been streamed.
     pub fn run(mut self, story: &mut Story) -> Result<(), Failure> {
         let node = Arc::clone(self.node);
-        retry::attempts(&node, &mut self, ATTEMPTS, story, Self::pick, Self::attempt)
+        let repeatable = self.admitted.class.idempotent != Some(false);
+        let bounds = Bounds { most: ATTEMPTS, end: self.admitted.end, repeatable };
+        retry::attempts(&node, &mut self, bounds, story, Self::pick, Self::attempt)
     }
 
     /// Chooses the engine whose stream was cut, or else another one.
@@ -145,7 +147,7 @@
     fn attempt(&mut self, number: usize, choice: &Choice, story: &mut Story) -> Ended<()> {
         let resumes = self.resume.take().map(|r| r.attempt);
         let mut attempt = self.start(number, choice, resumes);
-        let ended = match self.send(&attempt) {
+        let ended = match self.send(&attempt, story) {
             Ok(()) => self.follow(&mut attempt, story),
             Err(failure) => Ended::Over(failure),
         };
@@ -169,7 +171,7 @@
     }
 
     /// Starts the thread that reads the engine's stream.
-    fn send(&self, attempt: &Attempt) -> Result<(), Failure> {
+    fn send(&self, attempt: &Attempt, story: &Story) -> Result<(), Failure> {
         let call = Generate {
             addr: attempt.addr.clone(),
             path: self.call.path(),
@@ -181,7 +183,7 @@
             group: Vec::new(),
             remaining: self.admitted.left(),
             priority: self.admitted.class.priority,
-            trace: self.exchange.head.header(engine::TRACE).map(str::to_owned),
+            trace: story.trace.parent(),
             body: self.exchange.body.clone(),
         };
         let agent = self.node.pooled.clone();
@@ -261,7 +263,7 @@
             }
             Err(Fault::Rejected { status, text }) if self.progress.passed() == 0 => {
                 let text = format!("the engine answered {status}: {text}");
-                return Ended::Over(Failure::new(Kind::BadRequest, text));
+                return Ended::Over(Failure::new(Kind::Rejected, text));
             }
             Err(fault) => fault,
         };
@@ -374,7 +376,7 @@
             Ended::Whole(()) => return,
             Ended::Again(failure) | Ended::Over(failure) => failure,
         };
-        if !matches!(failure.kind, Kind::CallerGone | Kind::BadRequest) {
+        if !matches!(failure.kind, Kind::CallerGone | Kind::Rejected) {
             attempt.booked.blame();
         }
         if failure.kind != Kind::Refused {
--- a/src/parts/memory.rs
+++ b/src/parts/memory.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use mimosapass_core::claims::{keeper, lost};
 use mimosapass_core::config::TargetKind;
+use mimosapass_core::memory::{keeper, lost};
 use mimosapass_target::memory::{self, Cancel, Held, Renew};
 
 use crate::node::Node;
--- a/src/parts/mod.rs
+++ b/src/parts/mod.rs
@@ -1,11 +1,13 @@
 //! The parts of an instance that run beside the requests.
 
 pub mod configure;
+pub mod contacts;
 pub mod listing;
 pub mod memory;
 pub mod peers;
 pub mod poll;
 pub mod reclaim;
+pub mod records;
 
 use std::io;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -14,12 +14,15 @@
 
 use crate::flow::entry;
 use crate::node::Node;
+use crate::parts::records::{self, Records};
 use crate::parts::{configure, listing, memory, peers, poll, reclaim, spawn};
 use crate::settings::Settings;
 use crate::timer::Timer;
 
 /// Time between two looks at whether all requests have ended.
 const LOOK: Duration = Duration::from_millis(50);
+/// Longest wait for idempotency records after the last request ended.
+const SETTLE: Duration = Duration::from_secs(5);
 
 /// Serves until a signal asks to stop.
 ///
@@ -32,8 +35,10 @@
     let (incoming, inbox) = channel();
     let links = Links::start(&settings.name, settings.listen.peers, incoming)?;
     let (freed, wanted) = channel();
+    let (records, unsettled) = Records::new();
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let node = Arc::new(Node::new(settings, timer, links, freed, now.as_millis() as u64));
+    let boot = now.as_millis() as u64;
+    let node = Arc::new(Node::new(settings, timer, links, freed, records, boot));
     let part = |name: &str, run: fn(&Arc<Node>)| {
         let node = Arc::clone(&node);
         spawn(name, move || run(&node))
@@ -48,15 +53,26 @@
     spawn("listen", move || peers::listen(&listening, &inbox))?;
     let reclaiming = Arc::clone(&node);
     spawn("reclaim", move || reclaim::run(&reclaiming, &wanted))?;
+    let settling = Arc::clone(&node);
+    spawn("records", move || records::run(&settling, &unsettled))?;
     let server = serve_callers(&node)?;
     let operators = pages::start(node.settings.listen.operators, sources(&node))?;
     log::info!("serve: callers at {}, operators at {operators}.", server.addr());
     if signals.forever().next().is_some() {
         stop(&node, &server, &mut signals);
+        node.traces.stop();
     }
     Ok(())
 }
 
+/// Gives outcomes of the last requests time to reach their records.
+fn settle(node: &Node) {
+    let begun = Instant::now();
+    while node.records.open() > 0 && begun.elapsed() < SETTLE {
+        node.sleep(LOOK);
+    }
+}
+
 fn serve_callers(node: &Arc<Node>) -> io::Result<Server> {
     let serving = Arc::clone(node);
     Server::start(
@@ -85,6 +101,7 @@
         }
         node.sleep(LOOK);
     }
+    settle(node);
     log::info!("serve: stopped.");
 }
 
@@ -95,7 +112,12 @@
     ready: bool,
     stopping: bool,
     config: u64,
+    digest: String,
+    cut: bool,
+    fault: String,
+    waiting: String,
     peers: Vec<PeerStatus>,
+    zones: Vec<ZoneStatus>,
     targets: Vec<TargetStatus>,
 }
 
@@ -107,6 +129,13 @@
     config: u64,
 }
 
+#[derive(Serialize)]
+struct ZoneStatus {
+    name: String,
+    open: u32,
+    free: u64,
+}
+
 #[derive(Serialize)]
 struct TargetStatus {
     name: String,
@@ -119,7 +148,7 @@
 
 fn status(node: &Node) -> String {
     let now = Instant::now();
-    let ready = node.ready().is_ok();
+    let waiting = node.ready().err().unwrap_or_default();
     let state = node.state();
     let peers = state.view.alive(now).map(|b| PeerStatus {
         name: b.name.to_string(),
@@ -127,6 +156,11 @@
         leaving: b.leaving,
         config: b.head.version,
     });
+    let zones = state.summaries.fresh(now).map(|(zone, pools)| ZoneStatus {
+        name: zone.to_string(),
+        open: pools.iter().map(|p| p.open).sum(),
+        free: pools.iter().map(|p| p.free).sum(),
+    });
     let targets = state.board.all().map(|k| TargetStatus {
         name: k.listed.name.to_string(),
         zone: k.listed.zone.to_string(),
@@ -138,10 +172,15 @@
     let status = Status {
         instance: node.name.to_string(),
         zone: node.zone.to_string(),
-        ready,
+        ready: waiting.is_empty(),
         stopping: node.stopping(),
         config: state.gate.head().version,
+        digest: format!("{:016x}", state.gate.head().digest),
+        cut: state.view.cut(),
+        fault: state.faults.values().cloned().collect::<Vec<_>>().join("; "),
+        waiting,
         peers: peers.collect(),
+        zones: zones.collect(),
         targets: targets.collect(),
     };
     serde_json::to_string(&status).unwrap_or_default()
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,7 +2,13 @@
 
 mod answers;
 mod common;
+mod configuration;
+mod leaving;
+mod membership;
 mod memory;
+mod once;
 mod path;
 mod refusals;
+mod settings;
 mod stop;
+mod trace;
--- a/tests/suite/memory.rs
+++ b/tests/suite/memory.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader, Lines};
 use std::time::{Duration, Instant};
 
-use mimosapass_core::claims::keeper;
+use mimosapass_core::memory::keeper;
 use mimosapass_standin::engine::{Engine, Faults, Settings};
 use mimosapass_target::client;
 use mimosapass_target::memory::{Claim, Reserve, reserve};
