Prompts larger than one engine run on groups, granted whole by the zone leader

Cause: a prompt over one engine's memory was refused by every engine in turn and answered with `refused`, come back in a second, which never could succeed.

Ruled out: engines waiting for each other with parts held (deadlock between two groups); a lease in the key-value service for each group (an outage would stop long prompts, and its writes grow with them); the leader's word that a prompt never fits (its configuration may be older: the asking instance decides that).

Change: core::group plans the fewest engines with the least memory taken, in one order of engines. The leader reserves the shares, all or none; the asking instance holds and renews them, generates on the first engine with the group in a header, and gives them back when the value is dropped. A prompt that the zone can never carry is refused at once with never_fits. Messages 20 and 21.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod error;
 pub mod estimate;
 pub mod forecast;
+pub mod group;
 pub mod ids;
 pub mod join;
 pub mod labels;
--- /dev/null
+++ b/crates/core/tests/group.rs
@@ -0,0 +1,170 @@
+//! Groups are planned whole, waste least, and never block each other.
+
+use std::collections::BTreeMap;
+
+use mimosapass_core::group::{Member, Plan, Share, need, plan, single};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+fn member(name: usize, capacity: u64, free: u64) -> Member {
+    Member { target: format!("e{name:02}").as_str().into(), addr: name.to_string(), capacity, free }
+}
+
+fn engines() -> impl Strategy<Value = Vec<Member>> {
+    prop::collection::vec((1..1_000_u64, 0..=100_u64), 0..12).prop_map(|sizes| {
+        let of = |(n, (capacity, percent)): (usize, &(u64, u64))| {
+            member(n, *capacity, capacity * percent / 100)
+        };
+        sizes.iter().enumerate().map(of).collect()
+    })
+}
+
+/// Engines as they reserve: all of a share or nothing.
+#[derive(Debug)]
+struct Engines {
+    free: BTreeMap<String, u64>,
+}
+
+/// One leader that reserves a plan step by step.
+#[derive(Debug, Default)]
+struct Leader {
+    shares: Vec<Share>,
+    taken: usize,
+    granted: bool,
+}
+
+impl Leader {
+    /// Reserves one share; gives all back when an engine refuses.
+    fn step(&mut self, engines: &mut Engines) {
+        let Some(share) = self.shares.get(self.taken) else {
+            self.granted = !self.shares.is_empty();
+            return;
+        };
+        let free = engines.free.get_mut(&share.addr).expect("it exists");
+        if *free >= share.tokens {
+            *free -= share.tokens;
+            self.taken += 1;
+        } else {
+            self.give_back(engines);
+        }
+    }
+
+    fn give_back(&mut self, engines: &mut Engines) {
+        for share in self.shares.drain(..).take(self.taken) {
+            *engines.free.get_mut(&share.addr).expect("it exists") += share.tokens;
+        }
+        (self.taken, self.granted) = (0, false);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_plan_is_whole_and_minimal(engines in engines(), need in 1..4_000_u64) {
+        let most: u64 = engines.iter().map(|m| m.capacity).sum();
+        let free: u64 = engines.iter().map(|m| m.free).sum();
+        match plan(&engines, need) {
+            Plan::Never { most: stated } => {
+                prop_assert!(need > most);
+                prop_assert_eq!(stated, most);
+            }
+            Plan::Later { free: stated } => {
+                prop_assert!((need <= most || engines.is_empty()) && need > free);
+                prop_assert_eq!(stated, free);
+            }
+            Plan::Group(shares) => {
+                prop_assert_eq!(shares.iter().map(|s| s.tokens).sum::<u64>(), need);
+                prop_assert!(shares.is_sorted_by(|a, b| a.target < b.target));
+                for share in &shares {
+                    let of = engines.iter().find(|m| m.target == share.target).expect("known");
+                    prop_assert!(share.tokens > 0 && share.tokens <= of.free);
+                }
+                // Fewer engines cannot hold it.
+                let mut sizes: Vec<u64> = engines.iter().map(|m| m.free).collect();
+                sizes.sort_unstable_by(|a, b| b.cmp(a));
+                prop_assert!(sizes.iter().take(shares.len() - 1).sum::<u64>() < need);
+                // No unused engine with less free memory would do in place of the last.
+                let last = shares.iter().find_map(|s| {
+                    let of = engines.iter().find(|m| m.target == s.target)?;
+                    (of.free > s.tokens).then_some((of.free, s.tokens))
+                });
+                if let Some((held, tokens)) = last {
+                    let unused = |m: &&Member| shares.iter().all(|s| s.target != m.target);
+                    let better = engines.iter().filter(unused).any(|m| m.free >= tokens && m.free < held);
+                    prop_assert!(!better);
+                }
+            }
+        }
+    }
+
+    /// Two leaders reserve at the same time, in any order of steps: each ends
+    /// with a whole group or with nothing, and the last to try gets its group.
+    #[test]
+    fn two_leaders_end_with_whole_groups(
+        engines in engines(),
+        needs in (1..2_000_u64, 1..2_000_u64),
+        order in prop::collection::vec(any::<bool>(), 60),
+    ) {
+        let mut pool = Engines {
+            free: engines.iter().map(|m| (m.addr.clone(), m.free)).collect(),
+        };
+        let before = pool.free.clone();
+        let shares = |need| match plan(&engines, need) {
+            Plan::Group(shares) => shares,
+            Plan::Later { .. } | Plan::Never { .. } => Vec::new(),
+        };
+        let mut leaders = [
+            Leader { shares: shares(needs.0), ..Leader::default() },
+            Leader { shares: shares(needs.1), ..Leader::default() },
+        ];
+        let asked = leaders.iter().any(|l| !l.shares.is_empty());
+        for first in order {
+            leaders[usize::from(first)].step(&mut pool);
+        }
+        // Both come to their end.
+        (0..30).for_each(|_| leaders.iter_mut().for_each(|l| l.step(&mut pool)));
+        prop_assert!(!asked || leaders.iter().any(|l| l.granted), "both gave way");
+        for leader in &mut leaders {
+            prop_assert!(leader.granted || leader.taken == 0);
+            leader.give_back(&mut pool);
+        }
+        prop_assert_eq!(&pool.free, &before);
+    }
+}
+
+#[rstest]
+#[case::fewest_engines(&[100, 60, 50], 120, &[("e00", 100), ("e02", 20)])]
+#[case::least_that_suffices(&[100, 60, 50, 30], 125, &[("e00", 100), ("e03", 25)])]
+#[case::all(&[100, 60, 50], 210, &[("e00", 100), ("e01", 60), ("e02", 50)])]
+#[case::one(&[100, 60, 50], 55, &[("e01", 55)])]
+fn a_group(#[case] free: &[u64], #[case] need: u64, #[case] shares: &[(&str, u64)]) {
+    let engines: Vec<Member> = free.iter().enumerate().map(|(n, f)| member(n, 100, *f)).collect();
+    let Plan::Group(planned) = plan(&engines, need) else { panic!("no group") };
+    let planned: Vec<(&str, u64)> = planned.iter().map(|s| (s.target.as_ref(), s.tokens)).collect();
+    assert_eq!(planned, shares);
+}
+
+#[rstest]
+#[case::too_large(&[(100, 100), (100, 100)], 201, Plan::Never { most: 200 })]
+#[case::busy(&[(100, 100), (100, 40)], 200, Plan::Later { free: 140 })]
+#[case::no_engine_is_known(&[], 1, Plan::Later { free: 0 })]
+#[case::size_unknown(&[(100, 100), (0, 0)], 201, Plan::Later { free: 100 })]
+fn no_group(#[case] sizes: &[(u64, u64)], #[case] need: u64, #[case] outcome: Plan) {
+    let engines: Vec<Member> =
+        sizes.iter().enumerate().map(|(n, (c, f))| member(n, *c, *f)).collect();
+    assert_eq!(plan(&engines, need), outcome);
+}
+
+#[test]
+fn one_engine_is_enough_if_any_can_hold_it() {
+    assert!(single(&[member(0, 100, 0), member(1, 50, 50)], 100));
+    assert!(!single(&[member(0, 100, 100)], 101));
+    assert!(single(&[member(0, 100, 100), member(1, 0, 0)], 101), "its size is not known yet");
+    assert_eq!(need(1_000, Some(50)), 1_150);
+}
--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -18,7 +18,7 @@
     #[prost(string, tag = "3")]
     pub addr: String,
     /// The message; absent when this version does not know its kind.
-    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 30, 31")]
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 20, 21, 30, 31")]
     pub body: Option<Body>,
 }
 
@@ -49,6 +49,12 @@
     /// Text of a configuration.
     #[prost(message, tag = "13")]
     Config(Config),
+    /// Request to the zone's leader for a group of engines.
+    #[prost(message, tag = "20")]
+    GroupAsk(GroupAsk),
+    /// The leader's answer.
+    #[prost(message, tag = "21")]
+    GroupAnswer(GroupAnswer),
     /// Addresses of instances that a new one should ask.
     #[prost(message, tag = "30")]
     Contacts(Contacts),
@@ -189,3 +195,54 @@
     #[prost(uint64, tag = "6")]
     pub speed: u64,
 }
+
+/// Request for a group of engines that together hold one prompt.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct GroupAsk {
+    /// Identifier of the reservations to make.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Instance that renews them, as engines know it.
+    #[prost(string, tag = "2")]
+    pub holder: String,
+    /// Class of work.
+    #[prost(string, tag = "3")]
+    pub class: String,
+    /// Model.
+    #[prost(string, tag = "4")]
+    pub model: String,
+    /// Memory needed, in tokens.
+    #[prost(uint64, tag = "5")]
+    pub need: u64,
+    /// Time to the expiry of the reservations, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub expiry_ms: u64,
+}
+
+/// Answer to a request for a group; without shares nothing is reserved.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct GroupAnswer {
+    /// Identifier of the reservations.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// What is reserved, in the order of the engines' names.
+    #[prost(message, repeated, tag = "2")]
+    pub shares: Vec<GroupShare>,
+    /// Memory that is free where nothing is reserved, in tokens.
+    #[prost(uint64, tag = "3")]
+    pub free: u64,
+}
+
+/// Part of one engine in a group.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct GroupShare {
+    /// Name of the engine.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Address, `IP:port`.
+    #[prost(string, tag = "2")]
+    pub addr: String,
+    /// Memory reserved, in tokens.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
--- /dev/null
+++ b/src/flow/group.rs
@@ -0,0 +1,110 @@
+//! A group of engines for one attempt, given back whatever happens.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mimosapass_caller::openai::Prompt;
+use mimosapass_core::error::{Failure, Kind};
+use mimosapass_core::group::{Plan, Share, members, need, single};
+use mimosapass_core::ids::ModelId;
+use mimosapass_core::route::Choice;
+use mimosapass_instance::message::GroupAsk;
+
+use crate::flow::admit::Admitted;
+use crate::node::Node;
+use crate::parts::groups;
+use crate::parts::memory::{Claimed, holder};
+
+/// Time between two requests for a group.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// A group whose memory is reserved until this value is dropped.
+#[derive(Debug)]
+pub struct Grant {
+    /// Identifier of the attempt and of all its reservations.
+    pub id: String,
+    /// Engines and their shares; the first one generates.
+    pub shares: Vec<Share>,
+    node: Arc<Node>,
+    _claims: Vec<Claimed>,
+}
+
+impl Grant {
+    fn new(node: &Arc<Node>, id: String, shares: Vec<Share>) -> Self {
+        let claims = shares.iter().map(|s| Claimed::new(node, &s.addr, &id)).collect();
+        Self { id, shares, node: Arc::clone(node), _claims: claims }
+    }
+
+    /// Returns the engine that generates.
+    pub fn choice(&self) -> Choice {
+        let first = &self.shares[0];
+        Choice {
+            target: first.target.clone(),
+            addr: first.addr.clone(),
+            reason: format!("group of {} engines", self.shares.len()),
+        }
+    }
+
+    /// Returns addresses and shares as the engine is told of them.
+    pub fn wire(&self) -> Vec<(String, u64)> {
+        self.shares.iter().map(|s| (s.addr.clone(), s.tokens)).collect()
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        groups::give_back(&self.node, &self.id, &self.shares);
+    }
+}
+
+/// Returns the memory to reserve if no single engine can hold the prompt.
+pub fn wanted(node: &Node, admitted: &Admitted, prompt: &Prompt, tokens: u64) -> Option<u64> {
+    let need = need(tokens, prompt.max_tokens);
+    let config = &admitted.document.config;
+    let model = ModelId::from(prompt.model.as_str());
+    let state = node.state();
+    let now = Instant::now();
+    let known = members(&state.board, config, &admitted.class, &model, &node.zone, now);
+    (!known.is_empty() && !single(&known, need)).then_some(need)
+}
+
+/// Asks for a group until it is granted, within the time of the request.
+///
+/// # Errors
+///
+/// [`Kind::NeverFits`] when the zone can never hold the prompt,
+/// [`Kind::QueueTimeout`] when its memory did not become free in time.
+pub fn grant(
+    node: &Arc<Node>,
+    admitted: &Admitted,
+    model: &str,
+    need: u64,
+    gone: impl Fn() -> bool,
+) -> Result<Grant, Failure> {
+    loop {
+        let id = node.unique();
+        let ask = GroupAsk {
+            id: id.clone(),
+            holder: holder(&node.name, node.boot),
+            class: admitted.class.name.to_string(),
+            model: model.to_owned(),
+            need,
+            expiry_ms: node.settings.claims.expiry.as_millis() as u64,
+        };
+        match groups::ask(node, &ask, admitted.left()) {
+            Plan::Group(shares) => return Ok(Grant::new(node, id, shares)),
+            Plan::Never { most } => {
+                let text = format!("it needs {need} tokens of memory, the zone has {most}");
+                return Err(Failure::new(Kind::NeverFits, text));
+            }
+            Plan::Later { .. } if gone() => {
+                return Err(Failure::new(Kind::CallerGone, "the caller went away"));
+            }
+            Plan::Later { .. } if admitted.left() <= PAUSE => {
+                let text = format!("{need} tokens of memory were not free in time");
+                return Err(Failure::new(Kind::QueueTimeout, text));
+            }
+            Plan::Later { .. } => node.sleep(PAUSE),
+        }
+    }
+}
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admit;
 pub mod entry;
+pub mod group;
 pub mod model;
 pub mod once;
 pub mod pick;
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -3,6 +3,7 @@
 //! The thread of the request waits on one channel: events of the engine's
 //! stream, the end of an attempt, and the deadline from the timer service.
 
+use std::cell::RefCell;
 use std::io;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -20,6 +21,7 @@
 use mimosapass_target::fault::Fault;
 
 use crate::flow::admit::Admitted;
+use crate::flow::group::{self, Grant};
 use crate::flow::pick::{self, Booked};
 use crate::flow::retry::{self, Bounds, Ended};
 use crate::node::Node;
@@ -63,6 +65,7 @@
     resumes: Option<String>,
     heard: Instant,
     booked: Booked,
+    grant: Option<Grant>,
     _claimed: Claimed,
 }
 
@@ -86,6 +89,8 @@
     text: String,
     progress: Progress,
     resume: Option<Resume>,
+    need: Option<u64>,
+    grant: RefCell<Option<Grant>>,
     sender: Sender<Message>,
     inbox: Receiver<Message>,
     _deadline: Ticket,
@@ -107,6 +112,7 @@
         let created = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
         let style = Style { call, id: admitted.id.clone(), model: prompt.model.clone(), created };
         let tokens = node.state().ratios.tokens(&prompt.model, prompt.bytes);
+        let need = group::wanted(node, &admitted, &prompt, tokens);
         Self {
             node,
             exchange,
@@ -118,6 +124,8 @@
             text: String::new(),
             progress: Progress::default(),
             resume: None,
+            need,
+            grant: RefCell::new(None),
             sender,
             inbox,
             _deadline: deadline,
@@ -141,9 +149,21 @@
         if let Some(resume) = &self.resume {
             return Ok(resume.choice.clone());
         }
+        if let Some(need) = self.need {
+            return self.pick_group(need);
+        }
         pick::engine(self.node, &self.admitted, &self.prompt.model, self.tokens, tried)
     }
 
+    fn pick_group(&self, need: u64) -> Result<Choice, Failure> {
+        let model = &self.prompt.model;
+        let gone = || self.exchange.caller_gone();
+        let grant = group::grant(self.node, &self.admitted, model, need, gone)?;
+        let choice = grant.choice();
+        self.grant.replace(Some(grant));
+        Ok(choice)
+    }
+
     fn attempt(&mut self, number: usize, choice: &Choice, story: &mut Story) -> Ended<()> {
         let resumes = self.resume.take().map(|r| r.attempt);
         let mut attempt = self.start(number, choice, resumes);
@@ -156,7 +176,8 @@
     }
 
     fn start(&mut self, number: usize, choice: &Choice, resumes: Option<String>) -> Attempt {
-        let id = self.node.unique();
+        let grant = self.grant.take();
+        let id = grant.as_ref().map_or_else(|| self.node.unique(), |g| g.id.clone());
         self.progress.start(&id);
         Attempt {
             number,
@@ -165,6 +186,7 @@
             resumes,
             heard: Instant::now(),
             booked: Booked::new(self.node, &choice.target, self.tokens),
+            grant,
             _claimed: Claimed::new(self.node, &choice.addr, &id),
             id,
         }
@@ -180,7 +202,7 @@
             resumes: attempt.resumes.clone(),
             holder: memory::holder(&self.node.name, self.node.boot),
             expiry: self.node.settings.claims.expiry,
-            group: Vec::new(),
+            group: attempt.grant.as_ref().map(Grant::wire).unwrap_or_default(),
             remaining: self.admitted.left(),
             priority: self.admitted.class.priority,
             trace: story.trace.parent(),
@@ -280,7 +302,12 @@
     }
 
     /// Prefers the same engine for the next attempt, once for each engine.
+    ///
+    /// A group is formed anew: its reservations go by the attempt's name.
     fn go_on(&mut self, attempt: &Attempt) {
+        if attempt.grant.is_some() {
+            return;
+        }
         if attempt.booked.first_came() && attempt.resumes.is_none() {
             let reason = format!("resumes at token {}", self.progress.passed());
             let (target, addr) = (TargetId::clone(&attempt.target), attempt.addr.clone());
--- a/src/node.rs
+++ b/src/node.rs
@@ -24,6 +24,7 @@
 
 use crate::metrics::Metrics;
 use crate::parts::contacts::{Contacts, answers};
+use crate::parts::groups::Groups;
 use crate::parts::reclaim::Freed;
 use crate::parts::records::Records;
 use crate::settings::Settings;
@@ -100,6 +101,8 @@
     pub stories: Stories,
     /// Attempts whose memory has to be freed.
     pub freed: Sender<Freed>,
+    /// Requests for groups of engines.
+    pub groups: Groups,
     /// Idempotency records that wait to be settled.
     pub records: Records,
     state: Mutex<State>,
@@ -150,6 +153,7 @@
             metrics: Metrics::new(),
             stories: Stories::default(),
             freed,
+            groups: Groups::default(),
             records,
             state: Mutex::new(state),
             stopping: AtomicBool::new(false),
--- a/src/parts/mod.rs
+++ b/src/parts/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod configure;
 pub mod contacts;
+pub mod groups;
 pub mod listing;
 pub mod memory;
 pub mod peers;
--- a/src/parts/peers.rs
+++ b/src/parts/peers.rs
@@ -20,7 +20,7 @@
 use mimosapass_operator::document;
 
 use crate::node::Node;
-use crate::parts::{contacts, poll};
+use crate::parts::{contacts, groups, poll};
 
 /// Share of [`BEAT`] within which a second heartbeat is left out.
 const RECENT: f64 = 0.8;
@@ -70,6 +70,8 @@
             Body::Records(records) => poll::note(node, &records),
             Body::Want(want) => wanted(node, from, want.above),
             Body::Config(config) => offered(node, &config),
+            Body::GroupAsk(ask) => groups::asked(node, from, ask),
+            Body::GroupAnswer(answer) => groups::answered(node, answer),
             Body::Contacts(named) => contacts::note(node, &named),
             Body::Summary(summary) => summed_up(node, summary),
         }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod common;
 mod configuration;
+mod groups;
 mod leaving;
 mod membership;
 mod memory;
