--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! is always an argument, so that each rule can be tested without a socket
 //! or a clock.
 
+pub mod answer;
 pub mod attempts;
 pub mod board;
 pub mod budget;
@@ -16,11 +17,14 @@
 pub mod error;
 pub mod estimate;
 pub mod forecast;
+pub mod group;
 pub mod ids;
 pub mod join;
 pub mod labels;
+pub mod memory;
 pub mod once;
 pub mod pace;
+pub mod pending;
 pub mod queue;
 pub mod rendezvous;
 pub mod roles;
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 use mimosapass_core::estimate::Ratios;
 use mimosapass_core::ids::{InstanceId, WorkspaceId, ZoneId};
 use mimosapass_core::join::{Join, Wait};
+use mimosapass_core::memory::Claims;
 use mimosapass_core::summary::Summaries;
 use mimosapass_core::version::{Gate, Head};
 use mimosapass_core::view::{Beat, View};
@@ -23,6 +24,7 @@
 
 use crate::metrics::Metrics;
 use crate::parts::contacts::{Contacts, answers};
+use crate::parts::groups::Groups;
 use crate::parts::reclaim::Freed;
 use crate::parts::records::Records;
 use crate::settings::Settings;
@@ -64,6 +66,8 @@
     pub budget: Budget,
     /// Requests in flight by workspace.
     pub flight: BTreeMap<WorkspaceId, usize>,
+    /// Claims on the memory of engines.
+    pub claims: Claims,
 }
 
 /// One instance, shared by its parts.
@@ -97,6 +101,8 @@
     pub stories: Stories,
     /// Attempts whose memory has to be freed.
     pub freed: Sender<Freed>,
+    /// Requests for groups of engines.
+    pub groups: Groups,
     /// Idempotency records that wait to be settled.
     pub records: Records,
     state: Mutex<State>,
@@ -131,6 +137,7 @@
             ratios: Ratios::default(),
             budget: Budget::default(),
             flight: BTreeMap::new(),
+            claims: Claims::default(),
         };
         Self {
             name,
@@ -146,6 +153,7 @@
             metrics: Metrics::new(),
             stories: Stories::default(),
             freed,
+            groups: Groups::default(),
             records,
             state: Mutex::new(state),
             stopping: AtomicBool::new(false),
