--- a/src/node.rs
+++ b/src/node.rs
@@ -24,9 +24,11 @@
 use crate::metrics::Metrics;
 use crate::parts::contacts::{Contacts, answers};
 use crate::parts::reclaim::Freed;
+use crate::parts::records::Records;
 use crate::settings::Settings;
 use crate::story::Stories;
 use crate::timer::Timer;
+use crate::trace::Traces;
 
 /// Idle connections kept for each target.
 const IDLE: usize = 16;
@@ -87,12 +89,16 @@
     pub pooled: Agent,
     /// Agent for calls that must not meet a connection used before.
     pub single: Agent,
+    /// Traces.
+    pub traces: Traces,
     /// Metrics.
     pub metrics: Metrics,
     /// Reasons of recent requests.
     pub stories: Stories,
     /// Attempts whose memory has to be freed.
     pub freed: Sender<Freed>,
+    /// Idempotency records that wait to be settled.
+    pub records: Records,
     state: Mutex<State>,
     stopping: AtomicBool,
     counter: AtomicU64,
@@ -105,6 +111,7 @@
         timer: Timer,
         links: Links,
         freed: Sender<Freed>,
+        records: Records,
         boot: u64,
     ) -> Self {
         let name = InstanceId::from(settings.name.as_str());
@@ -135,9 +142,11 @@
             kv,
             pooled: mimosapass_target::client::agent(IDLE),
             single: mimosapass_target::client::agent(0),
+            traces: Traces::new(settings.trace, &settings.name, &settings.zone),
             metrics: Metrics::new(),
             stories: Stories::default(),
             freed,
+            records,
             state: Mutex::new(state),
             stopping: AtomicBool::new(false),
             counter: AtomicU64::new(0),
