Planned stop: kept connections are told to close, nothing ends between arrival and count

Cause: the process went on while a request was busy and ended as soon as none was, so a request that came on a kept connection a moment later was cut, and so was whatever a second signal or the limit met. Answers during the notice kept connections open, so callers did not move. A connection thread blocked in a read for up to a minute and could not be asked to end.

Ruled out: a short read timeout on idle connections (4,096 of them would wake thousands of times a second); shutdown(2) of the reading side (bytes of a request that crosses it are read as its end).

Change: threads wait by poll(2) (`rustix`) on their socket and a bell. From the signal on each answer says `connection: close`; after the notice idle connections and the listener last for a linger of 1 s; the process ends once the listener is closed and no connection is left, memory is freed and records are written. A second signal or the limit ends requests: half-read ones as not run (503), running ones by an error answer or an error event (502, not marked not run), and freed memory is waited for. The stop and the status page have modules of their own.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -4,12 +4,13 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use chunked_transfer::Decoder;
 use mimosapass_core::error::{Failure, Kind};
 
+use crate::bell::{Bell, Woken};
 use crate::head::{Framing, Head};
 use crate::server::Limits;
 
@@ -68,6 +69,7 @@
     kept: &mut Vec<u8>,
     limits: &Limits,
     memory: &Memory,
+    ending: &Bell,
 ) -> Result<Body, Failure> {
     let bad = || Failure::new(Kind::BadRequest, "the length of the body is not clear");
     let framing = head.framing().ok_or_else(bad)?;
@@ -83,7 +85,7 @@
     if expects && kept.is_empty() && length > 0 {
         stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").map_err(|e| slow(&e))?;
     }
-    let timed = Timed { stream, end: Instant::now() + limits.body_time };
+    let timed = Timed { stream, end: Instant::now() + limits.body_time, ending };
     let bytes = match framing {
         Framing::Length(length) => read_length(timed, kept, length as usize)?,
         Framing::Chunked => read_chunks(timed, kept, limits)?,
@@ -101,6 +103,9 @@
         io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut => {
             Failure::new(Kind::SlowRequest, "the request came too slowly")
         }
+        io::ErrorKind::ConnectionAborted => {
+            Failure::new(Kind::Stopping, "the instance ended before the request was whole")
+        }
         _ => Failure::new(Kind::CallerGone, error.to_string()),
     }
 }
@@ -150,10 +155,11 @@
     Ok(Bytes::from(body))
 }
 
-/// A stream whose reads together end at one point in time.
+/// A stream whose reads together end at one point in time, or at the bell.
 pub(crate) struct Timed<'a> {
     pub(crate) stream: &'a TcpStream,
     pub(crate) end: Instant,
+    pub(crate) ending: &'a Bell,
 }
 
 impl Timed<'_> {
@@ -162,16 +168,14 @@
         let mut buffer = [0; 4096];
         while matches!(self.read(&mut buffer), Ok(read) if read > 0) {}
     }
-
-    fn left(&self) -> io::Result<Duration> {
-        let left = self.end.saturating_duration_since(Instant::now());
-        if left.is_zero() { Err(io::ErrorKind::TimedOut.into()) } else { Ok(left) }
-    }
 }
 
 impl Read for Timed<'_> {
     fn read(&mut self, buf: &mut [u8]) -> io::Result<usize> {
-        self.stream.set_read_timeout(Some(self.left()?))?;
-        self.stream.read(buf)
+        match self.ending.wait(self.stream, Some(self.end))? {
+            Woken::Ready => self.stream.read(buf),
+            Woken::Rung => Err(io::ErrorKind::ConnectionAborted.into()),
+            Woken::Late => Err(io::ErrorKind::TimedOut.into()),
+        }
     }
 }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -6,6 +6,7 @@
 //! every wait for a caller has a bound. One thread serves one connection.
 
 pub mod answer;
+mod bell;
 mod body;
 pub mod exchange;
 pub mod head;
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -2,8 +2,9 @@
 
 use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,7 @@
 use mimosapass_core::error::{Failure, Kind};
 
 use crate::answer;
+use crate::bell::{Bell, Woken};
 use crate::body::{self, Body, Memory, Timed, cut, slow};
 use crate::exchange::Exchange;
 use crate::head::{Head, Parsed, parse};
@@ -82,7 +84,11 @@
     addr: SocketAddr,
     limits: Limits,
     handler: Handler,
-    stopping: AtomicBool,
+    leaving: AtomicBool,
+    closing: Bell,
+    ending: Bell,
+    linger: OnceLock<Instant>,
+    accepting: AtomicBool,
     open: AtomicUsize,
     busy: AtomicUsize,
     memory: Memory,
@@ -96,11 +102,16 @@
     /// Fails when the address cannot be bound.
     pub fn start(addr: SocketAddr, limits: Limits, handler: Handler) -> io::Result<Self> {
         let listener = TcpListener::bind(addr)?;
+        listener.set_nonblocking(true)?;
         let shared = Arc::new(Shared {
             addr: listener.local_addr()?,
             limits,
             handler,
-            stopping: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            closing: Bell::new()?,
+            ending: Bell::new()?,
+            linger: OnceLock::new(),
+            accepting: AtomicBool::new(true),
             open: AtomicUsize::new(0),
             busy: AtomicUsize::new(0),
             memory: Memory::new(limits.bodies_bytes),
@@ -127,30 +138,66 @@
         self.shared.open.load(Ordering::SeqCst)
     }
 
-    /// Stops to accept connections; those that wait in the backlog are served.
+    /// Answers with `connection: close` from now on, so that callers move.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Closes what stays idle for `linger`, then stops to accept connections.
     ///
-    /// Kept connections are answered with `connection: close` from now on.
-    pub fn stop(&self) {
-        self.shared.stopping.store(true, Ordering::SeqCst);
-        // A connection of our own wakes the accepting thread.
-        drop(TcpStream::connect_timeout(&self.shared.addr, Duration::from_secs(1)));
+    /// Requests that come on kept or new connections meanwhile are served.
+    pub fn stop(&self, linger: Duration) {
+        self.leave();
+        self.shared.linger.get_or_init(|| Instant::now() + linger);
+        self.shared.closing.ring();
+    }
+
+    /// Ends requests that are not whole yet; they are answered as not run.
+    pub fn end(&self) {
+        self.stop(Duration::ZERO);
+        self.shared.ending.ring();
+    }
+
+    /// Returns whether it has stopped and no connection is left.
+    pub fn drained(&self) -> bool {
+        !self.shared.accepting.load(Ordering::SeqCst) && self.connections() == 0
+    }
+}
+
+impl Shared {
+    /// Waits for a socket; `false` when `idle` has passed or the linger is over.
+    fn wait(&self, socket: &impl AsFd, idle: Option<Instant>) -> io::Result<bool> {
+        loop {
+            let woken = match self.linger.get() {
+                None => self.closing.wait(socket, idle)?,
+                Some(end) => {
+                    let end = idle.map_or(*end, |idle| idle.min(*end));
+                    self.ending.wait(socket, Some(end))?
+                }
+            };
+            match woken {
+                Woken::Ready => return Ok(true),
+                // From now on it waits for the linger alone.
+                Woken::Rung if !self.ending.rung() => {}
+                Woken::Rung | Woken::Late => return Ok(false),
+            }
+        }
     }
 }
 
+/// Accepts until the linger is over and nobody waits any more.
 fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
-    loop {
+    while shared.wait(listener, None).unwrap_or(true) {
         match listener.accept() {
             Ok((stream, _)) => admit(stream, shared),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(e) => {
                 log::warn!("caller: accept failed: {e}.");
                 thread::sleep(ACCEPT_PAUSE);
             }
         }
-        if shared.stopping.load(Ordering::SeqCst) && listener.set_nonblocking(true).is_err() {
-            return;
-        }
     }
+    shared.accepting.store(false, Ordering::SeqCst);
 }
 
 fn admit(stream: TcpStream, shared: &Arc<Shared>) {
@@ -167,7 +214,7 @@
             serve(&stream, &serving);
         } else {
             let text = format!("all {limit} connections of this instance are in use");
-            refuse(&stream, &Failure::new(Kind::QueueFull, text));
+            refuse(&stream, &serving, &Failure::new(Kind::QueueFull, text));
         }
         serving.open.fetch_sub(1, Ordering::SeqCst);
     };
@@ -179,7 +226,7 @@
 }
 
 fn serve(stream: &TcpStream, shared: &Shared) {
-    if stream.set_nodelay(true).is_err() {
+    if stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true)).is_err() {
         return;
     }
     let mut kept = Vec::new();
@@ -193,7 +240,7 @@
             }
             Ok(None) => return,
             Err(failure) => {
-                refuse(stream, &failure);
+                refuse(stream, shared, &failure);
                 return;
             }
         }
@@ -201,7 +248,7 @@
 }
 
 fn handle(head: Head, body: Body, stream: &TcpStream, shared: &Shared) -> bool {
-    let close = head.closes() || shared.stopping.load(Ordering::SeqCst);
+    let close = head.closes() || shared.leaving.load(Ordering::SeqCst);
     let Body { bytes, reserved } = body;
     let paced = Paced { stream, time: shared.limits.write_time, end: None };
     let mut exchange = Exchange::new(head, bytes, paced, close);
@@ -221,12 +268,12 @@
 ///
 /// What the caller still sends is read and dropped for a while: closing before
 /// that would reset the connection and lose the answer on its way.
-fn refuse(stream: &TcpStream, failure: &Failure) {
+fn refuse(stream: &TcpStream, shared: &Shared, failure: &Failure) {
     let paced = Paced { stream, time: FAREWELL, end: None };
     let mut exchange = Exchange::new(Head::default(), Bytes::new(), paced, true);
     let told = answer::fail(&mut exchange, failure, None);
     if told.and_then(|()| stream.shutdown(Shutdown::Write)).is_ok() {
-        Timed { stream, end: Instant::now() + FAREWELL }.drain();
+        Timed { stream, end: Instant::now() + FAREWELL, ending: &shared.ending }.drain();
     }
 }
 
@@ -243,8 +290,10 @@
     }
     shared.busy.fetch_add(1, Ordering::SeqCst);
     let limits = &shared.limits;
-    let read = read_head(stream, kept, limits)
-        .and_then(|head| Ok((body::read(&head, stream, kept, limits, &shared.memory)?, head)));
+    let read = read_head(stream, kept, shared).and_then(|head| {
+        let body = body::read(&head, stream, kept, limits, &shared.memory, &shared.ending)?;
+        Ok((body, head))
+    });
     match read {
         Ok((body, head)) => Ok(Some((head, body))),
         Err(failure) => {
@@ -255,10 +304,9 @@
 }
 
 fn wait_first(stream: &TcpStream, kept: &mut Vec<u8>, shared: &Shared) -> bool {
-    if stream.set_read_timeout(Some(shared.limits.idle_time)).is_err() {
-        return false;
-    }
-    matches!(read_some(stream, kept), Ok(read) if read > 0)
+    let idle = Instant::now() + shared.limits.idle_time;
+    let comes = shared.wait(stream, Some(idle)).unwrap_or(false);
+    comes && matches!(read_some(stream, kept), Ok(read) if read > 0)
 }
 
 fn read_some(mut source: impl Read, kept: &mut Vec<u8>) -> io::Result<usize> {
@@ -268,7 +316,8 @@
     Ok(read)
 }
 
-fn read_head(stream: &TcpStream, kept: &mut Vec<u8>, limits: &Limits) -> Result<Head, Failure> {
+fn read_head(stream: &TcpStream, kept: &mut Vec<u8>, shared: &Shared) -> Result<Head, Failure> {
+    let limits = &shared.limits;
     let end = Instant::now() + limits.head_time;
     loop {
         match parse(kept) {
@@ -284,7 +333,8 @@
             }
             Parsed::Partial => {}
         }
-        read_some(Timed { stream, end }, kept).map_err(|e| slow(&e)).and_then(whole)?;
+        let timed = Timed { stream, end, ending: &shared.ending };
+        read_some(timed, kept).map_err(|e| slow(&e)).and_then(whole)?;
     }
 }
 
--- /dev/null
+++ b/crates/caller/tests/stop.rs
@@ -0,0 +1,86 @@
+//! How the server stops: leave, linger, end.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mimosapass_caller::server::{Limits, Server};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+/// A linger that no test waits out.
+const LONG: Duration = Duration::from_mins(5);
+
+fn start() -> Server {
+    let local: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let handler = Arc::new(|exchange: &mut mimosapass_caller::exchange::Exchange<'_>| {
+        exchange.answer(200, &[], b"done").unwrap_or_default();
+    });
+    Server::start(local, Limits::default(), handler).expect("it starts")
+}
+
+fn connect(server: &Server) -> TcpStream {
+    let stream = TcpStream::connect(server.addr()).expect("connects");
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    stream
+}
+
+fn ask(stream: &mut TcpStream) -> String {
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").expect("sent");
+    let mut text = String::new();
+    let mut buffer = [0; 256];
+    while !text.ends_with("done") {
+        let read = stream.read(&mut buffer).expect("readable");
+        assert!(read > 0, "cut after {text:?}");
+        text.push_str(&String::from_utf8_lossy(&buffer[..read]));
+    }
+    text
+}
+
+fn drained(server: &Server) {
+    let end = Instant::now() + PATIENCE;
+    while !server.drained() {
+        assert!(Instant::now() < end, "{} connections are left", server.connections());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+#[test]
+fn requests_that_come_in_the_linger_are_served() {
+    let server = start();
+    let mut kept = connect(&server);
+    assert!(!ask(&mut kept).contains("connection: close"));
+    server.stop(LONG);
+    assert!(ask(&mut kept).contains("connection: close"));
+    assert!(ask(&mut connect(&server)).contains("connection: close"));
+    assert!(!server.drained(), "the linger is not over");
+}
+
+#[test]
+fn an_end_closes_what_is_idle_in_the_linger() {
+    let server = start();
+    let mut idle = connect(&server);
+    ask(&mut idle);
+    server.stop(LONG);
+    server.end();
+    assert_eq!(idle.read(&mut [0; 8]).expect("closed in order"), 0);
+    drained(&server);
+    assert!(TcpStream::connect(server.addr()).is_err());
+}
+
+#[test]
+fn a_request_that_has_begun_outlives_the_linger() {
+    let server = start();
+    let mut begun = connect(&server);
+    begun.write_all(b"GET / HTTP/1.1\r\n").expect("sent");
+    while server.busy() == 0 {
+        std::thread::yield_now();
+    }
+    server.stop(Duration::ZERO);
+    assert!(!server.drained());
+    begun.write_all(b"host: x\r\n\r\n").expect("sent");
+    let mut text = String::new();
+    begun.read_to_string(&mut text).expect("readable");
+    assert!(text.ends_with("done"), "{text}");
+    drained(&server);
+}
--- a/src/flow/retry.rs
+++ b/src/flow/retry.rs
@@ -56,6 +56,10 @@
             tally.note(Failure::new(Kind::QueueTimeout, "the deadline passed before it was sent"));
             break;
         }
+        if node.ending() {
+            tally.note(Failure::new(Kind::Stopping, "the instance was made to end"));
+            break;
+        }
         if number > 0 && !node.state().budget.spend() {
             story.steps.push("no retry: the budget is spent".to_owned());
             break;
--- a/src/flow/service.rs
+++ b/src/flow/service.rs
@@ -208,6 +208,10 @@
                 Err(RecvTimeoutError::Timeout) if self.admitted.left().is_zero() => {
                     return Err(Failed::Deadline);
                 }
+                Err(RecvTimeoutError::Timeout) if self.node.ending() => {
+                    let text = "the instance was made to end".to_owned();
+                    return Err(Failed::Fault(Fault::Broken(text)));
+                }
                 Err(RecvTimeoutError::Timeout) if self.exchange.caller_gone() => {
                     return Err(Failed::Gone);
                 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,8 @@
 mod parts;
 mod serve;
 mod settings;
+mod status;
+mod stop;
 mod story;
 mod timer;
 mod trace;
--- a/src/node.rs
+++ b/src/node.rs
@@ -101,6 +101,7 @@
     pub records: Records,
     state: Mutex<State>,
     stopping: AtomicBool,
+    ending: AtomicBool,
     counter: AtomicU64,
 }
 
@@ -149,6 +150,7 @@
             records,
             state: Mutex::new(state),
             stopping: AtomicBool::new(false),
+            ending: AtomicBool::new(false),
             counter: AtomicU64::new(0),
             settings,
         }
@@ -227,6 +229,16 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// Makes all requests end with a failure.
+    pub fn end(&self) {
+        self.ending.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether requests have to end now.
+    pub fn ending(&self) -> bool {
+        self.ending.load(Ordering::SeqCst)
+    }
+
     /// Returns whether the instance takes requests, or else why not.
     ///
     /// # Errors
--- /dev/null
+++ b/src/status.rs
@@ -0,0 +1,89 @@
+//! What an instance tells operators of itself, as JSON.
+
+use std::time::Instant;
+
+use serde::Serialize;
+
+use crate::node::Node;
+
+#[derive(Serialize)]
+struct Status {
+    instance: String,
+    zone: String,
+    ready: bool,
+    stopping: bool,
+    config: u64,
+    digest: String,
+    cut: bool,
+    fault: String,
+    waiting: String,
+    peers: Vec<PeerStatus>,
+    zones: Vec<ZoneStatus>,
+    targets: Vec<TargetStatus>,
+}
+
+#[derive(Serialize)]
+struct PeerStatus {
+    name: String,
+    zone: String,
+    leaving: bool,
+    config: u64,
+}
+
+#[derive(Serialize)]
+struct ZoneStatus {
+    name: String,
+    open: u32,
+    free: u64,
+}
+
+#[derive(Serialize)]
+struct TargetStatus {
+    name: String,
+    zone: String,
+    open: bool,
+    prefill: u64,
+    running: u32,
+    free: u64,
+}
+
+/// Returns the state of the instance and of what it knows.
+pub fn status(node: &Node) -> String {
+    let now = Instant::now();
+    let waiting = node.ready().err().unwrap_or_default();
+    let state = node.state();
+    let peers = state.view.alive(now).map(|b| PeerStatus {
+        name: b.name.to_string(),
+        zone: b.zone.to_string(),
+        leaving: b.leaving,
+        config: b.head.version,
+    });
+    let zones = state.summaries.fresh(now).map(|(zone, pools)| ZoneStatus {
+        name: zone.to_string(),
+        open: pools.iter().map(|p| p.open).sum(),
+        free: pools.iter().map(|p| p.free).sum(),
+    });
+    let targets = state.board.all().map(|k| TargetStatus {
+        name: k.listed.name.to_string(),
+        zone: k.listed.zone.to_string(),
+        open: k.open(now),
+        prefill: k.report.prefill,
+        running: k.report.running,
+        free: k.report.free,
+    });
+    let status = Status {
+        instance: node.name.to_string(),
+        zone: node.zone.to_string(),
+        ready: waiting.is_empty(),
+        stopping: node.stopping(),
+        config: state.gate.head().version,
+        digest: format!("{:016x}", state.gate.head().digest),
+        cut: state.view.cut(),
+        fault: state.faults.values().cloned().collect::<Vec<_>>().join("; "),
+        waiting,
+        peers: peers.collect(),
+        zones: zones.collect(),
+        targets: targets.collect(),
+    };
+    serde_json::to_string(&status).unwrap_or_default()
+}
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -235,14 +235,20 @@
 
     /// Waits until every instance is ready and knows all targets.
     pub fn settle(&self) {
-        let targets = self.engines.len() + 1;
-        for instance in &self.instances {
-            until("an instance is ready and knows its targets", || {
-                instance.ready()
-                    && status(instance)["targets"].as_array().map(Vec::len) == Some(targets)
-            });
+        for at in 0..self.instances.len() {
+            self.settle_one(at);
         }
     }
+
+    /// Waits until one instance is ready and knows all targets.
+    pub fn settle_one(&self, at: usize) {
+        let targets = self.engines.len() + 1;
+        let instance = &self.instances[at];
+        until("an instance is ready and knows its targets", || {
+            instance.ready()
+                && status(instance)["targets"].as_array().map(Vec::len) == Some(targets)
+        });
+    }
 }
 
 impl Drop for Fleet {
