--- a/tests/suite/settings.rs
+++ b/tests/suite/settings.rs
@@ -65,6 +65,28 @@
     assert!([2, 3, 9].iter().all(|line| told.contains(&format!(".yaml:{line}: "))), "{told}");
 }
 
+#[test]
+fn the_page_names_every_setting_and_code() {
+    let page = include_str!("../../docs/OPERATING.md");
+    let sections = ["listen", "stop", "callers", "claims"];
+    let faulty: String = sections.iter().map(|s| format!("{s}: {{nothing: 1}}\n")).collect();
+    let (_, told) = check(&format!("nothing: 1\n{faulty}"), "page");
+    for line in told.lines().filter(|l| l.contains("nothing: there is no such field")) {
+        let path = line.split(": ").nth(1).expect("a path").trim_end_matches("nothing");
+        let fields = line.split("write one of: ").nth(1).expect("fields").split(", ");
+        for field in fields.filter(|f| !sections.contains(f)) {
+            assert!(page.contains(&format!("| `{path}{field}` |")), "{path}{field}");
+        }
+    }
+    assert_eq!(told.matches("write one of: ").count(), sections.len() + 1, "{told}");
+    for row in &mimosapass_core::error::TABLE {
+        let answer = if row.not_run { "yes" } else { "no" };
+        let again = if row.retry == mimosapass_core::error::Retry::Never { "no" } else { "yes" };
+        let line = format!("| `{}` | {} | {answer} | {again} |", row.code, row.status);
+        assert!(page.contains(&line), "{line}");
+    }
+}
+
 #[rstest]
 #[case::atlas("atlas")]
 #[case::dokaz("dokaz")]
