Tests draw on more addresses; an ended instance makes no further attempt

Cause: 145 tests used up the 255 addresses of one run, so three instances could not bind; and the merge of two changes left a call without its function. Ruled out: a slow machine; the three tests pass alone, and all 145 pass with an address space of 4,000. Change: fresh_ip counts to 4,000 and says when it is used up; a request of an instance that was made to end is over, without another attempt.

--- a/crates/caller/tests/stop.rs
+++ b/crates/caller/tests/stop.rs
@@ -65,7 +65,8 @@
     server.end();
     assert_eq!(idle.read(&mut [0; 8]).expect("closed in order"), 0);
     drained(&server);
-    assert!(TcpStream::connect(server.addr()).is_err());
+    let refused = TcpStream::connect(server.addr()).expect_err("it is refused");
+    assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
 }
 
 #[test]
--- a/src/flow/group.rs
+++ b/src/flow/group.rs
@@ -7,6 +7,7 @@
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::group::{Plan, Share, members, need, single};
 use mimosapass_core::ids::ModelId;
+use mimosapass_core::ids::TargetId;
 use mimosapass_core::route::Choice;
 use mimosapass_instance::message::GroupAsk;
 
@@ -39,7 +40,7 @@
     pub fn choice(&self) -> Choice {
         let first = &self.shares[0];
         Choice {
-            target: first.target.clone(),
+            target: TargetId::clone(&first.target),
             addr: first.addr.clone(),
             reason: format!("group of {} engines", self.shares.len()),
         }
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -227,7 +227,10 @@
         loop {
             match self.inbox.recv_timeout(LOOK) {
                 Ok(Message::Deadline) => return self.too_late(),
-                _ if self.node.ending() => return cut("the instance was made to end".to_owned()),
+                _ if self.node.ending() => {
+                    let text = "the instance was made to end";
+                    return Ended::Over(Failure::new(Kind::CutAnswer, text));
+                }
                 Ok(Message::Event(n, event)) if n == attempt.number => {
                     if let Some(ended) = self.event(attempt, event, story) {
                         return ended;
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use mimosapass_operator::{document, store};
@@ -57,10 +57,12 @@
 
 /// Returns an address that no other test uses.
 pub fn fresh_ip() -> Ipv4Addr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let pid = std::process::id();
-    let (high, low) = ((pid / 250) % 250, pid % 250);
-    Ipv4Addr::new(127, high as u8 + 1, low as u8 + 1, NEXT.fetch_add(1, Ordering::Relaxed))
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let count = NEXT.fetch_add(1, Ordering::Relaxed);
+    assert!(count < 4000, "the addresses of one run are used up");
+    let process = std::process::id() % 4000;
+    let third = process / 250 * 16 + u32::from(count) / 250;
+    Ipv4Addr::new(127, (process % 250) as u8 + 1, third as u8, (count % 250) as u8 + 1)
 }
 
 /// An instance that runs as a process.
