--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -24,6 +24,8 @@
 /// Tokens of a long prompt.
 const LONG: usize = 200_000;
 
+/// Tokens of a prompt that needs two engines.
+const GIANT: usize = 500_000;
 /// A booking that must not run twice.
 const VAN: &str = "van 4 on Friday";
 
@@ -45,6 +47,7 @@
     println!("fleet: 3 instances, 6 engines and 1 service are up.");
     let mut rows = calm(&fleet)?;
     rows.extend(beside(&fleet)?);
+    rows.push(Ask::chat("dossier for two engines", GIANT, 16).send(&fleet.instances[0])?);
     rows.extend(killed(&fleet)?);
     table::print(&rows);
     let right = rows.iter().filter(|r| r.right).count();
--- a/tests/suite/settings.rs
+++ b/tests/suite/settings.rs
@@ -69,8 +69,8 @@
 fn the_page_names_every_setting_and_code() {
     let page = include_str!("../../docs/OPERATING.md");
     let sections = ["listen", "stop", "callers", "claims"];
-    let faulty: String = sections.iter().map(|s| format!("{s}: {{nothing: 1}}\n")).collect();
-    let (_, told) = check(&format!("nothing: 1\n{faulty}"), "page");
+    let faulty = sections.map(|s| format!("{s}: {{nothing: 1}}")).join("\n");
+    let (_, told) = check(&format!("nothing: 1\n{faulty}\n"), "page");
     for line in told.lines().filter(|l| l.contains("nothing: there is no such field")) {
         let path = line.split(": ").nth(1).expect("a path").trim_end_matches("nothing");
         let fields = line.split("write one of: ").nth(1).expect("fields").split(", ");
