--- a/crates/operator/src/yaml/mod.rs
+++ b/crates/operator/src/yaml/mod.rs
@@ -5,6 +5,8 @@
 //! type goes on behind a fault with a placeholder, and the checks of the type
 //! itself follow on what was read.
 
+mod access;
+mod node;
 mod read;
 mod tree;
 
--- a/src/flow/entry.rs
+++ b/src/flow/entry.rs
@@ -29,8 +29,8 @@
         return service::handle(node, exchange, rest);
     }
     match (method.as_str(), path.as_str(), node.document()) {
-        ("GET", "/v1/models", Some(document)) => models(exchange, &document.config),
-        ("GET", "/v1/models", None) => {
+        ("GET" | "HEAD", "/v1/models", Some(document)) => models(exchange, &document.config),
+        ("GET" | "HEAD", "/v1/models", None) => {
             refuse(exchange, &Failure::new(Kind::NotReady, "no configuration yet"));
         }
         _ => refuse(exchange, &Failure::new(Kind::NotFound, "there is nothing at this path")),
