--- a/src/flow/group.rs
+++ b/src/flow/group.rs
@@ -6,7 +6,7 @@
 use mimosapass_caller::openai::Prompt;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::group::{Plan, Share, members, need, single};
-use mimosapass_core::ids::ModelId;
+use mimosapass_core::ids::{ModelId, TargetId};
 use mimosapass_core::route::Choice;
 use mimosapass_instance::message::GroupAsk;
 
@@ -39,7 +39,7 @@
     pub fn choice(&self) -> Choice {
         let first = &self.shares[0];
         Choice {
-            target: first.target.clone(),
+            target: TargetId::clone(&first.target),
             addr: first.addr.clone(),
             reason: format!("group of {} engines", self.shares.len()),
         }
