--- a/examples/quickstart/main.rs
+++ b/examples/quickstart/main.rs
@@ -6,6 +6,7 @@
 //! if every request had the right outcome.
 
 mod fleet;
+mod process;
 mod request;
 mod table;
 
@@ -15,6 +16,7 @@
 use std::time::Instant;
 
 use fleet::Fleet;
+use process::Processes;
 use request::{Ask, Seen, Want};
 
 /// Tokens of a short prompt.
@@ -22,6 +24,9 @@
 /// Tokens of a long prompt.
 const LONG: usize = 200_000;
 
+/// A booking that must not run twice.
+const VAN: &str = "van 4 on Friday";
+
 fn main() -> ExitCode {
     match run() {
         Ok(true) => ExitCode::SUCCESS,
@@ -34,13 +39,13 @@
 }
 
 fn run() -> Result<bool, Box<dyn Error>> {
-    let programs = fleet::build()?;
+    let processes = Processes::new()?;
     let start = Instant::now();
-    let mut fleet = Fleet::start(&programs)?;
+    let fleet = Fleet::start(processes)?;
     println!("fleet: 3 instances, 6 engines and 1 service are up.");
     let mut rows = calm(&fleet)?;
     rows.extend(beside(&fleet)?);
-    rows.extend(killed(&mut fleet)?);
+    rows.extend(killed(&fleet)?);
     table::print(&rows);
     let right = rows.iter().filter(|r| r.right).count();
     println!("{right} of {} outcomes are right, in {:.1?}.", rows.len(), start.elapsed());
@@ -53,7 +58,8 @@
         (0, Ask::chat("short chat", SHORT, 16)),
         (1, Ask::chat("streamed chat", SHORT, 64).streamed()),
         (2, Ask::service("photo check", "photo-checks/parcels/17", "photo of parcel 17")),
-        (0, Ask::service("booking", "bookings/vans/4", "van 4 on Friday")),
+        (0, Ask::service("booking", "bookings/vans/4", VAN).id("order-4")),
+        (1, Ask::service("same booking again", "bookings/vans/4", VAN).id("order-4")),
         (1, Ask::chat("unknown workspace", SHORT, 16).of("nobody").wants(Want::NotRun(403))),
     ];
     asks.into_iter().map(|(zone, ask)| ask.send(&fleet.instances[zone])).collect()
@@ -76,11 +82,11 @@
 }
 
 /// Kills an instance in mid-stream; the caller sees that, and tries another.
-fn killed(fleet: &mut Fleet) -> Result<Vec<Seen>, Box<dyn Error>> {
+fn killed(fleet: &Fleet) -> Result<Vec<Seen>, Box<dyn Error>> {
     let cut = Ask::chat("stream, instance killed", SHORT, 400).streamed().wants(Want::Broken);
     let instance = fleet.instances[1].clone();
     let open = cut.open(&instance)?;
-    fleet.kill(1)?;
+    instance.kill()?;
     let first = open.finish();
     let other = &fleet.instances[2];
     let again = Ask::chat("same again elsewhere", SHORT, 400).streamed().send(other)?;
--- a/src/flow/service.rs
+++ b/src/flow/service.rs
@@ -116,7 +116,9 @@
             id,
             digest: digest(method, &self.path, &self.exchange.body),
         };
+        story.trace.hop("record", "a non-idempotent call needs its record first");
         let claimed = Pending::look(self.node, subject, self.admitted.end).and_then(Pending::win);
+        story.trace.leave(if claimed.is_ok() { "ok" } else { "not to be sent" });
         match claimed {
             Ok(guard) => {
                 self.guard = Some(guard);
@@ -208,6 +210,10 @@
                 Err(RecvTimeoutError::Timeout) if self.admitted.left().is_zero() => {
                     return Err(Failed::Deadline);
                 }
+                Err(RecvTimeoutError::Timeout) if self.node.ending() => {
+                    let text = "the instance was made to end".to_owned();
+                    return Err(Failed::Fault(Fault::Broken(text)));
+                }
                 Err(RecvTimeoutError::Timeout) if self.exchange.caller_gone() => {
                     return Err(Failed::Gone);
                 }
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -227,6 +227,7 @@
         loop {
             match self.inbox.recv_timeout(LOOK) {
                 Ok(Message::Deadline) => return self.too_late(),
+                _ if self.node.ending() => return cut("the instance was made to end".to_owned()),
                 Ok(Message::Event(n, event)) if n == attempt.number => {
                     if let Some(ended) = self.event(attempt, event, story) {
                         return ended;
@@ -353,7 +354,7 @@
         if story.first_ms.is_none() {
             let took = self.admitted.start.elapsed();
             story.first_ms = Some(took.as_millis() as u64);
-            self.node.metrics.first.observe(took.as_secs_f64());
+            self.node.metrics.first_token(self.tokens, took);
         }
     }
 
