--- a/src/flow/group.rs
+++ b/src/flow/group.rs
@@ -97,6 +97,9 @@
                 let text = format!("it needs {need} tokens of memory, the zone has {most}");
                 return Err(Failure::new(Kind::NeverFits, text));
             }
+            Plan::Later { .. } if node.ending() => {
+                return Err(Failure::new(Kind::Stopping, "the instance was made to end"));
+            }
             Plan::Later { .. } if gone() => {
                 return Err(Failure::new(Kind::CallerGone, "the caller went away"));
             }
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -8,11 +8,10 @@
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
-use mimosapass_caller::answer::REQUEST_ID;
-use mimosapass_caller::exchange::{Exchange, Header};
-use mimosapass_caller::openai::{Call, Prompt, Style, Usage};
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_caller::openai::{Call, Prompt, Usage};
 use mimosapass_core::answer::{Progress, Verdict};
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::{ModelId, TargetId};
@@ -23,6 +22,7 @@
 use crate::flow::admit::Admitted;
 use crate::flow::group::{self, Grant};
 use crate::flow::pick::{self, Booked};
+use crate::flow::reply::Reply;
 use crate::flow::retry::{self, Bounds, Ended};
 use crate::node::Node;
 use crate::parts::memory::{self, Claimed};
@@ -84,9 +84,8 @@
     admitted: Admitted,
     prompt: Prompt,
     call: Call,
-    style: Style,
+    reply: Reply,
     tokens: u64,
-    text: String,
     progress: Progress,
     resume: Option<Resume>,
     need: Option<u64>,
@@ -109,8 +108,7 @@
         let alarm = sender.clone();
         let deadline =
             node.timer.at(admitted.end, move || alarm.send(Message::Deadline).unwrap_or_default());
-        let created = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
-        let style = Style { call, id: admitted.id.clone(), model: prompt.model.clone(), created };
+        let reply = Reply::new(call, &admitted.id, &prompt);
         let tokens = node.state().ratios.tokens(&prompt.model, prompt.bytes);
         let need = group::wanted(node, &admitted, &prompt, tokens);
         Self {
@@ -119,9 +117,8 @@
             admitted,
             prompt,
             call,
-            style,
+            reply,
             tokens,
-            text: String::new(),
             progress: Progress::default(),
             resume: None,
             need,
@@ -227,7 +224,9 @@
         loop {
             match self.inbox.recv_timeout(LOOK) {
                 Ok(Message::Deadline) => return self.too_late(),
-                _ if self.node.ending() => return cut("the instance was made to end".to_owned()),
+                _ if self.node.ending() => {
+                    return Ended::Again(self.failed("the instance was made to end".to_owned()));
+                }
                 Ok(Message::Event(n, event)) if n == attempt.number => {
                     if let Some(ended) = self.event(attempt, event, story) {
                         return ended;
@@ -336,7 +335,7 @@
         let passed = match (verdict, event) {
             (Verdict::Pass, Event::Token { text, .. }) => {
                 self.first(attempt, story);
-                self.token(&text).map(|()| None)
+                self.reply.token(self.exchange, &text).map(|()| None)
             }
             (Verdict::Whole, Event::End { prompt, reason, .. }) => {
                 self.finish(prompt, &reason).map(|()| Some(Ended::Whole(())))
@@ -358,23 +357,6 @@
         }
     }
 
-    fn token(&mut self, text: &str) -> io::Result<()> {
-        if !self.prompt.stream {
-            self.text.push_str(text);
-            return Ok(());
-        }
-        self.begin()?;
-        self.exchange.send(&self.style.event(text))
-    }
-
-    fn begin(&mut self) -> io::Result<()> {
-        if !self.exchange.unanswered() {
-            return Ok(());
-        }
-        let headers = self.headers("text/event-stream");
-        self.exchange.begin(200, &headers)
-    }
-
     fn finish(&mut self, prompt: u64, reason: &str) -> io::Result<()> {
         let model = ModelId::from(self.prompt.model.as_str());
         self.node.state().ratios.learn(&model, self.prompt.bytes, prompt);
@@ -383,19 +365,7 @@
             completion_tokens: self.progress.passed(),
             total_tokens: prompt + self.progress.passed(),
         };
-        if !self.prompt.stream {
-            let headers = self.headers("application/json");
-            let body = self.style.whole(&self.text, reason, usage);
-            return self.exchange.answer(200, &headers, &body);
-        }
-        self.begin()?;
-        self.exchange.send(&self.style.end(reason, usage))?;
-        self.exchange.finish();
-        Ok(())
-    }
-
-    fn headers(&self, content: &str) -> Vec<Header> {
-        vec![("content-type", content.to_owned()), (REQUEST_ID, self.admitted.id.clone())]
+        self.reply.end(self.exchange, reason, usage)
     }
 
     /// Blames the target where it failed and has lingering memory freed.
