Free a call that an engine begins after it confirmed its cancel

Cause: a generate call that was still under way when its request ended could begin after the engine had confirmed the cancel; it then held memory until its expiry and the grace of its holder, 60 s, with nobody listening.

Ruled out: waiting for the call to end before the cancel (a frozen engine would hold up the answer); a list of cancelled attempts at the engine (unbounded, and not in the engines' interface).

Change: the thread that reads a stream learns that its attempt is over; at the first event, or when its call ends, it has the attempt cancelled once more.

Seen: a_call_that_begins_after_its_cancel_is_freed failed before (in vain: the engine holds nothing, 30 s), passes now.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -67,6 +67,8 @@
     pub hold_from: Option<u64>,
     /// Answer no call at all until the value changes.
     pub frozen: bool,
+    /// Let no generate call begin until the value changes.
+    pub hold_start: bool,
     /// Refuse new work as a leaving engine does.
     pub leaving: bool,
     /// Refuse new work without running it.
--- a/crates/standin/src/generate.rs
+++ b/crates/standin/src/generate.rs
@@ -38,6 +38,7 @@
         if faults.leaving || faults.refuse {
             return refuse(exchange, if faults.leaving { "leaving" } else { "busy" });
         }
+        self.wait(|f| f.hold_start);
         let job = match job(exchange, call, faults) {
             Ok(job) => job,
             Err(text) => return reply::json(exchange, 400, &text),
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -6,6 +6,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -66,6 +67,7 @@
     heard: Instant,
     booked: Booked,
     grant: Option<Grant>,
+    over: Arc<AtomicBool>,
     _claimed: Claimed,
 }
 
@@ -184,6 +186,7 @@
             heard: Instant::now(),
             booked: Booked::new(self.node, &choice.target, self.tokens),
             grant,
+            over: Arc::default(),
             _claimed: Claimed::new(self.node, &choice.addr, &id),
             id,
         }
@@ -205,12 +208,19 @@
             trace: story.trace.parent(),
             body: self.exchange.body.clone(),
         };
-        let agent = self.node.pooled.clone();
+        let (agent, freed) = (self.node.pooled.clone(), self.node.freed.clone());
         let (sender, number) = (self.sender.clone(), attempt.number);
+        let over = Arc::clone(&attempt.over);
         let reading = move || {
-            let events = sender.clone();
-            let sink = move |event| events.send(Message::Event(number, event)).is_ok();
+            let sink = |event| {
+                !over.load(Ordering::SeqCst) && sender.send(Message::Event(number, event)).is_ok()
+            };
             let ended = engine::generate(&agent, &call, sink);
+            if over.load(Ordering::SeqCst) {
+                // The engine may have begun after it confirmed the cancel.
+                let again = Freed { addr: call.addr, attempt: call.attempt };
+                freed.send(again).unwrap_or_default();
+            }
             // A request that has ended does not wait for this any more.
             sender.send(Message::Done(number, ended)).unwrap_or_default();
         };
@@ -375,6 +385,7 @@
             Ended::Whole(()) => return,
             Ended::Again(failure) | Ended::Over(failure) => failure,
         };
+        attempt.over.store(true, Ordering::SeqCst);
         if !matches!(failure.kind, Kind::CallerGone | Kind::Rejected) {
             attempt.booked.blame();
         }
--- a/tests/suite/memory.rs
+++ b/tests/suite/memory.rs
@@ -10,7 +10,7 @@
 use rstest::rstest;
 use ureq::BodyReader;
 
-use crate::common::{CONFIG, Fleet, agent, chat, status, until};
+use crate::common::{CONFIG, Fleet, agent, chat, post, status, until};
 
 /// Claims that are renewed and expire quickly.
 const QUICK: &str = "claims: {period_ms: 300, expiry_ms: 3000}\n";
@@ -154,6 +154,22 @@
     until("the engine holds nothing", || fleet.engines[0].1.held().is_empty());
 }
 
+/// The engine takes the cancel first and begins the call that it meant later.
+#[test]
+fn a_call_that_begins_after_its_cancel_is_freed() {
+    let fleet = fleet(1, 1);
+    let engine = &fleet.engines[0].1;
+    engine.set(Faults { hold_start: true, ..Faults::default() });
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    let headers = [("mimosapass-deadline-ms", "300")];
+    let seen = post(&url, &headers, &chat(100, 6, true)).expect("an answer");
+    assert_eq!(seen.status, 504, "{seen:?}");
+    until("the cancel is confirmed", || unfreed(&fleet, 0));
+    engine.set(held_at_two());
+    until("the call has begun", || engine.runs() == 1);
+    until("the engine holds nothing", || engine.held().is_empty());
+}
+
 #[test]
 fn a_frozen_engine_holds_up_no_other() {
     let fleet = fleet(2, 1);
