--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -6,13 +6,13 @@
 use std::cell::RefCell;
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
-use mimosapass_caller::answer::REQUEST_ID;
-use mimosapass_caller::exchange::{Exchange, Header};
-use mimosapass_caller::openai::{Call, Prompt, Style, Usage};
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_caller::openai::{Call, Prompt, Usage};
 use mimosapass_core::answer::{Progress, Verdict};
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::{ModelId, TargetId};
@@ -23,6 +23,7 @@
 use crate::flow::admit::Admitted;
 use crate::flow::group::{self, Grant};
 use crate::flow::pick::{self, Booked};
+use crate::flow::reply::Reply;
 use crate::flow::retry::{self, Bounds, Ended};
 use crate::node::Node;
 use crate::parts::memory::{self, Claimed};
@@ -66,6 +67,7 @@
     heard: Instant,
     booked: Booked,
     grant: Option<Grant>,
+    over: Arc<AtomicBool>,
     _claimed: Claimed,
 }
 
@@ -84,9 +86,8 @@
     admitted: Admitted,
     prompt: Prompt,
     call: Call,
-    style: Style,
+    reply: Reply,
     tokens: u64,
-    text: String,
     progress: Progress,
     resume: Option<Resume>,
     need: Option<u64>,
@@ -109,8 +110,7 @@
         let alarm = sender.clone();
         let deadline =
             node.timer.at(admitted.end, move || alarm.send(Message::Deadline).unwrap_or_default());
-        let created = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
-        let style = Style { call, id: admitted.id.clone(), model: prompt.model.clone(), created };
+        let reply = Reply::new(call, &admitted.id, &prompt);
         let tokens = node.state().ratios.tokens(&prompt.model, prompt.bytes);
         let need = group::wanted(node, &admitted, &prompt, tokens);
         Self {
@@ -119,9 +119,8 @@
             admitted,
             prompt,
             call,
-            style,
+            reply,
             tokens,
-            text: String::new(),
             progress: Progress::default(),
             resume: None,
             need,
@@ -187,6 +186,7 @@
             heard: Instant::now(),
             booked: Booked::new(self.node, &choice.target, self.tokens),
             grant,
+            over: Arc::default(),
             _claimed: Claimed::new(self.node, &choice.addr, &id),
             id,
         }
@@ -208,12 +208,19 @@
             trace: story.trace.parent(),
             body: self.exchange.body.clone(),
         };
-        let agent = self.node.pooled.clone();
+        let (agent, freed) = (self.node.pooled.clone(), self.node.freed.clone());
         let (sender, number) = (self.sender.clone(), attempt.number);
+        let over = Arc::clone(&attempt.over);
         let reading = move || {
-            let events = sender.clone();
-            let sink = move |event| events.send(Message::Event(number, event)).is_ok();
+            let sink = |event| {
+                !over.load(Ordering::SeqCst) && sender.send(Message::Event(number, event)).is_ok()
+            };
             let ended = engine::generate(&agent, &call, sink);
+            if over.load(Ordering::SeqCst) {
+                // The engine may have begun after it confirmed the cancel.
+                let again = Freed { addr: call.addr, attempt: call.attempt };
+                freed.send(again).unwrap_or_default();
+            }
             // A request that has ended does not wait for this any more.
             sender.send(Message::Done(number, ended)).unwrap_or_default();
         };
@@ -339,7 +346,7 @@
         let passed = match (verdict, event) {
             (Verdict::Pass, Event::Token { text, .. }) => {
                 self.first(attempt, story);
-                self.token(&text).map(|()| None)
+                self.reply.token(self.exchange, &text).map(|()| None)
             }
             (Verdict::Whole, Event::End { prompt, reason, .. }) => {
                 self.finish(prompt, &reason).map(|()| Some(Ended::Whole(())))
@@ -361,23 +368,6 @@
         }
     }
 
-    fn token(&mut self, text: &str) -> io::Result<()> {
-        if !self.prompt.stream {
-            self.text.push_str(text);
-            return Ok(());
-        }
-        self.begin()?;
-        self.exchange.send(&self.style.event(text))
-    }
-
-    fn begin(&mut self) -> io::Result<()> {
-        if !self.exchange.unanswered() {
-            return Ok(());
-        }
-        let headers = self.headers("text/event-stream");
-        self.exchange.begin(200, &headers)
-    }
-
     fn finish(&mut self, prompt: u64, reason: &str) -> io::Result<()> {
         let model = ModelId::from(self.prompt.model.as_str());
         self.node.state().ratios.learn(&model, self.prompt.bytes, prompt);
@@ -386,19 +376,7 @@
             completion_tokens: self.progress.passed(),
             total_tokens: prompt + self.progress.passed(),
         };
-        if !self.prompt.stream {
-            let headers = self.headers("application/json");
-            let body = self.style.whole(&self.text, reason, usage);
-            return self.exchange.answer(200, &headers, &body);
-        }
-        self.begin()?;
-        self.exchange.send(&self.style.end(reason, usage))?;
-        self.exchange.finish();
-        Ok(())
-    }
-
-    fn headers(&self, content: &str) -> Vec<Header> {
-        vec![("content-type", content.to_owned()), (REQUEST_ID, self.admitted.id.clone())]
+        self.reply.end(self.exchange, reason, usage)
     }
 
     /// Blames the target where it failed and has lingering memory freed.
@@ -407,6 +385,7 @@
             Ended::Whole(()) => return,
             Ended::Again(failure) | Ended::Over(failure) => failure,
         };
+        attempt.over.store(true, Ordering::SeqCst);
         if !matches!(failure.kind, Kind::CallerGone | Kind::Rejected) {
             attempt.booked.blame();
         }
