Requests wait for their turn, in their first form, not yet proved

Cause: the queues of core were not asked by any request. Change: the thread of a request waits on a channel until targets have room.

--- a/crates/core/src/forecast.rs
+++ b/crates/core/src/forecast.rs
@@ -42,7 +42,7 @@
             return Ok(());
         }
         let text = format!("the first token is {wait:.1?} away and {left:.1?} are left");
-        Err(Failure::new(Kind::TooLate, text).after(back(wait - left, chance)))
+        Err(Failure::new(Kind::TooLate, text).after(back(wait.saturating_sub(left), chance)))
     }
 
     /// Returns the failure for a request that found no place in its queue.
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -8,3 +8,4 @@
 pub mod retry;
 pub mod service;
 pub mod stream;
+pub mod turn;
--- a/src/flow/model.rs
+++ b/src/flow/model.rs
@@ -7,6 +7,7 @@
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_caller::openai::{Call, Prompt, error_event, read};
 use mimosapass_core::classify::Asks;
+use mimosapass_core::config::TargetKind;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::once::{LONGEST, State, digest};
 
@@ -15,6 +16,7 @@
 use crate::flow::admit::{Admitted, admit, caller_id};
 use crate::flow::once::{Guard, Halt, Pending, Subject};
 use crate::flow::stream::Run;
+use crate::flow::turn::{self, Work};
 use crate::node::Node;
 use crate::story::Story;
 
@@ -23,6 +25,8 @@
     let mut story = Story::of(node, exchange.head.header(TRACE));
     let start = Instant::now();
     let result = prepare(node, exchange, call, &mut story).and_then(|(admitted, prompt)| {
+        let work = Work { kind: TargetKind::Engine, name: &prompt.model, tokens: story.tokens };
+        turn::wait(node, exchange, &admitted, work, &mut story)?;
         let guard = protect(node, exchange, &admitted, call)?;
         let result = Run::new(node, exchange, admitted, prompt, call).run(&mut story);
         if let Some(guard) = guard {
--- a/src/flow/service.rs
+++ b/src/flow/service.rs
@@ -9,6 +9,7 @@
 use mimosapass_caller::answer::{self, REQUEST_ID};
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_core::classify::Asks;
+use mimosapass_core::config::TargetKind;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
 use mimosapass_core::once::{State, digest};
@@ -22,6 +23,7 @@
 use crate::flow::once::{Guard, Halt, Pending, Subject};
 use crate::flow::pick::{self, Booked};
 use crate::flow::retry::{self, Bounds, Ended};
+use crate::flow::turn::{self, Work};
 use crate::node::Node;
 use crate::story::Story;
 
@@ -75,10 +77,11 @@
     let path = if query.is_empty() { format!("/{path}") } else { format!("/{path}?{query}") };
     let idempotent = idempotent(&admitted, &exchange.head.method);
     let mut run = Run { node, exchange, admitted, name, path, idempotent, guard: None };
-    match id.filter(|_| !idempotent) {
-        Some(id) => run.protect(&id, story),
-        None => run.run(story),
+    if let Some(id) = id.filter(|_| !idempotent) {
+        return run.protect(&id, story);
     }
+    run.turn(story)?;
+    run.run(story)
 }
 
 /// Returns whether the class, or else the method, allows a repeat.
@@ -116,7 +119,12 @@
             id,
             digest: digest(method, &self.path, &self.exchange.body),
         };
-        let claimed = Pending::look(self.node, subject, self.admitted.end).and_then(Pending::win);
+        // A repeat of a request that ran does not have to wait for a target.
+        let pending = Pending::look(self.node, subject, self.admitted.end);
+        let claimed = pending.and_then(|pending| {
+            self.turn(story).map_err(Halt::Refuse)?;
+            pending.win()
+        });
         match claimed {
             Ok(guard) => {
                 self.guard = Some(guard);
@@ -133,6 +141,11 @@
         }
     }
 
+    fn turn(&self, story: &mut Story) -> Result<(), Failure> {
+        let work = Work { kind: TargetKind::Service, name: self.name, tokens: 0 };
+        turn::wait(self.node, self.exchange, &self.admitted, work, story)
+    }
+
     fn run(&mut self, story: &mut Story) -> Result<Answer, Failure> {
         let bounds = Bounds { most: ATTEMPTS, end: self.admitted.end, repeatable: self.idempotent };
         retry::attempts(self.node, self, bounds, story, Self::pick, Self::attempt)
--- /dev/null
+++ b/src/flow/turn.rs
@@ -0,0 +1,273 @@
+//! Lets admitted requests go to targets in the order of the queue.
+//!
+//! The thread of a request waits on a channel for its turn. Turns are given
+//! while the targets in reach can start the work within its promise.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
+use std::time::{Duration, Instant};
+
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_core::board::{Board, Known};
+use mimosapass_core::config::{Class, Pool, TargetKind};
+use mimosapass_core::error::{Failure, Kind};
+use mimosapass_core::forecast::Forecast;
+use mimosapass_core::ids::{ClassId, WorkspaceId};
+use mimosapass_core::labels::matches;
+use mimosapass_core::queue::{LaneId, Pushed, Queue, Rules, Ticket, Waiting};
+use mimosapass_core::route;
+use mimosapass_operator::document::Document;
+
+use crate::flow::admit::Admitted;
+use crate::node::{Node, State};
+use crate::story::Story;
+
+/// Time between two looks at whether targets have room.
+const TICK: Duration = Duration::from_millis(20);
+/// Time between two looks at whether the caller is still there.
+const LOOK: Duration = Duration::from_millis(250);
+/// Calls of one instance that a target of a plain service gets at once.
+const CALLS: u32 = 64;
+
+/// What a request is going to do.
+#[derive(Clone, Copy, Debug)]
+pub struct Work<'a> {
+    /// Kind of target.
+    pub kind: TargetKind,
+    /// Model or service.
+    pub name: &'a str,
+    /// Estimated length of the prompt, in tokens; 0 for services.
+    pub tokens: u64,
+}
+
+/// What the requests of one lane ask for.
+#[derive(Clone, Debug)]
+struct Asked {
+    document: Arc<Document>,
+    class: Class,
+    kind: TargetKind,
+    name: Arc<str>,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    sender: SyncSender<Result<(), Failure>>,
+    forecast: Forecast,
+}
+
+/// Requests of one instance that wait for their turn.
+#[derive(Debug, Default)]
+pub struct Turns {
+    queue: Queue,
+    lanes: BTreeMap<LaneId, Asked>,
+    waiters: BTreeMap<Ticket, Waiter>,
+    next: Ticket,
+}
+
+impl Turns {
+    fn end(&mut self, ticket: Ticket, turn: Result<(), Failure>) {
+        if let Some(waiter) = self.waiters.remove(&ticket) {
+            // A request that gave up in this very moment has no use for it.
+            waiter.sender.try_send(turn).unwrap_or_default();
+        }
+    }
+}
+
+/// Waits until the request may go to a target.
+///
+/// # Errors
+///
+/// [`Kind::TooLate`] or [`Kind::QueueFull`] at once, [`Kind::QueueTimeout`]
+/// when the deadline passes, [`Kind::CallerGone`].
+pub fn wait(
+    node: &Arc<Node>,
+    exchange: &Exchange<'_>,
+    admitted: &Admitted,
+    work: Work<'_>,
+    story: &mut Story,
+) -> Result<(), Failure> {
+    let id = LaneId { class: ClassId::clone(&admitted.class.name), work: work.name.into() };
+    let Some((ticket, inbox)) = enter(node, admitted, &id, work)? else { return Ok(()) };
+    let begun = Instant::now();
+    let turn = follow(&inbox, exchange, admitted);
+    let mut state = node.state();
+    let forecast = state.turns.waiters.remove(&ticket).map(|w| w.forecast).unwrap_or_default();
+    state.turns.queue.remove(&id, admitted.workspace(), ticket);
+    drop(state);
+    story.steps.push(format!("queue: {} ms", begun.elapsed().as_millis()));
+    turn.unwrap_or_else(|| Err(forecast.timeout(rand::random())))
+}
+
+/// Returns the turn of a waiting request, or `None` when its deadline passed.
+fn follow(
+    inbox: &Receiver<Result<(), Failure>>,
+    exchange: &Exchange<'_>,
+    admitted: &Admitted,
+) -> Option<Result<(), Failure>> {
+    loop {
+        match inbox.recv_timeout(LOOK.min(admitted.left())) {
+            Ok(turn) => return Some(turn),
+            Err(RecvTimeoutError::Disconnected) => return None,
+            Err(RecvTimeoutError::Timeout) if admitted.left().is_zero() => return None,
+            Err(RecvTimeoutError::Timeout) if exchange.caller_gone() => {
+                return Some(Err(Failure::new(Kind::CallerGone, "the caller went away")));
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+        }
+    }
+}
+
+type Entered = Option<(Ticket, Receiver<Result<(), Failure>>)>;
+
+/// Puts a request into its queue; `None` means that it may go at once.
+fn enter(
+    node: &Node,
+    admitted: &Admitted,
+    id: &LaneId,
+    work: Work<'_>,
+) -> Result<Entered, Failure> {
+    let asked = Asked {
+        document: Arc::clone(&admitted.document),
+        class: admitted.class.clone(),
+        kind: work.kind,
+        name: work.name.into(),
+    };
+    let share = asked.document.config.workspace(admitted.workspace()).map_or(1, |w| w.share);
+    let class = &admitted.class;
+    let rules = Rules { priority: class.priority, most: class.queue };
+    let chance = rand::random();
+    let now = Instant::now();
+    let mut state = node.state();
+    let survey = Survey::of(&state.board, node, &asked, work.tokens, now);
+    if survey.closed {
+        // The choice of a target says why there is none.
+        return Ok(None);
+    }
+    let turns = &mut state.turns;
+    turns.next += 1;
+    let waiting = Waiting {
+        ticket: turns.next,
+        workspace: WorkspaceId::from(admitted.workspace()),
+        share,
+        cost: work.tokens.max(1),
+        came: now,
+    };
+    let ahead = turns.queue.ahead(id, rules.priority, &waiting);
+    let forecast = Forecast { first: survey.first, ahead, speed: survey.speed };
+    forecast.check(admitted.left(), chance)?;
+    if turns.queue.is_empty() && survey.room > 0 {
+        return Ok(None);
+    }
+    let ticket = waiting.ticket;
+    match turns.queue.push(id, rules, waiting) {
+        Pushed::Full => return Err(forecast.full(rules.most, chance)),
+        Pushed::Displaced(other) => turns.end(other, Err(forecast.full(rules.most, chance))),
+        Pushed::Queued => {}
+    }
+    let (sender, inbox) = sync_channel(1);
+    turns.waiters.insert(ticket, Waiter { sender, forecast });
+    turns.lanes.insert(id.clone(), asked);
+    Ok(Some((ticket, inbox)))
+}
+
+/// Gives turns for as long as the process lives.
+pub fn run(node: &Arc<Node>) {
+    let ticks = node.timer.subscribe(TICK);
+    while ticks.recv().is_ok() {
+        give(node, &mut node.state());
+    }
+}
+
+/// Gives as many turns as there are targets with room.
+///
+/// What was just granted is not on the board yet, so no target gets a second
+/// request before the next look.
+fn give(node: &Node, state: &mut State) {
+    let now = Instant::now();
+    let State { board, turns, .. } = state;
+    if turns.queue.is_empty() {
+        turns.lanes.clear();
+        return;
+    }
+    let survey = |asked: &Asked| Survey::of(board, node, asked, 0, now);
+    let mut rooms: BTreeMap<LaneId, usize> =
+        turns.lanes.iter().map(|(id, asked)| (id.clone(), survey(asked).turns())).collect();
+    while let Some((id, waiting)) =
+        turns.queue.grant(|id, _| rooms.get(id).is_some_and(|room| *room > 0))
+    {
+        turns.end(waiting.ticket, Ok(()));
+        let shared = rooms.iter_mut().filter(|(other, _)| other.work == id.work);
+        shared.for_each(|(_, room)| *room = room.saturating_sub(1));
+    }
+}
+
+/// What the targets in reach can do for one kind of work.
+#[derive(Clone, Copy, Debug)]
+struct Survey {
+    closed: bool,
+    room: usize,
+    first: Duration,
+    speed: u64,
+}
+
+impl Survey {
+    fn of(board: &Board, node: &Node, asked: &Asked, tokens: u64, now: Instant) -> Self {
+        let pools = asked.pools();
+        let fits = |k: &&Known| {
+            k.listed.kind == asked.kind
+                && k.open(now)
+                && pools.iter().any(|p| matches(&p.select, &k.listed.labels))
+        };
+        let all: Vec<&Known> = board.all().filter(fits).collect();
+        let home: Vec<&Known> =
+            all.iter().copied().filter(|k| k.listed.zone == node.zone).collect();
+        let near = if home.is_empty() { all } else { home };
+        let promise = asked.class.promise();
+        Self {
+            closed: near.is_empty(),
+            room: near.iter().filter(|k| has_room(k, promise)).count(),
+            first: near.iter().map(|k| first(k, tokens)).min().unwrap_or_default(),
+            speed: near.iter().map(|k| k.report.speed).sum(),
+        }
+    }
+
+    /// Returns how many turns may be given now.
+    ///
+    /// Without a target all may go: they are told so at once.
+    fn turns(&self) -> usize {
+        if self.closed { usize::MAX } else { self.room }
+    }
+}
+
+impl Asked {
+    fn pools(&self) -> Vec<&Pool> {
+        let config = &self.document.config;
+        match self.kind {
+            TargetKind::Engine => config.pools_for(&self.class, &self.name).collect(),
+            TargetKind::Service => {
+                let pool = config.service(&self.name).map(|s| &s.pool);
+                config.pools.iter().filter(|p| Some(&p.name) == pool).collect()
+            }
+        }
+    }
+}
+
+/// Returns whether a target can start work well within the promise.
+fn has_room(known: &Known, promise: Duration) -> bool {
+    if known.listed.kind == TargetKind::Service {
+        return known.own_running < CALLS;
+    }
+    let running = known.report.running.max(known.own_running);
+    // A report lags, so an engine may queue a quarter more than its slots.
+    let slots = known.report.slots + known.report.slots / 4;
+    (slots == 0 || running < slots) && first(known, 0) <= promise / 2
+}
+
+/// Returns the estimated time to first token; zero before the first report.
+fn first(known: &Known, tokens: u64) -> Duration {
+    if known.report.speed == 0 {
+        return Duration::ZERO;
+    }
+    Duration::from_millis(route::wait_ms(known, tokens))
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -21,6 +21,7 @@
 use mimosapass_platform::pacing::Paced;
 use ureq::Agent;
 
+use crate::flow::turn::Turns;
 use crate::metrics::Metrics;
 use crate::parts::contacts::{Contacts, answers};
 use crate::parts::reclaim::Freed;
@@ -62,6 +63,8 @@
     pub ratios: Ratios,
     /// Retry budget.
     pub budget: Budget,
+    /// Requests that wait for their turn.
+    pub turns: Turns,
     /// Requests in flight by workspace.
     pub flight: BTreeMap<WorkspaceId, usize>,
 }
@@ -130,6 +133,7 @@
             members: Vec::new(),
             ratios: Ratios::default(),
             budget: Budget::default(),
+            turns: Turns::default(),
             flight: BTreeMap::new(),
         };
         Self {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -12,7 +12,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use crate::flow::entry;
+use crate::flow::{entry, turn};
 use crate::node::Node;
 use crate::parts::records::{self, Records};
 use crate::parts::{configure, listing, peers, poll, reclaim, spawn};
@@ -47,6 +47,7 @@
     part("configure", configure::run)?;
     part("listing", listing::run)?;
     part("poll", poll::run)?;
+    part("turns", turn::run)?;
     let listening = Arc::clone(&node);
     spawn("listen", move || peers::listen(&listening, &inbox))?;
     let reclaiming = Arc::clone(&node);
