--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -1,8 +1,10 @@
 //! One request and the ways to answer it.
 
+use std::cell::Cell;
 use std::io::{self, Write};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, TcpStream};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use chunked_transfer::Encoder;
@@ -13,6 +15,9 @@
 /// Flags of Linux: look without taking, and do not wait.
 const PEEK: i32 = 0x02 | 0x40;
 
+/// Least time that one write may block, however late the request is.
+const LEAST_WRITE: Duration = Duration::from_millis(100);
+
 /// Name and value of a response header.
 pub type Header = (&'static str, String);
 
@@ -26,6 +31,8 @@
     encoder: Option<Encoder<&'a TcpStream>>,
     close: bool,
     state: State,
+    end: Cell<Option<Instant>>,
+    limit: Option<Duration>,
 }
 
 impl std::fmt::Debug for Exchange<'_> {
@@ -47,13 +54,29 @@
 
 impl<'a> Exchange<'a> {
     pub(crate) fn new(head: Head, body: Bytes, stream: &'a TcpStream, close: bool) -> Self {
-        Self { head, body, stream, encoder: None, close, state: State::Open }
+        let limit = stream.write_timeout().unwrap_or_default();
+        let end = Cell::new(None);
+        Self { head, body, stream, encoder: None, close, state: State::Open, end, limit }
     }
 
     pub(crate) fn reusable(&self) -> bool {
         self.state == State::Whole && !self.close
     }
 
+    /// Bounds all writes by the deadline of the request.
+    ///
+    /// A caller that reads too slowly fails a write soon after `end`.
+    pub fn until(&self, end: Instant) {
+        self.end.set(Some(end));
+    }
+
+    /// Sets the time that the next write may block.
+    fn arm(&self) -> io::Result<()> {
+        let Some(end) = self.end.get() else { return Ok(()) };
+        let left = end.saturating_duration_since(Instant::now()).max(LEAST_WRITE);
+        self.stream.set_write_timeout(Some(self.limit.map_or(left, |most| most.min(left))))
+    }
+
     /// Returns whether no answer was begun.
     pub fn unanswered(&self) -> bool {
         self.state == State::Open
@@ -82,6 +105,7 @@
     fn write(&mut self, mut head: String, body: &[u8]) -> io::Result<()> {
         push(&mut head, "content-length", &body.len().to_string());
         head.push_str("\r\n");
+        self.arm()?;
         let mut stream = self.stream;
         stream.write_all(head.as_bytes())?;
         if self.head.method != "HEAD" {
@@ -123,6 +147,7 @@
         self.state = State::Broken;
         let mut head = self.start(status, headers);
         head.push_str("transfer-encoding: chunked\r\n\r\n");
+        self.arm()?;
         let mut stream = self.stream;
         stream.write_all(head.as_bytes())?;
         self.encoder = Some(Encoder::with_flush_after_write(self.stream));
@@ -136,6 +161,7 @@
     /// Fails when the caller went away, reads too slowly, or when no streamed
     /// answer was begun.
     pub fn send(&mut self, piece: &[u8]) -> io::Result<()> {
+        self.arm()?;
         let encoder = self.encoder.as_mut().ok_or(io::ErrorKind::NotConnected)?;
         encoder.write_all(piece)
     }
@@ -165,6 +191,10 @@
     /// The encoder writes its closing chunk when it is dropped, right after
     /// this. Without the shutdown a truncated answer would look whole.
     fn drop(&mut self) {
+        if self.end.get().is_some() {
+            // The next request on the connection starts with the whole limit.
+            self.stream.set_write_timeout(self.limit).unwrap_or_default();
+        }
         if self.encoder.is_some() {
             self.stream.shutdown(Shutdown::Both).unwrap_or_default();
         }
--- a/src/flow/admit.rs
+++ b/src/flow/admit.rs
@@ -115,6 +115,7 @@
     let time = deadline(exchange)?.unwrap_or_else(|| class.deadline());
     let start = Instant::now();
     let place = enter(node, &space.name, space.in_flight)?;
+    exchange.until(start + time);
     let id = id.to_owned();
     let document = Arc::clone(document);
     Ok(Admitted { document, class, id, start, end: start + time, place })
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -269,6 +269,14 @@
     }
 }
 
+/// Returns how many requests of an instance ended with this outcome.
+pub fn ended(instance: &Instance, outcome: &str) -> u64 {
+    let prefix = format!("mimosapass_requests_total{{outcome=\"{outcome}\"}} ");
+    let Ok(mut page) = agent().get(instance.page("/metrics")).call() else { return 0 };
+    let text = page.body_mut().read_to_string().unwrap_or_default();
+    text.lines().find_map(|l| l.strip_prefix(&prefix)?.parse().ok()).unwrap_or(0)
+}
+
 /// Waits until something holds.
 pub fn until(what: &str, holds: impl Fn() -> bool) {
     within(PATIENCE, what, holds);
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,9 +2,11 @@
 
 mod common;
 mod configuration;
+mod deadline;
 mod once;
 mod path;
 mod refusals;
 mod settings;
 mod stop;
 mod trace;
+mod turns;
--- /dev/null
+++ b/tests/suite/turns.rs
@@ -0,0 +1,128 @@
+//! Requests wait for their turn, or are refused at once with a time to come back.
+
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use mimosapass_standin::engine::{Engine, Faults, Settings};
+
+use crate::common::{CONFIG, Fleet, Seen, agent, chat, ended, post, status, until};
+
+/// Headers with a workspace and a deadline in milliseconds.
+type Stated = [(&'static str, &'static str); 2];
+
+const LARGE: Stated = [("mimosapass-workspace", "atlas"), ("mimosapass-deadline-ms", "20000")];
+const SMALL: Stated = [("mimosapass-workspace", "dokaz"), ("mimosapass-deadline-ms", "20000")];
+const HASTY: Stated = [("mimosapass-workspace", "atlas"), ("mimosapass-deadline-ms", "700")];
+
+/// A fleet of one engine that runs one request at a time, with two waiting.
+fn fleet(settings: Settings) -> Fleet {
+    let mut fleet = Fleet::new(&[("zone-a", settings)]);
+    let config = CONFIG.replace("deadline_ms: 20000", "deadline_ms: 20000\n    queue: 2");
+    fleet.apply(&format!("{config}  - name: dokaz\n"));
+    fleet.start("zone-a", "");
+    fleet.settle();
+    let reported = |t: &serde_json::Value| t["free"].as_u64().is_some_and(|free| free > 0);
+    until("the engine has reported", || {
+        let status = status(&fleet.instances[0]);
+        status["targets"].as_array().is_some_and(|all| all.iter().any(reported))
+    });
+    fleet
+}
+
+fn narrow() -> Settings {
+    Settings { slots: 1, ..Settings::default() }
+}
+
+fn code(seen: &Seen) -> String {
+    let body = seen.body.as_deref().unwrap_or_default();
+    let value: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+    value["error"]["code"].as_str().unwrap_or("ok").to_owned()
+}
+
+fn ask(fleet: &Fleet, stated: Stated) -> Seen {
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    post(&url, &stated, &chat(10, 1, false)).expect("an answer")
+}
+
+fn begin(fleet: &Fleet, stated: Stated) -> JoinHandle<Seen> {
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    thread::spawn(move || post(&url, &stated, &chat(10, 1, false)).expect("an answer"))
+}
+
+/// Occupies the only slot until the engine's faults change.
+fn occupy(fleet: &Fleet) -> (&Engine, JoinHandle<Seen>) {
+    let engine = &fleet.engines[0].1;
+    engine.set(Faults { hold_from: Some(0), ..Faults::default() });
+    let first = begin(fleet, LARGE);
+    until("the slot is taken", || engine.runs() == 1);
+    (engine, first)
+}
+
+#[test]
+fn what_cannot_meet_its_deadline_is_refused_at_once() {
+    let fleet = fleet(Settings { speed: 1_000, ..Settings::default() });
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    let headers = [("mimosapass-deadline-ms", "10000")];
+    // Twenty seconds of prefill do not fit into ten; ten more would do.
+    let seen = post(&url, &headers, &chat(20_000, 1, false)).expect("an answer");
+    assert_eq!((code(&seen).as_str(), seen.status, seen.not_run), ("too_late", 503, true));
+    assert!(seen.retry.is_some_and(|s| (10..=17).contains(&s)), "{seen:?}");
+    assert_eq!(fleet.engines[0].1.runs(), 0);
+    assert_eq!(post(&url, &headers, &chat(100, 1, false)).expect("an answer").status, 200);
+}
+
+#[test]
+fn a_full_queue_refuses_at_once_and_loses_nobody() {
+    let fleet = fleet(narrow());
+    let (engine, first) = occupy(&fleet);
+    let mut waiting = vec![begin(&fleet, LARGE), begin(&fleet, LARGE), begin(&fleet, LARGE)];
+    // Two wait; whichever came last is told at once.
+    until("one is refused", || waiting.iter().any(JoinHandle::is_finished));
+    let at = waiting.iter().position(JoinHandle::is_finished).expect("one is");
+    let refused = waiting.remove(at).join().expect("an answer");
+    assert_eq!((code(&refused).as_str(), refused.status), ("queue_full", 429));
+    assert!(refused.not_run && refused.retry.is_some(), "{refused:?}");
+    // A workspace below its share takes the place of the newest.
+    waiting.push(begin(&fleet, SMALL));
+    until("one is displaced", || waiting.iter().any(JoinHandle::is_finished));
+    let at = waiting.iter().position(JoinHandle::is_finished).expect("one is");
+    assert_ne!(at, 2, "the small one was refused");
+    let displaced = waiting.remove(at).join().expect("an answer");
+    assert_eq!((code(&displaced).as_str(), displaced.not_run), ("queue_full", true));
+    engine.set(Faults::default());
+    let rest = std::iter::once(first).chain(waiting).map(|w| w.join().expect("an answer").status);
+    assert_eq!(rest.collect::<Vec<_>>(), [200, 200, 200]);
+    assert_eq!(engine.runs(), 3);
+}
+
+#[test]
+fn a_deadline_that_passes_in_the_queue_is_a_true_refusal() {
+    let fleet = fleet(narrow());
+    let (engine, first) = occupy(&fleet);
+    let seen = ask(&fleet, HASTY);
+    assert_eq!((code(&seen).as_str(), seen.status, seen.not_run), ("queue_timeout", 503, true));
+    assert!(seen.retry.is_some_and(|s| s >= 1), "{seen:?}");
+    engine.set(Faults::default());
+    assert_eq!(first.join().expect("an answer").status, 200);
+    assert_eq!(ask(&fleet, LARGE).status, 200);
+    assert_eq!(engine.runs(), 2);
+}
+
+#[test]
+fn a_caller_that_went_away_gives_its_place_back() {
+    let fleet = fleet(narrow());
+    let (engine, first) = occupy(&fleet);
+    let request = agent().post(fleet.instances[0].url("/v1/chat/completions"));
+    let request = request.header("mimosapass-workspace", "atlas");
+    let request = request.config().timeout_global(Some(Duration::from_millis(300))).build();
+    assert!(request.send(chat(10, 1, false)).is_err(), "no answer came in time");
+    // It ends while the slot is still taken.
+    until("it left the queue", || ended(&fleet.instances[0], "caller_gone") == 1);
+    // Both places of the queue are free.
+    let waiting = [begin(&fleet, LARGE), begin(&fleet, LARGE)];
+    thread::sleep(Duration::from_millis(300));
+    engine.set(Faults::default());
+    assert_eq!(first.join().expect("an answer").status, 200);
+    assert_eq!(waiting.map(|w| w.join().expect("an answer").status), [200, 200]);
+    assert_eq!(engine.runs(), 3);
+}
