--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use mimosapass_operator::{document, store};
@@ -56,11 +56,16 @@
 ";
 
 /// Returns an address that no other test uses.
+///
+/// One process has 1000 of them, more than one octet can tell apart.
 pub fn fresh_ip() -> Ipv4Addr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let count = u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
+    assert!(count < 1000, "no address is left");
     let pid = std::process::id();
-    let (high, low) = ((pid / 250) % 250, pid % 250);
-    Ipv4Addr::new(127, high as u8 + 1, low as u8 + 1, NEXT.fetch_add(1, Ordering::Relaxed))
+    let high = (pid / 250) % 60 + 60 * (count / 250);
+    let [high, low, own] = [high + 1, pid % 250 + 1, count % 250 + 1].map(|octet| octet as u8);
+    Ipv4Addr::new(127, high, low, own)
 }
 
 /// An instance that runs as a process.
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,6 +3,8 @@
 mod common;
 mod configuration;
 mod deadline;
+mod leaving;
+mod membership;
 mod once;
 mod path;
 mod refusals;
--- a/tests/suite/once.rs
+++ b/tests/suite/once.rs
@@ -1,5 +1,6 @@
 //! A non-idempotent request runs at most once.
 
+use std::cell::RefCell;
 use std::thread;
 use std::time::Duration;
 
@@ -37,8 +38,14 @@
 
 /// Repeats until the answer has this code, and returns that answer.
 fn repeat(fleet: &Fleet, instance: usize, wanted: &str) -> Seen {
-    until(wanted, || code(&book(fleet, instance, &[])) == wanted);
-    book(fleet, instance, &[])
+    let last = RefCell::new(None);
+    until(wanted, || {
+        let seen = book(fleet, instance, &[]);
+        let found = code(&seen) == wanted;
+        *last.borrow_mut() = Some(seen);
+        found
+    });
+    last.into_inner().expect("an answer")
 }
 
 /// Returns how often records were written.
