--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -94,13 +94,30 @@
     }
 }
 
-/// Returns the revision at which `want` must be written after a conflict.
+/// What is left to do for a record after a conflict.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Left {
+    /// It is settled.
+    Nothing,
+    /// Write it at this revision.
+    Write(Revision),
+    /// The read was older than the conflict: read again.
+    Read,
+}
+
+/// Tells what is left to do for `want` after a conflict at revision `told`.
 ///
-/// `None` means that it is settled. The first try is made at the revision of
-/// the last write, found or in doubt: either it moves the key, so that a late
-/// write of ours cannot take effect any more, or its conflict shows that the
-/// key has moved already. What is left is our record, if it stands there.
-pub fn settle(want: &Record, found: Option<(Revision, &Record)>) -> Option<Revision> {
-    let (at, record) = found?;
-    (record.token == want.token && record.state == State::Sending).then_some(at)
+/// The first try is made at the revision of the last write, found or in
+/// doubt: either it moves the key, so that a late write of ours cannot take
+/// effect any more, or its conflict shows that the key has moved already.
+/// What is left is our record, if it stands there.
+pub fn settle(want: &Record, told: Revision, found: Option<(Revision, &Record)>) -> Left {
+    match found {
+        Some((at, _)) if at < told => Left::Read,
+        None if told > 0 => Left::Read,
+        Some((at, record)) if record.token == want.token && record.state == State::Sending => {
+            Left::Write(at)
+        }
+        _ => Left::Nothing,
+    }
 }
--- a/crates/core/tests/claim.rs
+++ b/crates/core/tests/claim.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use mimosapass_core::claim::{Claim, End, Step, Wrote, settle};
+use mimosapass_core::claim::{Claim, End, Left, Step, Wrote, settle};
 use mimosapass_core::once::{Outcome, Record, State, Verdict, decide, digest, key};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -35,10 +35,19 @@
     lands: bool,
     /// Ends without another step.
     dies: bool,
+    /// Reads an old value after a conflict.
+    stale: bool,
 }
 
-const CALM: Turn =
-    Turn { actor: 0, fate: Fate::Ok, runs: true, gives_up: false, lands: false, dies: false };
+const CALM: Turn = Turn {
+    actor: 0,
+    fate: Fate::Ok,
+    runs: true,
+    gives_up: false,
+    lands: false,
+    dies: false,
+    stale: false,
+};
 
 #[derive(Debug)]
 enum Actor {
@@ -59,6 +68,7 @@
 struct Cell {
     revision: u64,
     stored: Option<(u64, Record)>,
+    former: Option<(u64, Record)>,
     late: Vec<(u64, Record)>,
 }
 
@@ -83,7 +93,7 @@
             return Wrote::Conflict;
         }
         self.revision += 1;
-        self.stored = Some((self.revision, record.clone()));
+        self.former = self.stored.replace((self.revision, record.clone()));
         Wrote::Done(self.revision)
     }
 
@@ -93,8 +103,14 @@
         }
     }
 
-    fn found(&self) -> Option<(u64, &Record)> {
-        self.stored.as_ref().map(|(at, r)| (*at, r))
+    /// Reads the cell; a late answer is the value before the last write.
+    fn found(&self, fate: Fate) -> Option<(u64, &Record)> {
+        let read = if matches!(fate, Fate::Late) { &self.former } else { &self.stored };
+        read.as_ref().map(|(at, r)| (*at, r))
+    }
+
+    fn at(&self) -> u64 {
+        self.stored.as_ref().map_or(0, |(at, _)| *at)
     }
 }
 
@@ -112,7 +128,7 @@
         Actor::Claiming { .. } | Actor::Settling { .. } if turn.dies => (Actor::Dead, false),
         Actor::Claiming { claim, step } if turn.gives_up => (give_up(&claim, &step), false),
         Actor::Claiming { claim, step } => claiming(claim, step, cell, turn),
-        Actor::Settling { want, expected } => (settling(want, expected, cell, turn.fate), false),
+        Actor::Settling { want, expected } => (settling(want, expected, cell, turn), false),
         ended => (ended, false),
     };
     *actor = next;
@@ -122,8 +138,7 @@
 fn give_up(claim: &Claim, step: &Step) -> Actor {
     let written = match step {
         Step::End(End::Won(revision)) => Some(*revision),
-        Step::End(End::Lost(_)) => None,
-        Step::End(End::Unavailable) | Step::Get | Step::Put(_) => claim.doubt(),
+        Step::End(End::Lost(_) | End::Unavailable) | Step::Get | Step::Put(_) => claim.doubt(),
     };
     match written {
         Some(expected) => Actor::Settling { want: with(claim.mine(), State::Unsent), expected },
@@ -137,7 +152,9 @@
             let wrote = cell.put(at, claim.mine(), turn.fate);
             claim.wrote(wrote)
         }
-        Step::Get if matches!(turn.fate, Fate::Ok) => claim.found(cell.found(), 0),
+        Step::Get if matches!(turn.fate, Fate::Ok | Fate::Late) => {
+            claim.found(cell.found(turn.fate), 0)
+        }
         Step::Get => Step::Get,
         Step::End(End::Won(revision)) => {
             let state = if turn.runs { State::Ran(200) } else { State::Unsent };
@@ -149,13 +166,17 @@
     (Actor::Claiming { claim, step }, false)
 }
 
-fn settling(want: Record, expected: u64, cell: &mut Cell, fate: Fate) -> Actor {
-    match cell.put(expected, &want, fate) {
+fn settling(want: Record, expected: u64, cell: &mut Cell, turn: Turn) -> Actor {
+    match cell.put(expected, &want, turn.fate) {
         Wrote::Done(_) => Actor::Ended,
-        Wrote::Conflict => match settle(&want, cell.found()) {
-            Some(expected) => Actor::Settling { want, expected },
-            None => Actor::Ended,
-        },
+        Wrote::Conflict => {
+            let read = if turn.stale { Fate::Late } else { Fate::Ok };
+            match settle(&want, cell.at(), cell.found(read)) {
+                Left::Write(expected) => Actor::Settling { want, expected },
+                Left::Nothing => Actor::Ended,
+                Left::Read => Actor::Settling { want, expected },
+            }
+        }
         Wrote::Not | Wrote::Unknown => Actor::Settling { want, expected },
     }
 }
@@ -180,16 +201,16 @@
         1 => Just(Fate::Out)
     ];
     let rare = || prop::bool::weighted(0.1);
-    (0..actors, fate, any::<bool>(), rare(), rare(), prop::bool::weighted(0.02)).prop_map(
-        |(actor, fate, runs, gives_up, lands, dies)| Turn {
+    (0..actors, fate, any::<bool>(), rare(), rare(), prop::bool::weighted(0.02), any::<bool>())
+        .prop_map(|(actor, fate, runs, gives_up, lands, dies, stale)| Turn {
             actor,
             fate,
             runs,
             gives_up,
             lands,
             dies,
-        },
-    )
+            stale,
+        })
 }
 
 fn config() -> ProptestConfig {
--- a/src/flow/once.rs
+++ b/src/flow/once.rs
@@ -63,7 +63,7 @@
         let claim = Claim::new(mine);
         let mut pending = Self { node: Arc::clone(node), key, claim, step: Step::Get, end };
         let found = pending.read(pending.limit()).map_err(|e| unavailable(&e.to_string()))?;
-        pending.step = pending.found(found)?;
+        pending.step = pending.found(found);
         match pending.step.clone() {
             Step::End(end) => Err(halt(end)),
             Step::Get | Step::Put(_) => Ok(pending),
@@ -79,7 +79,7 @@
         let until = self.limit();
         let lease =
             self.node.records.lease(&self.node.kv, left(until)).map_err(|e| unavailable(&e))?;
-        let end = self.drive(until, lease)?;
+        let end = self.drive(until, lease);
         let job = |revision| Job {
             key: self.key.clone(),
             record: self.claim.mine().clone(),
@@ -88,7 +88,7 @@
         };
         let End::Won(revision) = end else {
             // The write may still take effect; it must not block the next try.
-            if let (End::Unavailable, Some(revision)) = (&end, self.claim.doubt()) {
+            if let Some(revision) = self.claim.doubt() {
                 self.node.records.settle(job(revision), State::Unsent);
             }
             return Err(halt(end));
@@ -102,23 +102,23 @@
         Ok(Arc::new(guard))
     }
 
-    fn drive(&mut self, until: Instant, lease: Lease) -> Result<End, Halt> {
+    fn drive(&mut self, until: Instant, lease: Lease) -> End {
         let mut step = self.step.clone();
         while !left(until).is_zero() {
             step = match step {
-                Step::End(end) => return Ok(end),
+                Step::End(end) => return end,
                 Step::Put(revision) => self.write(revision, until, lease),
                 Step::Get => match self.read(until) {
-                    Ok(found) => self.found(found)?,
+                    Ok(found) => self.found(found),
                     Err(KvError::Unknown(_)) => Step::Get,
                     Err(_) => Step::End(End::Unavailable),
                 },
             };
         }
-        Ok(match step {
+        match step {
             Step::End(end) => end,
             Step::Get | Step::Put(_) => End::Unavailable,
-        })
+        }
     }
 
     fn write(&mut self, revision: u64, until: Instant, lease: Lease) -> Step {
@@ -141,13 +141,15 @@
         self.node.kv.within(left(until)).get(&self.key)
     }
 
-    fn found(&mut self, found: Option<Entry>) -> Result<Step, Halt> {
-        let Some(entry) = found else { return Ok(self.claim.found(None, millis())) };
-        let record = serde_json::from_str(&entry.value).map_err(|e| {
-            let text = format!("the record cannot be read: {e}");
-            Halt::Refuse(Failure::new(Kind::OutcomeUnknown, text))
-        })?;
-        Ok(self.claim.found(Some((entry.revision, &record)), millis()))
+    fn found(&mut self, found: Option<Entry>) -> Step {
+        let Some(entry) = found else { return self.claim.found(None, millis()) };
+        match serde_json::from_str(&entry.value) {
+            Ok(record) => self.claim.found(Some((entry.revision, &record)), millis()),
+            Err(e) => {
+                log::error!("once: the record {} cannot be read: {e}.", self.key);
+                Step::End(End::Lost(Verdict::OutcomeUnknown))
+            }
+        }
     }
 
     /// Returns when a claim is given up: it gets at most half of what is left.
--- a/src/parts/records.rs
+++ b/src/parts/records.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use mimosapass_core::claim::settle;
+use mimosapass_core::claim::{Left, settle};
 use mimosapass_core::once::{KEEP, Record, Revision, SLOT, State};
 use mimosapass_platform::kv::{Kv, KvError, LeaseId};
 
@@ -135,12 +135,20 @@
 fn attempt(kv: &Kv, job: &Job) -> Result<Option<Revision>, KvError> {
     let text = serde_json::to_string(&job.record).unwrap_or_default();
     match kv.put(&job.key, &text, job.revision, Some(job.lease)) {
-        Ok(_) => return Ok(None),
-        Err(KvError::Conflict(_)) => {}
-        Err(e) => return Err(e),
+        Ok(_) => Ok(None),
+        Err(KvError::Conflict(told)) => after(kv, job, told),
+        Err(e) => Err(e),
     }
+}
+
+/// Returns the revision for the next write after a conflict at `told`.
+fn after(kv: &Kv, job: &Job, told: Revision) -> Result<Option<Revision>, KvError> {
     let found = kv.get(&job.key)?;
     let record: Option<(Revision, Record)> =
         found.and_then(|e| Some((e.revision, serde_json::from_str(&e.value).ok()?)));
-    Ok(settle(&job.record, record.as_ref().map(|(at, r)| (*at, r))))
+    match settle(&job.record, told, record.as_ref().map(|(at, r)| (*at, r))) {
+        Left::Nothing => Ok(None),
+        Left::Write(revision) => Ok(Some(revision)),
+        Left::Read => Err(KvError::Unknown("the read was stale".to_owned())),
+    }
 }
