--- a/src/flow/service.rs
+++ b/src/flow/service.rs
@@ -123,7 +123,10 @@
         let pending = Pending::look(self.node, subject, self.admitted.end);
         let claimed = pending.and_then(|pending| {
             self.turn(story).map_err(Halt::Refuse)?;
-            pending.win()
+            story.trace.hop("record", "a non-idempotent call needs its record first");
+            let claimed = pending.win();
+            story.trace.leave(if claimed.is_ok() { "ok" } else { "not to be sent" });
+            claimed
         });
         match claimed {
             Ok(guard) => {
@@ -221,6 +224,10 @@
                 Err(RecvTimeoutError::Timeout) if self.admitted.left().is_zero() => {
                     return Err(Failed::Deadline);
                 }
+                Err(RecvTimeoutError::Timeout) if self.node.ending() => {
+                    let text = "the instance was made to end".to_owned();
+                    return Err(Failed::Fault(Fault::Broken(text)));
+                }
                 Err(RecvTimeoutError::Timeout) if self.exchange.caller_gone() => {
                     return Err(Failed::Gone);
                 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 use mimosapass_core::estimate::Ratios;
 use mimosapass_core::ids::{InstanceId, WorkspaceId, ZoneId};
 use mimosapass_core::join::{Join, Wait};
+use mimosapass_core::memory::Claims;
 use mimosapass_core::summary::Summaries;
 use mimosapass_core::version::{Gate, Head};
 use mimosapass_core::view::{Beat, View};
@@ -24,6 +25,7 @@
 use crate::flow::turn::Turns;
 use crate::metrics::Metrics;
 use crate::parts::contacts::{Contacts, answers};
+use crate::parts::groups::Groups;
 use crate::parts::reclaim::Freed;
 use crate::parts::records::Records;
 use crate::settings::Settings;
@@ -67,6 +69,8 @@
     pub turns: Turns,
     /// Requests in flight by workspace.
     pub flight: BTreeMap<WorkspaceId, usize>,
+    /// Claims on the memory of engines.
+    pub claims: Claims,
 }
 
 /// One instance, shared by its parts.
@@ -100,10 +104,13 @@
     pub stories: Stories,
     /// Attempts whose memory has to be freed.
     pub freed: Sender<Freed>,
+    /// Requests for groups of engines.
+    pub groups: Groups,
     /// Idempotency records that wait to be settled.
     pub records: Records,
     state: Mutex<State>,
     stopping: AtomicBool,
+    ending: AtomicBool,
     counter: AtomicU64,
 }
 
@@ -135,6 +142,7 @@
             budget: Budget::default(),
             turns: Turns::default(),
             flight: BTreeMap::new(),
+            claims: Claims::default(),
         };
         Self {
             name,
@@ -150,9 +158,11 @@
             metrics: Metrics::new(),
             stories: Stories::default(),
             freed,
+            groups: Groups::default(),
             records,
             state: Mutex::new(state),
             stopping: AtomicBool::new(false),
+            ending: AtomicBool::new(false),
             counter: AtomicU64::new(0),
             settings,
         }
@@ -231,6 +241,16 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// Makes all requests end with a failure.
+    pub fn end(&self) {
+        self.ending.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether requests have to end now.
+    pub fn ending(&self) -> bool {
+        self.ending.load(Ordering::SeqCst)
+    }
+
     /// Returns whether the instance takes requests, or else why not.
     ///
     /// # Errors
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,10 +1,13 @@
 //! Tests of the real binary, one module for each theme.
 
+mod answers;
 mod common;
 mod configuration;
 mod deadline;
+mod groups;
 mod leaving;
 mod membership;
+mod memory;
 mod once;
 mod path;
 mod refusals;
