--- a/src/flow/group.rs
+++ b/src/flow/group.rs
@@ -6,7 +6,8 @@
 use mimosapass_caller::openai::Prompt;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::group::{Plan, Share, members, need, single};
-use mimosapass_core::ids::{ModelId, TargetId};
+use mimosapass_core::ids::ModelId;
+use mimosapass_core::ids::TargetId;
 use mimosapass_core::route::Choice;
 use mimosapass_instance::message::GroupAsk;
 
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -228,7 +228,8 @@
             match self.inbox.recv_timeout(LOOK) {
                 Ok(Message::Deadline) => return self.too_late(),
                 _ if self.node.ending() => {
-                    return Ended::Over(self.failed("the instance was made to end".to_owned()));
+                    let text = "the instance was made to end";
+                    return Ended::Over(Failure::new(Kind::CutAnswer, text));
                 }
                 Ok(Message::Event(n, event)) if n == attempt.number => {
                     if let Some(ended) = self.event(attempt, event, story) {
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -56,16 +56,13 @@
 ";
 
 /// Returns an address that no other test uses.
-///
-/// One process has 1000 of them, more than one octet can tell apart.
 pub fn fresh_ip() -> Ipv4Addr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let count = u32::from(NEXT.fetch_add(1, Ordering::Relaxed));
-    assert!(count < 1000, "no address is left");
-    let pid = std::process::id();
-    let high = (pid / 250) % 60 + 60 * (count / 250);
-    let [high, low, own] = [high + 1, pid % 250 + 1, count % 250 + 1].map(|octet| octet as u8);
-    Ipv4Addr::new(127, high, low, own)
+    let count = NEXT.fetch_add(1, Ordering::Relaxed);
+    assert!(count < 4000, "the addresses of one run are used up");
+    let process = std::process::id() % 4000;
+    let third = process / 250 * 16 + u32::from(count) / 250;
+    Ipv4Addr::new(127, (process % 250) as u8 + 1, third as u8, (count % 250) as u8 + 1)
 }
 
 /// An instance that runs as a process.
