Records hang on leases, shown; a writer paused past its lease sends nothing

Change: the stand-in counts reads by key and can let leases lapse. Turns: a plain service gets as many as it has room for, and a prompt over one engine's memory is estimated as computed by a group.

Figures: 20 bookings cost 40 writes and 20 reads of records, counted by the stand-in.

--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -81,6 +81,7 @@
     members: Vec<Member>,
     calls: Calls,
     written: BTreeMap<String, u64>,
+    read: BTreeMap<String, u64>,
 }
 
 /// A running platform.
@@ -130,6 +131,26 @@
         self.inner.state().written.get(part).copied().unwrap_or(0)
     }
 
+    /// Returns how many reads keys got whose first part is `part`.
+    pub fn read(&self, part: &str) -> u64 {
+        self.inner.state().read.get(part).copied().unwrap_or(0)
+    }
+
+    /// Returns the values of keys whose first part is `name`, and whether
+    /// each hangs on a lease.
+    pub fn kept(&self, name: &str) -> Vec<(String, bool)> {
+        let state = self.inner.state();
+        let keys = state.keys.iter().filter(|(key, _)| part(key) == name);
+        keys.map(|(_, k)| (k.value.clone(), k.lease.is_some())).collect()
+    }
+
+    /// Lets all leases lapse now.
+    pub fn lapse(&self) {
+        let mut state = self.inner.state();
+        state.leases.clear();
+        state.expire();
+    }
+
     /// Returns the calls counted so far.
     pub fn calls(&self) -> Calls {
         self.inner.state().calls
@@ -142,6 +163,11 @@
     }
 }
 
+/// Returns the part of a key before its first slash.
+fn part(key: &str) -> String {
+    key.split('/').next().unwrap_or_default().to_owned()
+}
+
 impl Inner {
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -229,6 +255,7 @@
         let wait = Duration::from_millis(number(&query, "wait_ms").unwrap_or(0));
         let mut state = self.state();
         state.calls.reads += 1;
+        *state.read.entry(part(key)).or_default() += 1;
         state.expire();
         if let Some(after) = after {
             let waits = |s: &mut State| {
@@ -271,8 +298,7 @@
             return exchange.begin(200, &[]).unwrap_or_default();
         }
         state.calls.writes += 1;
-        let part = key.split('/').next().unwrap_or_default().to_owned();
-        *state.written.entry(part).or_default() += 1;
+        *state.written.entry(part(key)).or_default() += 1;
         state.expire();
         if lease.is_some_and(|id| !state.leases.contains_key(&id)) {
             drop(state);
--- a/src/flow/turn.rs
+++ b/src/flow/turn.rs
@@ -179,9 +179,9 @@
     }
 }
 
-/// Gives as many turns as there are targets with room.
+/// Gives as many turns as targets have room for.
 ///
-/// What was just granted is not on the board yet, so no target gets a second
+/// What was just granted is not on the board yet, so an engine gets no second
 /// request before the next look.
 fn give(node: &Node, state: &mut State) {
     let now = Instant::now();
@@ -226,7 +226,7 @@
         let promise = asked.class.promise();
         Self {
             closed: near.is_empty(),
-            room: near.iter().filter(|k| has_room(k, promise)).count(),
+            room: near.iter().map(|k| room(k, promise)).sum(),
             first: near.iter().map(|k| first(k, tokens)).min().unwrap_or_default(),
             speed: near.iter().map(|k| k.report.speed).sum(),
         }
@@ -253,15 +253,15 @@
     }
 }
 
-/// Returns whether a target can start work well within the promise.
-fn has_room(known: &Known, promise: Duration) -> bool {
+/// Returns how many requests a target can start now, well within the promise.
+fn room(known: &Known, promise: Duration) -> usize {
     if known.listed.kind == TargetKind::Service {
-        return known.own_running < CALLS;
+        return CALLS.saturating_sub(known.own_running) as usize;
     }
     let running = known.report.running.max(known.own_running);
     // A report lags, so an engine may queue a quarter more than its slots.
     let slots = known.report.slots + known.report.slots / 4;
-    (slots == 0 || running < slots) && first(known, 0) <= promise / 2
+    usize::from((slots == 0 || running < slots) && first(known, 0) <= promise / 2)
 }
 
 /// Returns the estimated time to first token; zero before the first report.
@@ -269,5 +269,7 @@
     if known.report.speed == 0 {
         return Duration::ZERO;
     }
-    Duration::from_millis(route::wait_ms(known, tokens))
+    // A prompt over one engine's memory is computed by a group.
+    let engines = tokens.div_ceil(known.report.capacity.max(1)).max(1);
+    Duration::from_millis(route::wait_ms(known, tokens / engines))
 }
--- a/tests/suite/once.rs
+++ b/tests/suite/once.rs
@@ -54,7 +54,7 @@
 }
 
 #[test]
-fn a_booking_costs_the_store_two_writes() {
+fn a_booking_costs_the_store_two_writes_and_a_read_under_a_lease() {
     let fleet = fleet();
     let url = fleet.instances[0].url(PATH);
     for i in 0..20 {
@@ -63,7 +63,35 @@
         assert_eq!(seen.status, 200, "{seen:?}");
     }
     until("all outcomes are written", || written(&fleet) >= 40);
-    assert_eq!(written(&fleet), 40);
+    assert_eq!((written(&fleet), fleet.platform.read("once")), (40, 20));
+    // The lease bounds the store: every record goes with it.
+    let kept = fleet.platform.kept("once");
+    assert!(kept.len() == 20 && kept.iter().all(|(_, leased)| *leased), "{kept:?}");
+    fleet.platform.lapse();
+    assert!(fleet.platform.kept("once").is_empty());
+}
+
+#[test]
+fn a_writer_paused_past_its_deadline_and_its_lease_sends_nothing() {
+    let fleet = fleet();
+    fleet.platform.set(platform::Faults { answer_ms: 500, ..platform::Faults::default() });
+    thread::scope(|scope| {
+        let fleet = &fleet;
+        let headers = [("mimosapass-deadline-ms", "1500")];
+        let first = scope.spawn(move || book(fleet, 0, &headers));
+        until("the record stands", || written(fleet) == 1);
+        fleet.instances[0].signal("STOP");
+        fleet.platform.set(platform::Faults::default());
+        fleet.platform.lapse();
+        // With its lease the record is gone, so the repeat is a new request.
+        assert_eq!(book(fleet, 1, &[]).status, 200);
+        thread::sleep(Duration::from_secs(2));
+        fleet.instances[0].signal("CONT");
+        let seen = first.join().expect("an answer");
+        assert_ne!(seen.status, 200, "{seen:?}");
+    });
+    assert_eq!(repeat(&fleet, 2, "ok").status, 200);
+    assert_eq!(fleet.desk.runs(), [1]);
 }
 
 #[test]
