--- a/src/serve.rs
+++ b/src/serve.rs
@@ -11,7 +11,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use crate::flow::entry;
+use crate::flow::{entry, turn};
 use crate::node::Node;
 use crate::parts::records::{self, Records};
 use crate::parts::{configure, listing, memory, peers, poll, reclaim, spawn};
@@ -45,6 +45,7 @@
     part("poll", poll::run)?;
     part("renew", memory::renew)?;
     part("sweep", memory::sweep)?;
+    part("turns", turn::run)?;
     let listening = Arc::clone(&node);
     spawn("listen", move || peers::listen(&listening, &inbox))?;
     let reclaiming = Arc::clone(&node);
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod common;
 mod configuration;
+mod deadline;
 mod groups;
 mod leaving;
 mod membership;
@@ -13,3 +14,4 @@
 mod settings;
 mod stop;
 mod trace;
+mod turns;
