Orders to engines in their first form, not yet proved

Cause: nothing told engines which models to load or which role to take. Change: client and stand-in for fenced orders, and the part that gives them.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod http;
 pub mod kv;
+pub mod leases;
 pub mod list;
 pub mod pacing;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -15,8 +15,10 @@
 use mimosapass_caller::openai::{Call, read};
 use mimosapass_caller::server::{Limits, Server};
 use mimosapass_target::engine::{ATTEMPT, Event, Load, OFFSET, REFUSED};
+use mimosapass_target::orders;
 use serde::{Deserialize, Serialize};
 
+use crate::orders::{Orders, Setup};
 use crate::reply;
 
 /// Bytes of JSON that make one token here.
@@ -39,6 +41,8 @@
     pub slots: u32,
     /// Models that are loaded.
     pub models: Vec<String>,
+    /// How it takes orders.
+    pub orders: Setup,
 }
 
 impl Default for Settings {
@@ -50,6 +54,7 @@
             capacity: 400_000,
             slots: 64,
             models: vec!["chat".to_owned()],
+            orders: Setup::default(),
         }
     }
 }
@@ -95,6 +100,7 @@
 
 #[derive(Debug)]
 struct Inner {
+    orders: Orders,
     settings: Settings,
     state: Mutex<State>,
     changed: Condvar,
@@ -109,6 +115,7 @@
     /// Fails when the address cannot be bound.
     pub fn start(addr: SocketAddr, settings: Settings) -> io::Result<Self> {
         let inner = Arc::new(Inner {
+            orders: Orders::new(settings.orders.clone(), &settings.models),
             settings,
             state: Mutex::default(),
             changed: Condvar::new(),
@@ -129,6 +136,11 @@
         self.inner.set(faults);
     }
 
+    /// Returns what it carries and the orders that it took.
+    pub fn orders(&self) -> &Orders {
+        &self.inner.orders
+    }
+
     /// Returns how many load reports were asked for.
     pub fn reports(&self) -> u64 {
         self.inner.state().number
@@ -173,6 +185,7 @@
         std::thread::sleep(Duration::from_millis(faults.delay_ms));
         match exchange.head.path.as_str() {
             "/load" => self.load(exchange),
+            orders::PATH => self.orders.answer(exchange),
             "/held" => reply::json(exchange, 200, &self.state().held),
             "/cancel" => self.cancel(exchange),
             path => match Call::at(path) {
@@ -207,7 +220,7 @@
             capacity: settings.capacity,
             speed: settings.speed,
             leaving: state.faults.leaving,
-            models: settings.models.clone(),
+            models: self.orders.models(),
         };
         drop(state);
         reply::json(exchange, 200, &load);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! `POST /control` call with a JSON body, by tests and people alike.
 
 pub mod engine;
+pub mod orders;
 pub mod platform;
 pub mod relay;
 pub mod reply;
--- /dev/null
+++ b/crates/standin/src/orders.rs
@@ -0,0 +1,174 @@
+//! Stand-in for how engines take orders, and for the weight store.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_caller::server::{Limits, Server};
+use mimosapass_core::ids::ModelId;
+use mimosapass_core::orders::{Goal, Loaded};
+use mimosapass_core::pace::Bucket;
+use mimosapass_target::orders::{Carried, FENCE, LIMITED, OLD};
+
+use crate::reply;
+
+/// Time for one load of weights.
+const LOAD: Duration = Duration::from_secs(1);
+
+/// How an engine takes orders.
+#[derive(Clone, Debug, Default)]
+pub struct Setup {
+    /// Whether it refuses an order with an old fencing number.
+    pub checks: bool,
+    /// Address of the weight store; without one weights are there at once.
+    pub weights: Option<SocketAddr>,
+}
+
+/// An order that came.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Taken {
+    /// Its fencing number.
+    pub fence: u64,
+    /// What it said.
+    pub goal: Goal,
+    /// Whether it was carried out.
+    pub done: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    carried: Carried,
+    taken: Vec<Taken>,
+}
+
+/// What an engine carries and the orders that it took.
+#[derive(Debug)]
+pub struct Orders {
+    setup: Setup,
+    state: Mutex<State>,
+}
+
+impl Orders {
+    /// Begins with models of the empty version loaded.
+    pub fn new(setup: Setup, models: &[String]) -> Self {
+        let loaded = |name: &String| (ModelId::from(name.as_str()), Loaded::default());
+        let goal = Goal { models: models.iter().map(loaded).collect(), role: String::new() };
+        let carried = Carried { goal, fence: setup.checks.then_some(0) };
+        Self { setup, state: Mutex::new(State { carried, taken: Vec::new() }) }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the names of the models that are loaded.
+    pub fn models(&self) -> Vec<String> {
+        self.state().carried.goal.models.keys().map(|m| m.to_string()).collect()
+    }
+
+    /// Returns what is carried.
+    pub fn carried(&self) -> Carried {
+        self.state().carried.clone()
+    }
+
+    /// Returns the orders that came, in order.
+    pub fn taken(&self) -> Vec<Taken> {
+        self.state().taken.clone()
+    }
+
+    /// Answers a call to the path of orders.
+    pub fn answer(&self, exchange: &mut Exchange<'_>) {
+        if exchange.head.method == "GET" {
+            return reply::json(exchange, 200, &self.carried());
+        }
+        let fence = exchange.head.header(FENCE).and_then(|v| v.parse().ok()).unwrap_or(0);
+        match serde_json::from_slice::<Goal>(&exchange.body) {
+            Ok(goal) => reply::empty(exchange, self.take(fence, goal)),
+            Err(e) => reply::json(exchange, 400, &e.to_string()),
+        }
+    }
+
+    /// Carries an order out; returns the status of the answer.
+    fn take(&self, fence: u64, goal: Goal) -> u16 {
+        let mut state = self.state();
+        let old = state.carried.fence.is_some_and(|last| fence < last);
+        let loads = goal.loads(&state.carried.goal);
+        let limited = !old && loads && !self.loaded(&goal);
+        let status = match (old, limited) {
+            (true, _) => OLD,
+            (_, true) => LIMITED,
+            _ => 200,
+        };
+        if !old && self.setup.checks {
+            state.carried.fence = Some(fence);
+        }
+        if status == 200 {
+            state.carried.goal = goal.clone();
+        }
+        state.taken.push(Taken { fence, goal, done: status == 200 });
+        status
+    }
+
+    /// Asks the weight store; returns whether it gave the weights.
+    fn loaded(&self, goal: &Goal) -> bool {
+        let Some(store) = self.setup.weights else { return true };
+        let names: Vec<&str> = goal.models.keys().map(AsRef::as_ref).collect();
+        let url = format!("http://{store}/weights/{}", names.join("+"));
+        let request = ureq::get(url).config().timeout_global(Some(LOAD)).build();
+        request.call().is_ok_and(|r| r.status() == 200)
+    }
+}
+
+/// Loads that the weight store gave and refused.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Loads {
+    /// Loads given.
+    pub given: u64,
+    /// Loads refused for the rate limit.
+    pub refused: u64,
+}
+
+/// A running weight store with a rate limit.
+#[derive(Clone, Debug)]
+pub struct Weights {
+    server: Server,
+    state: Arc<Mutex<(Bucket, Loads)>>,
+}
+
+impl Weights {
+    /// Starts a store that gives so many loads a second.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn start(addr: SocketAddr, rate: f64) -> io::Result<Self> {
+        let bucket = Bucket::new(rate, rate.max(1.0), Instant::now());
+        let state = Arc::new(Mutex::new((bucket, Loads::default())));
+        let giving = Arc::clone(&state);
+        let server = Server::start(addr, Limits::default(), Arc::new(move |e| give(e, &giving)))?;
+        Ok(Self { server, state })
+    }
+
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Returns the loads counted so far.
+    pub fn loads(&self) -> Loads {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).1
+    }
+}
+
+fn give(exchange: &mut Exchange<'_>, state: &Mutex<(Bucket, Loads)>) {
+    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+    let given = state.0.take(Instant::now());
+    state.1.given += u64::from(given);
+    state.1.refused += u64::from(!given);
+    drop(state);
+    let told = BTreeMap::from([("given", given)]);
+    reply::json(exchange, if given { 200 } else { LIMITED }, &told);
+}
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod client;
 pub mod engine;
 pub mod fault;
+pub mod orders;
 pub mod service;
--- a/src/node.rs
+++ b/src/node.rs
@@ -52,6 +52,8 @@
     pub board: Board,
     /// Members in reach.
     pub view: View,
+    /// Fencing number of this instance's orders, while it leads its zone.
+    pub fence: Option<u64>,
     /// Peers that the list does not name.
     pub contacts: Contacts,
     /// What other zones told of their pools.
@@ -126,6 +128,7 @@
             asked: None,
             board: Board::default(),
             view: View::new(InstanceId::clone(&name), ZoneId::clone(&zone)),
+            fence: None,
             contacts: Contacts::default(),
             summaries: Summaries::default(),
             members: Vec::new(),
--- a/src/parts/mod.rs
+++ b/src/parts/mod.rs
@@ -3,6 +3,7 @@
 pub mod configure;
 pub mod contacts;
 pub mod listing;
+pub mod orders;
 pub mod peers;
 pub mod poll;
 pub mod reclaim;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -14,7 +14,7 @@
 use crate::flow::entry;
 use crate::node::Node;
 use crate::parts::records::{self, Records};
-use crate::parts::{configure, listing, peers, poll, reclaim, spawn};
+use crate::parts::{configure, listing, orders, peers, poll, reclaim, spawn};
 use crate::settings::Settings;
 use crate::status::status;
 use crate::stop::stop;
@@ -42,6 +42,7 @@
     part("beat", peers::beat)?;
     part("configure", configure::run)?;
     part("listing", listing::run)?;
+    part("orders", orders::run)?;
     part("poll", poll::run)?;
     let listening = Arc::clone(&node);
     spawn("listen", move || peers::listen(&listening, &inbox))?;
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use mimosapass_operator::{document, store};
@@ -57,10 +57,10 @@
 
 /// Returns an address that no other test uses.
 pub fn fresh_ip() -> Ipv4Addr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let pid = std::process::id();
-    let (high, low) = ((pid / 250) % 250, pid % 250);
-    Ipv4Addr::new(127, high as u8 + 1, low as u8 + 1, NEXT.fetch_add(1, Ordering::Relaxed))
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let count = NEXT.fetch_add(1, Ordering::Relaxed);
+    assert!(count < 1 << 11, "a run has 2,048 addresses");
+    Ipv4Addr::from_bits(0x7f80_0000 | (std::process::id() % (1 << 12)) << 11 | count)
 }
 
 /// An instance that runs as a process.
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod membership;
 mod once;
+mod orders;
 mod path;
 mod refusals;
 mod settings;
