--- a/crates/caller/tests/stop.rs
+++ b/crates/caller/tests/stop.rs
@@ -65,7 +65,7 @@
     server.end();
     assert_eq!(idle.read(&mut [0; 8]).expect("closed in order"), 0);
     drained(&server);
-    assert!(TcpStream::connect(server.addr()).is_err());
+    TcpStream::connect(server.addr()).expect_err("the listener is closed");
 }
 
 #[test]
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod client;
 pub mod engine;
 pub mod fault;
+pub mod memory;
 pub mod orders;
 pub mod service;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -14,7 +14,7 @@
 use crate::flow::entry;
 use crate::node::Node;
 use crate::parts::records::{self, Records};
-use crate::parts::{configure, listing, orders, peers, poll, reclaim, spawn};
+use crate::parts::{configure, listing, memory, orders, peers, poll, reclaim, spawn};
 use crate::settings::Settings;
 use crate::status::status;
 use crate::stop::stop;
@@ -44,6 +44,8 @@
     part("listing", listing::run)?;
     part("orders", orders::run)?;
     part("poll", poll::run)?;
+    part("renew", memory::renew)?;
+    part("sweep", memory::sweep)?;
     let listening = Arc::clone(&node);
     spawn("listen", move || peers::listen(&listening, &inbox))?;
     let reclaiming = Arc::clone(&node);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -43,6 +43,8 @@
     #[serde(default)]
     callers: Callers,
     #[serde(default)]
+    claims: ClaimTimes,
+    #[serde(default)]
     trace: Export,
 }
 
@@ -72,6 +74,29 @@
     }
 }
 
+/// How claims on the memory of engines are renewed.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+struct ClaimTimes {
+    period_ms: u64,
+    expiry_ms: u64,
+}
+
+impl Default for ClaimTimes {
+    fn default() -> Self {
+        Self { period_ms: 10_000, expiry_ms: 30_000 }
+    }
+}
+
+/// Times of claims on the memory of engines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Claims {
+    /// Time between two renewals.
+    pub period: Duration,
+    /// Time after which an engine may free what was not renewed.
+    pub expiry: Duration,
+}
+
 /// Bounds on callers.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
@@ -121,6 +146,8 @@
     pub limits: Limits,
     /// Where trace spans go.
     pub trace: Export,
+    /// Times of claims on the memory of engines.
+    pub claims: Claims,
 }
 
 /// Reads and checks a settings file.
@@ -156,6 +183,10 @@
         notice: Duration::from_millis(file.stop.notice_ms),
         stop_limit: Duration::from_millis(file.stop.limit_ms),
         limits,
+        claims: Claims {
+            period: Duration::from_millis(file.claims.period_ms),
+            expiry: Duration::from_millis(file.claims.expiry_ms),
+        },
         trace: file.trace,
     }
 }
@@ -193,6 +224,13 @@
     for (path, time) in times {
         need((1..=LONGEST_WAIT).contains(&time), path, "write milliseconds, 1 to 3600000");
     }
+    let ClaimTimes { period_ms, expiry_ms } = file.claims;
+    need((1..=LONGEST_WAIT).contains(&period_ms), "claims.period_ms", "write 1 to 3600000");
+    need(
+        expiry_ms / 3 >= period_ms && expiry_ms <= LONGEST_WAIT,
+        "claims.expiry_ms",
+        "write milliseconds, from three times `period_ms` to 3600000",
+    );
     let Stop { notice_ms, limit_ms } = file.stop;
     need(notice_ms <= LONGEST_WAIT, "stop.notice_ms", "write milliseconds, 0 to 3600000");
     need(
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,9 +1,12 @@
 //! Tests of the real binary, one module for each theme.
 
+mod answers;
 mod common;
 mod configuration;
+mod groups;
 mod leaving;
 mod membership;
+mod memory;
 mod once;
 mod orders;
 mod path;
