Recovery: an outage through which a zone is replaced one by one; a cold start that says why

Cause: an instance that started while the platform was out of reach took the configuration from peers but knew no target, since only the platform's list names them: it said ready and could serve nothing.

Ruled out: targets in heartbeats (150 KB at 980 members); waiting for the platform (a zone has to go on while it is cut off).

Change: an instance that never had a list asks a peer of its zone each 2 s for the one it has, with its age; the younger list wins, and the platform's own replaces it. A cold start with the store out says in `/readyz` and the log that the store does not answer, how many peers have nothing, and that nothing can be served until one of them does; requests are refused as not run.

--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -18,7 +18,7 @@
     #[prost(string, tag = "3")]
     pub addr: String,
     /// The message; absent when this version does not know its kind.
-    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 20, 21, 30, 31")]
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 20, 21, 30, 31, 32, 33")]
     pub body: Option<Body>,
 }
 
@@ -61,6 +61,12 @@
     /// State of the sender's zone, for other zones.
     #[prost(message, tag = "31")]
     Summary(Summary),
+    /// Request for the platform's list of members.
+    #[prost(message, tag = "32")]
+    ListAsk(ListAsk),
+    /// The platform's list of members.
+    #[prost(message, tag = "33")]
+    List(List),
 }
 
 /// A sign of life and the sender's configuration version.
@@ -246,3 +252,22 @@
     #[prost(uint64, tag = "3")]
     pub tokens: u64,
 }
+
+/// Request for the platform's list, by an instance that cannot read it.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct ListAsk {
+    /// Longest list that is wanted, in bytes.
+    #[prost(uint64, tag = "1")]
+    pub longest: u64,
+}
+
+/// The platform's list as an instance read it last.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct List {
+    /// Time since it was read, in milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub age: u64,
+    /// The list, as the platform gives it.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub json: bytes::Bytes,
+}
--- a/crates/standin/src/orders.rs
+++ b/crates/standin/src/orders.rs
@@ -66,7 +66,7 @@
 
     /// Returns the names of the models that are loaded.
     pub fn models(&self) -> Vec<String> {
-        self.state().carried.goal.models.keys().map(|m| m.to_string()).collect()
+        self.state().carried.goal.models.keys().map(ToString::to_string).collect()
     }
 
     /// Returns what is carried.
--- a/src/flow/group.rs
+++ b/src/flow/group.rs
@@ -39,7 +39,7 @@
     pub fn choice(&self) -> Choice {
         let first = &self.shares[0];
         Choice {
-            target: first.target.clone(),
+            target: std::sync::Arc::clone(&first.target),
             addr: first.addr.clone(),
             reason: format!("group of {} engines", self.shares.len()),
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -60,6 +60,8 @@
     pub contacts: Contacts,
     /// What other zones told of their pools.
     pub summaries: Summaries,
+    /// When the platform gave the list, here or to the peer who told it.
+    pub listed: Option<Instant>,
     /// Latest list of the platform.
     pub members: Vec<Member>,
     /// Learned lengths.
@@ -137,6 +139,7 @@
             fence: None,
             contacts: Contacts::default(),
             summaries: Summaries::default(),
+            listed: None,
             members: Vec::new(),
             ratios: Ratios::default(),
             budget: Budget::default(),
--- a/src/parts/peers.rs
+++ b/src/parts/peers.rs
@@ -20,7 +20,7 @@
 use mimosapass_operator::document;
 
 use crate::node::Node;
-use crate::parts::{contacts, groups, poll};
+use crate::parts::{contacts, groups, listing, poll};
 
 /// Share of [`BEAT`] within which a second heartbeat is left out.
 const RECENT: f64 = 0.8;
@@ -74,6 +74,8 @@
             Body::GroupAnswer(answer) => groups::answered(node, answer),
             Body::Contacts(named) => contacts::note(node, &named),
             Body::Summary(summary) => summed_up(node, summary),
+            Body::ListAsk(ask) => listing::answer(node, from, ask.longest),
+            Body::List(list) => listing::offered(node, &list),
         }
     }
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod once;
 mod orders;
 mod path;
+mod recovery;
 mod refusals;
 mod settings;
 mod stop;
--- /dev/null
+++ b/tests/suite/recovery.rs
@@ -0,0 +1,72 @@
+//! Outages of the platform: what survives, what cannot be done, and the way back.
+
+use mimosapass_standin::engine::Settings;
+use mimosapass_standin::platform::Faults;
+
+use crate::common::{CONFIG, Fleet, agent, chat, post, status, until};
+
+fn out() -> Faults {
+    Faults { outage: true, ..Faults::default() }
+}
+
+fn page(fleet: &Fleet, at: usize, path: &str) -> String {
+    let response = agent().get(fleet.instances[at].page(path)).call();
+    response.map(|mut r| r.body_mut().read_to_string().unwrap_or_default()).unwrap_or_default()
+}
+
+#[test]
+fn a_zone_replaced_one_by_one_in_an_outage_goes_on() {
+    let mut fleet = Fleet::new(&[("zone-a", Settings::default())]);
+    fleet.apply(CONFIG);
+    let version = fleet.apply(&format!("{CONFIG}  - name: dokaz\n"));
+    let extra = "stop: {notice_ms: 100}\n";
+    for _ in 0..3 {
+        fleet.start("zone-a", extra);
+    }
+    fleet.settle();
+    fleet.platform.set(out());
+    for old in 0..3 {
+        // Each new instance knows only one of those that run.
+        let seed = [fleet.instances[old].peers()];
+        let new = fleet.launch("zone-a", extra, fleet.platform.addr(), &seed);
+        fleet.settle_one(new);
+        assert_eq!(status(&fleet.instances[new])["config"], version);
+        fleet.instances[old].signal("TERM");
+        assert!(fleet.instances[old].child.wait().expect("it ends").success());
+    }
+    for at in 3..6 {
+        let url = fleet.instances[at].url("/v1/chat/completions");
+        let seen = post(&url, &[], &chat(100, 2, false)).expect("an answer");
+        assert_eq!(seen.status, 200, "{seen:?}");
+        until("it knows the others", || {
+            status(&fleet.instances[at])["peers"].as_array().map(Vec::len) == Some(2)
+        });
+    }
+    fleet.platform.set(Faults::default());
+    fleet.publish();
+    let next = fleet.apply(CONFIG);
+    until("a change is taken again", || {
+        fleet.instances[3..].iter().all(|i| status(i)["config"] == next)
+    });
+}
+
+#[test]
+fn a_cold_start_with_the_store_out_says_what_it_cannot_do() {
+    let mut fleet = Fleet::new(&[("zone-a", Settings::default())]);
+    fleet.apply(CONFIG);
+    fleet.platform.set(out());
+    for _ in 0..2 {
+        fleet.start("zone-a", "");
+    }
+    let told = |at: usize| page(&fleet, at, "/readyz").contains("the key-value service does not");
+    until("each says why it is not ready", || told(0) && told(1));
+    until("each says what its peer has", || {
+        page(&fleet, 0, "/readyz").contains("1 peers have none")
+    });
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    let seen = post(&url, &[], &chat(100, 2, false)).expect("an answer");
+    assert_eq!((seen.status, seen.not_run), (503, true), "{seen:?}");
+    assert!(seen.retry.is_some(), "{seen:?}");
+    fleet.platform.set(Faults::default());
+    fleet.settle();
+}
