--- /dev/null
+++ b/crates/platform/tests/membership.rs
@@ -0,0 +1,108 @@
+//! Contract of the clients for the instance list and for leases.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use mimosapass_platform::kv::{Kv, KvError};
+use mimosapass_platform::leases;
+use mimosapass_platform::list::{List, Member, Role};
+use mimosapass_platform::pacing::Paced;
+use mimosapass_standin::platform::{Faults, Platform};
+use rstest::rstest;
+
+const KEY: &str = "leaders/zone-a";
+const LONG: Duration = Duration::from_mins(5);
+const SHORT: Duration = Duration::from_millis(200);
+
+fn platform() -> (Platform, Kv) {
+    let local: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let platform = Platform::start(local).expect("it starts");
+    let kv = Kv::new(&platform.addr().to_string());
+    (platform, kv)
+}
+
+fn member(name: &str) -> Member {
+    Member {
+        name: name.to_owned(),
+        role: Role::Entry,
+        zone: "zone-a".to_owned(),
+        addr: "127.0.0.1:1".to_owned(),
+        labels: [].into(),
+        leaving: false,
+    }
+}
+
+#[test]
+fn a_list_that_did_not_change_is_not_sent_again() {
+    let (platform, _) = platform();
+    let list = List::new(&platform.addr().to_string());
+    let mut tag = None;
+    platform.list(vec![member("a")]);
+    assert_eq!(list.changed(&mut tag), Ok(Some(vec![member("a")])));
+    assert_eq!(list.changed(&mut tag), Ok(None));
+    platform.list(vec![member("a"), member("b")]);
+    assert_eq!(list.changed(&mut tag).map(|l| l.map(|l| l.len())), Ok(Some(2)));
+    assert_eq!(list.read().map(|l| l.len()), Ok(2));
+}
+
+#[rstest]
+#[case::out(Faults { outage: true, ..Faults::default() })]
+#[case::slow(Faults { delay_ms: 1_500, ..Faults::default() })]
+fn a_list_that_cannot_be_read_is_told(#[case] faults: Faults) {
+    let (platform, _) = platform();
+    platform.list(vec![member("a")]);
+    platform.set(faults);
+    let list = List::new(&platform.addr().to_string());
+    assert!(matches!(list.changed(&mut None), Err(KvError::Unavailable(_))));
+}
+
+#[test]
+fn a_lease_has_one_holder_and_numbers_grow() {
+    let (_platform, kv) = platform();
+    let first = leases::acquire(&kv, KEY, "first", LONG).expect("an answer").expect("free");
+    assert_eq!(leases::acquire(&kv, KEY, "second", LONG), Ok(None));
+    leases::renew(&kv, &first).expect("renewed");
+    leases::release(&kv, KEY, &first).expect("given up");
+    let second = leases::acquire(&kv, KEY, "second", LONG).expect("an answer").expect("free");
+    assert!(second.fence > first.fence);
+    leases::release(&kv, KEY, &first).expect_err("it belongs to another");
+}
+
+#[test]
+fn a_lease_that_lapsed_is_not_renewed() {
+    let (_platform, kv) = platform();
+    let first = leases::acquire(&kv, KEY, "first", SHORT).expect("an answer").expect("free");
+    std::thread::sleep(SHORT * 2);
+    assert_eq!(leases::renew(&kv, &first), Err(KvError::NoLease));
+    let second = leases::acquire(&kv, KEY, "second", LONG).expect("an answer").expect("free");
+    assert!(second.fence > first.fence);
+}
+
+#[test]
+fn a_lease_whose_answer_was_lost_is_held() {
+    let (platform, kv) = platform();
+    platform.set(Faults { lose_writes: 1, ..Faults::default() });
+    let held = leases::acquire(&kv, KEY, "first", LONG).expect("an answer").expect("ours");
+    let entry = kv.get(KEY).expect("an answer").expect("a key");
+    assert_eq!((entry.value.as_str(), entry.revision), ("first", held.fence));
+}
+
+#[test]
+fn paced_calls_are_held_back_while_the_service_fails() {
+    let (platform, kv) = platform();
+    let paced = Paced::new(kv);
+    platform.set(Faults { outage: true, ..Faults::default() });
+    for _ in 0..50 {
+        paced.call(|kv| kv.get("x")).expect_err("it is out");
+    }
+    assert_eq!(platform.calls().failed, 1, "the others were not made");
+}
+
+#[test]
+fn paced_calls_keep_to_their_rate() {
+    let (platform, kv) = platform();
+    let paced = Paced::new(kv);
+    let made = (0..200).filter(|_| paced.call(|kv| kv.get("x")).is_ok()).count();
+    assert!(made <= 20, "{made} of 200 calls at once");
+    assert_eq!(platform.calls().reads, made as u64);
+}
