--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 mod generate;
 pub mod memory;
+pub mod orders;
 pub mod platform;
 pub mod relay;
 pub mod reply;
