--- a/crates/core/src/roles.rs
+++ b/crates/core/src/roles.rs
@@ -34,11 +34,11 @@
     other.sort_unstable();
     other.dedup();
     let (ours, count) = (own.len(), other.len());
-    let width = PARTNERS.min(ours);
+    // The greater zone's members are dealt out over the lesser zone's.
     let tells = |at: usize| {
-        let near = |step| (at + step) % ours == rank;
-        let far = |step| (rank + step) % count == at;
-        (0..width).any(near) || (0..PARTNERS.min(count)).any(far)
+        (0..PARTNERS).any(|step| {
+            if ours < count { (at + step) % ours == rank } else { (rank + step) % count == at }
+        })
     };
     other.iter().enumerate().filter(|(at, _)| tells(*at)).map(|(_, name)| *name).collect()
 }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -14,11 +14,11 @@
 /// Interval between heartbeats to each peer of the own zone.
 pub const BEAT: Duration = Duration::from_secs(1);
 /// Interval between heartbeats to a peer of another zone.
-pub const FAR_BEAT: Duration = Duration::from_secs(2);
+pub const FAR_BEAT: Duration = Duration::from_secs(3);
 /// Silence after which a peer of the own zone counts as dead.
 pub const SILENCE: Duration = Duration::from_secs(4);
 /// Silence after which a peer of another zone counts as dead.
-pub const FAR_SILENCE: Duration = Duration::from_secs(8);
+pub const FAR_SILENCE: Duration = Duration::from_secs(12);
 
 /// What a heartbeat says of its sender.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -192,7 +192,7 @@
         let mine: Vec<&str> = mine.iter().map(String::as_str).collect();
         let other: Vec<InstanceId> = (0..theirs).map(|i| format!("zone-b-{i}").into()).collect();
         let mut told = vec![0; theirs];
-        let most = PARTNERS * theirs.div_ceil(ours) + PARTNERS;
+        let most = PARTNERS * theirs.div_ceil(ours);
         for me in &mine {
             let partners = partners(me, &mine, &other);
             prop_assert!(partners.len() <= most, "{} over {most}", partners.len());
--- /dev/null
+++ b/crates/instance/src/compact.rs
@@ -0,0 +1,96 @@
+//! Short forms of records: what does not change is told only now and then.
+
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::message::Record;
+
+/// Reports from one whole record to the next, where nothing else asks for one.
+const WHOLE: u32 = 10;
+/// Targets whose whole record is kept by a reader, at most.
+const KEPT: usize = 4096;
+
+/// Shortens the records that go to all peers.
+#[derive(Clone, Debug, Default)]
+pub struct Shortener {
+    told: BTreeMap<u64, (Record, u32)>,
+}
+
+impl Shortener {
+    /// Shortens what the peers know; `whole` says that a new peer knows nothing.
+    pub fn shorten(&mut self, records: &[Record], whole: bool) -> Vec<Record> {
+        let ids: Vec<u64> = records.iter().map(|r| xxh3_64(r.target.as_bytes())).collect();
+        self.told.retain(|id, _| ids.contains(id));
+        records.iter().zip(ids).map(|(record, id)| self.one(record, id, whole)).collect()
+    }
+
+    fn one(&mut self, record: &Record, id: u64, whole: bool) -> Record {
+        let fixed = Record { id, ..fixed(record) };
+        let known = self.told.get_mut(&id).filter(|(told, _)| *told == fixed);
+        match known {
+            Some((_, turns)) if !whole && *turns < WHOLE => {
+                *turns += 1;
+                Record { id, target: String::new(), ..moving(record) }
+            }
+            _ => {
+                self.told.insert(id, (fixed, 1));
+                Record { id, ..record.clone() }
+            }
+        }
+    }
+}
+
+/// Completes short records by the last whole ones.
+#[derive(Clone, Debug, Default)]
+pub struct Lengthener {
+    whole: BTreeMap<u64, Record>,
+}
+
+impl Lengthener {
+    /// Returns the whole record; `None` while too little is known of its target.
+    pub fn lengthen(&mut self, record: Record) -> Option<Record> {
+        if record.target.is_empty() {
+            let known = self.whole.get(&record.id).filter(|k| k.boot == record.boot)?;
+            return Some(Record {
+                target: known.target.clone(),
+                slots: known.slots,
+                capacity: known.capacity,
+                speed: known.speed,
+                models: known.models.clone(),
+                ..record
+            });
+        }
+        if self.whole.len() >= KEPT {
+            self.whole.clear();
+        }
+        self.whole.insert(record.id, record.clone());
+        Some(record)
+    }
+}
+
+/// Returns the part of a record that seldom changes.
+fn fixed(record: &Record) -> Record {
+    Record {
+        target: record.target.clone(),
+        boot: record.boot,
+        slots: record.slots,
+        capacity: record.capacity,
+        speed: record.speed,
+        models: record.models.clone(),
+        ..Record::default()
+    }
+}
+
+/// Returns the part of a record that changes, with the start number.
+fn moving(record: &Record) -> Record {
+    Record {
+        boot: record.boot,
+        number: record.number,
+        prefill: record.prefill,
+        running: record.running,
+        free: record.free,
+        leaving: record.leaving,
+        ..Record::default()
+    }
+}
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -4,5 +4,6 @@
 //! channels. A frame is bounded in length, a message of an unknown kind is
 //! skipped, and a message of another major version ends the connection.
 
+pub mod compact;
 pub mod link;
 pub mod message;
--- a/crates/instance/src/link.rs
+++ b/crates/instance/src/link.rs
@@ -37,11 +37,22 @@
 
 type Link = Framed<TcpStream, LengthDelimitedCodec>;
 
+/// Who speaks on a link.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Identity {
+    /// Name of the instance.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Start number of the process.
+    pub boot: u64,
+}
+
 /// A message from a peer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Incoming {
-    /// Name of the peer.
-    pub from: String,
+    /// The peer.
+    pub from: Identity,
     /// Address on which the peer takes links.
     pub addr: String,
     /// The message.
@@ -67,19 +78,19 @@
     /// # Errors
     ///
     /// Fails when the address cannot be bound.
-    pub fn start(name: &str, listen: SocketAddr, sink: Sender<Incoming>) -> io::Result<Self> {
+    pub fn start(me: &Identity, listen: SocketAddr, sink: Sender<Incoming>) -> io::Result<Self> {
         let listener = std::net::TcpListener::bind(listen)?;
         listener.set_nonblocking(true)?;
         let addr = listener.local_addr()?;
         let (out, outgoing) = mpsc::unbounded_channel();
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let name = name.to_owned();
+        let me = me.clone();
         thread::Builder::new().name("links".to_owned()).spawn(move || {
             runtime.block_on(async move {
                 match TcpListener::from_std(listener) {
                     Ok(listener) => {
                         tokio::spawn(take(listener, sink));
-                        send(name, addr, outgoing).await;
+                        send(me, addr, outgoing).await;
                     }
                     Err(e) => log::error!("links: cannot listen: {e}."),
                 }
@@ -129,7 +140,7 @@
 
 async fn receive(stream: TcpStream, sink: Sender<Incoming>) {
     let mut framed = Framed::new(stream, codec());
-    let (mut from, mut addr) = (String::new(), String::new());
+    let (mut from, mut addr) = (Identity::default(), String::new());
     while let Ok(Some(Ok(frame))) = timeout(SILENT, framed.next()).await {
         let envelope = match Envelope::decode(frame.freeze()) {
             Ok(envelope) if envelope.version == VERSION => envelope,
@@ -143,10 +154,11 @@
             }
         };
         if !envelope.from.is_empty() {
-            (from, addr) = (envelope.from, envelope.addr);
+            from = Identity { name: envelope.from, zone: envelope.zone, boot: envelope.boot };
+            addr = envelope.addr;
         }
         let Some(body) = envelope.body else { continue };
-        if from.is_empty() {
+        if from.name.is_empty() {
             log::warn!("links: a peer did not name itself.");
             return;
         }
@@ -157,8 +169,14 @@
     }
 }
 
-async fn send(name: String, addr: SocketAddr, mut outgoing: mpsc::UnboundedReceiver<Outgoing>) {
-    let hello = Envelope { from: name, addr: addr.to_string(), ..Envelope::empty() };
+async fn send(me: Identity, addr: SocketAddr, mut outgoing: mpsc::UnboundedReceiver<Outgoing>) {
+    let hello = Envelope {
+        from: me.name,
+        addr: addr.to_string(),
+        zone: me.zone,
+        boot: me.boot,
+        ..Envelope::empty()
+    };
     let hello = frame(&hello);
     let mut peers: HashMap<SocketAddr, mpsc::Sender<Vec<Bytes>>> = HashMap::new();
     while let Some(Outgoing { to, frames }) = outgoing.recv().await {
--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -17,6 +17,12 @@
     /// Address on which the sender takes links, `IP:port`; empty as `from`.
     #[prost(string, tag = "3")]
     pub addr: String,
+    /// Availability zone of the sender; empty as `from`.
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    /// Start number of the sender's process; 0 as `from`.
+    #[prost(uint64, tag = "5")]
+    pub boot: u64,
     /// The message; absent when this version does not know its kind.
     #[prost(oneof = "Body", tags = "10, 11, 12, 13, 20, 21, 30, 31, 32, 33")]
     pub body: Option<Body>,
@@ -72,12 +78,6 @@
 /// A sign of life and the sender's configuration version.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Beat {
-    /// Availability zone of the sender.
-    #[prost(string, tag = "1")]
-    pub zone: String,
-    /// Start number of the sender's process.
-    #[prost(uint64, tag = "2")]
-    pub boot: u64,
     /// Whether the sender is leaving.
     #[prost(bool, tag = "3")]
     pub leaving: bool,
@@ -103,7 +103,7 @@
 /// Load of one target.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Record {
-    /// Name of the target.
+    /// Name of the target; empty in a short record.
     #[prost(string, tag = "1")]
     pub target: String,
     /// Start number of the target's process.
@@ -136,6 +136,9 @@
     /// Models that are loaded.
     #[prost(string, repeated, tag = "11")]
     pub models: Vec<String>,
+    /// Hash of the target's name.
+    #[prost(fixed64, tag = "12")]
+    pub id: u64,
 }
 
 /// Request for a configuration above `above`.
--- a/crates/instance/tests/link.rs
+++ b/crates/instance/tests/link.rs
@@ -6,7 +6,7 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
-use mimosapass_instance::link::{Incoming, Links};
+use mimosapass_instance::link::{Identity, Incoming, Links};
 use mimosapass_instance::message::{Beat, Body, Config, Envelope, LONGEST, VERSION, Want};
 use prost::Message;
 use rstest::rstest;
@@ -16,11 +16,15 @@
 fn start(name: &str) -> (Links, Receiver<Incoming>) {
     let local: SocketAddr = "127.0.0.1:0".parse().expect("an address");
     let (sink, inbox) = channel();
-    (Links::start(name, local, sink).expect("it starts"), inbox)
+    (Links::start(&identity(name), local, sink).expect("it starts"), inbox)
+}
+
+fn identity(name: &str) -> Identity {
+    Identity { name: name.to_owned(), zone: "zone-a".to_owned(), boot: 7 }
 }
 
 fn beat(config: u64) -> Body {
-    Body::Beat(Beat { zone: "zone-a".to_owned(), boot: 1, config, ..Beat::default() })
+    Body::Beat(Beat { config, ..Beat::default() })
 }
 
 fn framed(bytes: &[u8]) -> Vec<u8> {
@@ -29,7 +33,10 @@
 
 fn envelope(from: &str, version: u32, body: Option<Body>) -> Vec<u8> {
     let addr = "127.0.0.1:1".to_owned();
-    framed(&Envelope { version, from: from.to_owned(), addr, body }.encode_to_vec())
+    framed(
+        &Envelope { version, from: from.to_owned(), addr, body, ..Envelope::default() }
+            .encode_to_vec(),
+    )
 }
 
 /// A message of a kind that this version does not know: field 99, empty.
@@ -48,7 +55,7 @@
     near.send(far.addr(), beat(3));
     for body in bodies.into_iter().chain([beat(3)]) {
         let seen = inbox.recv_timeout(PATIENCE).expect("a message");
-        assert_eq!((seen.from.as_str(), seen.body), ("near", body));
+        assert_eq!((&seen.from, seen.body), (&identity("near"), body));
         assert_eq!(seen.addr, near.addr().to_string());
     }
 }
@@ -73,7 +80,7 @@
     let (links, inbox) = start("far");
     let mut good = TcpStream::connect(links.addr()).expect("connects");
     good.write_all(&envelope("good", VERSION, Some(beat(1)))).expect("sent");
-    assert_eq!(inbox.recv_timeout(PATIENCE).expect("a message").from, "good");
+    assert_eq!(inbox.recv_timeout(PATIENCE).expect("a message").from.name, "good");
     let mut bad = TcpStream::connect(links.addr()).expect("connects");
     bad.set_read_timeout(Some(PATIENCE)).expect("set");
     bad.write_all(&bytes).expect("sent");
@@ -81,7 +88,7 @@
     assert_eq!(bad.read(&mut [0; 8]).unwrap_or(0), 0);
     good.write_all(&envelope("", VERSION, Some(beat(2)))).expect("sent");
     let seen = inbox.recv_timeout(PATIENCE).expect("a message");
-    assert_eq!((seen.from.as_str(), seen.body), ("good", beat(2)));
+    assert_eq!((seen.from.name.as_str(), seen.body), ("good", beat(2)));
 }
 
 #[test]
@@ -107,7 +114,7 @@
     let (stream, _) = first.accept().expect("a link");
     drop((stream, first));
     let (sink, inbox) = channel();
-    let _far = Links::start("far", addr, sink).expect("it starts again");
+    let _far = Links::start(&identity("far"), addr, sink).expect("it starts again");
     // Messages may be lost until the break is noticed.
     let came = (2..2_000).find(|i| {
         near.send(addr, beat(*i));
--- a/src/parts/contacts.rs
+++ b/src/parts/contacts.rs
@@ -30,6 +30,7 @@
     named: BTreeMap<SocketAddr, Instant>,
     told: Option<Instant>,
     turn: u32,
+    new: bool,
 }
 
 impl Contacts {
@@ -44,6 +45,16 @@
         self.turn = self.turn.wrapping_add(1);
     }
 
+    /// Notes whether a peer was heard for the first time.
+    pub fn welcome(&mut self, new: bool) {
+        self.new |= new;
+    }
+
+    /// Returns whether there was a new peer since the last call.
+    pub fn take_new(&mut self) -> bool {
+        std::mem::take(&mut self.new)
+    }
+
     /// Forgets addresses that were named long ago.
     pub fn prune(&mut self, now: Instant) {
         self.named.retain(|_, at| now.saturating_duration_since(*at) < TRY);
--- a/src/parts/peers.rs
+++ b/src/parts/peers.rs
@@ -15,7 +15,7 @@
 use mimosapass_core::summary::{PoolState, summarize};
 use mimosapass_core::version::{Head, Heard};
 use mimosapass_core::view::{BEAT, Beat, FAR_BEAT};
-use mimosapass_instance::link::Incoming;
+use mimosapass_instance::link::{Identity, Incoming};
 use mimosapass_instance::message::{self, Body};
 use mimosapass_operator::document;
 
@@ -67,7 +67,7 @@
         let from = poll::address(&message.addr);
         match message.body {
             Body::Beat(beat) => heard(node, &message.from, from, &beat),
-            Body::Records(records) => poll::note(node, &records),
+            Body::Records(records) => poll::note(node, records),
             Body::Want(want) => wanted(node, from, want.above),
             Body::Config(config) => offered(node, &config),
             Body::GroupAsk(ask) => groups::asked(node, from, ask),
@@ -105,8 +105,6 @@
 fn beat_body(node: &Node) -> Body {
     let beat = node.beat();
     Body::Beat(message::Beat {
-        zone: beat.zone.to_string(),
-        boot: beat.boot,
         leaving: beat.leaving,
         config: beat.head.version,
         digest: beat.head.digest,
@@ -142,12 +140,13 @@
     node.state().summaries.note(summary.zone.into(), pools.collect(), Instant::now());
 }
 
-fn heard(node: &Node, name: &str, from: Option<SocketAddr>, beat: &message::Beat) {
+fn heard(node: &Node, peer: &Identity, from: Option<SocketAddr>, beat: &message::Beat) {
+    let name = peer.name.as_str();
     let head = Head { version: beat.config, digest: beat.digest };
     let seen = Beat {
         name: name.into(),
-        zone: beat.zone.as_str().into(),
-        boot: beat.boot,
+        zone: peer.zone.as_str().into(),
+        boot: peer.boot,
         leaving: beat.leaving,
         cut: beat.cut,
         addr: from,
@@ -162,13 +161,14 @@
     if asks {
         state.asked = Some(now);
     }
+    state.contacts.welcome(new);
     drop(state);
     if let Some(to) = from {
         if asks {
             node.links.send(to, Body::Want(message::Want { above }));
         }
         if new {
-            contacts::introduce(node, to, &beat.zone);
+            contacts::introduce(node, to, &peer.zone);
         }
     }
     let fault = (verdict == Heard::Conflict && above > 0)
--- a/src/parts/poll.rs
+++ b/src/parts/poll.rs
@@ -12,6 +12,7 @@
 use mimosapass_core::board::Report;
 use mimosapass_core::config::TargetKind;
 use mimosapass_core::rendezvous::holder;
+use mimosapass_instance::compact::Shortener;
 use mimosapass_instance::message::{Body, Record, Records};
 use mimosapass_target::engine::{self, Load};
 
@@ -24,9 +25,12 @@
 /// Polls for as long as the process lives.
 pub fn run(node: &Arc<Node>) {
     let ticks = node.timer.subscribe(PERIOD);
+    let mut shortener = Shortener::default();
     while ticks.recv().is_ok() {
         let records = poll_all(node, &owned(node));
         if !records.is_empty() {
+            let whole = node.state().contacts.take_new();
+            let records = shortener.shorten(&records, whole);
             peers::tell_zone(node, Some(Body::Records(Records { records })));
         }
     }
@@ -82,6 +86,7 @@
         speed: load.speed,
         leaving: load.leaving,
         models: load.models,
+        id: 0,
     }
 }
 
@@ -101,11 +106,13 @@
 }
 
 /// Notes the records that a peer sent.
-pub fn note(node: &Node, records: &Records) {
+pub fn note(node: &Node, records: Records) {
     let now = Instant::now();
     let mut state = node.state();
-    for record in &records.records {
-        state.board.report(&record.target, report(record), now);
+    for record in records.records {
+        if let Some(whole) = state.lengthener.lengthen(record) {
+            state.board.report(&whole.target, report(&whole), now);
+        }
     }
 }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -6,7 +6,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use mimosapass_caller::server::Server;
-use mimosapass_instance::link::Links;
+use mimosapass_instance::link::{Identity, Links};
 use mimosapass_operator::pages::{self, Sources};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -29,11 +29,12 @@
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let timer = Timer::start()?;
     let (incoming, inbox) = channel();
-    let links = Links::start(&settings.name, settings.listen.peers, incoming)?;
-    let (freed, wanted) = channel();
-    let (records, unsettled) = Records::new();
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let boot = now.as_millis() as u64;
+    let me = Identity { name: settings.name.clone(), zone: settings.zone.clone(), boot };
+    let links = Links::start(&me, settings.listen.peers, incoming)?;
+    let (freed, wanted) = channel();
+    let (records, unsettled) = Records::new();
     let node = Arc::new(Node::new(settings, timer, links, freed, records, boot));
     let part = |name: &str, run: fn(&Arc<Node>)| {
         let node = Arc::clone(&node);
--- a/tests/suite/configuration.rs
+++ b/tests/suite/configuration.rs
@@ -6,7 +6,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use mimosapass_instance::link::Links;
+use mimosapass_instance::link::{Identity, Links};
 use mimosapass_instance::message::{Beat, Body, Config};
 use mimosapass_operator::document::{self, IN_FORCE};
 use mimosapass_operator::store::{self, StoreError};
@@ -216,9 +216,10 @@
 fn peer(zone: &str, version: u64, text: &str, silent: Duration) -> (Links, JoinHandle<()>) {
     let listen = format!("{}:8081", fresh_ip()).parse().expect("an address");
     let (sender, inbox) = channel();
-    let links = Links::start(&format!("peer-{version}"), listen, sender).expect("it listens");
+    let me = Identity { name: format!("peer-{version}"), zone: zone.to_owned(), boot: 1 };
+    let links = Links::start(&me, listen, sender).expect("it listens");
     let digest = document::read(text).expect("it holds").digest;
-    let beat = Beat { zone: zone.to_owned(), boot: 1, config: version, digest, ..Beat::default() };
+    let beat = Beat { config: version, digest, ..Beat::default() };
     let config = Config { version, digest, text: text.to_owned() };
     let answering = links.clone();
     let begun = std::time::Instant::now();
