Configurations travel between instances in compressed form

Ruled out: sending parts that changed (a second form of the document, with its own faults); the store alone (no text in an outage).

Change: `flate2` packs the text; unpacking is bounded by the longest text.

--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod compact;
 pub mod link;
 pub mod message;
+pub mod pack;
--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -158,9 +158,9 @@
     /// Digest of the text.
     #[prost(fixed64, tag = "2")]
     pub digest: u64,
-    /// The text, as YAML.
-    #[prost(string, tag = "3")]
-    pub text: String,
+    /// The text, as YAML, in compressed form.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub packed: bytes::Bytes,
 }
 
 /// Addresses of instances, for one that the platform's list does not name.
--- a/crates/instance/tests/link.rs
+++ b/crates/instance/tests/link.rs
@@ -97,9 +97,12 @@
     let (far, inbox) = start("far");
     let deaf = TcpListener::bind("127.0.0.1:0").expect("binds");
     let deaf_addr = deaf.local_addr().expect("an address");
-    let text = "x".repeat(1_000_000);
+    let packed = bytes::Bytes::from(vec![7; 1_000_000]);
     for i in 1..=200 {
-        near.send(deaf_addr, Body::Config(Config { version: i, digest: i, text: text.clone() }));
+        near.send(
+            deaf_addr,
+            Body::Config(Config { version: i, digest: i, packed: packed.clone() }),
+        );
     }
     near.send(far.addr(), beat(9));
     assert_eq!(inbox.recv_timeout(PATIENCE).expect("a message").body, beat(9));
--- a/src/parts/peers.rs
+++ b/src/parts/peers.rs
@@ -17,6 +17,7 @@
 use mimosapass_core::view::{BEAT, Beat, FAR_BEAT};
 use mimosapass_instance::link::{Identity, Incoming};
 use mimosapass_instance::message::{self, Body};
+use mimosapass_instance::pack::{pack, unpack};
 use mimosapass_operator::document;
 
 use crate::node::Node;
@@ -184,14 +185,21 @@
     if let (Some(document), Some(to)) = (document, from)
         && head.version > above
     {
-        let text = document.text.clone();
-        let config = message::Config { version: head.version, digest: head.digest, text };
+        let Ok(packed) = pack(&document.text) else { return };
+        let config = message::Config { version: head.version, digest: head.digest, packed };
         node.links.send(to, Body::Config(config));
     }
 }
 
 fn offered(node: &Node, config: &message::Config) {
-    match document::read(&config.text) {
+    let text = match unpack(&config.packed, document::LONGEST) {
+        Ok(text) => text,
+        Err(e) => {
+            log::error!("config: version {} cannot be unpacked: {e}.", config.version);
+            return;
+        }
+    };
+    match document::read(&text) {
         Ok(document) if document.digest == config.digest => {
             node.install(config.version, document);
         }
--- a/tests/suite/configuration.rs
+++ b/tests/suite/configuration.rs
@@ -8,6 +8,7 @@
 
 use mimosapass_instance::link::{Identity, Links};
 use mimosapass_instance::message::{Beat, Body, Config};
+use mimosapass_instance::pack::pack;
 use mimosapass_operator::document::{self, IN_FORCE};
 use mimosapass_operator::store::{self, StoreError};
 use mimosapass_platform::kv::Kv;
@@ -220,7 +221,7 @@
     let links = Links::start(&me, listen, sender).expect("it listens");
     let digest = document::read(text).expect("it holds").digest;
     let beat = Beat { config: version, digest, ..Beat::default() };
-    let config = Config { version, digest, text: text.to_owned() };
+    let config = Config { version, digest, packed: pack(text).expect("packed") };
     let answering = links.clone();
     let begun = std::time::Instant::now();
     let thread = thread::spawn(move || {
