--- a/src/flow/group.rs
+++ b/src/flow/group.rs
@@ -6,8 +6,7 @@
 use mimosapass_caller::openai::Prompt;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::group::{Plan, Share, members, need, single};
-use mimosapass_core::ids::ModelId;
-use mimosapass_core::ids::TargetId;
+use mimosapass_core::ids::{ModelId, TargetId};
 use mimosapass_core::route::Choice;
 use mimosapass_instance::message::GroupAsk;
 
@@ -98,6 +97,9 @@
                 let text = format!("it needs {need} tokens of memory, the zone has {most}");
                 return Err(Failure::new(Kind::NeverFits, text));
             }
+            Plan::Later { .. } if node.ending() => {
+                return Err(Failure::new(Kind::Stopping, "the instance was made to end"));
+            }
             Plan::Later { .. } if gone() => {
                 return Err(Failure::new(Kind::CallerGone, "the caller went away"));
             }
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -6,6 +6,8 @@
 pub mod model;
 pub mod once;
 pub mod pick;
+pub mod reply;
 pub mod retry;
 pub mod service;
 pub mod stream;
+pub mod turn;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -11,10 +11,10 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use crate::flow::entry;
+use crate::flow::{entry, turn};
 use crate::node::Node;
 use crate::parts::records::{self, Records};
-use crate::parts::{configure, listing, memory, peers, poll, reclaim, spawn};
+use crate::parts::{configure, listing, memory, orders, peers, poll, reclaim, spawn};
 use crate::settings::Settings;
 use crate::status::status;
 use crate::stop::stop;
@@ -42,9 +42,11 @@
     part("beat", peers::beat)?;
     part("configure", configure::run)?;
     part("listing", listing::run)?;
+    part("orders", orders::run)?;
     part("poll", poll::run)?;
     part("renew", memory::renew)?;
     part("sweep", memory::sweep)?;
+    part("turns", turn::run)?;
     let listening = Arc::clone(&node);
     spawn("listen", move || peers::listen(&listening, &inbox))?;
     let reclaiming = Arc::clone(&node);
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,13 +3,17 @@
 mod answers;
 mod common;
 mod configuration;
+mod deadline;
 mod groups;
 mod leaving;
 mod membership;
 mod memory;
 mod once;
+mod orders;
 mod path;
+mod recovery;
 mod refusals;
 mod settings;
 mod stop;
 mod trace;
+mod turns;
