Spans of the queue and of the choice of a target

Each wait for a turn, each refusal at once and each choice, with the call to the zone leader for a group, has its span with reason and outcome. The span of the choice is asserted; that of the queue was not tested by a run.

--- a/src/flow/retry.rs
+++ b/src/flow/retry.rs
@@ -64,9 +64,15 @@
             story.steps.push("no retry: the budget is spent".to_owned());
             break;
         }
+        // For a prompt that needs a group, this is the call to the zone leader.
+        story.trace.hop("choice", if number == 0 { "first attempt" } else { "another attempt" });
         let choice = match pick(run, &tried) {
-            Ok(choice) => choice,
+            Ok(choice) => {
+                story.trace.leave("ok");
+                choice
+            }
             Err(failure) => {
+                story.trace.leave(&failure.to_string());
                 tally.miss(failure);
                 break;
             }
--- a/src/flow/turn.rs
+++ b/src/flow/turn.rs
@@ -88,7 +88,12 @@
     story: &mut Story,
 ) -> Result<(), Failure> {
     let id = LaneId { class: ClassId::clone(&admitted.class.name), work: work.name.into() };
-    let Some((ticket, inbox)) = enter(node, admitted, &id, work)? else { return Ok(()) };
+    let entered = enter(node, admitted, &id, work).inspect_err(|failure| {
+        story.trace.hop("queue", "refused at once by the forecast or the queue's bound");
+        story.trace.leave(&failure.to_string());
+    })?;
+    let Some((ticket, inbox)) = entered else { return Ok(()) };
+    story.trace.hop("queue", "no target had room, or others waited");
     let begun = Instant::now();
     let turn = follow(&inbox, exchange, admitted);
     let mut state = node.state();
@@ -96,7 +101,9 @@
     state.turns.queue.remove(&id, admitted.workspace(), ticket);
     drop(state);
     story.steps.push(format!("queue: {} ms", begun.elapsed().as_millis()));
-    turn.unwrap_or_else(|| Err(forecast.timeout(rand::random())))
+    let turn = turn.unwrap_or_else(|| Err(forecast.timeout(rand::random())));
+    story.trace.leave(&turn.as_ref().map_or_else(ToString::to_string, |()| "ok".to_owned()));
+    turn
 }
 
 /// Returns the turn of a waiting request, or `None` when its deadline passed.
--- a/tests/suite/trace.rs
+++ b/tests/suite/trace.rs
@@ -119,6 +119,8 @@
     let named = |name: &str| spans.iter().find(|s| s.contains(&format!(": {name}\n"))).copied();
     let entry = named("entry").expect("an entry span");
     assert!(entry.contains(SPAN) && entry.contains("lookups"), "{entry}");
+    let choice = named("choice").expect("a span of the choice");
+    assert!(choice.contains("first attempt"), "{choice}");
     let attempt = named("attempt").expect("an attempt span");
     assert!(attempt.contains(parts[2]) && attempt.contains("desk-0: "), "{attempt}");
 }
