--- /dev/null
+++ b/crates/core/examples/routing/speed.rs
@@ -0,0 +1,95 @@
+//! Time and allocations of single decisions over 67 targets.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::collections::BTreeMap;
+use std::hint::black_box;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+use mimosapass_core::board::{Board, Listed, Report};
+use mimosapass_core::config::{Config, Pool, TargetKind};
+use mimosapass_core::route::{Ask, choose, estimate};
+
+/// Decisions that are timed.
+const COUNT: u64 = 200_000;
+/// Engines on the board.
+const ENGINES: u64 = 67;
+
+struct Counting;
+
+static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
+
+// SAFETY: every call goes to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+fn board(pool: &Pool, now: Instant) -> Board {
+    let listed = |i: u64| Listed {
+        name: format!("engine-{i:03}").into(),
+        kind: TargetKind::Engine,
+        zone: "zone".into(),
+        addr: format!("127.0.0.1:{i}"),
+        labels: BTreeMap::new(),
+        leaving: false,
+    };
+    let mut board = Board::default();
+    let config = Config { pools: vec![pool.clone()], ..Config::default() };
+    board.list((0..ENGINES).map(listed).collect(), &config);
+    for i in 0..ENGINES {
+        let prefill = (i * 7919) % 60_000;
+        let report = Report {
+            boot: 1,
+            number: 1,
+            prefill,
+            bands: [prefill, 0, 0],
+            free: 400_000,
+            capacity: 450_000,
+            speed: 20_000,
+            slots: 64,
+            ..Report::default()
+        };
+        board.report(&format!("engine-{i:03}"), report, now);
+    }
+    board
+}
+
+/// Prints the time and the allocations of one decision.
+pub fn print() {
+    let now = Instant::now();
+    let pool = Pool { name: "pool".into(), ..Pool::default() };
+    let board = board(&pool, now);
+    let pools = [&pool];
+    let ask = |seed| Ask {
+        pools: &pools,
+        zone: "zone",
+        tokens: if seed % 50 == 0 { 200_000 } else { 3_000 },
+        seed,
+        ..Ask::default()
+    };
+    println!("\n### speed: one decision over {ENGINES} targets\n");
+    let (before, start) = (ALLOCATIONS.load(Ordering::Relaxed), Instant::now());
+    for seed in 0..COUNT {
+        black_box(choose(&board, &ask(seed), now).is_ok());
+    }
+    let (took, allocated) = (start.elapsed(), ALLOCATIONS.load(Ordering::Relaxed) - before);
+    let nanos = took.as_nanos() as u64 / COUNT;
+    println!("choose: {nanos} ns each, {allocated} allocations in {COUNT}");
+    let start = Instant::now();
+    for seed in 0..COUNT {
+        black_box(estimate(&board, &ask(seed), now));
+    }
+    println!("estimate: {} ns each", start.elapsed().as_nanos() as u64 / COUNT);
+}
--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -9,89 +9,36 @@
 use std::time::{Duration, Instant};
 
 use crate::config::{Config, TargetKind};
-use crate::ids::{ModelId, TargetId, ZoneId};
-use crate::labels::{Labels, matches};
-
-/// Failures in a row after which a target is ejected.
-const EJECT_AFTER: u32 = 3;
-/// Time for which an ejected target gets no work.
-const EJECT_FOR: Duration = Duration::from_secs(5);
-
-/// A target as the platform's list names it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Listed {
-    /// Name of the target.
-    pub name: TargetId,
-    /// Kind of target.
-    pub kind: TargetKind,
-    /// Availability zone.
-    pub zone: ZoneId,
-    /// Address, `IP:port`.
-    pub addr: String,
-    /// Labels of the platform.
-    pub labels: Labels,
-    /// Whether the platform says that it is leaving.
-    pub leaving: bool,
-}
-
-/// Load report of an engine.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Report {
-    /// Start number of the engine's process.
-    pub boot: u64,
-    /// Number of the report, growing within one boot.
-    pub number: u64,
-    /// Prompt tokens accepted and not yet computed.
-    pub prefill: u64,
-    /// Requests that generate now.
-    pub running: u32,
-    /// Requests that may generate at once.
-    pub slots: u32,
-    /// Free KV cache, in tokens.
-    pub free: u64,
-    /// Whole KV cache, in tokens.
-    pub capacity: u64,
-    /// Measured prefill speed, in tokens a second.
-    pub speed: u64,
-    /// Whether the engine takes no new work.
-    pub leaving: bool,
-    /// Models that are loaded.
-    pub models: Vec<ModelId>,
-}
-
-/// What is known of one target.
-#[derive(Clone, Debug)]
-pub struct Known {
-    /// Its entry in the platform's list, relabelled by the configuration.
-    pub listed: Listed,
-    /// Whether the operators drain it.
-    pub drained: bool,
-    /// Whether it refused because it is leaving.
-    pub refused: bool,
-    /// Latest report.
-    pub report: Report,
-    /// When the report was heard.
-    pub heard: Option<Instant>,
-    /// Prompt tokens that this instance sent and saw no first token of.
-    pub own_prefill: u64,
-    /// Requests of this instance in flight.
-    pub own_running: u32,
-    fails: u32,
-    ejected: Option<Instant>,
-}
+use crate::estimate::Rate;
+use crate::health::{cap, slow};
+use crate::ids::{PoolId, TargetId, ZoneId};
+use crate::known::{Backlog, Since};
+pub use crate::known::{Known, Listed, Report};
+use crate::labels::matches;
+use crate::prefix::{Hint, Hints};
+use crate::spill::{Offer, Room, Summary};
+use crate::split::{BANDS, Sample, Split, band};
 
-impl Known {
-    /// Returns whether the target may get new work at `now`.
-    pub fn open(&self, now: Instant) -> bool {
-        let ejected = self.ejected.is_some_and(|until| now < until);
-        !(self.listed.leaving || self.drained || self.refused || self.report.leaving || ejected)
-    }
-}
+/// Time between two looks at the boundaries and at slow targets.
+const LOOK: Duration = Duration::from_secs(1);
+/// Time over which other instances send unseen, in seconds.
+const UNSEEN: f64 = 1.0;
+/// Length of the prompt whose wait a zone states, in tokens.
+const PROBE: f64 = 1000.0;
+/// Wait up to which a zone offers its engines to other zones, in seconds.
+const OFFERED: f64 = 0.5;
+/// Engines of each band that a zone names to other zones.
+const ROOMS: usize = 4;
 
-/// All targets by name.
+/// All targets by name, and what follows from looking at them together.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
     targets: BTreeMap<TargetId, Known>,
+    splits: BTreeMap<(PoolId, ZoneId), Split>,
+    offers: BTreeMap<ZoneId, Offer>,
+    hints: Hints,
+    looked: Option<Instant>,
+    sharers: usize,
 }
 
 impl Board {
@@ -101,41 +48,77 @@
         for mut entry in listed {
             relabel(&mut entry, config);
             let drained = config.drained.iter().any(|s| matches(s, &entry.labels));
+            let pools = pools_of(&entry, config);
             let name = TargetId::clone(&entry.name);
             let known = match old.remove(&name) {
                 Some(known) if known.listed.addr == entry.addr => {
-                    Known { listed: entry, drained, ..known }
+                    Known { listed: entry, drained, pools, ..known }
                 }
-                _ => fresh(entry, drained),
+                _ => Known::fresh(entry, drained, pools),
             };
             self.targets.insert(name, known);
         }
     }
 
+    /// Notes whose engines are this instance's own.
+    ///
+    /// `sharers` instances, this one included, send work to the same engines.
+    pub fn own(&mut self, sharers: usize, mine: impl Fn(&Known) -> bool) {
+        self.sharers = sharers;
+        for known in self.targets.values_mut() {
+            known.mine = mine(known);
+        }
+    }
+
     /// Notes a report unless a newer one is known; returns whether it was new.
     pub fn report(&mut self, name: &str, report: Report, now: Instant) -> bool {
         let Some(known) = self.targets.get_mut(name) else { return false };
         let newer = (report.boot, report.number) > (known.report.boot, known.report.number);
         if newer {
-            known.refused &= report.boot == known.report.boot;
+            if report.boot != known.report.boot {
+                known.refused = false;
+                known.backlog = Backlog::default();
+            }
             known.report = report;
             known.heard = Some(now);
+            known.since = Since::default();
+        }
+        if self.looked.is_none_or(|at| now.saturating_duration_since(at) >= LOOK) {
+            self.looked = Some(now);
+            self.look(now);
         }
         newer
     }
 
-    /// Notes a request that goes to the target.
-    pub fn sent(&mut self, name: &str, tokens: u64) {
-        if let Some(known) = self.targets.get_mut(name) {
-            known.own_prefill += tokens;
-            known.own_running += 1;
+    /// Notes a request that goes to the target and needs so much KV cache.
+    pub fn sent(&mut self, name: &str, tokens: u64, memory: u64, now: Instant) {
+        let Some(known) = self.targets.get_mut(name) else { return };
+        known.own_prefill += tokens;
+        known.own_running += 1;
+        known.since.prefill += tokens;
+        known.since.memory += memory;
+        known.since.running += 1;
+        known.since.long |= band(tokens) == BANDS - 1;
+        let speed = known.speed();
+        known.backlog.add(tokens, speed, now);
+        if let Some(offer) = self.offers.get_mut(&known.listed.zone) {
+            offer.note(tokens);
         }
     }
 
-    /// Notes that the first token came, so that the prompt is computed.
-    pub fn first_token(&mut self, name: &str, tokens: u64) {
-        if let Some(known) = self.targets.get_mut(name) {
-            known.own_prefill = known.own_prefill.saturating_sub(tokens);
+    /// Notes that the prompt is computed, or that it will not be.
+    ///
+    /// `took` is the time from sending to the first token where the engine
+    /// had nothing else to do at the sending; the engine's rate is learned
+    /// from it.
+    pub fn first_token(&mut self, name: &str, tokens: u64, took: Option<Duration>) {
+        let Some(known) = self.targets.get_mut(name) else { return };
+        known.own_prefill = known.own_prefill.saturating_sub(tokens);
+        if known.own_prefill == 0 {
+            known.backlog = Backlog::default();
+        }
+        if let Some(took) = took {
+            known.rate.learn(tokens, took);
         }
     }
 
@@ -143,10 +126,10 @@
     pub fn ended(&mut self, name: &str, ok: bool, now: Instant) {
         let Some(known) = self.targets.get_mut(name) else { return };
         known.own_running = known.own_running.saturating_sub(1);
-        known.fails = if ok { 0 } else { known.fails + 1 };
-        if known.fails >= EJECT_AFTER {
-            known.fails = 0;
-            known.ejected = Some(now + EJECT_FOR);
+        if ok {
+            known.health.succeeded(now);
+        } else if known.health.failed() {
+            self.eject(name, now);
         }
     }
 
@@ -157,6 +140,68 @@
         }
     }
 
+    /// Notes that a target may have `tokens` of a prefix cached.
+    pub fn hint(&mut self, prefix: u64, target: &TargetId, tokens: u64, now: Instant) {
+        let hint = Hint { target: TargetId::clone(target), tokens, heard: now };
+        self.hints.note(prefix, hint);
+    }
+
+    /// Returns the newest hint for a prefix.
+    pub fn hinted(&self, prefix: u64) -> Option<&Hint> {
+        self.hints.find(prefix)
+    }
+
+    /// Notes what another zone says of itself.
+    pub fn offer(&mut self, zone: &ZoneId, summary: &Summary, now: Instant) {
+        self.offers.insert(ZoneId::clone(zone), Offer::new(summary));
+        for room in &summary.rooms {
+            let Some(known) = self.targets.get_mut(&room.target) else { continue };
+            known.report.prefill = room.prefill;
+            known.report.free = room.free;
+            known.report.speed = room.speed;
+            known.tier = room.band;
+            known.since = Since::default();
+            known.heard = Some(now);
+            known.offered = Some(now);
+        }
+    }
+
+    /// Returns what is left of another zone's latest word.
+    pub fn offered(&self, zone: &str) -> Option<&Offer> {
+        self.offers.get(zone)
+    }
+
+    /// Returns what `zone` may say of itself to `instances` in other zones.
+    pub fn summary(&self, zone: &str, instances: usize, now: Instant) -> Summary {
+        let open = |k: &&Known| k.listed.zone.as_ref() == zone && k.reachable(now) && k.open(now);
+        let engines = || self.targets.values().filter(open).filter(|k| k.tier == 0);
+        let room = |k: &Known| (OFFERED * k.speed() - k.ahead(now)).max(0.0);
+        let wait = |k: &Known| (k.ahead(now) + PROBE) / k.speed();
+        let wait = engines().map(wait).min_by(f64::total_cmp);
+        let rooms = (0..BANDS).flat_map(|band| {
+            let mut best: Vec<&Known> =
+                self.targets.values().filter(open).filter(|k| k.tier == band).collect();
+            best.sort_by(|a, b| a.ahead(now).total_cmp(&b.ahead(now)));
+            best.into_iter().take(ROOMS).map(move |k| Room {
+                target: TargetId::clone(&k.listed.name),
+                band,
+                prefill: k.ahead(now) as u64,
+                free: k.free(),
+                speed: k.speed() as u64,
+            })
+        });
+        Summary {
+            wait: wait.map_or(Duration::MAX, Duration::from_secs_f64),
+            spare: (engines().map(room).sum::<f64>() / instances.max(1) as f64) as u64,
+            rooms: rooms.collect(),
+        }
+    }
+
+    /// Returns how many instances send work to the same engines, at least 1.
+    pub fn sharers(&self) -> usize {
+        self.sharers.max(1)
+    }
+
     /// Returns what is known of the target.
     pub fn get(&self, name: &str) -> Option<&Known> {
         self.targets.get(name)
@@ -166,20 +211,124 @@
     pub fn all(&self) -> impl Iterator<Item = &Known> {
         self.targets.values()
     }
-}
 
-fn fresh(listed: Listed, drained: bool) -> Known {
-    Known {
-        listed,
-        drained,
-        refused: false,
-        report: Report::default(),
-        heard: None,
-        own_prefill: 0,
-        own_running: 0,
-        fails: 0,
-        ejected: None,
+    /// Returns the tiers of a pool in a zone.
+    pub fn split(&self, pool: &PoolId, zone: &ZoneId) -> Split {
+        let key = (PoolId::clone(pool), ZoneId::clone(zone));
+        self.splits.get(&key).copied().unwrap_or_default()
+    }
+
+    /// Ejects the target unless too many of its peers are ejected already.
+    fn eject(&mut self, name: &str, now: Instant) {
+        let Some(target) = self.targets.get(name) else { return };
+        let peers = || self.targets.values().filter(|k| peer(k, target));
+        let ejected = peers().filter(|k| k.health.ejected(now)).count();
+        if ejected >= cap(peers().count()) {
+            return;
+        }
+        if let Some(known) = self.targets.get_mut(name) {
+            known.health.eject(now);
+        }
     }
+
+    /// Ejects slow targets and moves the boundaries.
+    fn look(&mut self, now: Instant) {
+        let slow: Vec<TargetId> = self
+            .targets
+            .values()
+            .filter(|k| k.open(now) && self.is_slow(k))
+            .map(|k| TargetId::clone(&k.listed.name))
+            .collect();
+        for name in slow {
+            self.eject(&name, now);
+            if let Some(known) = self.targets.get_mut(&name) {
+                known.rate = Rate::default();
+            }
+        }
+        self.move_boundaries(now);
+    }
+
+    fn is_slow(&self, known: &Known) -> bool {
+        let Some(rate) = known.rate() else { return false };
+        let peers = self.targets.values().filter(|k| peer(k, known));
+        slow(rate, &mut peers.filter_map(Known::rate).collect::<Vec<_>>())
+    }
+
+    fn move_boundaries(&mut self, now: Instant) {
+        let mut groups: BTreeMap<(PoolId, ZoneId), Vec<TargetId>> = BTreeMap::new();
+        for known in self.targets.values_mut() {
+            known.tier = 0;
+            if known.listed.kind == TargetKind::Service || !known.reachable(now) {
+                continue;
+            }
+            for pool in &known.pools {
+                let key = (PoolId::clone(pool), ZoneId::clone(&known.listed.zone));
+                groups.entry(key).or_default().push(TargetId::clone(&known.listed.name));
+            }
+        }
+        self.splits.retain(|key, _| groups.contains_key(key));
+        for (key, mut names) in groups {
+            let sample = self.sample(&names);
+            let split = self.splits.entry(key).or_default();
+            split.observe(sample, now);
+            let split = *split;
+            names.sort_by_key(|n| self.targets.get(n).map(|k| k.rank));
+            for (place, name) in names.iter().enumerate() {
+                if let Some(known) = self.targets.get_mut(name) {
+                    known.tier = split.tier(place);
+                }
+            }
+            self.level(&names, now);
+        }
+    }
+
+    /// Sets the level of each tier of a pool's engines.
+    fn level(&mut self, names: &[TargetId], now: Instant) {
+        let others = 1.0 - 1.0 / self.sharers() as f64;
+        for tier in 0..BANDS {
+            let (mut count, mut work) = (0.0, 0.0);
+            for known in names.iter().filter_map(|n| self.targets.get(n)) {
+                if known.tier == tier {
+                    let unseen = if known.report.prefill > 0 { UNSEEN * others } else { 0.0 };
+                    work += known.busy(now).min(UNSEEN) + unseen;
+                    count += 1.0;
+                }
+            }
+            let level = work / f64::max(count, 1.0);
+            for name in names {
+                if let Some(known) = self.targets.get_mut(name).filter(|k| k.tier == tier) {
+                    known.level = level;
+                }
+            }
+        }
+    }
+
+    /// Sums up the latest reports, which all instances of the zone share.
+    fn sample(&self, names: &[TargetId]) -> Sample {
+        let mut sample = Sample { engines: names.len(), ..Sample::default() };
+        for report in names.iter().filter_map(|n| self.targets.get(n)).map(|k| &k.report) {
+            let speed = report.speed.max(1) as f64;
+            for (band, prefill) in report.bands.iter().enumerate() {
+                sample.backlog[band] += *prefill as f64 / speed;
+            }
+            if let Some(longest) = report.bands.iter().rposition(|prefill| *prefill > 0) {
+                sample.busy[longest] += 1;
+            }
+        }
+        sample
+    }
+}
+
+/// Returns whether two targets of one zone serve a pool together.
+fn peer(one: &Known, other: &Known) -> bool {
+    one.listed.kind == other.listed.kind
+        && one.listed.zone == other.listed.zone
+        && (one.pools == other.pools || one.pools.iter().any(|p| other.pools.contains(p)))
+}
+
+fn pools_of(entry: &Listed, config: &Config) -> Vec<PoolId> {
+    let pools = config.pools.iter().filter(|p| p.kind == entry.kind);
+    pools.filter(|p| matches(&p.select, &entry.labels)).map(|p| PoolId::clone(&p.name)).collect()
 }
 
 fn relabel(entry: &mut Listed, config: &Config) {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,18 +1,43 @@
 //! Choice of a target for one request.
+//!
+//! A few candidates are drawn by the request's random number and the one with
+//! the least estimated time to first token is taken. Drawing keeps instances
+//! that share a lagging report from all choosing the same engine.
 
-use std::time::Instant;
+use std::fmt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use crate::board::{Board, Known};
 use crate::config::{Pool, TargetKind};
 use crate::error::{Failure, Kind};
 use crate::ids::TargetId;
-use crate::labels::matches;
+use crate::split::{BANDS, band};
 
-/// Prefill speed assumed before an engine reported one, in tokens a second.
-const SPEED: u64 = 10_000;
+/// Candidates that are drawn on either side of the boundary.
+const DRAWN: usize = 3;
+/// Wait that a prompt of each band (row) bears in its own tier before it goes
+/// to an engine of each other tier (column), in milliseconds.
+const PATIENCE: [[u64; BANDS]; BANDS] = [[0, 250, 500], [7_500, 0, 3_000], [60_000, 20_000, 0]];
+/// Wait that a prompt of each band bears before it leaves the instance's own
+/// engines, in milliseconds.
+const OWN: [u64; BANDS] = [100, 300, 3_000];
+/// Work ahead, in milliseconds, from which a choice looks at every engine of
+/// the home zone in place of the drawn ones, for each band.
+const IMPATIENT: [u64; BANDS] = [1_000, 4_000, 20_000];
+/// Weight in the draw of an engine that has more than its share of work, in seconds.
+const LEAST_WEIGHT: f64 = 0.001;
+/// Wait for each request over the slots of an engine.
+const SLOT_WAIT: Duration = Duration::from_millis(250);
+/// Wait that each own request in flight counts for, so that answers are spread too.
+const STREAM_WAIT: Duration = Duration::from_millis(4);
+/// Wait for each own call in flight to a plain service.
+const CALL_WAIT: Duration = Duration::from_millis(20);
+/// KV cache set aside for an answer of unstated length, in tokens.
+const ANSWER: u64 = 512;
 
 /// What a choice looks at.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Ask<'a> {
     /// Kind of target.
     pub kind: TargetKind,
@@ -22,48 +47,347 @@
     pub zone: &'a str,
     /// Estimated length of the prompt, in tokens; 0 for services.
     pub tokens: u64,
+    /// Longest answer, in tokens, which needs memory beside the prompt.
+    pub answer: u64,
+    /// Hash of the first bytes of the prompt, 0 for none.
+    pub prefix: u64,
+    /// Promised time to first token; zero promises nothing.
+    pub promise: Duration,
+    /// Random number of the request; the same one gives the same choice.
+    pub seed: u64,
     /// Targets that were tried before.
     pub tried: &'a [TargetId],
 }
 
-/// A chosen target and the reason in a few words.
+impl Ask<'_> {
+    /// Returns the KV cache that the request needs, in tokens.
+    pub fn memory(&self) -> u64 {
+        memory(self.tokens, self.answer)
+    }
+}
+
+/// Returns the KV cache that prompt and answer need, in tokens.
+pub fn memory(tokens: u64, answer: u64) -> u64 {
+    if tokens == 0 { 0 } else { tokens + answer.max(ANSWER) }
+}
+
+/// Why a target was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cause {
+    /// Least wait among the instance's own engines.
+    Own,
+    /// Least wait among those drawn.
+    Least,
+    /// Its cache probably has the prefix.
+    Prefix,
+    /// Every engine on the request's own side of the boundary waits too long.
+    Across,
+    /// The home zone cannot keep the promise and this zone offered room.
+    Spill,
+    /// The home zone has no open target.
+    Away,
+    /// A group of so many engines was granted.
+    Group(usize),
+    /// The same engine goes on from this token.
+    Resumed(u64),
+}
+
+/// Reason of a choice; its text is made only when someone reads it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Reason {
+    /// Why this target.
+    pub cause: Cause,
+    /// Estimated time to first token there.
+    pub wait: Duration,
+    /// Targets that were fit to serve.
+    pub fit: usize,
+}
+
+impl Reason {
+    /// Builds the reason of a target that no estimate chose.
+    pub fn granted(cause: Cause) -> Self {
+        Self { cause, wait: Duration::ZERO, fit: 0 }
+    }
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let why = match self.cause {
+            Cause::Own => "own engine, least wait",
+            Cause::Least => "least wait",
+            Cause::Prefix => "prefix cached",
+            Cause::Across => "its side of the boundary waits longer",
+            Cause::Spill => "the home zone cannot keep the promise",
+            Cause::Away => "no open target in the home zone",
+            Cause::Group(engines) => return write!(f, "group of {engines} engines"),
+            Cause::Resumed(token) => return write!(f, "resumes at token {token}"),
+        };
+        write!(f, "{why}, {} ms, {} fit", self.wait.as_millis(), self.fit)
+    }
+}
+
+/// A chosen target and the reason.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Choice {
     /// Name of the target.
     pub target: TargetId,
     /// Address, `IP:port`.
-    pub addr: String,
+    pub addr: Arc<str>,
     /// Why it was chosen, for people.
-    pub reason: String,
+    pub reason: Reason,
+}
+
+/// A candidate with its place in the draw.
+#[derive(Clone, Copy, Debug)]
+struct Drawn<'b> {
+    place: f64,
+    known: &'b Known,
 }
 
-/// Chooses the open target with the least estimated wait.
+/// The first few candidates in the order of the draw.
+#[derive(Debug, Default)]
+struct Draw<'b> {
+    drawn: [Option<Drawn<'b>>; DRAWN],
+}
+
+impl<'b> Draw<'b> {
+    fn offer(&mut self, mut next: Drawn<'b>) {
+        for held in &mut self.drawn {
+            match held {
+                None => {
+                    *held = Some(next);
+                    return;
+                }
+                Some(other) if next.place < other.place => std::mem::swap(other, &mut next),
+                Some(_) => {}
+            }
+        }
+    }
+
+    /// Returns whether a candidate at `place` or behind it is not drawn any more.
+    fn beyond(&self, place: f64) -> bool {
+        self.drawn[DRAWN - 1].is_some_and(|last| place > last.place)
+    }
+
+    fn known(&self) -> impl Iterator<Item = &'b Known> {
+        self.drawn.iter().flatten().map(|d| d.known)
+    }
+}
+
+/// Candidates of the home zone on both sides of the boundary, and of others.
+#[derive(Debug, Default)]
+struct Field<'b> {
+    mine: Draw<'b>,
+    own: Draw<'b>,
+    across: Draw<'b>,
+    offered: Draw<'b>,
+    away: Draw<'b>,
+    fit: usize,
+}
+
+/// The best candidate so far.
+#[derive(Clone, Copy, Debug)]
+struct Best<'b> {
+    known: &'b Known,
+    cause: Cause,
+    wait: Duration,
+    score: Duration,
+}
+
+/// Chooses a target with a small estimated time to first token.
 ///
 /// # Errors
 ///
 /// [`Kind::NoTarget`] when no target may serve the request now.
 pub fn choose(board: &Board, ask: &Ask<'_>, now: Instant) -> Result<Choice, Failure> {
-    let fit = |known: &&Known| {
-        known.listed.kind == ask.kind
-            && known.open(now)
-            && !ask.tried.contains(&known.listed.name)
-            && ask.pools.iter().any(|p| matches(&p.select, &known.listed.labels))
-    };
-    let best = board.all().filter(fit).min_by_key(|k| {
-        let away = k.listed.zone.as_ref() != ask.zone;
-        (away, wait_ms(k, ask.tokens), k.own_running)
-    });
-    let known = best.ok_or_else(|| Failure::new(Kind::NoTarget, "no target is open"))?;
+    let (best, fit) = best(board, ask, now);
+    let best =
+        best.ok_or_else(|| Failure::new(Kind::NoTarget, "no target is open and has room"))?;
     Ok(Choice {
-        target: TargetId::clone(&known.listed.name),
-        addr: known.listed.addr.clone(),
-        reason: format!("least wait, {} ms", wait_ms(known, ask.tokens)),
+        target: TargetId::clone(&best.known.listed.name),
+        addr: Arc::clone(&best.known.addr),
+        reason: Reason { cause: best.cause, wait: best.wait, fit },
     })
 }
 
-/// Returns the estimated time to first token, in milliseconds.
-pub fn wait_ms(known: &Known, tokens: u64) -> u64 {
-    let ahead = known.report.prefill.max(known.own_prefill);
-    let speed = if known.report.speed == 0 { SPEED } else { known.report.speed };
-    (ahead + tokens) * 1000 / speed
+/// Returns the estimated time to first token at the target that would be chosen.
+///
+/// It is [`Duration::MAX`] when no target may serve the request now.
+pub fn estimate(board: &Board, ask: &Ask<'_>, now: Instant) -> Duration {
+    best(board, ask, now).0.map_or(Duration::MAX, |b| b.wait)
+}
+
+/// Returns the estimated time to first token of `tokens` of prompt at a target.
+pub fn wait(known: &Known, tokens: u64, now: Instant) -> Duration {
+    if known.listed.kind == TargetKind::Service {
+        return CALL_WAIT * known.own_running;
+    }
+    let time = known.busy(now) + tokens as f64 / known.speed();
+    Duration::from_secs_f64(time / known.health.share(now)) + SLOT_WAIT * known.queued()
+}
+
+fn best<'b>(board: &'b Board, ask: &Ask<'_>, now: Instant) -> (Option<Best<'b>>, usize) {
+    let field = field(board, ask, now);
+    let others = Duration::from_millis(OWN[band(ask.tokens)]);
+    let home = field
+        .mine
+        .known()
+        .map(|k| scored(k, ask, Cause::Own, Duration::ZERO, now))
+        .chain(field.own.known().map(|k| scored(k, ask, Cause::Least, others, now)))
+        .chain(field.across.known().map(|k| scored(k, ask, Cause::Across, patience(k, ask), now)))
+        .chain(hinted(board, ask, now))
+        .min_by_key(|b| b.score);
+    let home = home.filter(|b| !impatient(b, ask)).or_else(|| least(board, ask, now));
+    let in_time = home.is_some_and(|b| ask.promise.is_zero() || b.wait <= ask.promise);
+    if in_time {
+        return (home, field.fit);
+    }
+    let deserted = home.is_none() && deserted(board, ask, now);
+    let cause = if deserted { Cause::Away } else { Cause::Spill };
+    let others = if deserted { &field.away } else { &Draw::default() };
+    let away = field
+        .offered
+        .known()
+        .chain(others.known())
+        .map(|k| scored(k, ask, cause, Duration::ZERO, now));
+    (away.chain(home).min_by_key(|b| b.score), field.fit)
+}
+
+/// Returns whether a choice waits so long that it is worth a look at all engines.
+fn impatient(best: &Best<'_>, ask: &Ask<'_>) -> bool {
+    let own = Duration::from_secs_f64(ask.tokens as f64 / best.known.speed());
+    best.wait > own + Duration::from_millis(IMPATIENT[band(ask.tokens)])
+}
+
+/// Returns the home engine with the least score of all.
+fn least<'b>(board: &'b Board, ask: &Ask<'_>, now: Instant) -> Option<Best<'b>> {
+    let tier = band(ask.tokens);
+    let kept = kept(board, ask, now);
+    let home = |k: &&Known| k.listed.zone.as_ref() == ask.zone && !(kept && k.tier == 0);
+    let cause = |k: &Known| if k.tier == tier { Cause::Least } else { Cause::Across };
+    let engines = board.all().filter(home).filter(|k| fits(k, ask, now));
+    engines.map(|k| scored(k, ask, cause(k), patience(k, ask), now)).min_by_key(|b| b.score)
+}
+
+/// Returns the wait that a request bears before it goes to this engine's tier.
+fn patience(known: &Known, ask: &Ask<'_>) -> Duration {
+    Duration::from_millis(PATIENCE[band(ask.tokens)][known.tier])
+}
+
+/// Draws candidates among all targets that are fit to serve.
+fn field<'b>(board: &'b Board, ask: &Ask<'_>, now: Instant) -> Field<'b> {
+    let tier = band(ask.tokens);
+    let kept = kept(board, ask, now);
+    let mut field = Field::default();
+    for known in board.all().filter(|k| fits(k, ask, now)) {
+        let home = known.listed.zone.as_ref() == ask.zone;
+        if home && kept && known.tier == 0 {
+            continue;
+        }
+        field.fit += 1;
+        let own = home && known.tier == tier;
+        let random = mix(known.rank ^ ask.seed);
+        let draw = match (home, own, known.mine) {
+            (true, true, true) => &mut field.mine,
+            (true, true, false) => &mut field.own,
+            (true, false, _) => &mut field.across,
+            (false, ..) if offered(board, known, ask, now) => &mut field.offered,
+            (false, ..) => &mut field.away,
+        };
+        // Without any work ahead it would stand here; most are out by that.
+        if draw.beyond(place(random, known.level.max(LEAST_WEIGHT))) {
+            continue;
+        }
+        let lack = if own { known.level - known.busy(now) } else { 0.0 };
+        draw.offer(Drawn { place: place(random, lack.max(LEAST_WEIGHT)), known });
+    }
+    field
+}
+
+/// Returns whether the target is open to the request and has memory for it.
+pub fn fits(known: &Known, ask: &Ask<'_>, now: Instant) -> bool {
+    known.free() >= ask.memory() && serves(known, ask, now)
+}
+
+/// Returns whether the target is open to the request.
+fn serves(known: &Known, ask: &Ask<'_>, now: Instant) -> bool {
+    known.listed.kind == ask.kind
+        && known.open(now)
+        && known.pools.iter().any(|name| ask.pools.iter().any(|p| p.name == *name))
+        && !ask.tried.contains(&known.listed.name)
+}
+
+fn scored<'b>(
+    known: &'b Known,
+    ask: &Ask<'_>,
+    cause: Cause,
+    penalty: Duration,
+    now: Instant,
+) -> Best<'b> {
+    let wait = wait(known, ask.tokens, now);
+    Best { known, cause, wait, score: wait + penalty + STREAM_WAIT * known.own_running }
+}
+
+/// Returns the engine whose cache should have the prefix, with its credit.
+fn hinted<'b>(board: &'b Board, ask: &Ask<'_>, now: Instant) -> Option<Best<'b>> {
+    let hint = board.hinted(ask.prefix)?;
+    let known = board.get(&hint.target)?;
+    let home = known.listed.zone.as_ref() == ask.zone;
+    let credit = hint.credit(ask.tokens, now);
+    if credit == 0 || !home || !fits(known, ask, now) {
+        return None;
+    }
+    let wait = wait(known, ask.tokens - credit, now);
+    let score = wait + STREAM_WAIT * known.own_running;
+    Some(Best { known, cause: Cause::Prefix, wait, score })
+}
+
+/// Returns whether another zone's engine may take the request.
+///
+/// A long prompt goes only where its zone names room for it; for a shorter one
+/// the zone must also promise a short wait and have some of its offer left.
+fn offered(board: &Board, known: &Known, ask: &Ask<'_>, now: Instant) -> bool {
+    let tier = band(ask.tokens);
+    let named = known.offered(now) && known.tier == tier;
+    if tier == BANDS - 1 {
+        return named;
+    }
+    let offer = board.offered(&known.listed.zone);
+    named && offer.is_some_and(|o| o.allows(ask.tokens, ask.promise))
+}
+
+/// Returns whether the first tier must be kept from long prompts: enough of it
+/// has to stay clear of them, as long as other engines may serve them.
+fn kept(board: &Board, ask: &Ask<'_>, now: Instant) -> bool {
+    if band(ask.tokens) < BANDS - 1 {
+        return false;
+    }
+    let (mut head, mut clear, mut rest) = (0, 0, 0);
+    let home = |k: &&Known| k.listed.zone.as_ref() == ask.zone && serves(k, ask, now);
+    for known in board.all().filter(home) {
+        if known.tier > 0 {
+            rest += 1;
+        } else {
+            head += 1;
+            clear += usize::from(!known.long());
+        }
+    }
+    rest > 0 && clear <= (head / 2).max(1)
+}
+
+/// Returns whether the home zone has no open target for such requests.
+fn deserted(board: &Board, ask: &Ask<'_>, now: Instant) -> bool {
+    !board.all().any(|k| k.listed.zone.as_ref() == ask.zone && serves(k, ask, now))
+}
+
+/// Returns the place in a draw: the least are taken, the heavier the likelier.
+fn place(random: u64, weight: f64) -> f64 {
+    random as f64 / weight
+}
+
+/// Mixes the bits of a number well (the finalizer of `SplitMix64`).
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
 }
--- /dev/null
+++ b/crates/core/tests/routing.rs
@@ -0,0 +1,482 @@
+//! Properties of the choice of a target, its tiers, ejection and spill.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use mimosapass_core::board::{Board, Known, Listed, Report};
+use mimosapass_core::config::{Config, Pool, TargetKind};
+use mimosapass_core::health::cap;
+use mimosapass_core::ids::TargetId;
+use mimosapass_core::route::{Ask, Cause, choose, estimate, fits, memory};
+use mimosapass_core::spill::{Room, Summary};
+use mimosapass_core::split::{BANDS, Sample, Split, band};
+use proptest::prelude::{ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, proptest};
+use proptest::test_runner::RngSeed;
+use rstest::rstest;
+
+const ZONE: &str = "zone-a";
+const SPEED: u64 = 20_000;
+/// Longest wait beyond its own prefill that a prompt of each band may be given
+/// while a home engine that it may use is idle.
+const BOUND: [Duration; BANDS] =
+    [Duration::from_secs(1), Duration::from_secs(8), Duration::from_mins(1)];
+
+/// State of one engine as a property draws it.
+#[derive(Clone, Debug)]
+struct Drawn {
+    prefill: [u64; BANDS],
+    free: u64,
+    running: u32,
+    leaving: bool,
+    drained: bool,
+    refused: bool,
+    failures: u8,
+}
+
+fn drawn() -> impl Strategy<Value = Drawn> {
+    let prefill = [0..20_000_u64, 0..60_000, 0..400_000];
+    let busy = any::<[bool; BANDS]>();
+    let flags = (0..8_u8, 0..8_u8, 0..8_u8);
+    (prefill, busy, 0..450_000_u64, 0..70_u32, flags, 0..7_u8).prop_map(
+        |(prefill, busy, free, running, flags, failures)| Drawn {
+            prefill: std::array::from_fn(|i| if busy[i] { prefill[i] } else { 0 }),
+            free,
+            running,
+            leaving: flags.0 == 0,
+            drained: flags.1 == 0,
+            refused: flags.2 == 0,
+            failures,
+        },
+    )
+}
+
+fn pool() -> Pool {
+    Pool { name: "pool".into(), ..Pool::default() }
+}
+
+fn listed(i: usize, zone: &str) -> Listed {
+    Listed {
+        name: format!("engine-{i}").into(),
+        kind: TargetKind::Engine,
+        zone: zone.into(),
+        addr: format!("127.0.0.1:{i}"),
+        labels: BTreeMap::from([("n".to_owned(), i.to_string())]),
+        leaving: false,
+    }
+}
+
+fn report(number: u64, engine: &Drawn) -> Report {
+    Report {
+        boot: 1,
+        number,
+        prefill: engine.prefill.iter().sum(),
+        bands: engine.prefill,
+        running: engine.running,
+        slots: 64,
+        free: engine.free,
+        capacity: 450_000,
+        speed: SPEED,
+        leaving: engine.leaving,
+        ..Report::default()
+    }
+}
+
+/// Rounds of reports before a choice, so that the tiers come to rest.
+const ROUNDS: u64 = 40;
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_secs(8);
+
+/// Builds a board whose tiers follow from the reports.
+fn board(engines: &[Drawn], order: impl Fn(usize) -> usize, now: Instant) -> Board {
+    let drained = |i: &usize| engines[*i].drained;
+    let config = Config {
+        pools: vec![pool()],
+        drained: (0..engines.len())
+            .filter(drained)
+            .map(|i| BTreeMap::from([("n".to_owned(), i.to_string())]))
+            .collect(),
+        ..Config::default()
+    };
+    let mut board = Board::default();
+    board.list((0..engines.len()).map(|i| listed(order(i), ZONE)).collect(), &config);
+    for number in 1..=ROUNDS {
+        let at = ago(now, Duration::from_secs(1) + ROUND * (ROUNDS - number) as u32);
+        for i in (0..engines.len()).map(&order) {
+            board.report(&format!("engine-{i}"), report(number, &engines[i]), at);
+        }
+    }
+    // A repeated report changes nothing, but it is time for a look at them all.
+    board.report("engine-0", report(1, &engines[0]), now);
+    for (i, engine) in engines.iter().enumerate() {
+        let name = format!("engine-{i}");
+        for _ in 0..engine.failures {
+            board.sent(&name, 0, 0, now);
+            board.ended(&name, false, now);
+        }
+        if engine.refused {
+            board.refused(&name);
+        }
+    }
+    board
+}
+
+fn start() -> Instant {
+    Instant::now() + Duration::from_hours(1)
+}
+
+fn ago(now: Instant, age: Duration) -> Instant {
+    now.checked_sub(age).expect("properties start an hour ahead")
+}
+
+fn ejected(board: &Board, now: Instant) -> usize {
+    board.all().filter(|k| k.health.ejected(now)).count()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_choice_is_open_has_room_and_was_not_tried(
+        engines in proptest::collection::vec(drawn(), 1..20),
+        tokens in 1..450_000_u64,
+        answer in 0..4_000_u64,
+        tried in 0..3_usize,
+        seed in any::<u64>(),
+    ) {
+        let now = start();
+        let board = board(&engines, |i| i, now);
+        let tried: Vec<TargetId> = (0..tried).map(|i| format!("engine-{i}").into()).collect();
+        let (pool, zone) = (pool(), ZONE);
+        let ask =
+            Ask { pools: &[&pool], zone, tokens, answer, seed, tried: &tried, ..Ask::default() };
+        let Ok(choice) = choose(&board, &ask, now) else { return Ok(()) };
+        let known = board.get(&choice.target).expect("it is listed");
+        let engine = &engines[choice.target["engine-".len()..].parse::<usize>().expect("a number")];
+        prop_assert!(engine.free >= memory(tokens, answer), "{choice:?} of {engine:?}");
+        prop_assert!(!(engine.leaving || engine.drained || engine.refused));
+        prop_assert!(!known.health.ejected(now) && !tried.contains(&choice.target));
+        prop_assert_eq!(estimate(&board, &ask, now), choice.reason.wait);
+    }
+
+    #[test]
+    fn own_work_since_the_report_counts_against_memory(
+        sizes in proptest::collection::vec(1_000..200_000_u64, 1..30),
+        seed in any::<u64>(),
+    ) {
+        let now = start();
+        let idle = Drawn {
+            prefill: [0; BANDS], free: 450_000, running: 0,
+            leaving: false, drained: false, refused: false, failures: 0,
+        };
+        let mut board = board(&vec![idle; 4], |i| i, now);
+        let mut held: BTreeMap<TargetId, u64> = BTreeMap::new();
+        let pool = pool();
+        for tokens in sizes {
+            let ask = Ask { pools: &[&pool], zone: ZONE, tokens, seed, ..Ask::default() };
+            let Ok(choice) = choose(&board, &ask, now) else { continue };
+            board.sent(&choice.target, tokens, ask.memory(), now);
+            let held = held.entry(choice.target).or_default();
+            *held += ask.memory();
+            prop_assert!(*held <= 450_000, "{held} tokens on one engine");
+        }
+    }
+
+    #[test]
+    fn the_same_inputs_give_the_same_choice(
+        engines in proptest::collection::vec(drawn(), 1..20),
+        tokens in 1..450_000_u64,
+        seed in any::<u64>(),
+    ) {
+        let now = start();
+        let last = engines.len() - 1;
+        let one = board(&engines, |i| i, now);
+        let other = board(&engines, |i| last - i, now);
+        let pool = pool();
+        let ask = Ask { pools: &[&pool], zone: ZONE, tokens, seed, ..Ask::default() };
+        // The order in which failures came may have ejected others by the cap.
+        let tiers = |b: &Board| b.all().map(|k| k.tier).collect::<Vec<_>>();
+        prop_assert_eq!(tiers(&one), tiers(&other));
+        prop_assert_eq!(choose(&one, &ask, now), choose(&other, &ask, now));
+    }
+
+    #[test]
+    fn no_work_waits_long_beside_an_idle_engine(
+        engines in proptest::collection::vec(drawn(), 1..20),
+        tokens in 1..400_000_u64,
+        seed in any::<u64>(),
+    ) {
+        let now = start();
+        let board = board(&engines, |i| i, now);
+        let pool = pool();
+        let ask = Ask { pools: &[&pool], zone: ZONE, tokens, seed, ..Ask::default() };
+        let Ok(choice) = choose(&board, &ask, now) else { return Ok(()) };
+        let long = band(tokens) == BANDS - 1;
+        let idle = |k: &&Known| {
+            let usable = !long || k.tier > 0;
+            fits(k, &ask, now) && usable && k.busy(now) <= 0.0 && k.queued() == 0
+        };
+        let own = Duration::from_secs_f64(tokens as f64 / SPEED as f64);
+        if board.all().any(|k| idle(&k)) {
+            let most = own + BOUND[band(tokens)];
+            prop_assert!(choice.reason.wait <= most, "{choice:?} waits beside an idle engine");
+        }
+    }
+
+    #[test]
+    fn the_first_tier_stays_clear_of_long_prompts(
+        engines in proptest::collection::vec(drawn(), 2..20),
+        tokens in 33_000..400_000_u64,
+        seed in any::<u64>(),
+    ) {
+        let now = start();
+        let board = board(&engines, |i| i, now);
+        let pool = pool();
+        let ask = Ask { pools: &[&pool], zone: ZONE, tokens, seed, ..Ask::default() };
+        let Ok(choice) = choose(&board, &ask, now) else { return Ok(()) };
+        let open = |k: &&Known| k.open(now);
+        let head = || board.all().filter(open).filter(|k| k.tier == 0);
+        let clear = head().filter(|k| k.report.bands[BANDS - 1] == 0).count();
+        let others = board.all().filter(open).any(|k| k.tier > 0);
+        let chosen = board.get(&choice.target).expect("it is listed");
+        if others && clear <= (head().count() / 2).max(1) {
+            prop_assert!(chosen.tier > 0, "{choice:?} takes one of the last clear engines");
+        }
+    }
+
+    #[test]
+    fn no_more_engines_are_ejected_than_the_cap(
+        count in 1..12_usize,
+        failing in proptest::collection::vec((0..12_usize, 0..4_000_u64), 0..200),
+    ) {
+        let mut now = start();
+        let mut board = Board::default();
+        let config = Config { pools: vec![pool()], ..Config::default() };
+        board.list((0..count).map(|i| listed(i, ZONE)).collect(), &config);
+        for (engine, millis) in failing {
+            now += Duration::from_millis(millis);
+            let name = format!("engine-{}", engine % count);
+            board.sent(&name, 0, 0, now);
+            board.ended(&name, false, now);
+            prop_assert!(ejected(&board, now) <= cap(count));
+        }
+    }
+
+    #[test]
+    fn cuts_stand_still_while_demand_sways(
+        engines in 8..70_usize,
+        share in 0.1..0.8_f64,
+        sway in proptest::collection::vec(any::<bool>(), 300),
+    ) {
+        let mut split = Split::default();
+        let mut now = start();
+        let long = (engines as f64 * share) as usize;
+        let mut moves = 0;
+        for (second, up) in sway.into_iter().enumerate() {
+            now += Duration::from_secs(1);
+            let busy = [1, 1, long + usize::from(up)];
+            let before = split.ends();
+            split.observe(Sample { engines, busy, ..Sample::default() }, now);
+            moves += usize::from(second > 60 && split.ends() != before);
+        }
+        // In 240 s of noise by one engine; 15 s must pass before each way back.
+        prop_assert!(moves <= 16, "{moves} moves");
+    }
+
+    #[test]
+    fn instances_with_unlike_pasts_come_to_the_same_cuts(
+        engines in 8..70_usize,
+        past in proptest::collection::vec((0..60_usize, 0..20_usize), 0..60),
+        long in 0.1..0.6_f64,
+    ) {
+        let (mut old, mut new) = (Split::default(), Split::default());
+        let mut now = start();
+        for (long, short) in past {
+            now += Duration::from_secs(1);
+            let busy = [short.min(engines), 0, long.min(engines)];
+            old.observe(Sample { engines, busy, ..Sample::default() }, now);
+        }
+        let busy = [engines / 10, 1, (engines as f64 * long) as usize];
+        for _ in 0..900 {
+            now += Duration::from_secs(1);
+            let sample = Sample { engines, busy, ..Sample::default() };
+            old.observe(sample, now);
+            new.observe(sample, now);
+        }
+        prop_assert_eq!(old.ends(), new.ends());
+    }
+
+    #[test]
+    fn spill_stays_within_what_the_other_zone_offered(
+        spare in 0..40_000_u64,
+        sizes in proptest::collection::vec(500..8_000_u64, 1..60),
+        busy in 0..100_000_u64,
+    ) {
+        let now = start();
+        let (mut board, pool) = (two_zones(busy, now), pool());
+        let rooms = vec![Room {
+            target: "engine-1".into(), band: 0, prefill: 0, free: 450_000, speed: SPEED,
+        }];
+        let summary = Summary { wait: Duration::from_millis(100), spare, rooms };
+        board.offer(&"zone-b".into(), &summary, now);
+        let promise = Duration::from_millis(1_800);
+        let mut spilled = 0;
+        for tokens in sizes {
+            let ask = Ask { pools: &[&pool], zone: ZONE, tokens, promise, ..Ask::default() };
+            let choice = choose(&board, &ask, now).expect("the home engine is open");
+            let home = board.get("engine-0").map_or(0.0, |k| k.busy(now));
+            let waits = home + tokens as f64 / SPEED as f64;
+            if &*choice.target == "engine-1" {
+                spilled += tokens;
+                prop_assert_eq!(choice.reason.cause, Cause::Spill);
+                prop_assert!(waits > promise.as_secs_f64(), "home kept the promise: {waits} s");
+            }
+            board.sent(&choice.target, tokens, ask.memory(), now);
+        }
+        prop_assert!(spilled <= spare, "{spilled} of {spare} tokens");
+    }
+}
+
+/// Builds a board with one engine at home, as busy as stated, and one away.
+fn two_zones(prefill: u64, now: Instant) -> Board {
+    let mut board = Board::default();
+    let config = Config { pools: vec![pool()], ..Config::default() };
+    board.list(vec![listed(0, ZONE), listed(1, "zone-b")], &config);
+    let engine = Drawn {
+        prefill: [prefill, 0, 0],
+        free: 450_000,
+        running: 0,
+        leaving: false,
+        drained: false,
+        refused: false,
+        failures: 0,
+    };
+    board.report("engine-0", report(1, &engine), now);
+    board
+}
+
+/// What is known of the engine in the other zone.
+#[derive(Clone, Copy, Debug)]
+enum Word {
+    None,
+    Offer(Duration),
+}
+
+#[rstest]
+#[case::no_word(Word::None, 90_000, "engine-0")]
+#[case::home_keeps_the_promise(Word::Offer(Duration::ZERO), 1_000, "engine-0")]
+#[case::offered(Word::Offer(Duration::ZERO), 90_000, "engine-1")]
+#[case::stale_offer(Word::Offer(Duration::from_secs(6)), 90_000, "engine-0")]
+fn work_spills_only_on_a_fresh_offer(
+    #[case] word: Word,
+    #[case] prefill: u64,
+    #[case] chosen: &str,
+) {
+    let now = start();
+    let mut board = two_zones(prefill, now);
+    if let Word::Offer(age) = word {
+        let rooms = vec![Room {
+            target: "engine-1".into(),
+            band: 0,
+            prefill: 0,
+            free: 450_000,
+            speed: SPEED,
+        }];
+        let summary = Summary { wait: Duration::ZERO, spare: 50_000, rooms };
+        board.offer(&"zone-b".into(), &summary, ago(now, age));
+    }
+    let pool = pool();
+    let promise = Duration::from_millis(1_800);
+    let ask = Ask { pools: &[&pool], zone: ZONE, tokens: 2_000, promise, ..Ask::default() };
+    assert_eq!(&*choose(&board, &ask, now).expect("a choice").target, chosen);
+}
+
+#[test]
+fn a_zone_without_open_engines_uses_the_others() {
+    let now = start();
+    let mut board = two_zones(0, now);
+    board.refused("engine-0");
+    let pool = pool();
+    let ask = Ask { pools: &[&pool], zone: ZONE, tokens: 2_000, ..Ask::default() };
+    let choice = choose(&board, &ask, now).expect("a choice");
+    assert_eq!((&*choice.target, choice.reason.cause), ("engine-1", Cause::Away));
+}
+
+#[rstest]
+#[case::fresh(1, Duration::ZERO, true)]
+#[case::stale(1, Duration::from_mins(6), false)]
+#[case::of_another_prompt(2, Duration::ZERO, false)]
+fn a_hint_of_a_cached_prefix_earns_a_credit(
+    #[case] prefix: u64,
+    #[case] age: Duration,
+    #[case] used: bool,
+) {
+    let now = start();
+    let busy = |i: usize| Drawn {
+        prefill: [0, if i == 3 { 60_000 } else { 40_000 }, 0],
+        free: 450_000,
+        running: 1,
+        leaving: false,
+        drained: false,
+        refused: false,
+        failures: 0,
+    };
+    let mut board = board(&[0, 1, 2, 3].map(busy), |i| i, now);
+    board.hint(1, &"engine-3".into(), 30_000, ago(now, age));
+    let pool = pool();
+    let ask = Ask { pools: &[&pool], zone: ZONE, tokens: 30_000, prefix, ..Ask::default() };
+    let choice = choose(&board, &ask, now).expect("a choice");
+    assert_eq!(choice.reason.cause == Cause::Prefix, used, "{choice:?}");
+}
+
+#[test]
+fn a_target_that_came_back_gets_little_work_at_first() {
+    let mut now = start();
+    let mut board = Board::default();
+    let config = Config { pools: vec![pool()], ..Config::default() };
+    board.list((0..3).map(|i| listed(i, ZONE)).collect(), &config);
+    for _ in 0..3 {
+        board.sent("engine-0", 0, 0, now);
+        board.ended("engine-0", false, now);
+    }
+    let share = |board: &Board, at| board.get("engine-0").expect("listed").health.share(at);
+    assert_eq!(ejected(&board, now), 1);
+    now += Duration::from_secs(5);
+    assert_eq!(ejected(&board, now), 0);
+    let shares: Vec<f64> =
+        [0, 4, 10, 20].map(|s| share(&board, now + Duration::from_secs(s))).to_vec();
+    assert!(shares.windows(2).all(|w| w[0] < w[1]), "{shares:?}");
+    assert!(shares[0] <= 0.1 && shares[3] >= 1.0, "{shares:?}");
+}
+
+#[rstest]
+#[case::like_its_peers(1, 0)]
+#[case::four_times_slower(4, 1)]
+fn an_engine_slow_against_its_peers_is_ejected(#[case] factor: u32, #[case] out: usize) {
+    let now = start();
+    let idle = Drawn {
+        prefill: [0; BANDS],
+        free: 450_000,
+        running: 0,
+        leaving: false,
+        drained: false,
+        refused: false,
+        failures: 0,
+    };
+    let mut board = board(&vec![idle.clone(); 5], |i| i, now);
+    for _ in 0..60 {
+        for i in 0..5 {
+            let name = format!("engine-{i}");
+            let took = Duration::from_millis(200) * if i == 0 { factor } else { 1 };
+            board.sent(&name, 4_000, 4_512, now);
+            board.first_token(&name, 4_000, Some(took));
+            board.ended(&name, true, now);
+        }
+    }
+    let later = now + Duration::from_secs(2);
+    board.report("engine-1", report(ROUNDS + 1, &idle), later);
+    assert_eq!(ejected(&board, later), out);
+}
--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -136,6 +136,9 @@
     /// Models that are loaded.
     #[prost(string, repeated, tag = "11")]
     pub models: Vec<String>,
+    /// Prompt tokens not yet computed by band of prompt length, shortest first.
+    #[prost(uint64, repeated, tag = "12")]
+    pub bands: Vec<u64>,
 }
 
 /// Request for a configuration above `above`.
@@ -177,6 +180,35 @@
     /// One entry for each pool.
     #[prost(message, repeated, tag = "2")]
     pub pools: Vec<Pool>,
+    /// Wait of a short prompt, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub wait_ms: u64,
+    /// Prompt tokens that the receiver may send until the next summary.
+    #[prost(uint64, tag = "4")]
+    pub spare: u64,
+    /// Engines with most room, a few for each band of length.
+    #[prost(message, repeated, tag = "5")]
+    pub rooms: Vec<Room>,
+}
+
+/// Room on one engine that its zone offers to other zones.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Room {
+    /// Name of the engine.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Band of prompt length that it serves, 0 for the shortest.
+    #[prost(uint32, tag = "2")]
+    pub band: u32,
+    /// Prompt tokens not yet computed.
+    #[prost(uint64, tag = "3")]
+    pub prefill: u64,
+    /// Free KV cache, in tokens.
+    #[prost(uint64, tag = "4")]
+    pub free: u64,
+    /// Prefill speed, in tokens a second.
+    #[prost(uint64, tag = "5")]
+    pub speed: u64,
 }
 
 /// State of one pool in one zone.
--- a/crates/standin/src/generate.rs
+++ b/crates/standin/src/generate.rs
@@ -7,6 +7,7 @@
 
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_caller::openai::{Call, read};
+use mimosapass_core::split::band;
 use mimosapass_target::engine::{ATTEMPT, EXPIRY, Event, GROUP, HOLDER, OFFSET, RESUMES};
 use mimosapass_target::memory::{Cancel, Claim, Use};
 
@@ -68,6 +69,7 @@
         let mut state = self.state();
         state.runs += 1;
         state.prefill += job.prompt;
+        state.bands[band(job.prompt)] += job.prompt;
         true
     }
 
@@ -80,7 +82,10 @@
         let micros = job.prompt * 1_000_000 / self.settings.speed;
         std::thread::sleep(Duration::from_micros(micros));
         drop(computing);
-        self.state().prefill -= job.prompt;
+        let mut state = self.state();
+        state.prefill -= job.prompt;
+        state.bands[band(job.prompt)] -= job.prompt;
+        drop(state);
         self.cached(job.prefix, job.prompt);
     }
 
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -112,6 +112,8 @@
     pub number: u64,
     /// Prompt tokens accepted and not yet computed.
     pub prefill: u64,
+    /// The same by band of prompt length, shortest first; empty if not told.
+    pub bands: Vec<u64>,
     /// Requests that generate now.
     pub running: u32,
     /// Requests that may generate at once.
--- a/src/flow/group.rs
+++ b/src/flow/group.rs
@@ -7,7 +7,7 @@
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::group::{Plan, Share, members, need, single};
 use mimosapass_core::ids::{ModelId, TargetId};
-use mimosapass_core::route::Choice;
+use mimosapass_core::route::{Cause, Choice, Reason};
 use mimosapass_instance::message::GroupAsk;
 
 use crate::flow::admit::Admitted;
@@ -40,8 +40,8 @@
         let first = &self.shares[0];
         Choice {
             target: TargetId::clone(&first.target),
-            addr: first.addr.clone(),
-            reason: format!("group of {} engines", self.shares.len()),
+            addr: first.addr.as_str().into(),
+            reason: Reason::granted(Cause::Group(self.shares.len())),
         }
     }
 
--- a/src/flow/pick.rs
+++ b/src/flow/pick.rs
@@ -1,17 +1,37 @@
 //! Choice of a target for an admitted request, and the books on it.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use mimosapass_core::config::TargetKind;
 use mimosapass_core::error::Failure;
 use mimosapass_core::ids::TargetId;
-use mimosapass_core::route::{Ask, Choice, choose};
+use mimosapass_core::route::{self, Ask, Choice, choose};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::flow::admit::Admitted;
 use crate::node::Node;
 
-/// Chooses an engine for a prompt of `tokens` tokens.
+/// Shortest prompt from which an engine's rate is learned, in tokens.
+const LEARNED: u64 = 500;
+
+/// What a prompt asks of an engine.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Work {
+    /// Estimated length of the prompt, in tokens.
+    pub tokens: u64,
+    /// Longest answer, in tokens; 0 if unstated.
+    pub answer: u64,
+    /// Key of the prompt's first bytes, 0 for none.
+    pub prefix: u64,
+}
+
+/// Returns a random number that is the same for the same attempt everywhere.
+fn seed(admitted: &Admitted, tried: &[TargetId]) -> u64 {
+    xxh3_64_with_seed(admitted.id.as_bytes(), tried.len() as u64)
+}
+
+/// Chooses an engine for a prompt.
 ///
 /// # Errors
 ///
@@ -20,12 +40,22 @@
     node: &Node,
     admitted: &Admitted,
     model: &str,
-    tokens: u64,
+    work: Work,
     tried: &[TargetId],
 ) -> Result<Choice, Failure> {
     let config = &admitted.document.config;
     let pools: Vec<_> = config.pools_for(&admitted.class, model).collect();
-    let ask = Ask { kind: TargetKind::Engine, pools: &pools, zone: &node.zone, tokens, tried };
+    let ask = Ask {
+        kind: TargetKind::Engine,
+        pools: &pools,
+        zone: &node.zone,
+        tokens: work.tokens,
+        answer: work.answer,
+        prefix: work.prefix,
+        promise: admitted.class.promise(),
+        seed: seed(admitted, tried),
+        tried,
+    };
     choose(&node.state().board, &ask, Instant::now())
 }
 
@@ -43,7 +73,8 @@
     let config = &admitted.document.config;
     let pool = config.service(name).map(|s| &s.pool);
     let pools: Vec<_> = config.pools.iter().filter(|p| Some(&p.name) == pool).collect();
-    let ask = Ask { kind: TargetKind::Service, pools: &pools, zone: &node.zone, tokens: 0, tried };
+    let base = Ask { kind: TargetKind::Service, zone: &node.zone, ..Ask::default() };
+    let ask = Ask { pools: &pools, tried, seed: seed(admitted, tried), ..base };
     choose(&node.state().board, &ask, Instant::now())
 }
 
@@ -53,6 +84,9 @@
     node: Arc<Node>,
     target: TargetId,
     tokens: u64,
+    prefix: u64,
+    sent: Instant,
+    clear: bool,
     first: bool,
     ok: bool,
 }
@@ -60,9 +94,20 @@
 impl Booked {
     /// Notes that a request of `tokens` prompt tokens goes to the target.
     pub fn new(node: &Arc<Node>, target: &TargetId, tokens: u64) -> Self {
-        node.state().board.sent(target, tokens);
+        let sent = Instant::now();
+        let mut state = node.state();
+        let clear = state.board.get(target).is_some_and(|k| k.busy(sent) <= 0.0);
+        state.board.sent(target, tokens, route::memory(tokens, 0), sent);
+        drop(state);
         let (node, target) = (Arc::clone(node), TargetId::clone(target));
-        Self { node, target, tokens, first: false, ok: true }
+        Self { node, target, tokens, prefix: 0, sent, clear, first: false, ok: true }
+    }
+
+    /// Has the target remembered as one that may cache the prompt's prefix.
+    #[must_use]
+    pub fn keyed(mut self, prefix: u64) -> Self {
+        self.prefix = prefix;
+        self
     }
 
     /// Returns whether the first token has come.
@@ -72,9 +117,20 @@
 
     /// Notes that the first token came.
     pub fn first_token(&mut self) {
+        if self.first {
+            return;
+        }
+        let now = Instant::now();
+        let learned = self.clear && self.tokens >= LEARNED;
+        self.computed(learned.then(|| now.saturating_duration_since(self.sent)));
+        self.node.state().board.hint(self.prefix, &self.target, self.tokens, now);
+    }
+
+    /// Takes the prompt off the books of what the target has to compute.
+    fn computed(&mut self, took: Option<Duration>) {
         if !self.first {
             self.first = true;
-            self.node.state().board.first_token(&self.target, self.tokens);
+            self.node.state().board.first_token(&self.target, self.tokens, took);
         }
     }
 
@@ -91,7 +147,7 @@
 
 impl Drop for Booked {
     fn drop(&mut self) {
-        self.first_token();
+        self.computed(None);
         self.node.state().board.ended(&self.target, self.ok, Instant::now());
         let label = if self.ok { "ok" } else { "failed" };
         self.node.metrics.attempts.with_label_values(&[label]).inc();
--- a/src/flow/service.rs
+++ b/src/flow/service.rs
@@ -185,7 +185,7 @@
         headers.push((REQUEST_ID.to_owned(), self.admitted.id.clone()));
         headers.push((REMAINING.to_owned(), left.as_millis().to_string()));
         Call {
-            addr: choice.addr.clone(),
+            addr: choice.addr.to_string(),
             method: self.exchange.head.method.clone(),
             path: self.path.clone(),
             headers,
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -16,7 +16,8 @@
 use mimosapass_core::answer::{Progress, Verdict};
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::{ModelId, TargetId};
-use mimosapass_core::route::Choice;
+use mimosapass_core::prefix;
+use mimosapass_core::route::{Cause, Choice, Reason};
 use mimosapass_target::engine::{self, Event, Generate};
 use mimosapass_target::fault::Fault;
 
@@ -151,7 +152,13 @@
         if let Some(need) = self.need {
             return self.pick_group(need);
         }
-        pick::engine(self.node, &self.admitted, &self.prompt.model, self.tokens, tried)
+        let answer = u64::from(self.prompt.max_tokens.unwrap_or(0));
+        let work = pick::Work { tokens: self.tokens, answer, prefix: self.prefix() };
+        pick::engine(self.node, &self.admitted, &self.prompt.model, work, tried)
+    }
+
+    fn prefix(&self) -> u64 {
+        prefix::key(self.admitted.workspace(), &self.exchange.body)
     }
 
     fn pick_group(&self, need: u64) -> Result<Choice, Failure> {
@@ -180,11 +187,11 @@
         self.progress.start(&id);
         Attempt {
             number,
-            addr: choice.addr.clone(),
+            addr: choice.addr.to_string(),
             target: TargetId::clone(&choice.target),
             resumes,
             heard: Instant::now(),
-            booked: Booked::new(self.node, &choice.target, self.tokens),
+            booked: Booked::new(self.node, &choice.target, self.tokens).keyed(self.prefix()),
             grant,
             over: Arc::default(),
             _claimed: Claimed::new(self.node, &choice.addr, &id),
@@ -320,8 +327,8 @@
             return;
         }
         if attempt.booked.first_came() && attempt.resumes.is_none() {
-            let reason = format!("resumes at token {}", self.progress.passed());
-            let (target, addr) = (TargetId::clone(&attempt.target), attempt.addr.clone());
+            let reason = Reason::granted(Cause::Resumed(self.progress.passed()));
+            let (target, addr) = (TargetId::clone(&attempt.target), attempt.addr.as_str().into());
             let choice = Choice { target, addr, reason };
             self.resume = Some(Resume { choice, attempt: attempt.id.clone() });
         }
--- a/src/flow/turn.rs
+++ b/src/flow/turn.rs
@@ -226,8 +226,8 @@
         let promise = asked.class.promise();
         Self {
             closed: near.is_empty(),
-            room: near.iter().map(|k| room(k, promise)).sum(),
-            first: near.iter().map(|k| first(k, tokens)).min().unwrap_or_default(),
+            room: near.iter().map(|k| room(k, promise, now)).sum(),
+            first: near.iter().map(|k| first(k, tokens, now)).min().unwrap_or_default(),
             speed: near.iter().map(|k| k.report.speed).sum(),
         }
     }
@@ -254,22 +254,22 @@
 }
 
 /// Returns how many requests a target can start now, well within the promise.
-fn room(known: &Known, promise: Duration) -> usize {
+fn room(known: &Known, promise: Duration, now: Instant) -> usize {
     if known.listed.kind == TargetKind::Service {
         return CALLS.saturating_sub(known.own_running) as usize;
     }
     let running = known.report.running.max(known.own_running);
     // A report lags, so an engine may queue a quarter more than its slots.
     let slots = known.report.slots + known.report.slots / 4;
-    usize::from((slots == 0 || running < slots) && first(known, 0) <= promise / 2)
+    usize::from((slots == 0 || running < slots) && first(known, 0, now) <= promise / 2)
 }
 
 /// Returns the estimated time to first token; zero before the first report.
-fn first(known: &Known, tokens: u64) -> Duration {
+fn first(known: &Known, tokens: u64, now: Instant) -> Duration {
     if known.report.speed == 0 {
         return Duration::ZERO;
     }
     // A prompt over one engine's memory is computed by a group.
     let engines = tokens.div_ceil(known.report.capacity.max(1)).max(1);
-    Duration::from_millis(route::wait_ms(known, tokens / engines))
+    route::wait(known, tokens / engines, now)
 }
--- a/src/parts/peers.rs
+++ b/src/parts/peers.rs
@@ -12,6 +12,9 @@
 use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
+use mimosapass_core::ids::ZoneId;
+use mimosapass_core::spill::{Room, Summary};
+use mimosapass_core::split::BANDS;
 use mimosapass_core::summary::{PoolState, summarize};
 use mimosapass_core::version::{Head, Heard};
 use mimosapass_core::view::{BEAT, Beat, FAR_BEAT};
@@ -117,7 +120,10 @@
 fn summary_body(node: &Node) -> Option<Body> {
     let state = node.state();
     let document = state.document.clone()?;
-    let pools = summarize(&state.board, &document.config, &node.zone, Instant::now());
+    let now = Instant::now();
+    let pools = summarize(&state.board, &document.config, &node.zone, now);
+    let others = state.view.alive(now).filter(|b| b.zone != node.zone).count();
+    let spill = state.board.summary(&node.zone, others, now);
     drop(state);
     let pools = pools.iter().map(|p| message::Pool {
         name: p.pool.to_string(),
@@ -127,7 +133,20 @@
         prefill: p.prefill,
         speed: p.speed,
     });
-    Some(Body::Summary(message::Summary { zone: node.zone.to_string(), pools: pools.collect() }))
+    let rooms = spill.rooms.iter().map(|r| message::Room {
+        target: r.target.to_string(),
+        band: r.band as u32,
+        prefill: r.prefill,
+        free: r.free,
+        speed: r.speed,
+    });
+    Some(Body::Summary(message::Summary {
+        zone: node.zone.to_string(),
+        pools: pools.collect(),
+        wait_ms: u64::try_from(spill.wait.as_millis()).unwrap_or(u64::MAX),
+        spare: spill.spare,
+        rooms: rooms.collect(),
+    }))
 }
 
 fn summed_up(node: &Node, summary: message::Summary) {
@@ -139,7 +158,19 @@
         prefill: p.prefill,
         speed: p.speed,
     });
-    node.state().summaries.note(summary.zone.into(), pools.collect(), Instant::now());
+    let rooms = summary.rooms.into_iter().map(|r| Room {
+        target: r.target.into(),
+        band: (r.band as usize).min(BANDS - 1),
+        prefill: r.prefill,
+        free: r.free,
+        speed: r.speed,
+    });
+    let wait = Duration::from_millis(summary.wait_ms);
+    let spill = Summary { wait, spare: summary.spare, rooms: rooms.collect() };
+    let (zone, now) = (ZoneId::from(summary.zone), Instant::now());
+    let mut state = node.state();
+    state.board.offer(&zone, &spill, now);
+    state.summaries.note(zone, pools.collect(), now);
 }
 
 fn heard(node: &Node, name: &str, from: Option<SocketAddr>, beat: &message::Beat) {
--- a/src/parts/poll.rs
+++ b/src/parts/poll.rs
@@ -12,10 +12,11 @@
 use mimosapass_core::board::Report;
 use mimosapass_core::config::TargetKind;
 use mimosapass_core::rendezvous::holder;
+use mimosapass_core::split;
 use mimosapass_instance::message::{Body, Record, Records};
 use mimosapass_target::engine::{self, Load};
 
-use crate::node::Node;
+use crate::node::{Node, State};
 use crate::parts::peers;
 
 /// Time between two polls of an engine.
@@ -43,14 +44,14 @@
 
 /// Returns names and addresses of the engines that this instance owns.
 fn owned(node: &Node) -> Vec<(String, String)> {
-    let state = node.state();
-    let candidates = state.view.candidates(Instant::now());
+    let mut state = node.state();
+    let State { view, board, .. } = &mut *state;
+    let candidates = view.candidates(Instant::now());
     let mine = |name: &str| holder(name, candidates.iter().copied()) == Some(&*node.name);
-    state
-        .board
+    board.own(candidates.len(), |k| k.listed.zone == node.zone && mine(&k.listed.name));
+    board
         .all()
-        .filter(|k| k.listed.kind == TargetKind::Engine && k.listed.zone == node.zone)
-        .filter(|k| mine(&k.listed.name))
+        .filter(|k| k.listed.kind == TargetKind::Engine && k.mine)
         .map(|k| (k.listed.name.to_string(), k.listed.addr.clone()))
         .collect()
 }
@@ -82,6 +83,7 @@
         speed: load.speed,
         leaving: load.leaving,
         models: load.models,
+        bands: load.bands,
     }
 }
 
@@ -90,6 +92,7 @@
         boot: record.boot,
         number: record.number,
         prefill: record.prefill,
+        bands: split::bands(record.prefill, &record.bands),
         running: record.running,
         slots: record.slots,
         free: record.free,
