--- a/crates/instance/examples/control.rs
+++ b/crates/instance/examples/control.rs
@@ -23,7 +23,7 @@
 use mimosapass_core::view::{Beat, View};
 use mimosapass_instance::compact::Shortener;
 use mimosapass_instance::link::{Identity, Links};
-use mimosapass_instance::message::{self, Body, Envelope, Pool, Record, Records, Summary};
+use mimosapass_instance::message::{self, Body, Envelope, Pool, Record, Records, Room, Summary};
 use prost::Message;
 
 /// Instances of one zone.
@@ -32,6 +32,8 @@
 const LINKS: [usize; 4] = [8, 16, 32, 42];
 /// Targets of one zone at the stated size.
 const TARGETS: usize = 67;
+/// Engines that a zone offers to others: four in each of three bands.
+const ROOMS: u32 = 12;
 /// Rounds of each decision that is timed.
 const ROUNDS: u32 = 200;
 /// Beats of real links that are timed.
@@ -76,6 +78,7 @@
         leaving: false,
         models: vec!["chat".to_owned(), "dossier".to_owned()],
         id: 0,
+        bands: vec![20_000, 50_000, 180_000],
     }
 }
 
@@ -94,7 +97,15 @@
         speed: 2_000_000,
     };
     let pools = (0..pools).map(pool).collect();
-    Body::Summary(Summary { zone: "region-a-zone-b".to_owned(), pools })
+    let room =
+        |i| Room { id: u64::MAX, band: i % 3, prefill: 20_000, free: 300_000, speed: 40_000 };
+    Body::Summary(Summary {
+        zone: "region-a-zone-b".to_owned(),
+        pools,
+        wait_ms: 900,
+        spare: 40_000,
+        rooms: (0..ROOMS).map(room).collect(),
+    })
 }
 
 fn length(body: Body) -> usize {
--- a/crates/instance/src/compact.rs
+++ b/crates/instance/src/compact.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::message::Record;
 
@@ -11,6 +11,16 @@
 /// Targets whose whole record is kept by a reader, at most.
 const KEPT: usize = 4096;
 
+/// Returns the number that stands for a target's name in short messages.
+pub fn id(target: &str) -> u64 {
+    xxh3_64(target.as_bytes())
+}
+
+/// Returns the number that stands for a target's process in records.
+fn process(record: &Record) -> u64 {
+    xxh3_64_with_seed(record.target.as_bytes(), record.boot)
+}
+
 /// Shortens the records that go to all peers.
 #[derive(Clone, Debug, Default)]
 pub struct Shortener {
@@ -20,7 +30,7 @@
 impl Shortener {
     /// Shortens what the peers know; `whole` says that a new peer knows nothing.
     pub fn shorten(&mut self, records: &[Record], whole: bool) -> Vec<Record> {
-        let ids: Vec<u64> = records.iter().map(|r| xxh3_64(r.target.as_bytes())).collect();
+        let ids: Vec<u64> = records.iter().map(process).collect();
         self.told.retain(|id, _| ids.contains(id));
         records.iter().zip(ids).map(|(record, id)| self.one(record, id, whole)).collect()
     }
@@ -51,9 +61,10 @@
     /// Returns the whole record; `None` while too little is known of its target.
     pub fn lengthen(&mut self, record: Record) -> Option<Record> {
         if record.target.is_empty() {
-            let known = self.whole.get(&record.id).filter(|k| k.boot == record.boot)?;
+            let known = self.whole.get(&record.id)?;
             return Some(Record {
                 target: known.target.clone(),
+                boot: known.boot,
                 slots: known.slots,
                 capacity: known.capacity,
                 speed: known.speed,
@@ -82,15 +93,15 @@
     }
 }
 
-/// Returns the part of a record that changes, with the start number.
+/// Returns the part of a record that changes.
 fn moving(record: &Record) -> Record {
     Record {
-        boot: record.boot,
         number: record.number,
         prefill: record.prefill,
         running: record.running,
         free: record.free,
         leaving: record.leaving,
+        bands: record.bands.clone(),
         ..Record::default()
     }
 }
--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -103,7 +103,7 @@
 /// Load of one target.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Record {
-    /// Name of the target; empty in a short record.
+    /// Name of the target; empty in a short record, which has no `boot` either.
     #[prost(string, tag = "1")]
     pub target: String,
     /// Start number of the target's process.
@@ -136,9 +136,12 @@
     /// Models that are loaded.
     #[prost(string, repeated, tag = "11")]
     pub models: Vec<String>,
-    /// Hash of the target's name.
-    #[prost(fixed64, tag = "12")]
+    /// Hash of the target's name and start number.
+    #[prost(fixed64, tag = "13")]
     pub id: u64,
+    /// Prompt tokens not yet computed by band of prompt length, shortest first.
+    #[prost(uint64, repeated, tag = "12")]
+    pub bands: Vec<u64>,
 }
 
 /// Request for a configuration above `above`.
@@ -180,6 +183,35 @@
     /// One entry for each pool.
     #[prost(message, repeated, tag = "2")]
     pub pools: Vec<Pool>,
+    /// Wait of a short prompt, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub wait_ms: u64,
+    /// Prompt tokens that the receiver may send until the next summary.
+    #[prost(uint64, tag = "4")]
+    pub spare: u64,
+    /// Engines with most room, a few for each band of length.
+    #[prost(message, repeated, tag = "5")]
+    pub rooms: Vec<Room>,
+}
+
+/// Room on one engine that its zone offers to other zones.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Room {
+    /// Hash of the engine's name.
+    #[prost(fixed64, tag = "6")]
+    pub id: u64,
+    /// Band of prompt length that it serves, 0 for the shortest.
+    #[prost(uint32, tag = "2")]
+    pub band: u32,
+    /// Prompt tokens not yet computed.
+    #[prost(uint64, tag = "3")]
+    pub prefill: u64,
+    /// Free KV cache, in tokens.
+    #[prost(uint64, tag = "4")]
+    pub free: u64,
+    /// Prefill speed, in tokens a second.
+    #[prost(uint64, tag = "5")]
+    pub speed: u64,
 }
 
 /// State of one pool in one zone.
--- a/crates/instance/tests/compact.rs
+++ b/crates/instance/tests/compact.rs
@@ -23,6 +23,7 @@
         leaving: number % 2 == 1,
         models: (0..models).map(|m| format!("model-{m}")).collect(),
         id: 0,
+        bands: vec![number, 0, number * 2],
     }
 }
 
@@ -60,8 +61,8 @@
                 if let Some(seen) = seen {
                     prop_assert_eq!(&seen.target, &expected.target);
                     prop_assert_eq!(
-                        (seen.boot, seen.number, seen.prefill, seen.free, seen.leaving),
-                        (boot, number, expected.prefill, expected.free, expected.leaving)
+                        (seen.boot, seen.number, seen.prefill, seen.free, &seen.bands),
+                        (boot, number, expected.prefill, expected.free, &expected.bands)
                     );
                     prop_assert!(missing > 0 || seen == expected);
                 } else {
--- a/src/parts/peers.rs
+++ b/src/parts/peers.rs
@@ -6,19 +6,24 @@
 //! head of the configuration, so that a change reaches every zone while the
 //! key-value service is out.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
+use mimosapass_core::ids::{TargetId, ZoneId};
+use mimosapass_core::spill::{Room, Summary};
+use mimosapass_core::split::BANDS;
 use mimosapass_core::summary::{PoolState, summarize};
 use mimosapass_core::version::{Head, Heard};
 use mimosapass_core::view::{BEAT, Beat, FAR_BEAT};
+use mimosapass_instance::compact::id;
 use mimosapass_instance::link::{Identity, Incoming};
 use mimosapass_instance::message::{self, Body};
 use mimosapass_instance::pack::{pack, unpack};
 use mimosapass_operator::document;
+use mimosapass_platform::list::Role;
 
 use crate::node::Node;
 use crate::parts::{contacts, groups, listing, poll};
@@ -88,12 +93,18 @@
     node.links.tell(&near, std::iter::once(beat_body(node)).chain(more).collect());
 }
 
-/// Sends a heartbeat and the summary of this zone to partners in other zones.
+/// Sends a heartbeat to partners in other zones, and to one in each the summary.
+///
+/// The partners take turns with the summary, so that a dead one does no harm.
 fn tell_far(node: &Node) {
-    let far = contacts::far(node);
-    if !far.is_empty() {
+    let turn = node.state().contacts.far_turn();
+    let (told, only_beat) = contacts::far(node, turn);
+    if !told.is_empty() {
         let summary = summary_body(node);
-        node.links.tell(&far, std::iter::once(beat_body(node)).chain(summary).collect());
+        node.links.tell(&told, std::iter::once(beat_body(node)).chain(summary).collect());
+    }
+    if !only_beat.is_empty() {
+        node.links.tell(&only_beat, vec![beat_body(node)]);
     }
 }
 
@@ -116,7 +127,12 @@
 fn summary_body(node: &Node) -> Option<Body> {
     let state = node.state();
     let document = state.document.clone()?;
-    let pools = summarize(&state.board, &document.config, &node.zone, Instant::now());
+    let now = Instant::now();
+    let pools = summarize(&state.board, &document.config, &node.zone, now);
+    // Of other zones this instance hears only its partners; all may send here.
+    let others = state.members.iter().filter(|m| m.role == Role::Entry && m.zone != *node.zone);
+    let others = others.count();
+    let spill = state.board.summary(&node.zone, others, now);
     drop(state);
     let pools = pools.iter().map(|p| message::Pool {
         name: p.pool.to_string(),
@@ -126,7 +142,20 @@
         prefill: p.prefill,
         speed: p.speed,
     });
-    Some(Body::Summary(message::Summary { zone: node.zone.to_string(), pools: pools.collect() }))
+    let rooms = spill.rooms.iter().map(|r| message::Room {
+        id: id(&r.target),
+        band: r.band as u32,
+        prefill: r.prefill,
+        free: r.free,
+        speed: r.speed,
+    });
+    Some(Body::Summary(message::Summary {
+        zone: node.zone.to_string(),
+        pools: pools.collect(),
+        wait_ms: u64::try_from(spill.wait.as_millis()).unwrap_or(u64::MAX),
+        spare: spill.spare,
+        rooms: rooms.collect(),
+    }))
 }
 
 fn summed_up(node: &Node, summary: message::Summary) {
@@ -138,7 +167,24 @@
         prefill: p.prefill,
         speed: p.speed,
     });
-    node.state().summaries.note(summary.zone.into(), pools.collect(), Instant::now());
+    let (zone, now) = (ZoneId::from(summary.zone), Instant::now());
+    let mut state = node.state();
+    let near = state.board.all().filter(|k| k.listed.zone == zone);
+    let names: BTreeMap<u64, TargetId> =
+        near.map(|k| (id(&k.listed.name), TargetId::clone(&k.listed.name))).collect();
+    let rooms = summary.rooms.into_iter().filter_map(|r| {
+        Some(Room {
+            target: TargetId::clone(names.get(&r.id)?),
+            band: (r.band as usize).min(BANDS - 1),
+            prefill: r.prefill,
+            free: r.free,
+            speed: r.speed,
+        })
+    });
+    let wait = Duration::from_millis(summary.wait_ms);
+    let spill = Summary { wait, spare: summary.spare, rooms: rooms.collect() };
+    state.board.offer(&zone, &spill, now);
+    state.summaries.note(zone, pools.collect(), now);
 }
 
 fn heard(node: &Node, peer: &Identity, from: Option<SocketAddr>, beat: &message::Beat) {
