A store that fails is left alone; refusals come back spread out

Cause: during an outage each booking asked the key-value service anew and, when it hung, waited up to a second for nothing. Refusals without a computed time gave every caller the same one.

Change: after a failed call an instance refuses protected requests at once for a jittered, doubling pause, 0.2 s to 10 s. Times to come back are spread by up to their own length. Tests share one reading of error codes.

--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -157,6 +157,19 @@
         self
     }
 
+    /// Spreads a time to come back that was not computed; `chance` from 0 to 1.
+    ///
+    /// Callers that were refused in one moment do not come back in one.
+    #[must_use]
+    pub fn spread(self, chance: f64) -> Self {
+        match self.kind.row().retry {
+            Retry::After(least) if self.retry.is_none() => {
+                self.after(least.mul_f64(1.0 + chance.clamp(0.0, 1.0)))
+            }
+            Retry::After(_) | Retry::Never => self,
+        }
+    }
+
     /// Returns when the caller may come back, or `None` for never.
     pub fn retry_after(&self) -> Option<Duration> {
         match self.kind.row().retry {
--- /dev/null
+++ b/crates/core/tests/budget.rs
@@ -0,0 +1,44 @@
+//! Retries stay a bounded share of successes.
+
+use mimosapass_core::budget::Budget;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Retries that a full budget allows in a row.
+const BURST: u32 = 20;
+
+fn config() -> ProptestConfig {
+    ProptestConfig { cases: 500, rng_seed: RngSeed::Fixed(3), ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Over any stretch: at most the burst and a tenth of the successes.
+    #[test]
+    fn retries_are_a_tenth_of_successes_after_a_burst(
+        succeeded in prop::collection::vec(any::<bool>(), 0..500),
+    ) {
+        let mut budget = Budget::default();
+        let (mut successes, mut retries) = (0, 0);
+        for success in succeeded {
+            if success {
+                budget.earn();
+                successes += 1;
+            } else {
+                retries += u32::from(budget.spend());
+            }
+            prop_assert!(retries <= BURST + successes / 10 + 1);
+        }
+    }
+}
+
+#[test]
+fn a_spent_budget_allows_no_retry_until_enough_succeeded() {
+    let mut budget = Budget::default();
+    assert!((0..BURST).all(|_| budget.spend()));
+    assert!(!budget.spend());
+    (0..11).for_each(|_| budget.earn());
+    assert!(budget.spend());
+    assert!(!budget.spend());
+}
--- a/crates/core/tests/refusals.rs
+++ b/crates/core/tests/refusals.rs
@@ -56,6 +56,8 @@
     let least = seconds.map(Duration::from_secs);
     assert_eq!((kind.row().status, kind.row().not_run), (status, not_run));
     assert_eq!(failure.retry_after(), least);
+    let spread = failure.clone().spread(1.0).retry_after();
+    assert_eq!(spread, least.map(|s| s * 2));
     // A computed time is never cut short, and never turns "never" into "later".
     let later = Duration::from_mins(1);
     assert_eq!(failure.after(later).retry_after(), least.map(|_| later));
--- a/src/flow/admit.rs
+++ b/src/flow/admit.rs
@@ -137,7 +137,7 @@
     let count = state.flight.entry(WorkspaceId::clone(name)).or_insert(0);
     if *count >= most {
         let text = format!("{most} requests of this workspace are in flight");
-        return Err(Failure::new(Kind::WorkspaceLimit, text));
+        return Err(Failure::new(Kind::WorkspaceLimit, text).spread(rand::random()));
     }
     *count += 1;
     drop(state);
--- a/src/flow/once.rs
+++ b/src/flow/once.rs
@@ -56,13 +56,18 @@
     /// Says why the request must not be sent; [`Kind::RecordUnavailable`] when
     /// the key-value service does not answer.
     pub fn look(node: &Arc<Node>, subject: Subject<'_>, end: Instant) -> Result<Self, Halt> {
+        if !node.records.ready() {
+            return Err(unavailable("the key-value service failed a moment ago"));
+        }
         let until = millis() + left(end).as_millis() as u64;
         let mine =
             Record { token: rand::random(), digest: subject.digest, until, state: State::Sending };
         let key = once::key(subject.workspace, subject.service, subject.id);
         let claim = Claim::new(mine);
         let mut pending = Self { node: Arc::clone(node), key, claim, step: Step::Get, end };
-        let found = pending.read(pending.limit()).map_err(|e| unavailable(&e.to_string()))?;
+        let read = pending.read(pending.limit());
+        node.records.note(read.is_ok());
+        let found = read.map_err(|e| unavailable(&e.to_string()))?;
         pending.step = pending.found(found);
         match pending.step.clone() {
             Step::End(end) => Err(halt(end)),
@@ -86,6 +91,7 @@
             revision,
             lease: lease.id,
         };
+        self.node.records.note(end != End::Unavailable);
         let End::Won(revision) = end else {
             // The write may still take effect; it must not block the next try.
             if let Some(revision) = self.claim.doubt() {
--- a/src/flow/retry.rs
+++ b/src/flow/retry.rs
@@ -101,5 +101,5 @@
             break;
         }
     }
-    Err(tally.end())
+    Err(tally.end().spread(rand::random()))
 }
--- a/src/flow/turn.rs
+++ b/src/flow/turn.rs
@@ -26,7 +26,7 @@
 /// Time between two looks at whether targets have room.
 const TICK: Duration = Duration::from_millis(20);
 /// Time between two looks at whether the caller is still there.
-const LOOK: Duration = Duration::from_millis(250);
+const LOOK: Duration = Duration::from_secs(1);
 /// Calls of one instance that a target of a plain service gets at once.
 const CALLS: u32 = 64;
 
--- a/src/parts/records.rs
+++ b/src/parts/records.rs
@@ -5,20 +5,21 @@
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use mimosapass_core::claim::{Left, settle};
 use mimosapass_core::once::{KEEP, Record, Revision, SLOT, State};
+use mimosapass_core::pace::Backoff;
 use mimosapass_platform::kv::{Kv, KvError, LeaseId};
 
 use crate::node::Node;
 
 /// Records that may wait to be settled.
 const MOST: usize = 4096;
-/// First pause after a failed write.
+/// First pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(200);
-/// Longest pause after failed writes.
+/// Longest pause after failed calls.
 const LONGEST_PAUSE: Duration = Duration::from_secs(10);
 
 /// A record to be settled.
@@ -48,13 +49,15 @@
     jobs: SyncSender<Job>,
     open: AtomicUsize,
     lease: Mutex<Option<Lease>>,
+    backoff: Mutex<Backoff>,
 }
 
 impl Records {
     /// Builds the queue of records and its reading end for [`run`].
     pub fn new() -> (Self, Receiver<Job>) {
         let (jobs, inbox) = sync_channel(MOST);
-        (Self { jobs, open: AtomicUsize::new(0), lease: Mutex::new(None) }, inbox)
+        let backoff = Mutex::new(Backoff::new(PAUSE, LONGEST_PAUSE));
+        (Self { jobs, open: AtomicUsize::new(0), lease: Mutex::new(None), backoff }, inbox)
     }
 
     /// Has `state` written in the background.
@@ -73,6 +76,25 @@
         self.open.load(Ordering::SeqCst)
     }
 
+    /// Returns whether the service may be asked; after a failure it is left alone.
+    pub fn ready(&self) -> bool {
+        self.backoff().ready(Instant::now())
+    }
+
+    /// Notes whether the service answered.
+    pub fn note(&self, answered: bool) {
+        let mut backoff = self.backoff();
+        if answered {
+            backoff.worked();
+        } else if backoff.ready(Instant::now()) {
+            backoff.failed(Instant::now(), rand::random());
+        }
+    }
+
+    fn backoff(&self) -> MutexGuard<'_, Backoff> {
+        self.backoff.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the lease for a new record; each lease serves for one [`SLOT`].
     ///
     /// # Errors
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -322,6 +322,13 @@
     pub body: Result<String, String>,
 }
 
+/// Returns the code of the error that was answered, or `ok`.
+pub fn code(seen: &Seen) -> String {
+    let body = seen.body.as_deref().unwrap_or_default();
+    let value: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
+    value["error"]["code"].as_str().unwrap_or("ok").to_owned()
+}
+
 /// Sends a POST with headers and reads the whole answer.
 pub fn post(url: &str, headers: &[(&str, &str)], body: &str) -> Result<Seen, ureq::Error> {
     let mut request = agent().post(url);
--- a/tests/suite/deadline.rs
+++ b/tests/suite/deadline.rs
@@ -8,7 +8,7 @@
 use mimosapass_standin::{platform, service};
 use rstest::rstest;
 
-use crate::common::{CONFIG, Fleet, PATIENCE, Seen, chat, ended, post, until};
+use crate::common::{CONFIG, Fleet, PATIENCE, chat, code, ended, post, until};
 
 /// Deadline of the requests here, in milliseconds.
 const DEADLINE: (&str, &str) = ("mimosapass-deadline-ms", "1200");
@@ -22,12 +22,6 @@
     fleet
 }
 
-fn code(seen: &Seen) -> String {
-    let body = seen.body.as_deref().unwrap_or_default();
-    let value: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
-    value["error"]["code"].as_str().unwrap_or("ok").to_owned()
-}
-
 /// One engine fault and what a chat is told under it.
 struct Case {
     faults: engine::Faults,
--- a/tests/suite/once.rs
+++ b/tests/suite/once.rs
@@ -9,7 +9,7 @@
 use mimosapass_standin::service::Faults;
 use rstest::rstest;
 
-use crate::common::{CONFIG, Fleet, Seen, agent, chat, post, until};
+use crate::common::{CONFIG, Fleet, Seen, agent, chat, code, post, until};
 
 /// Path of a booking.
 const PATH: &str = "/services/bookings/vans/7";
@@ -30,12 +30,6 @@
     post(&url, &headers, "one van").expect("an answer")
 }
 
-fn code(seen: &Seen) -> String {
-    let body = seen.body.as_deref().unwrap_or_default();
-    let value: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
-    value["error"]["code"].as_str().unwrap_or("ok").to_owned()
-}
-
 /// Repeats until the answer has this code, and returns that answer.
 fn repeat(fleet: &Fleet, instance: usize, wanted: &str) -> Seen {
     let last = RefCell::new(None);
@@ -158,6 +152,19 @@
     assert_eq!(fleet.desk.runs(), [1, 1]);
 }
 
+#[test]
+fn a_store_that_does_not_answer_is_left_alone_for_a_while() {
+    let fleet = fleet();
+    fleet.platform.set(platform::Faults { delay_ms: 1_500, ..platform::Faults::default() });
+    for _ in 0..20 {
+        assert_eq!(code(&book(&fleet, 0, &[])), "record_unavailable");
+    }
+    fleet.platform.set(platform::Faults::default());
+    // Reads that were given up still reach the store.
+    thread::sleep(Duration::from_secs(2));
+    assert!((1..=6).contains(&fleet.platform.read("once")), "{}", fleet.platform.read("once"));
+}
+
 #[test]
 fn an_identifier_of_another_request_is_refused() {
     let fleet = fleet();
--- a/tests/suite/turns.rs
+++ b/tests/suite/turns.rs
@@ -5,7 +5,7 @@
 
 use mimosapass_standin::engine::{Engine, Faults, Settings};
 
-use crate::common::{CONFIG, Fleet, Seen, agent, chat, ended, post, status, until};
+use crate::common::{CONFIG, Fleet, Seen, agent, chat, code, ended, post, status, until};
 
 /// Headers with a workspace and a deadline in milliseconds.
 type Stated = [(&'static str, &'static str); 2];
@@ -33,12 +33,6 @@
     Settings { slots: 1, ..Settings::default() }
 }
 
-fn code(seen: &Seen) -> String {
-    let body = seen.body.as_deref().unwrap_or_default();
-    let value: serde_json::Value = serde_json::from_str(body).unwrap_or_default();
-    value["error"]["code"].as_str().unwrap_or("ok").to_owned()
-}
-
 fn ask(fleet: &Fleet, stated: Stated) -> Seen {
     let url = fleet.instances[0].url("/v1/chat/completions");
     post(&url, &stated, &chat(10, 1, false)).expect("an answer")
