--- /dev/null
+++ b/crates/instance/tests/link.rs
@@ -0,0 +1,117 @@
+//! Contract of the link between instances: bounds, versions, slow peers.
+
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
+
+use mimosapass_instance::link::{Incoming, Links};
+use mimosapass_instance::message::{Beat, Body, Config, Envelope, LONGEST, VERSION, Want};
+use prost::Message;
+use rstest::rstest;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn start(name: &str) -> (Links, Receiver<Incoming>) {
+    let local: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let (sink, inbox) = channel();
+    (Links::start(name, local, sink).expect("it starts"), inbox)
+}
+
+fn beat(config: u64) -> Body {
+    Body::Beat(Beat { zone: "zone-a".to_owned(), boot: 1, config, ..Beat::default() })
+}
+
+fn framed(bytes: &[u8]) -> Vec<u8> {
+    [&(bytes.len() as u32).to_be_bytes(), bytes].concat()
+}
+
+fn envelope(from: &str, version: u32, body: Option<Body>) -> Vec<u8> {
+    let addr = "127.0.0.1:1".to_owned();
+    framed(&Envelope { version, from: from.to_owned(), addr, body }.encode_to_vec())
+}
+
+/// A message of a kind that this version does not know: field 99, empty.
+fn unknown() -> Vec<u8> {
+    let mut bytes = Envelope::empty().encode_to_vec();
+    bytes.extend([0x9a, 0x06, 0x00]);
+    framed(&bytes)
+}
+
+#[test]
+fn messages_arrive_in_order_with_the_name_of_their_sender() {
+    let (near, _) = start("near");
+    let (far, inbox) = start("far");
+    let bodies = vec![beat(1), Body::Want(Want { above: 7 }), beat(2)];
+    near.tell(&BTreeSet::from([far.addr()]), bodies.clone());
+    near.send(far.addr(), beat(3));
+    for body in bodies.into_iter().chain([beat(3)]) {
+        let seen = inbox.recv_timeout(PATIENCE).expect("a message");
+        assert_eq!((seen.from.as_str(), seen.body), ("near", body));
+        assert_eq!(seen.addr, near.addr().to_string());
+    }
+}
+
+#[test]
+fn an_unknown_message_is_skipped() {
+    let (links, inbox) = start("far");
+    let mut stream = TcpStream::connect(links.addr()).expect("connects");
+    let known = envelope("other", VERSION, Some(beat(1)));
+    stream.write_all(&[unknown(), known.clone(), unknown(), known].concat()).expect("sent");
+    for _ in 0..2 {
+        assert_eq!(inbox.recv_timeout(PATIENCE).expect("a message").body, beat(1));
+    }
+}
+
+#[rstest]
+#[case::of_another_version(envelope("other", VERSION + 1, Some(beat(1))))]
+#[case::that_is_broken(framed(&[0xff; 8]))]
+#[case::without_a_name(envelope("", VERSION, Some(beat(1))))]
+#[case::over_the_bound([&(LONGEST as u32 + 1).to_be_bytes()[..], &[0; 64]].concat())]
+fn a_message_ends_its_connection_alone(#[case] bytes: Vec<u8>) {
+    let (links, inbox) = start("far");
+    let mut good = TcpStream::connect(links.addr()).expect("connects");
+    good.write_all(&envelope("good", VERSION, Some(beat(1)))).expect("sent");
+    assert_eq!(inbox.recv_timeout(PATIENCE).expect("a message").from, "good");
+    let mut bad = TcpStream::connect(links.addr()).expect("connects");
+    bad.set_read_timeout(Some(PATIENCE)).expect("set");
+    bad.write_all(&bytes).expect("sent");
+    // It is closed or reset; either way no byte comes.
+    assert_eq!(bad.read(&mut [0; 8]).unwrap_or(0), 0);
+    good.write_all(&envelope("", VERSION, Some(beat(2)))).expect("sent");
+    let seen = inbox.recv_timeout(PATIENCE).expect("a message");
+    assert_eq!((seen.from.as_str(), seen.body), ("good", beat(2)));
+}
+
+#[test]
+fn a_peer_that_does_not_read_holds_up_no_other() {
+    let (near, _) = start("near");
+    let (far, inbox) = start("far");
+    let deaf = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let deaf_addr = deaf.local_addr().expect("an address");
+    let text = "x".repeat(1_000_000);
+    for i in 1..=200 {
+        near.send(deaf_addr, Body::Config(Config { version: i, digest: i, text: text.clone() }));
+    }
+    near.send(far.addr(), beat(9));
+    assert_eq!(inbox.recv_timeout(PATIENCE).expect("a message").body, beat(9));
+}
+
+#[test]
+fn a_link_is_opened_again_after_its_peer_restarted() {
+    let (near, _) = start("near");
+    let first = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let addr = first.local_addr().expect("an address");
+    near.send(addr, beat(1));
+    let (stream, _) = first.accept().expect("a link");
+    drop((stream, first));
+    let (sink, inbox) = channel();
+    let _far = Links::start("far", addr, sink).expect("it starts again");
+    // Messages may be lost until the break is noticed.
+    let came = (2..2_000).find(|i| {
+        near.send(addr, beat(*i));
+        inbox.recv_timeout(Duration::from_millis(20)).is_ok()
+    });
+    assert!(came.is_some());
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -55,10 +55,14 @@
     pub board: Board,
     /// Members in reach.
     pub view: View,
+    /// Fencing number of this instance's orders, while it leads its zone.
+    pub fence: Option<u64>,
     /// Peers that the list does not name.
     pub contacts: Contacts,
     /// What other zones told of their pools.
     pub summaries: Summaries,
+    /// When the platform gave the list, here or to the peer who told it.
+    pub listed: Option<Instant>,
     /// Latest list of the platform.
     pub members: Vec<Member>,
     /// Learned lengths.
@@ -135,8 +139,10 @@
             asked: None,
             board: Board::default(),
             view: View::new(InstanceId::clone(&name), ZoneId::clone(&zone)),
+            fence: None,
             contacts: Contacts::default(),
             summaries: Summaries::default(),
+            listed: None,
             members: Vec::new(),
             ratios: Ratios::default(),
             budget: Budget::default(),
