--- a/src/flow/turn.rs
+++ b/src/flow/turn.rs
@@ -89,12 +89,14 @@
 ) -> Result<(), Failure> {
     let id = LaneId { class: ClassId::clone(&admitted.class.name), work: work.name.into() };
     let Some((ticket, inbox)) = enter(node, admitted, &id, work)? else { return Ok(()) };
+    story.trace.hop("queue", "no target has room within the promise");
     let begun = Instant::now();
     let turn = follow(&inbox, exchange, admitted);
     let mut state = node.state();
     let forecast = state.turns.waiters.remove(&ticket).map(|w| w.forecast).unwrap_or_default();
     state.turns.queue.remove(&id, admitted.workspace(), ticket);
     drop(state);
+    story.trace.leave(if matches!(turn, Some(Ok(()))) { "ok" } else { "no turn" });
     story.steps.push(format!("queue: {} ms", begun.elapsed().as_millis()));
     turn.unwrap_or_else(|| Err(forecast.timeout(rand::random())))
 }
@@ -175,7 +177,11 @@
 pub fn run(node: &Arc<Node>) {
     let ticks = node.timer.subscribe(TICK);
     while ticks.recv().is_ok() {
-        give(node, &mut node.state());
+        let mut state = node.state();
+        give(node, &mut state);
+        node.metrics.waiting.set(state.turns.queue.len() as i64);
+        drop(state);
+        node.metrics.unsettled.set(node.records.open() as i64);
     }
 }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -34,6 +34,10 @@
     pub unfreed: IntGauge,
     /// Peers that are alive.
     pub peers: IntGauge,
+    /// Idempotency records that wait to be settled.
+    pub unsettled: IntGauge,
+    /// Requests that wait for their turn.
+    pub waiting: IntGauge,
 }
 
 impl Metrics {
@@ -64,6 +68,8 @@
                 .expect("metric is well formed"),
             unfreed: gauge("mimosapass_unfreed_attempts", "Attempts to be freed."),
             peers: gauge("mimosapass_peers_alive", "Peers alive."),
+            unsettled: gauge("mimosapass_unsettled_records", "Records to be settled."),
+            waiting: gauge("mimosapass_waiting_requests", "Requests that wait for their turn."),
             registry,
         };
         metrics.register();
@@ -77,7 +83,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn prometheus::core::Collector>; 7] = [
+        let all: [Box<dyn prometheus::core::Collector>; 9] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.first.clone()),
@@ -85,6 +91,8 @@
             Box::new(self.crossed.clone()),
             Box::new(self.unfreed.clone()),
             Box::new(self.peers.clone()),
+            Box::new(self.unsettled.clone()),
+            Box::new(self.waiting.clone()),
         ];
         for collector in all {
             self.registry.register(collector).expect("metric names differ");
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -277,14 +277,17 @@
     }
 }
 
-/// Returns how many requests of an instance ended with this outcome.
-pub fn ended(instance: &Instance, outcome: &str) -> u64 {
-    let outcome = format!("outcome=\"{outcome}\"");
+/// Returns the value of a metric of an instance, summed over lines that contain `label`.
+pub fn metric(instance: &Instance, name: &str, label: &str) -> u64 {
     let Ok(mut page) = agent().get(instance.page("/metrics")).call() else { return 0 };
     let text = page.body_mut().read_to_string().unwrap_or_default();
-    let counts = text.lines().filter(|l| l.starts_with("mimosapass_requests_total"));
-    let counts = counts.filter(|l| l.contains(&outcome)).filter_map(|l| l.rsplit_once(' '));
-    counts.filter_map(|(_, count)| count.parse::<u64>().ok()).sum()
+    let lines = text.lines().filter(|l| l.starts_with(name) && l.contains(label));
+    lines.filter_map(|l| l.rsplit_once(' ')?.1.parse::<u64>().ok()).sum()
+}
+
+/// Returns how many requests of an instance ended with this outcome.
+pub fn ended(instance: &Instance, outcome: &str) -> u64 {
+    metric(instance, "mimosapass_requests_total", &format!("outcome=\"{outcome}\""))
 }
 
 /// Waits until something holds.
--- a/tests/suite/turns.rs
+++ b/tests/suite/turns.rs
@@ -5,20 +5,21 @@
 
 use mimosapass_standin::engine::{Engine, Faults, Settings};
 
-use crate::common::{CONFIG, Fleet, Seen, agent, chat, code, ended, post, status, until};
+use crate::common::{CONFIG, Fleet, Seen, agent, chat, code, ended, metric, post, status, until};
 
 /// Headers with a workspace and a deadline in milliseconds.
 type Stated = [(&'static str, &'static str); 2];
 
 const LARGE: Stated = [("mimosapass-workspace", "atlas"), ("mimosapass-deadline-ms", "20000")];
 const SMALL: Stated = [("mimosapass-workspace", "dokaz"), ("mimosapass-deadline-ms", "20000")];
+const TINY: Stated = [("mimosapass-workspace", "tiny"), ("mimosapass-deadline-ms", "20000")];
 const HASTY: Stated = [("mimosapass-workspace", "atlas"), ("mimosapass-deadline-ms", "700")];
 
 /// A fleet of one engine that runs one request at a time, with two waiting.
 fn fleet(settings: Settings) -> Fleet {
     let mut fleet = Fleet::new(&[("zone-a", settings)]);
     let config = CONFIG.replace("deadline_ms: 20000", "deadline_ms: 20000\n    queue: 2");
-    fleet.apply(&format!("{config}  - name: dokaz\n"));
+    fleet.apply(&format!("{config}  - name: dokaz\n  - name: tiny\n    in_flight: 1\n"));
     fleet.start("zone-a", "");
     fleet.settle();
     let reported = |t: &serde_json::Value| t["free"].as_u64().is_some_and(|free| free > 0);
@@ -76,6 +77,8 @@
     let refused = waiting.remove(at).join().expect("an answer");
     assert_eq!((code(&refused).as_str(), refused.status), ("queue_full", 429));
     assert!(refused.not_run && refused.retry.is_some(), "{refused:?}");
+    let waits = || metric(&fleet.instances[0], "mimosapass_waiting_requests", "");
+    until("the metric says so", || waits() == 2);
     // A workspace below its share takes the place of the newest.
     waiting.push(begin(&fleet, SMALL));
     until("one is displaced", || waiting.iter().any(JoinHandle::is_finished));
@@ -89,6 +92,23 @@
     assert_eq!(engine.runs(), 3);
 }
 
+#[test]
+fn a_workspace_over_its_limit_is_refused_and_others_go_on() {
+    let fleet = fleet(Settings::default());
+    let engine = &fleet.engines[0].1;
+    engine.set(Faults { hold_from: Some(0), ..Faults::default() });
+    let first = begin(&fleet, TINY);
+    until("it runs", || engine.runs() == 1);
+    let seen = ask(&fleet, TINY);
+    assert_eq!((code(&seen).as_str(), seen.status), ("workspace_limit", 429));
+    assert!(seen.not_run && seen.retry.is_some(), "{seen:?}");
+    let other = begin(&fleet, SMALL);
+    until("another workspace runs", || engine.runs() == 2);
+    engine.set(Faults::default());
+    assert_eq!([first, other].map(|w| w.join().expect("an answer").status), [200, 200]);
+    assert_eq!(ask(&fleet, TINY).status, 200);
+}
+
 #[test]
 fn a_deadline_that_passes_in_the_queue_is_a_true_refusal() {
     let fleet = fleet(narrow());
