A waiting request is given up once it can no longer make it

Cause: the forecast was checked at the coming of a request only, so one that lost its chance in the queue was held to its deadline.

Change: each second of its wait, with the look at its caller, the time to first token of a request that went now is held against what is left.

Seen to fail without it: what_can_no_longer_meet_its_deadline_is_given_up_in_the_queue (queue_timeout at its deadline in place of too_late). All 6 of turns.rs pass with it.

--- a/src/flow/turn.rs
+++ b/src/flow/turn.rs
@@ -25,7 +25,7 @@
 
 /// Time between two looks at whether targets have room.
 const TICK: Duration = Duration::from_millis(20);
-/// Time between two looks at whether the caller is still there.
+/// Time between two looks at whether the caller is there and there is hope.
 const LOOK: Duration = Duration::from_secs(1);
 /// Calls of one instance that a target of a plain service gets at once.
 const CALLS: u32 = 64;
@@ -88,10 +88,13 @@
     story: &mut Story,
 ) -> Result<(), Failure> {
     let id = LaneId { class: ClassId::clone(&admitted.class.name), work: work.name.into() };
-    let Some((ticket, inbox)) = enter(node, admitted, &id, work)? else { return Ok(()) };
+    let asked = Asked::of(admitted, work);
+    let entered = enter(node, admitted, &id, &asked, work.tokens)?;
+    let Some((ticket, inbox)) = entered else { return Ok(()) };
     story.trace.hop("queue", "no target has room within the promise");
     let begun = Instant::now();
-    let turn = follow(&inbox, exchange, admitted);
+    let hope = || check(node, admitted, &asked, work.tokens);
+    let turn = follow(&inbox, exchange, admitted, hope);
     let mut state = node.state();
     let forecast = state.turns.waiters.remove(&ticket).map(|w| w.forecast).unwrap_or_default();
     state.turns.queue.remove(&id, admitted.workspace(), ticket);
@@ -106,6 +109,7 @@
     inbox: &Receiver<Result<(), Failure>>,
     exchange: &Exchange<'_>,
     admitted: &Admitted,
+    hope: impl Fn() -> Result<(), Failure>,
 ) -> Option<Result<(), Failure>> {
     loop {
         match inbox.recv_timeout(LOOK.min(admitted.left())) {
@@ -115,11 +119,22 @@
             Err(RecvTimeoutError::Timeout) if exchange.caller_gone() => {
                 return Some(Err(Failure::new(Kind::CallerGone, "the caller went away")));
             }
-            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Timeout) => {
+                if let Err(failure) = hope() {
+                    return Some(Err(failure));
+                }
+            }
         }
     }
 }
 
+/// Checks that a request could meet its deadline if it went now.
+fn check(node: &Node, admitted: &Admitted, asked: &Asked, tokens: u64) -> Result<(), Failure> {
+    let survey = Survey::of(&node.state().board, node, asked, tokens, Instant::now());
+    let forecast = Forecast { first: survey.first, ..Forecast::default() };
+    forecast.check(admitted.left(), rand::random())
+}
+
 type Entered = Option<(Ticket, Receiver<Result<(), Failure>>)>;
 
 /// Puts a request into its queue; `None` means that it may go at once.
@@ -127,21 +142,16 @@
     node: &Node,
     admitted: &Admitted,
     id: &LaneId,
-    work: Work<'_>,
+    asked: &Asked,
+    tokens: u64,
 ) -> Result<Entered, Failure> {
-    let asked = Asked {
-        document: Arc::clone(&admitted.document),
-        class: admitted.class.clone(),
-        kind: work.kind,
-        name: work.name.into(),
-    };
     let share = asked.document.config.workspace(admitted.workspace()).map_or(1, |w| w.share);
     let class = &admitted.class;
     let rules = Rules { priority: class.priority, most: class.queue };
     let chance = rand::random();
     let now = Instant::now();
     let mut state = node.state();
-    let survey = Survey::of(&state.board, node, &asked, work.tokens, now);
+    let survey = Survey::of(&state.board, node, asked, tokens, now);
     if survey.closed {
         // The choice of a target says why there is none.
         return Ok(None);
@@ -152,7 +162,7 @@
         ticket: turns.next,
         workspace: WorkspaceId::from(admitted.workspace()),
         share,
-        cost: work.tokens.max(1),
+        cost: tokens.max(1),
         came: now,
     };
     let ahead = turns.queue.ahead(id, rules.priority, &waiting);
@@ -169,7 +179,7 @@
     }
     let (sender, inbox) = sync_channel(1);
     turns.waiters.insert(ticket, Waiter { sender, forecast });
-    turns.lanes.insert(id.clone(), asked);
+    turns.lanes.insert(id.clone(), asked.clone());
     Ok(Some((ticket, inbox)))
 }
 
@@ -247,6 +257,15 @@
 }
 
 impl Asked {
+    fn of(admitted: &Admitted, work: Work<'_>) -> Self {
+        Self {
+            document: Arc::clone(&admitted.document),
+            class: admitted.class.clone(),
+            kind: work.kind,
+            name: work.name.into(),
+        }
+    }
+
     fn pools(&self) -> Vec<&Pool> {
         let config = &self.document.config;
         match self.kind {
--- a/tests/suite/turns.rs
+++ b/tests/suite/turns.rs
@@ -92,6 +92,20 @@
     assert_eq!(engine.runs(), 3);
 }
 
+#[test]
+fn what_can_no_longer_meet_its_deadline_is_given_up_in_the_queue() {
+    let fleet = fleet(Settings { speed: 1_000, ..narrow() });
+    let (engine, first) = occupy(&fleet);
+    // Eight seconds of prefill fit into ten now, and not when three have passed.
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    let headers = [("mimosapass-deadline-ms", "10000")];
+    let seen = post(&url, &headers, &chat(8_000, 1, false)).expect("an answer");
+    assert_eq!((code(&seen).as_str(), seen.not_run), ("too_late", true), "{seen:?}");
+    engine.set(Faults::default());
+    assert_eq!(first.join().expect("an answer").status, 200);
+    assert_eq!(engine.runs(), 1);
+}
+
 #[test]
 fn a_workspace_over_its_limit_is_refused_and_others_go_on() {
     let fleet = fleet(Settings::default());
