Tries of one request share its idempotency key, whatever their own identifiers

Cause: the record went by the request identifier where a caller gave both, so tries with identifiers of their own and one idempotency key each had a record. Seen first: tries_with_identifiers_of_their_own_share_one_key ran the booking twice.

Change: the record goes by the key, else by the request identifier. It runs once now.

--- a/src/flow/admit.rs
+++ b/src/flow/admit.rs
@@ -20,6 +20,8 @@
 pub const CLASS: &str = "mimosapass-class";
 /// Header with the remaining time, in milliseconds.
 pub const DEADLINE: &str = "mimosapass-deadline-ms";
+/// Header with the identifier that all tries of one request share.
+pub const KEY: &str = "idempotency-key";
 /// Longest identifier of a caller, in bytes.
 const LONGEST_ID: usize = 128;
 
@@ -77,7 +79,22 @@
 /// [`Kind::BadRequest`] when it is too long or not plain text.
 pub fn caller_id(exchange: &Exchange<'_>) -> Result<Option<String>, Failure> {
     let head = &exchange.head;
-    let stated = head.header(REQUEST_ID).or_else(|| head.header("idempotency-key"));
+    checked(head.header(REQUEST_ID).or_else(|| head.header(KEY)))
+}
+
+/// Returns the identifier that all tries of one request share, if there is one.
+///
+/// Callers may number their tries by request and state one key for all.
+///
+/// # Errors
+///
+/// As [`caller_id`].
+pub fn record_id(exchange: &Exchange<'_>) -> Result<Option<String>, Failure> {
+    let head = &exchange.head;
+    checked(head.header(KEY).or_else(|| head.header(REQUEST_ID)))
+}
+
+fn checked(stated: Option<&str>) -> Result<Option<String>, Failure> {
     match stated {
         None => Ok(None),
         Some(id) if sound(id) => Ok(Some(id.to_owned())),
--- a/src/flow/model.rs
+++ b/src/flow/model.rs
@@ -13,7 +13,7 @@
 
 use mimosapass_target::engine::TRACE;
 
-use crate::flow::admit::{Admitted, admit, caller_id};
+use crate::flow::admit::{Admitted, admit, caller_id, record_id};
 use crate::flow::once::{Guard, Halt, Pending, Subject};
 use crate::flow::stream::Run;
 use crate::flow::turn::{self, Work};
@@ -47,7 +47,7 @@
     admitted: &Admitted,
     call: Call,
 ) -> Result<Option<Arc<Guard>>, Failure> {
-    let Some(id) = caller_id(exchange)?.filter(|_| admitted.class.idempotent == Some(false)) else {
+    let Some(id) = record_id(exchange)?.filter(|_| admitted.class.idempotent == Some(false)) else {
         return Ok(None);
     };
     let service = call.path();
--- a/src/flow/service.rs
+++ b/src/flow/service.rs
@@ -19,7 +19,7 @@
 use mimosapass_target::service::{self, Answer, Call};
 use ureq::Agent;
 
-use crate::flow::admit::{Admitted, admit, caller_id};
+use crate::flow::admit::{Admitted, admit, caller_id, record_id};
 use crate::flow::once::{Guard, Halt, Pending, Subject};
 use crate::flow::pick::{self, Booked};
 use crate::flow::retry::{self, Bounds, Ended};
@@ -63,7 +63,7 @@
     story: &mut Story,
 ) -> Result<Answer, Failure> {
     let id = caller_id(exchange)?;
-    story.request = id.clone().unwrap_or_else(|| node.unique());
+    story.request = id.unwrap_or_else(|| node.unique());
     let document =
         node.document().ok_or_else(|| Failure::new(Kind::NotReady, "no configuration yet"))?;
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
@@ -77,7 +77,7 @@
     let path = if query.is_empty() { format!("/{path}") } else { format!("/{path}?{query}") };
     let idempotent = idempotent(&admitted, &exchange.head.method);
     let mut run = Run { node, exchange, admitted, name, path, idempotent, guard: None };
-    if let Some(id) = id.filter(|_| !idempotent) {
+    if !idempotent && let Some(id) = record_id(exchange)? {
         return run.protect(&id, story);
     }
     run.turn(story)?;
--- a/tests/suite/once.rs
+++ b/tests/suite/once.rs
@@ -32,9 +32,13 @@
 
 /// Repeats until the answer has this code, and returns that answer.
 fn repeat(fleet: &Fleet, instance: usize, wanted: &str) -> Seen {
+    repeat_as(fleet, instance, &[], wanted)
+}
+
+fn repeat_as(fleet: &Fleet, instance: usize, headers: &[(&str, &str)], wanted: &str) -> Seen {
     let last = RefCell::new(None);
     until(wanted, || {
-        let seen = book(fleet, instance, &[]);
+        let seen = book(fleet, instance, headers);
         let found = code(&seen) == wanted;
         *last.borrow_mut() = Some(seen);
         found
@@ -109,6 +113,16 @@
     assert_eq!(fleet.desk.runs(), [1]);
 }
 
+#[test]
+fn tries_with_identifiers_of_their_own_share_one_key() {
+    let fleet = fleet();
+    let first = book(&fleet, 0, &[("mimosapass-request-id", "try-1")]);
+    assert_eq!(first.status, 200, "{first:?}");
+    let seen = repeat_as(&fleet, 1, &[("mimosapass-request-id", "try-2")], "ok");
+    assert_eq!((seen.status, seen.body), (200, first.body));
+    assert_eq!(fleet.desk.runs(), [1]);
+}
+
 #[rstest]
 #[case::create(platform::Faults { lose_writes: 1, ..platform::Faults::default() })]
 #[case::create_and_outcome(platform::Faults { lose_writes: 2, ..platform::Faults::default() })]
