A dead engine neither draws long prompts nor holds up groups

Cause: an engine whose memory was never heard of counted as large enough for any prompt, so that one dead engine drew every long prompt of the zone to itself; the free memory of an old report kept a frozen engine in every plan, at 2 s a try.

Ruled out: to leave engines that were never heard of out of the sums as well: never_fits could then be untrue.

Change: unknown memory counts as enough only while none is known; a report older than 8 s counts as no free memory. Metrics for claims and lost pieces.

Seen: a_frozen_engine_is_left_out::case_1_never_heard_of failed before (502), passes now; a_member::case_2_old_report covers the age.

--- a/crates/core/src/group.rs
+++ b/crates/core/src/group.rs
@@ -4,7 +4,7 @@
 //! Reservations are made in the order of the plan, which is the same order of
 //! engines everywhere, so that two groups never wait for each other.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::board::{Board, Known};
 use crate::config::{Class, Config};
@@ -15,6 +15,8 @@
 const ROOM: u64 = 10;
 /// Tokens of an answer whose request states no bound.
 const ANSWER: u64 = 1024;
+/// Age of a report, which comes each second, from which on it says nothing.
+const STALE: Duration = Duration::from_secs(8);
 
 /// An engine that may be part of a group.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -75,6 +77,7 @@
 ) -> Vec<Member> {
     let pools: Vec<_> = config.pools_for(class, model).collect();
     let fits = |k: &&Known| pools.iter().any(|p| matches(&p.select, &k.listed.labels));
+    let fresh = |k: &Known| k.heard.is_some_and(|at| now.saturating_duration_since(at) < STALE);
     let stays = |k: &&Known| !(k.listed.leaving || k.drained || k.report.leaving);
     board
         .all()
@@ -85,14 +88,17 @@
             target: TargetId::clone(&k.listed.name),
             addr: k.listed.addr.clone(),
             capacity: k.report.capacity,
-            free: if k.open(now) { k.report.free } else { 0 },
+            free: if k.open(now) && fresh(k) { k.report.free } else { 0 },
         })
         .collect()
 }
 
-/// Returns whether a single member can hold `need` tokens, or may.
+/// Returns whether a single member can hold `need` tokens.
+///
+/// Members of unknown memory count only where no other is known, so that a
+/// dead one does not draw every long prompt.
 pub fn single(members: &[Member], need: u64) -> bool {
-    members.iter().any(|m| m.capacity == 0 || m.capacity >= need)
+    members.iter().any(|m| m.capacity >= need) || members.iter().all(|m| m.capacity == 0)
 }
 
 /// Plans a group for `need` tokens: the fewest engines, least memory taken.
--- a/crates/core/tests/group.rs
+++ b/crates/core/tests/group.rs
@@ -1,8 +1,12 @@
 //! Groups are planned whole, waste least, and never block each other.
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
-use mimosapass_core::group::{Member, Plan, Share, need, plan, single};
+use mimosapass_core::board::{Board, Listed, Report};
+use mimosapass_core::config::{Accept, Class, Config, Pool, TargetKind};
+use mimosapass_core::group::{Member, Plan, Share, members, need, plan, single};
+use mimosapass_core::labels::{Labels, Selector};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
@@ -161,10 +165,56 @@
     assert_eq!(plan(&engines, need), outcome);
 }
 
+/// Which engines count, and with how much free memory.
+#[rstest]
+#[case::fresh_report("z", false, Some(1), Some((100, 60)))]
+#[case::old_report("z", false, Some(9), Some((100, 0)))]
+#[case::no_report("z", false, None, Some((0, 0)))]
+#[case::leaving("z", true, Some(1), None)]
+#[case::another_zone("y", false, Some(1), None)]
+fn a_member(
+    #[case] zone: &str,
+    #[case] leaving: bool,
+    #[case] age: Option<u64>,
+    #[case] known: Option<(u64, u64)>,
+) {
+    let now = Instant::now();
+    let class = Class {
+        name: "chats".into(),
+        accept: Accept::default(),
+        select: Selector::default(),
+        priority: 50,
+        promise_ms: 1,
+        deadline_ms: 1,
+        idempotent: None,
+        queue: 1,
+    };
+    let pool = Pool { name: "p".into(), models: vec!["chat".into()], ..Pool::default() };
+    let config = Config { pools: vec![pool], ..Config::default() };
+    let listed = Listed {
+        name: "e".into(),
+        kind: TargetKind::Engine,
+        zone: "z".into(),
+        addr: "a".to_owned(),
+        labels: Labels::default(),
+        leaving,
+    };
+    let mut board = Board::default();
+    board.list(vec![listed], &config);
+    if age.is_some() {
+        let report = Report { boot: 1, number: 1, free: 60, capacity: 100, ..Report::default() };
+        board.report("e", report, now);
+    }
+    let later = now + Duration::from_secs(age.unwrap_or(0));
+    let found = members(&board, &config, &class, &"chat".into(), zone, later);
+    assert_eq!(found.first().map(|m| (m.capacity, m.free)), known);
+}
+
 #[test]
 fn one_engine_is_enough_if_any_can_hold_it() {
     assert!(single(&[member(0, 100, 0), member(1, 50, 50)], 100));
     assert!(!single(&[member(0, 100, 100)], 101));
-    assert!(single(&[member(0, 100, 100), member(1, 0, 0)], 101), "its size is not known yet");
+    assert!(!single(&[member(0, 100, 100), member(1, 0, 0)], 101), "one of unknown size");
+    assert!(single(&[member(0, 0, 0), member(1, 0, 0)], 101), "no size is known yet");
     assert_eq!(need(1_000, Some(50)), 1_150);
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -32,6 +32,10 @@
     pub crossed: IntCounter,
     /// Attempts whose memory waits to be freed.
     pub unfreed: IntGauge,
+    /// Claims on the memory of engines.
+    pub claims: IntGauge,
+    /// Pieces of memory that their holders had lost and that were freed.
+    pub lost: IntCounter,
     /// Peers that are alive.
     pub peers: IntGauge,
 }
@@ -63,6 +67,9 @@
             crossed: IntCounter::new("mimosapass_crossed_total", "Events of another attempt.")
                 .expect("metric is well formed"),
             unfreed: gauge("mimosapass_unfreed_attempts", "Attempts to be freed."),
+            claims: gauge("mimosapass_claims", "Claims on the memory of engines."),
+            lost: IntCounter::new("mimosapass_lost_pieces_freed_total", "Lost pieces freed.")
+                .expect("metric is well formed"),
             peers: gauge("mimosapass_peers_alive", "Peers alive."),
             registry,
         };
@@ -77,13 +84,15 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn prometheus::core::Collector>; 7] = [
+        let all: [Box<dyn prometheus::core::Collector>; 9] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.first.clone()),
             Box::new(self.config.clone()),
             Box::new(self.crossed.clone()),
             Box::new(self.unfreed.clone()),
+            Box::new(self.claims.clone()),
+            Box::new(self.lost.clone()),
             Box::new(self.peers.clone()),
         ];
         for collector in all {
--- a/src/parts/memory.rs
+++ b/src/parts/memory.rs
@@ -45,7 +45,10 @@
     let period = node.settings.claims.period;
     let ticks = node.timer.subscribe(period);
     while ticks.recv().is_ok() {
-        let due = node.state().claims.due(Instant::now(), period);
+        let state = node.state();
+        let due = state.claims.due(Instant::now(), period);
+        node.metrics.claims.set(state.claims.count() as i64);
+        drop(state);
         each(&due, |(addr, ids)| renew_at(node, addr, ids));
     }
 }
@@ -107,7 +110,10 @@
     }
     let cancel = Cancel { ids, expired: true };
     match memory::cancel(&node.pooled, addr, &cancel) {
-        Ok(()) => log::info!("memory: freed {} lost pieces at {addr}.", cancel.ids.len()),
+        Ok(()) => {
+            node.metrics.lost.inc_by(cancel.ids.len() as u64);
+            log::info!("memory: freed {} lost pieces at {addr}.", cancel.ids.len());
+        }
         Err(e) => log::warn!("memory: {addr} did not confirm: {e}."),
     }
 }
--- a/tests/suite/groups.rs
+++ b/tests/suite/groups.rs
@@ -20,8 +20,16 @@
 
 /// Starts three engines and so many instances in one zone; the leader is first.
 fn fleet(instances: usize) -> Fleet {
+    started(engines(3), instances)
+}
+
+/// Starts so many engines.
+fn engines(count: usize) -> Fleet {
     let settings = Settings { capacity: CAPACITY, ..Settings::default() };
-    let mut fleet = Fleet::new(&vec![("zone-a", settings); 3]);
+    Fleet::new(&vec![("zone-a", settings); count])
+}
+
+fn started(mut fleet: Fleet, instances: usize) -> Fleet {
     fleet.apply(CONFIG);
     for _ in 0..instances {
         fleet.start("zone-a", QUICK);
@@ -42,7 +50,7 @@
             let free = |t: &&serde_json::Value| t["free"] == CAPACITY;
             let known = status["targets"].as_array().map_or(0, |t| t.iter().filter(free).count());
             let peers = status["peers"].as_array().map_or(0, Vec::len);
-            known == 3 && peers == fleet.instances.len() - 1
+            known >= 3 && peers == fleet.instances.len() - 1
         });
     }
 }
@@ -127,6 +135,22 @@
     assert_eq!(runs(&fleet), 0);
 }
 
+#[rstest]
+#[case::never_heard_of(true)]
+#[case::known(false)]
+fn a_frozen_engine_is_left_out(#[case] from_the_start: bool) {
+    let mut fleet = engines(4);
+    let frozen = Faults { frozen: true, ..Faults::default() };
+    if from_the_start {
+        fleet.engines[0].1.set(frozen.clone());
+    }
+    fleet = started(fleet, 1);
+    fleet.engines[0].1.set(frozen);
+    let seen = send(&fleet, 0, LONG, "20000").recv_timeout(PATIENCE).expect("it ends");
+    assert!(whole(&seen), "{seen:?}");
+    until("nothing is held by the others", || held(&fleet)[1..] == [0, 0, 0]);
+}
+
 fn engine_cuts(fleet: &mut Fleet, _: &Receiver<Seen>) {
     set(fleet, &Faults { cut_after: Some(2), ..Faults::default() });
 }
--- a/tests/suite/memory.rs
+++ b/tests/suite/memory.rs
@@ -154,6 +154,19 @@
     until("the engine holds nothing", || fleet.engines[0].1.held().is_empty());
 }
 
+#[test]
+fn memory_in_a_zone_without_instances_comes_back() {
+    let mut fleet = Fleet::new(&[("zone-b", Settings::default())]);
+    fleet.apply(CONFIG);
+    fleet.start("zone-a", QUICK);
+    fleet.start("zone-a", QUICK);
+    fleet.settle();
+    let stream = stream(&fleet, 0);
+    fleet.instances[0].signal("KILL");
+    drop(stream);
+    until("the engine holds nothing", || fleet.engines[0].1.held().is_empty());
+}
+
 /// The engine takes the cancel first and begins the call that it meant later.
 #[test]
 fn a_call_that_begins_after_its_cancel_is_freed() {
