--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -18,10 +18,12 @@
 use mimosapass_target::memory::{
     Block, Cancel, Change, Claim, Export, Holdings, Import, Renew, Renewed, Reserve, Use,
 };
+use mimosapass_target::orders;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::memory::Memory;
+use crate::orders::{Orders, Setup};
 use crate::reply;
 
 /// Settings of an engine.
@@ -39,6 +41,8 @@
     pub slots: u32,
     /// Models that are loaded.
     pub models: Vec<String>,
+    /// How it takes orders.
+    pub orders: Setup,
 }
 
 impl Default for Settings {
@@ -50,6 +54,7 @@
             capacity: 400_000,
             slots: 64,
             models: vec!["chat".to_owned()],
+            orders: Setup::default(),
         }
     }
 }
@@ -121,6 +126,7 @@
     pub(crate) settings: Settings,
     pub(crate) changed: Condvar,
     pub(crate) compute: Mutex<()>,
+    orders: Orders,
     state: Mutex<State>,
 }
 
@@ -132,6 +138,7 @@
     /// Fails when the address cannot be bound.
     pub fn start(addr: SocketAddr, settings: Settings) -> io::Result<Self> {
         let inner = Arc::new(Inner {
+            orders: Orders::new(settings.orders.clone(), &settings.models),
             state: Mutex::new(State { boot: settings.boot, ..State::default() }),
             settings,
             changed: Condvar::new(),
@@ -152,6 +159,11 @@
         self.inner.set(faults);
     }
 
+    /// Returns what it carries and the orders that it took.
+    pub fn orders(&self) -> &Orders {
+        &self.inner.orders
+    }
+
     /// Returns how many load reports were asked for.
     pub fn reports(&self) -> u64 {
         self.inner.state().number
@@ -210,6 +222,7 @@
         }
         match exchange.head.path.as_str() {
             "/load" => self.load(exchange),
+            orders::PATH => self.orders.answer(exchange),
             "/held" => self.held(exchange),
             "/events" => self.events(exchange),
             "/renew" => self.memory_call(exchange, &faults, |s, asked| Some(s.renew(asked))),
@@ -255,7 +268,7 @@
             capacity: settings.capacity,
             speed: settings.speed,
             leaving: state.faults.leaving,
-            models: settings.models.clone(),
+            models: self.orders.models(),
         };
         state.reported = Some((Instant::now(), load.clone()));
         load
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod engine;
 pub mod fault;
 pub mod memory;
+pub mod orders;
 pub mod service;
--- a/src/flow/admit.rs
+++ b/src/flow/admit.rs
@@ -115,9 +115,9 @@
     let time = deadline(exchange)?.unwrap_or_else(|| class.deadline());
     let start = Instant::now();
     let place = enter(node, &space.name, space.in_flight)?;
+    exchange.end_by(start + time);
     let id = id.to_owned();
     let document = Arc::clone(document);
-    exchange.end_by(start + time);
     Ok(Admitted { document, class, id, start, end: start + time, place })
 }
 
--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -10,3 +10,4 @@
 pub mod retry;
 pub mod service;
 pub mod stream;
+pub mod turn;
--- a/src/node.rs
+++ b/src/node.rs
@@ -22,6 +22,7 @@
 use mimosapass_platform::pacing::Paced;
 use ureq::Agent;
 
+use crate::flow::turn::Turns;
 use crate::metrics::Metrics;
 use crate::parts::contacts::{Contacts, answers};
 use crate::parts::groups::Groups;
@@ -54,16 +55,22 @@
     pub board: Board,
     /// Members in reach.
     pub view: View,
+    /// Fencing number of this instance's orders, while it leads its zone.
+    pub fence: Option<u64>,
     /// Peers that the list does not name.
     pub contacts: Contacts,
     /// What other zones told of their pools.
     pub summaries: Summaries,
+    /// When the platform gave the list, here or to the peer who told it.
+    pub listed: Option<Instant>,
     /// Latest list of the platform.
     pub members: Vec<Member>,
     /// Learned lengths.
     pub ratios: Ratios,
     /// Retry budget.
     pub budget: Budget,
+    /// Requests that wait for their turn.
+    pub turns: Turns,
     /// Requests in flight by workspace.
     pub flight: BTreeMap<WorkspaceId, usize>,
     /// Claims on the memory of engines.
@@ -132,11 +139,14 @@
             asked: None,
             board: Board::default(),
             view: View::new(InstanceId::clone(&name), ZoneId::clone(&zone)),
+            fence: None,
             contacts: Contacts::default(),
             summaries: Summaries::default(),
+            listed: None,
             members: Vec::new(),
             ratios: Ratios::default(),
             budget: Budget::default(),
+            turns: Turns::default(),
             flight: BTreeMap::new(),
             claims: Claims::default(),
         };
--- a/src/parts/mod.rs
+++ b/src/parts/mod.rs
@@ -5,6 +5,7 @@
 pub mod groups;
 pub mod listing;
 pub mod memory;
+pub mod orders;
 pub mod peers;
 pub mod poll;
 pub mod reclaim;
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -277,6 +277,16 @@
     }
 }
 
+/// Returns how many requests of an instance ended with this outcome.
+pub fn ended(instance: &Instance, outcome: &str) -> u64 {
+    let outcome = format!("outcome=\"{outcome}\"");
+    let Ok(mut page) = agent().get(instance.page("/metrics")).call() else { return 0 };
+    let text = page.body_mut().read_to_string().unwrap_or_default();
+    let counts = text.lines().filter(|l| l.starts_with("mimosapass_requests_total"));
+    let counts = counts.filter(|l| l.contains(&outcome)).filter_map(|l| l.rsplit_once(' '));
+    counts.filter_map(|(_, count)| count.parse::<u64>().ok()).sum()
+}
+
 /// Waits until something holds.
 pub fn until(what: &str, holds: impl Fn() -> bool) {
     within(PATIENCE, what, holds);
