A frozen engine keeps no thread of an instance beyond 10 s

Ruled out: a bound on the whole body (it would end long answers); a socket of our own below the client library (a transport to keep). To shut down the shared agent would end all streams.

Change: each stream takes an agent of its own from a small list and gives it back when the response was read to its end; the agent of a failed attempt is shut down after 10 s. A timer for whole answers as well was tried and taken out again: one entry for each request, kept for 10 s.

--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod engine;
 pub mod fault;
+pub mod lines;
 pub mod memory;
 pub mod orders;
 pub mod service;
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -5,9 +5,8 @@
 
 use std::cell::RefCell;
 use std::io;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -19,6 +18,7 @@
 use mimosapass_core::route::Choice;
 use mimosapass_target::engine::{self, Event, Generate};
 use mimosapass_target::fault::Fault;
+use ureq::Agent;
 
 use crate::flow::admit::Admitted;
 use crate::flow::group::{self, Grant};
@@ -42,6 +42,8 @@
 ///
 /// It exceeds the time in which another instance takes over the polls.
 const UNHEARD: Duration = Duration::from_secs(8);
+/// Time for which the stream of an attempt that is over may still be read.
+const LATE: Duration = Duration::from_secs(10);
 /// Stack of an attempt's thread, in bytes.
 const STACK: usize = 256 * 1024;
 
@@ -67,7 +69,8 @@
     heard: Instant,
     booked: Booked,
     grant: Option<Grant>,
-    over: Arc<AtomicBool>,
+    agent: Agent,
+    over: Arc<OnceLock<Ticket>>,
     _claimed: Claimed,
 }
 
@@ -186,6 +189,7 @@
             heard: Instant::now(),
             booked: Booked::new(self.node, &choice.target, self.tokens),
             grant,
+            agent: self.node.lines.take(&choice.addr),
             over: Arc::default(),
             _claimed: Claimed::new(self.node, &choice.addr, &id),
             id,
@@ -208,18 +212,19 @@
             trace: story.trace.parent(),
             body: self.exchange.body.clone(),
         };
-        let (agent, freed) = (self.node.pooled.clone(), self.node.freed.clone());
+        let (node, agent) = (Arc::clone(self.node), attempt.agent.clone());
         let (sender, number) = (self.sender.clone(), attempt.number);
         let over = Arc::clone(&attempt.over);
         let reading = move || {
-            let sink = |event| {
-                !over.load(Ordering::SeqCst) && sender.send(Message::Event(number, event)).is_ok()
-            };
+            let sink =
+                |event| over.get().is_none() && sender.send(Message::Event(number, event)).is_ok();
             let ended = engine::generate(&agent, &call, sink);
-            if over.load(Ordering::SeqCst) {
+            if over.get().is_some() {
                 // The engine may have begun after it confirmed the cancel.
                 let again = Freed { addr: call.addr, attempt: call.attempt };
-                freed.send(again).unwrap_or_default();
+                node.freed.send(again).unwrap_or_default();
+            } else if ended.is_ok() {
+                node.lines.give(&call.addr, agent);
             }
             // A request that has ended does not wait for this any more.
             sender.send(Message::Done(number, ended)).unwrap_or_default();
@@ -379,13 +384,26 @@
         self.reply.end(self.exchange, reason, usage)
     }
 
+    /// Tells the thread that reads the stream that nobody waits for it.
+    ///
+    /// It goes on for [`LATE`], so that a call which the engine begins after its
+    /// cancel is noticed; then its connection is shut down.
+    fn abandon(&self, attempt: &Attempt) {
+        let mut agent = Some(attempt.agent.clone());
+        let shut = move || agent.take().into_iter().for_each(Agent::shutdown);
+        let ticket = self.node.timer.at(Instant::now() + LATE, shut);
+        if attempt.over.set(ticket).is_err() {
+            log::error!("model: an attempt ended twice.");
+        }
+    }
+
     /// Blames the target where it failed and has lingering memory freed.
     fn settle(&self, mut attempt: Attempt, ended: &Ended<()>) {
         let failure = match ended {
             Ended::Whole(()) => return,
             Ended::Again(failure) | Ended::Over(failure) => failure,
         };
-        attempt.over.store(true, Ordering::SeqCst);
+        self.abandon(&attempt);
         if !matches!(failure.kind, Kind::CallerGone | Kind::Rejected) {
             attempt.booked.blame();
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -20,6 +20,7 @@
 use mimosapass_platform::kv::Kv;
 use mimosapass_platform::list::Member;
 use mimosapass_platform::pacing::Paced;
+use mimosapass_target::lines::Lines;
 use ureq::Agent;
 
 use crate::flow::turn::Turns;
@@ -98,6 +99,8 @@
     pub control: Paced,
     /// Agent for calls that may be repeated.
     pub pooled: Agent,
+    /// Agents for streams of engines.
+    pub lines: Lines,
     /// Agent for calls that must not meet a connection used before.
     pub single: Agent,
     /// Traces.
@@ -159,6 +162,7 @@
             control: Paced::new(kv.clone()),
             kv,
             pooled: mimosapass_target::client::agent(IDLE),
+            lines: Lines::default(),
             single: mimosapass_target::client::agent(0),
             traces: Traces::new(settings.trace, &settings.name, &settings.zone),
             metrics: Metrics::new(),
--- a/tests/suite/memory.rs
+++ b/tests/suite/memory.rs
@@ -167,6 +167,30 @@
     until("the engine holds nothing", || fleet.engines[0].1.held().is_empty());
 }
 
+/// Returns how many threads of the first instance read an engine's stream.
+fn readers(fleet: &Fleet) -> usize {
+    let tasks = format!("/proc/{}/task", fleet.instances[0].child.id());
+    let names = std::fs::read_dir(tasks).expect("it runs").filter_map(|task| {
+        // A thread may end between the two reads.
+        std::fs::read_to_string(task.ok()?.path().join("comm")).ok()
+    });
+    names.filter(|name| name.trim() == "attempt").count()
+}
+
+#[test]
+fn a_frozen_engine_keeps_no_thread() {
+    let fleet = fleet(1, 1);
+    fleet.engines[0].1.set(held_at_two());
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    let request = agent().post(&url).header("mimosapass-workspace", "atlas");
+    let request = request.header("mimosapass-deadline-ms", "600000");
+    let response = request.send(chat(100, 6, true)).expect("an answer");
+    freeze(&fleet);
+    assert_eq!(readers(&fleet), 1);
+    drop(response);
+    until("no thread waits for the engine", || readers(&fleet) == 0);
+}
+
 /// The engine takes the cancel first and begins the call that it meant later.
 #[test]
 fn a_call_that_begins_after_its_cancel_is_freed() {
