--- a/src/flow/turn.rs
+++ b/src/flow/turn.rs
@@ -88,7 +88,12 @@
     story: &mut Story,
 ) -> Result<(), Failure> {
     let id = LaneId { class: ClassId::clone(&admitted.class.name), work: work.name.into() };
-    let Some((ticket, inbox)) = enter(node, admitted, &id, work)? else { return Ok(()) };
+    let entered = enter(node, admitted, &id, work).inspect_err(|failure| {
+        story.trace.hop("queue", "refused at once by the forecast or the queue's bound");
+        story.trace.leave(&failure.to_string());
+    })?;
+    let Some((ticket, inbox)) = entered else { return Ok(()) };
+    story.trace.hop("queue", "no target had room, or others waited");
     let begun = Instant::now();
     let turn = follow(&inbox, exchange, admitted);
     let mut state = node.state();
@@ -96,7 +101,9 @@
     state.turns.queue.remove(&id, admitted.workspace(), ticket);
     drop(state);
     story.steps.push(format!("queue: {} ms", begun.elapsed().as_millis()));
-    turn.unwrap_or_else(|| Err(forecast.timeout(rand::random())))
+    let turn = turn.unwrap_or_else(|| Err(forecast.timeout(rand::random())));
+    story.trace.leave(&turn.as_ref().map_or_else(ToString::to_string, |()| "ok".to_owned()));
+    turn
 }
 
 /// Returns the turn of a waiting request, or `None` when its deadline passed.
@@ -226,8 +233,8 @@
         let promise = asked.class.promise();
         Self {
             closed: near.is_empty(),
-            room: near.iter().map(|k| room(k, promise)).sum(),
-            first: near.iter().map(|k| first(k, tokens)).min().unwrap_or_default(),
+            room: near.iter().map(|k| room(k, promise, now)).sum(),
+            first: near.iter().map(|k| first(k, tokens, now)).min().unwrap_or_default(),
             speed: near.iter().map(|k| k.report.speed).sum(),
         }
     }
@@ -254,22 +261,22 @@
 }
 
 /// Returns how many requests a target can start now, well within the promise.
-fn room(known: &Known, promise: Duration) -> usize {
+fn room(known: &Known, promise: Duration, now: Instant) -> usize {
     if known.listed.kind == TargetKind::Service {
         return CALLS.saturating_sub(known.own_running) as usize;
     }
     let running = known.report.running.max(known.own_running);
     // A report lags, so an engine may queue a quarter more than its slots.
     let slots = known.report.slots + known.report.slots / 4;
-    usize::from((slots == 0 || running < slots) && first(known, 0) <= promise / 2)
+    usize::from((slots == 0 || running < slots) && first(known, 0, now) <= promise / 2)
 }
 
 /// Returns the estimated time to first token; zero before the first report.
-fn first(known: &Known, tokens: u64) -> Duration {
+fn first(known: &Known, tokens: u64, now: Instant) -> Duration {
     if known.report.speed == 0 {
         return Duration::ZERO;
     }
     // A prompt over one engine's memory is computed by a group.
     let engines = tokens.div_ceil(known.report.capacity.max(1)).max(1);
-    Duration::from_millis(route::wait_ms(known, tokens / engines))
+    route::wait(known, tokens / engines, now)
 }
