A leaving engine is not asked to resume what it cut

Cause: the attempt after a cut went to the same engine without a look at whether it leaves, is drained or was ejected.

Change: only an engine that is open to new work is asked; otherwise another one resumes.

Seen: a_leaving_engine_is_not_asked_to_resume failed before (the leaving engine ran twice, the other never), passes now.

--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -149,7 +149,7 @@
 
     /// Chooses the engine whose stream was cut, or else another one.
     fn pick(&self, tried: &[TargetId]) -> Result<Choice, Failure> {
-        if let Some(resume) = &self.resume {
+        if let Some(resume) = self.resume.as_ref().filter(|r| self.open(&r.choice)) {
             return Ok(resume.choice.clone());
         }
         if let Some(need) = self.need {
@@ -160,6 +160,11 @@
         pick::engine(self.node, &self.admitted, &self.prompt.model, work, tried)
     }
 
+    fn open(&self, choice: &Choice) -> bool {
+        let state = self.node.state();
+        state.board.get(&choice.target).is_some_and(|k| k.open(Instant::now()))
+    }
+
     fn prefix(&self) -> u64 {
         prefix::key(self.admitted.workspace(), &self.exchange.body)
     }
@@ -174,7 +179,8 @@
     }
 
     fn attempt(&mut self, number: usize, choice: &Choice, story: &mut Story) -> Ended<()> {
-        let resumes = self.resume.take().map(|r| r.attempt);
+        let resume = self.resume.take().filter(|r| r.choice.target == choice.target);
+        let resumes = resume.map(|r| r.attempt);
         let mut attempt = self.start(number, choice, resumes);
         let ended = match self.send(&attempt, story) {
             Ok(()) => self.follow(&mut attempt, story),
--- a/tests/suite/answers.rs
+++ b/tests/suite/answers.rs
@@ -8,7 +8,7 @@
 use mimosapass_standin::engine::{Engine, Faults, Settings};
 use rstest::rstest;
 
-use crate::common::{CONFIG, Fleet, PATIENCE, Seen, agent, chat, post, until};
+use crate::common::{CONFIG, Fleet, PATIENCE, Seen, agent, chat, post, status, until};
 
 /// The whole answer of six tokens.
 const WHOLE: &str = "t0 t1 t2 t3 t4 t5 ";
@@ -115,6 +115,29 @@
     until("nothing is held", empty);
 }
 
+#[test]
+fn a_leaving_engine_is_not_asked_to_resume() {
+    let fleet = fleet();
+    let answer = begin(&fleet, true);
+    let (one, other) = chosen(&fleet);
+    let addr = one.addr().to_string();
+    let mut members = fleet.members();
+    for member in &mut members {
+        member.leaving = member.addr == addr;
+    }
+    fleet.platform.list(members);
+    until("the instance knows that it leaves", || {
+        let status = status(&fleet.instances[0]);
+        let targets = status["targets"].as_array().cloned().unwrap_or_default();
+        targets.iter().any(|t| t["open"] == false)
+    });
+    other.set(Faults::default());
+    one.set(Faults { cut_once: Some(2), ..Faults::default() });
+    let seen = answer.recv_timeout(PATIENCE).expect("it ends");
+    assert_eq!(text(&seen, true).as_deref(), Some(WHOLE), "{seen:?}");
+    assert_eq!((one.runs(), other.runs()), (1, 1));
+}
+
 #[test]
 fn a_frozen_engine_is_left_before_the_first_token() {
     let fleet = fleet();
