--- a/src/flow/mod.rs
+++ b/src/flow/mod.rs
@@ -6,6 +6,7 @@
 pub mod model;
 pub mod once;
 pub mod pick;
+pub mod reader;
 pub mod reply;
 pub mod retry;
 pub mod service;
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -5,9 +5,8 @@
 
 use std::cell::RefCell;
 use std::io;
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, OnceLock};
-use std::thread;
 use std::time::{Duration, Instant};
 
 use mimosapass_caller::exchange::Exchange;
@@ -17,13 +16,13 @@
 use mimosapass_core::ids::{ModelId, TargetId};
 use mimosapass_core::prefix;
 use mimosapass_core::route::{Cause, Choice, Reason};
-use mimosapass_target::engine::{self, Event, Generate};
+use mimosapass_target::engine::{Event, Generate};
 use mimosapass_target::fault::Fault;
-use ureq::Agent;
 
 use crate::flow::admit::Admitted;
 use crate::flow::group::{self, Grant};
 use crate::flow::pick::{self, Booked};
+use crate::flow::reader::{Message, Reader};
 use crate::flow::reply::Reply;
 use crate::flow::retry::{self, Bounds, Ended};
 use crate::node::Node;
@@ -43,22 +42,6 @@
 ///
 /// It exceeds the time in which another instance takes over the polls.
 const UNHEARD: Duration = Duration::from_secs(8);
-/// Time for which the stream of an attempt that is over may still be read.
-const LATE: Duration = Duration::from_secs(10);
-/// Stack of an attempt's thread, in bytes.
-const STACK: usize = 256 * 1024;
-
-/// What the thread of a request waits for.
-#[derive(Debug)]
-enum Message {
-    /// An event of the attempt with that number.
-    Event(usize, Event),
-    /// The attempt with that number ended.
-    Done(usize, Result<(), Fault>),
-    /// The deadline passed.
-    Deadline,
-}
-
 /// An attempt that is under way.
 #[derive(Debug)]
 struct Attempt {
@@ -70,8 +53,7 @@
     heard: Instant,
     booked: Booked,
     grant: Option<Grant>,
-    agent: Agent,
-    over: Arc<OnceLock<Ticket>>,
+    reader: Reader,
     _claimed: Claimed,
 }
 
@@ -202,14 +184,13 @@
             heard: Instant::now(),
             booked: Booked::new(self.node, &choice.target, self.tokens).keyed(self.prefix()),
             grant,
-            agent: self.node.lines.take(&choice.addr),
-            over: Arc::default(),
+            reader: Reader::new(self.node, &choice.addr),
             _claimed: Claimed::new(self.node, &choice.addr, &id),
             id,
         }
     }
 
-    /// Starts the thread that reads the engine's stream.
+    /// Sends the request to the engine of the attempt.
     fn send(&self, attempt: &Attempt, story: &Story) -> Result<(), Failure> {
         let call = Generate {
             addr: attempt.addr.clone(),
@@ -225,26 +206,7 @@
             trace: story.trace.parent(),
             body: self.exchange.body.clone(),
         };
-        let (node, agent) = (Arc::clone(self.node), attempt.agent.clone());
-        let (sender, number) = (self.sender.clone(), attempt.number);
-        let over = Arc::clone(&attempt.over);
-        let reading = move || {
-            let sink =
-                |event| over.get().is_none() && sender.send(Message::Event(number, event)).is_ok();
-            let ended = engine::generate(&agent, &call, sink);
-            if over.get().is_some() {
-                // The engine may have begun after it confirmed the cancel.
-                let again = Freed { addr: call.addr, attempt: call.attempt };
-                node.freed.send(again).unwrap_or_default();
-            } else if ended.is_ok() {
-                node.lines.give(&call.addr, agent);
-            }
-            // A request that has ended does not wait for this any more.
-            sender.send(Message::Done(number, ended)).unwrap_or_default();
-        };
-        let spawned =
-            thread::Builder::new().name("attempt".to_owned()).stack_size(STACK).spawn(reading);
-        spawned.map(drop).map_err(|e| Failure::new(Kind::NoTarget, e.to_string()))
+        attempt.reader.start(attempt.number, call, self.sender.clone())
     }
 
     /// Follows one attempt to its end.
@@ -397,26 +359,13 @@
         self.reply.end(self.exchange, reason, usage)
     }
 
-    /// Tells the thread that reads the stream that nobody waits for it.
-    ///
-    /// It goes on for [`LATE`], so that a call which the engine begins after its
-    /// cancel is noticed; then its connection is shut down.
-    fn abandon(&self, attempt: &Attempt) {
-        let mut agent = Some(attempt.agent.clone());
-        let shut = move || agent.take().into_iter().for_each(Agent::shutdown);
-        let ticket = self.node.timer.at(Instant::now() + LATE, shut);
-        if attempt.over.set(ticket).is_err() {
-            log::error!("model: an attempt ended twice.");
-        }
-    }
-
     /// Blames the target where it failed and has lingering memory freed.
     fn settle(&self, mut attempt: Attempt, ended: &Ended<()>) {
         let failure = match ended {
             Ended::Whole(()) => return,
             Ended::Again(failure) | Ended::Over(failure) => failure,
         };
-        self.abandon(&attempt);
+        attempt.reader.abandon();
         if !matches!(failure.kind, Kind::CallerGone | Kind::Rejected) {
             attempt.booked.blame();
         }
