--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -32,6 +32,10 @@
     pub crossed: IntCounter,
     /// Attempts whose memory waits to be freed.
     pub unfreed: IntGauge,
+    /// Claims on the memory of engines.
+    pub claims: IntGauge,
+    /// Pieces of memory that their holders had lost and that were freed.
+    pub lost: IntCounter,
     /// Peers that are alive.
     pub peers: IntGauge,
     /// Idempotency records that wait to be settled.
@@ -67,6 +71,9 @@
             crossed: IntCounter::new("mimosapass_crossed_total", "Events of another attempt.")
                 .expect("metric is well formed"),
             unfreed: gauge("mimosapass_unfreed_attempts", "Attempts to be freed."),
+            claims: gauge("mimosapass_claims", "Claims on the memory of engines."),
+            lost: IntCounter::new("mimosapass_lost_pieces_freed_total", "Lost pieces freed.")
+                .expect("metric is well formed"),
             peers: gauge("mimosapass_peers_alive", "Peers alive."),
             unsettled: gauge("mimosapass_unsettled_records", "Records to be settled."),
             waiting: gauge("mimosapass_waiting_requests", "Requests that wait for their turn."),
@@ -90,6 +97,8 @@
             Box::new(self.config.clone()),
             Box::new(self.crossed.clone()),
             Box::new(self.unfreed.clone()),
+            Box::new(self.claims.clone()),
+            Box::new(self.lost.clone()),
             Box::new(self.peers.clone()),
             Box::new(self.unsettled.clone()),
             Box::new(self.waiting.clone()),
