--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -185,7 +185,7 @@
 pub struct Target {
     /// Name in the platform's list.
     pub name: TargetId,
-    /// Labels that replace those of the platform's list.
+    /// Labels that are set over those of the platform's list.
     #[serde(default)]
     pub labels: Labels,
 }
