--- a/tests/suite/trace.rs
+++ b/tests/suite/trace.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, RwLock};
 
 use mimosapass_caller::server::{Limits, Server};
 use rstest::rstest;
@@ -13,6 +13,8 @@
 
 const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
 const SPAN: &str = "b7ad6b7169203331";
+/// Calls of one instance that a service gets at once.
+const CALLS: usize = 64;
 
 /// One instance whose output is kept, and a service that tells what it was sent.
 struct Traced {
@@ -20,6 +22,7 @@
     _service: Server,
     child: Child,
     sent: Receiver<Option<String>>,
+    gate: Arc<RwLock<()>>,
     ip: Ipv4Addr,
 }
 
@@ -29,6 +32,8 @@
         fleet.apply(CONFIG);
         let (sender, sent) = channel();
         let sender = Mutex::new(sender);
+        let gate = Arc::new(RwLock::new(()));
+        let passed = Arc::clone(&gate);
         let local = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
         let service = Server::start(
             local,
@@ -36,6 +41,7 @@
             Arc::new(move |exchange| {
                 let trace = exchange.head.header("traceparent").map(str::to_owned);
                 sender.lock().expect("whole").send(trace).expect("wanted");
+                drop(passed.read().expect("whole"));
                 exchange.answer(200, &[], b"").unwrap_or_default();
             }),
         );
@@ -56,8 +62,14 @@
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
             .spawn();
-        let traced =
-            Self { _fleet: fleet, _service: service, child: child.expect("it starts"), sent, ip };
+        let traced = Self {
+            _fleet: fleet,
+            _service: service,
+            child: child.expect("it starts"),
+            sent,
+            gate,
+            ip,
+        };
         let status = format!("http://{ip}:8082/status");
         until("the instance knows its service", || {
             let page = agent().get(&status).call().ok();
@@ -124,3 +136,29 @@
     let attempt = named("attempt").expect("an attempt span");
     assert!(attempt.contains(parts[2]) && attempt.contains("desk-0: "), "{attempt}");
 }
+
+#[test]
+fn a_wait_in_the_queue_has_a_span_with_its_outcome() {
+    let mut traced = Traced::new("trace: stdout\n");
+    let url = format!("http://{}:8080/services/lookups/x", traced.ip);
+    let gate = Arc::clone(&traced.gate);
+    let closed = gate.write().expect("whole");
+    std::thread::scope(|scope| {
+        let ask = || post(&url, &[], "").expect("an answer").status;
+        let held: Vec<_> = (0..CALLS).map(|_| scope.spawn(ask)).collect();
+        (0..CALLS).for_each(|_| drop(traced.sent.recv().expect("the service was called")));
+        // The service is at its bound, so this one waits until its deadline.
+        let trace = format!("00-{TRACE}-{SPAN}-01");
+        let headers = [("traceparent", trace.as_str()), ("mimosapass-deadline-ms", "300")];
+        let seen = post(&url, &headers, "").expect("an answer");
+        assert!(seen.body.expect("whole").contains("queue_timeout"));
+        drop(closed);
+        for call in held {
+            assert_eq!(call.join().expect("it ends"), 200);
+        }
+    });
+    let told = traced.stop();
+    let queue = |s: &&str| s.contains(TRACE) && s.contains(": queue\n");
+    let span = told.split("Span #").find(queue).expect("a span of the queue");
+    assert!(span.contains("no target had room") && span.contains("queue_timeout"), "{span}");
+}
