The draw in a file of its own; tests of learned lengths and rates

Cause: `route` had grown to nearly 400 lines and held two jobs, and what is learned of lengths and rates had no test. Ownership was noted for plain services too, where nobody is polled and a preference has no reason.

Change: `draw` holds the weighted draw; only engines are owned.

Seen to fail first: rate without its step or its least samples, ratio without learning, bands without a guess. The rate's test did not notice a missing step until a prompt answered from the cache was added to it."

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod claim;
 pub mod classify;
 pub mod config;
+mod draw;
 pub mod error;
 pub mod estimate;
 pub mod forecast;
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -10,12 +10,11 @@
 
 use crate::board::{Board, Known};
 use crate::config::{Pool, TargetKind};
+use crate::draw::{Draw, Drawn, mix, place};
 use crate::error::{Failure, Kind};
 use crate::ids::TargetId;
 use crate::split::{BANDS, band};
 
-/// Candidates that are drawn on either side of the boundary.
-const DRAWN: usize = 3;
 /// Wait that a prompt of each band (row) bears in its own tier before it goes
 /// to an engine of each other tier (column), in milliseconds.
 const PATIENCE: [[u64; BANDS]; BANDS] = [[0, 250, 500], [7_500, 0, 3_000], [60_000, 20_000, 0]];
@@ -137,44 +136,7 @@
     pub reason: Reason,
 }
 
-/// A candidate with its place in the draw.
-#[derive(Clone, Copy, Debug)]
-struct Drawn<'b> {
-    place: f64,
-    known: &'b Known,
-}
-
-/// The first few candidates in the order of the draw.
-#[derive(Debug, Default)]
-struct Draw<'b> {
-    drawn: [Option<Drawn<'b>>; DRAWN],
-}
-
-impl<'b> Draw<'b> {
-    fn offer(&mut self, mut next: Drawn<'b>) {
-        for held in &mut self.drawn {
-            match held {
-                None => {
-                    *held = Some(next);
-                    return;
-                }
-                Some(other) if next.place < other.place => std::mem::swap(other, &mut next),
-                Some(_) => {}
-            }
-        }
-    }
-
-    /// Returns whether a candidate at `place` or behind it is not drawn any more.
-    fn beyond(&self, place: f64) -> bool {
-        self.drawn[DRAWN - 1].is_some_and(|last| place > last.place)
-    }
-
-    fn known(&self) -> impl Iterator<Item = &'b Known> {
-        self.drawn.iter().flatten().map(|d| d.known)
-    }
-}
-
-/// Candidates of the home zone on both sides of the boundary, and of others.
+/// Candidates of the home zone, in the request's own tier and others, and of other zones.
 #[derive(Debug, Default)]
 struct Field<'b> {
     mine: Draw<'b>,
@@ -379,15 +341,3 @@
 fn deserted(board: &Board, ask: &Ask<'_>, now: Instant) -> bool {
     !board.all().any(|k| k.listed.zone.as_ref() == ask.zone && serves(k, ask, now))
 }
-
-/// Returns the place in a draw: the least are taken, the heavier the likelier.
-fn place(random: u64, weight: f64) -> f64 {
-    random as f64 / weight
-}
-
-/// Mixes the bits of a number well (the finalizer of `SplitMix64`).
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
--- /dev/null
+++ b/crates/core/tests/estimate.rs
@@ -0,0 +1,52 @@
+//! Estimates of a prompt's length and of an engine's rate.
+
+use std::time::Duration;
+
+use mimosapass_core::estimate::{Rate, Ratios};
+use mimosapass_core::ids::ModelId;
+use mimosapass_core::split::{band, bands};
+use rstest::rstest;
+
+#[rstest]
+#[case::dense(2)]
+#[case::as_assumed(4)]
+#[case::sparse(8)]
+fn the_ratio_of_a_model_is_learned_from_usage(#[case] ratio: usize) {
+    let mut ratios = Ratios::default();
+    let model = ModelId::from("chat");
+    for tokens in 1_000..1_200 {
+        ratios.learn(&model, tokens * ratio, tokens as u64);
+    }
+    let guess = ratios.tokens("chat", 10_000 * ratio);
+    assert!((9_900..=10_100).contains(&guess), "{guess} for 10,000 tokens");
+    assert_eq!(ratios.tokens("other", 4_000), 1_000);
+}
+
+#[test]
+fn a_rate_needs_samples_and_bears_outliers() {
+    let mut rate = Rate::default();
+    for _ in 0..7 {
+        rate.learn(4_000, Duration::from_millis(200));
+    }
+    assert_eq!(rate.tokens(), None);
+    for _ in 0..20 {
+        rate.learn(4_000, Duration::from_millis(200));
+    }
+    // A request that met 30 s of work unseen at its sending.
+    rate.learn(4_000, Duration::from_secs(30));
+    let learned = rate.tokens().expect("samples enough");
+    assert!((18_000.0..20_000.0).contains(&learned), "{learned} tokens a second");
+    // One whose prompt was cached.
+    rate.learn(4_000, Duration::from_millis(1));
+    let learned = rate.tokens().expect("samples enough");
+    assert!((18_000.0..30_000.0).contains(&learned), "{learned} tokens a second");
+}
+
+#[rstest]
+#[case::told(&[5, 6, 7], [5, 6, 7])]
+#[case::not_told_and_long(&[], [0, 0, 40_000])]
+#[case::told_in_another_shape(&[1, 2], [0, 0, 40_000])]
+fn prefill_by_band_is_guessed_where_it_is_not_told(#[case] told: &[u64], #[case] seen: [u64; 3]) {
+    assert_eq!(bands(40_000, told), seen);
+    assert_eq!([1, 8_191, 8_192, 32_767, 32_768, 1_000_000].map(band), [0, 0, 1, 1, 2, 2]);
+}
--- a/src/parts/poll.rs
+++ b/src/parts/poll.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use mimosapass_core::board::Report;
+use mimosapass_core::board::{Known, Report};
 use mimosapass_core::config::TargetKind;
 use mimosapass_core::rendezvous::holder;
 use mimosapass_core::split;
@@ -48,10 +48,11 @@
     let State { view, board, .. } = &mut *state;
     let candidates = view.candidates(Instant::now());
     let mine = |name: &str| holder(name, candidates.iter().copied()) == Some(&*node.name);
-    board.own(candidates.len(), |k| k.listed.zone == node.zone && mine(&k.listed.name));
+    let near = |k: &Known| k.listed.kind == TargetKind::Engine && k.listed.zone == node.zone;
+    board.own(candidates.len(), |k| near(k) && mine(&k.listed.name));
     board
         .all()
-        .filter(|k| k.listed.kind == TargetKind::Engine && k.mine)
+        .filter(|k| k.mine)
         .map(|k| (k.listed.name.to_string(), k.listed.addr.clone()))
         .collect()
 }
