A request that ended counts no more against its engine before the next report

Cause: after routing came in, one engine took about as many requests a second from an instance as it has slots: 59 a second on 16 connections, and a p99 of 750 ms at 500 open streams. What an instance added to the last report was never taken off when a request ended, only when the next report came. Ruled out: the load of the machine, 9 at the start of that run. Change: slots, prefill and KV cache are given back at the end of a request that went well.

--- a/crates/core/src/board.rs
+++ b/crates/core/src/board.rs
@@ -114,6 +114,7 @@
     pub fn first_token(&mut self, name: &str, tokens: u64, took: Option<Duration>) {
         let Some(known) = self.targets.get_mut(name) else { return };
         known.own_prefill = known.own_prefill.saturating_sub(tokens);
+        known.since.prefill = known.since.prefill.saturating_sub(tokens);
         if known.own_prefill == 0 {
             known.backlog = Backlog::default();
         }
@@ -126,6 +127,8 @@
     pub fn ended(&mut self, name: &str, ok: bool, now: Instant) {
         let Some(known) = self.targets.get_mut(name) else { return };
         known.own_running = known.own_running.saturating_sub(1);
+        // Sent after the last report or counted in it: it is in flight no more.
+        known.since.running = known.since.running.saturating_sub(1);
         if ok {
             known.health.succeeded(now);
         } else if known.health.failed() {
@@ -133,6 +136,13 @@
         }
     }
 
+    /// Notes that a request which ended well holds this KV cache no more.
+    pub fn freed(&mut self, name: &str, memory: u64) {
+        if let Some(known) = self.targets.get_mut(name) {
+            known.since.memory = known.since.memory.saturating_sub(memory);
+        }
+    }
+
     /// Notes that the target refused new work because it is leaving.
     pub fn refused(&mut self, name: &str) {
         if let Some(known) = self.targets.get_mut(name) {
--- /dev/null
+++ b/crates/core/tests/board.rs
@@ -0,0 +1,40 @@
+//! What an instance adds to the last report of a target, and takes off again.
+
+use std::time::Instant;
+
+use mimosapass_core::board::{Board, Listed, Report};
+use mimosapass_core::config::{Config, TargetKind};
+
+#[test]
+fn requests_that_ended_count_no_more_before_the_next_report() {
+    let mut board = Board::default();
+    let listed = Listed {
+        name: "engine".into(),
+        kind: TargetKind::Engine,
+        zone: "zone".into(),
+        addr: "127.0.0.1:1".to_owned(),
+        labels: [].into(),
+        leaving: false,
+    };
+    board.list(vec![listed], &Config::default());
+    let now = Instant::now();
+    let report = Report {
+        boot: 1,
+        number: 1,
+        slots: 4,
+        free: 10_000,
+        capacity: 10_000,
+        speed: 1_000,
+        ..Report::default()
+    };
+    assert!(board.report("engine", report, now));
+    for _ in 0..100 {
+        board.sent("engine", 1_000, 1_500, now);
+        board.first_token("engine", 1_000, None);
+        board.ended("engine", true, now);
+        board.freed("engine", 1_500);
+    }
+    let known = board.get("engine").expect("listed");
+    assert_eq!((known.flight(), known.queued(), known.free()), (0, 0, 10_000));
+    assert!(known.ahead(now) <= 0.0, "{}", known.ahead(now));
+}
--- a/src/flow/pick.rs
+++ b/src/flow/pick.rs
@@ -148,7 +148,12 @@
 impl Drop for Booked {
     fn drop(&mut self) {
         self.computed(None);
-        self.node.state().board.ended(&self.target, self.ok, Instant::now());
+        let mut state = self.node.state();
+        state.board.ended(&self.target, self.ok, Instant::now());
+        if self.ok {
+            state.board.freed(&self.target, route::memory(self.tokens, 0));
+        }
+        drop(state);
         let label = if self.ok { "ok" } else { "failed" };
         self.node.metrics.attempts.with_label_values(&[label]).inc();
     }
