--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -17,6 +17,12 @@
     /// Address on which the sender takes links, `IP:port`; empty as `from`.
     #[prost(string, tag = "3")]
     pub addr: String,
+    /// Availability zone of the sender; empty as `from`.
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    /// Start number of the sender's process; 0 as `from`.
+    #[prost(uint64, tag = "5")]
+    pub boot: u64,
     /// The message; absent when this version does not know its kind.
     #[prost(oneof = "Body", tags = "10, 11, 12, 13, 20, 21, 30, 31, 32, 33")]
     pub body: Option<Body>,
@@ -72,12 +78,6 @@
 /// A sign of life and the sender's configuration version.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Beat {
-    /// Availability zone of the sender.
-    #[prost(string, tag = "1")]
-    pub zone: String,
-    /// Start number of the sender's process.
-    #[prost(uint64, tag = "2")]
-    pub boot: u64,
     /// Whether the sender is leaving.
     #[prost(bool, tag = "3")]
     pub leaving: bool,
@@ -103,7 +103,7 @@
 /// Load of one target.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Record {
-    /// Name of the target.
+    /// Name of the target; empty in a short record, which has no `boot` either.
     #[prost(string, tag = "1")]
     pub target: String,
     /// Start number of the target's process.
@@ -136,6 +136,9 @@
     /// Models that are loaded.
     #[prost(string, repeated, tag = "11")]
     pub models: Vec<String>,
+    /// Hash of the target's name and start number.
+    #[prost(fixed64, tag = "13")]
+    pub id: u64,
     /// Prompt tokens not yet computed by band of prompt length, shortest first.
     #[prost(uint64, repeated, tag = "12")]
     pub bands: Vec<u64>,
@@ -158,9 +161,9 @@
     /// Digest of the text.
     #[prost(fixed64, tag = "2")]
     pub digest: u64,
-    /// The text, as YAML.
-    #[prost(string, tag = "3")]
-    pub text: String,
+    /// The text, as YAML, in compressed form.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub packed: bytes::Bytes,
 }
 
 /// Addresses of instances, for one that the platform's list does not name.
@@ -194,9 +197,9 @@
 /// Room on one engine that its zone offers to other zones.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Room {
-    /// Name of the engine.
-    #[prost(string, tag = "1")]
-    pub target: String,
+    /// Hash of the engine's name.
+    #[prost(fixed64, tag = "6")]
+    pub id: u64,
     /// Band of prompt length that it serves, 0 for the shortest.
     #[prost(uint32, tag = "2")]
     pub band: u32,
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -6,9 +6,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::thread;
 use std::time::{Duration, Instant};
 
 use mimosapass_caller::exchange::Exchange;
@@ -18,12 +16,13 @@
 use mimosapass_core::ids::{ModelId, TargetId};
 use mimosapass_core::prefix;
 use mimosapass_core::route::{Cause, Choice, Reason};
-use mimosapass_target::engine::{self, Event, Generate};
+use mimosapass_target::engine::{Event, Generate};
 use mimosapass_target::fault::Fault;
 
 use crate::flow::admit::Admitted;
 use crate::flow::group::{self, Grant};
 use crate::flow::pick::{self, Booked};
+use crate::flow::reader::{Message, Reader};
 use crate::flow::reply::Reply;
 use crate::flow::retry::{self, Bounds, Ended};
 use crate::node::Node;
@@ -43,20 +42,6 @@
 ///
 /// It exceeds the time in which another instance takes over the polls.
 const UNHEARD: Duration = Duration::from_secs(8);
-/// Stack of an attempt's thread, in bytes.
-const STACK: usize = 256 * 1024;
-
-/// What the thread of a request waits for.
-#[derive(Debug)]
-enum Message {
-    /// An event of the attempt with that number.
-    Event(usize, Event),
-    /// The attempt with that number ended.
-    Done(usize, Result<(), Fault>),
-    /// The deadline passed.
-    Deadline,
-}
-
 /// An attempt that is under way.
 #[derive(Debug)]
 struct Attempt {
@@ -68,7 +53,7 @@
     heard: Instant,
     booked: Booked,
     grant: Option<Grant>,
-    over: Arc<AtomicBool>,
+    reader: Reader,
     _claimed: Claimed,
 }
 
@@ -146,7 +131,7 @@
 
     /// Chooses the engine whose stream was cut, or else another one.
     fn pick(&self, tried: &[TargetId]) -> Result<Choice, Failure> {
-        if let Some(resume) = &self.resume {
+        if let Some(resume) = self.resume.as_ref().filter(|r| self.open(&r.choice)) {
             return Ok(resume.choice.clone());
         }
         if let Some(need) = self.need {
@@ -157,6 +142,11 @@
         pick::engine(self.node, &self.admitted, &self.prompt.model, work, tried)
     }
 
+    fn open(&self, choice: &Choice) -> bool {
+        let state = self.node.state();
+        state.board.get(&choice.target).is_some_and(|k| k.open(Instant::now()))
+    }
+
     fn prefix(&self) -> u64 {
         prefix::key(self.admitted.workspace(), &self.exchange.body)
     }
@@ -171,7 +161,8 @@
     }
 
     fn attempt(&mut self, number: usize, choice: &Choice, story: &mut Story) -> Ended<()> {
-        let resumes = self.resume.take().map(|r| r.attempt);
+        let resume = self.resume.take().filter(|r| r.choice.target == choice.target);
+        let resumes = resume.map(|r| r.attempt);
         let mut attempt = self.start(number, choice, resumes);
         let ended = match self.send(&attempt, story) {
             Ok(()) => self.follow(&mut attempt, story),
@@ -193,13 +184,13 @@
             heard: Instant::now(),
             booked: Booked::new(self.node, &choice.target, self.tokens).keyed(self.prefix()),
             grant,
-            over: Arc::default(),
+            reader: Reader::new(self.node, &choice.addr),
             _claimed: Claimed::new(self.node, &choice.addr, &id),
             id,
         }
     }
 
-    /// Starts the thread that reads the engine's stream.
+    /// Sends the request to the engine of the attempt.
     fn send(&self, attempt: &Attempt, story: &Story) -> Result<(), Failure> {
         let call = Generate {
             addr: attempt.addr.clone(),
@@ -215,25 +206,7 @@
             trace: story.trace.parent(),
             body: self.exchange.body.clone(),
         };
-        let (agent, freed) = (self.node.pooled.clone(), self.node.freed.clone());
-        let (sender, number) = (self.sender.clone(), attempt.number);
-        let over = Arc::clone(&attempt.over);
-        let reading = move || {
-            let sink = |event| {
-                !over.load(Ordering::SeqCst) && sender.send(Message::Event(number, event)).is_ok()
-            };
-            let ended = engine::generate(&agent, &call, sink);
-            if over.load(Ordering::SeqCst) {
-                // The engine may have begun after it confirmed the cancel.
-                let again = Freed { addr: call.addr, attempt: call.attempt };
-                freed.send(again).unwrap_or_default();
-            }
-            // A request that has ended does not wait for this any more.
-            sender.send(Message::Done(number, ended)).unwrap_or_default();
-        };
-        let spawned =
-            thread::Builder::new().name("attempt".to_owned()).stack_size(STACK).spawn(reading);
-        spawned.map(drop).map_err(|e| Failure::new(Kind::NoTarget, e.to_string()))
+        attempt.reader.start(attempt.number, call, self.sender.clone())
     }
 
     /// Follows one attempt to its end.
@@ -392,7 +365,7 @@
             Ended::Whole(()) => return,
             Ended::Again(failure) | Ended::Over(failure) => failure,
         };
-        attempt.over.store(true, Ordering::SeqCst);
+        attempt.reader.abandon();
         if !matches!(failure.kind, Kind::CallerGone | Kind::Rejected) {
             attempt.booked.blame();
         }
--- a/src/flow/turn.rs
+++ b/src/flow/turn.rs
@@ -16,7 +16,7 @@
 use mimosapass_core::ids::{ClassId, WorkspaceId};
 use mimosapass_core::labels::matches;
 use mimosapass_core::queue::{LaneId, Pushed, Queue, Rules, Ticket, Waiting};
-use mimosapass_core::route;
+use mimosapass_core::route::{self, Ask};
 use mimosapass_operator::document::Document;
 
 use crate::flow::admit::Admitted;
@@ -25,8 +25,8 @@
 
 /// Time between two looks at whether targets have room.
 const TICK: Duration = Duration::from_millis(20);
-/// Time between two looks at whether the caller is still there.
-const LOOK: Duration = Duration::from_millis(250);
+/// Time between two looks at whether the caller is there and there is hope.
+const LOOK: Duration = Duration::from_secs(1);
 /// Calls of one instance that a target of a plain service gets at once.
 const CALLS: u32 = 64;
 
@@ -88,14 +88,16 @@
     story: &mut Story,
 ) -> Result<(), Failure> {
     let id = LaneId { class: ClassId::clone(&admitted.class.name), work: work.name.into() };
-    let entered = enter(node, admitted, &id, work).inspect_err(|failure| {
+    let asked = Asked::of(admitted, work);
+    let entered = enter(node, admitted, &id, &asked, work.tokens).inspect_err(|failure| {
         story.trace.hop("queue", "refused at once by the forecast or the queue's bound");
         story.trace.leave(&failure.to_string());
     })?;
     let Some((ticket, inbox)) = entered else { return Ok(()) };
     story.trace.hop("queue", "no target had room, or others waited");
     let begun = Instant::now();
-    let turn = follow(&inbox, exchange, admitted);
+    let hope = || check(node, admitted, &asked, work.tokens);
+    let turn = follow(&inbox, exchange, admitted, hope);
     let mut state = node.state();
     let forecast = state.turns.waiters.remove(&ticket).map(|w| w.forecast).unwrap_or_default();
     state.turns.queue.remove(&id, admitted.workspace(), ticket);
@@ -111,6 +113,7 @@
     inbox: &Receiver<Result<(), Failure>>,
     exchange: &Exchange<'_>,
     admitted: &Admitted,
+    hope: impl Fn() -> Result<(), Failure>,
 ) -> Option<Result<(), Failure>> {
     loop {
         match inbox.recv_timeout(LOOK.min(admitted.left())) {
@@ -120,11 +123,22 @@
             Err(RecvTimeoutError::Timeout) if exchange.caller_gone() => {
                 return Some(Err(Failure::new(Kind::CallerGone, "the caller went away")));
             }
-            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Timeout) => {
+                if let Err(failure) = hope() {
+                    return Some(Err(failure));
+                }
+            }
         }
     }
 }
 
+/// Checks that a request could meet its deadline if it went now.
+fn check(node: &Node, admitted: &Admitted, asked: &Asked, tokens: u64) -> Result<(), Failure> {
+    let survey = Survey::of(&node.state().board, node, asked, tokens, Instant::now());
+    let forecast = Forecast { first: survey.first, ..Forecast::default() };
+    forecast.check(admitted.left(), rand::random())
+}
+
 type Entered = Option<(Ticket, Receiver<Result<(), Failure>>)>;
 
 /// Puts a request into its queue; `None` means that it may go at once.
@@ -132,21 +146,16 @@
     node: &Node,
     admitted: &Admitted,
     id: &LaneId,
-    work: Work<'_>,
+    asked: &Asked,
+    tokens: u64,
 ) -> Result<Entered, Failure> {
-    let asked = Asked {
-        document: Arc::clone(&admitted.document),
-        class: admitted.class.clone(),
-        kind: work.kind,
-        name: work.name.into(),
-    };
     let share = asked.document.config.workspace(admitted.workspace()).map_or(1, |w| w.share);
     let class = &admitted.class;
     let rules = Rules { priority: class.priority, most: class.queue };
     let chance = rand::random();
     let now = Instant::now();
     let mut state = node.state();
-    let survey = Survey::of(&state.board, node, &asked, work.tokens, now);
+    let survey = Survey::of(&state.board, node, asked, tokens, now);
     if survey.closed {
         // The choice of a target says why there is none.
         return Ok(None);
@@ -157,13 +166,13 @@
         ticket: turns.next,
         workspace: WorkspaceId::from(admitted.workspace()),
         share,
-        cost: work.tokens.max(1),
+        cost: tokens.max(1),
         came: now,
     };
     let ahead = turns.queue.ahead(id, rules.priority, &waiting);
     let forecast = Forecast { first: survey.first, ahead, speed: survey.speed };
     forecast.check(admitted.left(), chance)?;
-    if turns.queue.is_empty() && survey.room > 0 {
+    if survey.room > 0 && turns.queue.pass(id, rules.priority, waiting.cost) {
         return Ok(None);
     }
     let ticket = waiting.ticket;
@@ -174,7 +183,7 @@
     }
     let (sender, inbox) = sync_channel(1);
     turns.waiters.insert(ticket, Waiter { sender, forecast });
-    turns.lanes.insert(id.clone(), asked);
+    turns.lanes.insert(id.clone(), asked.clone());
     Ok(Some((ticket, inbox)))
 }
 
@@ -182,7 +191,11 @@
 pub fn run(node: &Arc<Node>) {
     let ticks = node.timer.subscribe(TICK);
     while ticks.recv().is_ok() {
-        give(node, &mut node.state());
+        let mut state = node.state();
+        give(node, &mut state);
+        node.metrics.waiting.set(state.turns.queue.len() as i64);
+        drop(state);
+        node.metrics.unsettled.set(node.records.open() as i64);
     }
 }
 
@@ -231,10 +244,17 @@
             all.iter().copied().filter(|k| k.listed.zone == node.zone).collect();
         let near = if home.is_empty() { all } else { home };
         let promise = asked.class.promise();
+        let rooms: usize = near.iter().map(|k| room(k, promise, now)).sum();
+        // Where the home zone has no room, another zone may have offered some.
+        let base = Ask { kind: asked.kind, zone: &node.zone, ..Ask::default() };
+        let ask = Ask { pools: &pools, tokens, promise, ..base };
+        let chosen = route::estimate(board, &ask, now);
+        let spills = rooms == 0 && chosen <= promise && away(board, node, &ask, now);
+        let first = near.iter().map(|k| first(k, tokens, now)).min().unwrap_or_default();
         Self {
             closed: near.is_empty(),
-            room: near.iter().map(|k| room(k, promise, now)).sum(),
-            first: near.iter().map(|k| first(k, tokens, now)).min().unwrap_or_default(),
+            room: rooms + usize::from(spills),
+            first: first.min(chosen),
             speed: near.iter().map(|k| k.report.speed).sum(),
         }
     }
@@ -248,6 +268,15 @@
 }
 
 impl Asked {
+    fn of(admitted: &Admitted, work: Work<'_>) -> Self {
+        Self {
+            document: Arc::clone(&admitted.document),
+            class: admitted.class.clone(),
+            kind: work.kind,
+            name: work.name.into(),
+        }
+    }
+
     fn pools(&self) -> Vec<&Pool> {
         let config = &self.document.config;
         match self.kind {
@@ -260,6 +289,13 @@
     }
 }
 
+/// Returns whether the request would go to another zone now.
+fn away(board: &Board, node: &Node, ask: &Ask<'_>, now: Instant) -> bool {
+    let target = route::choose(board, ask, now).ok().map(|choice| choice.target);
+    let known = target.and_then(|name| board.get(&name));
+    known.is_some_and(|k| k.listed.zone != node.zone)
+}
+
 /// Returns how many requests a target can start now, well within the promise.
 fn room(known: &Known, promise: Duration, now: Instant) -> usize {
     if known.listed.kind == TargetKind::Service {
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,11 +15,13 @@
 use mimosapass_core::summary::Summaries;
 use mimosapass_core::version::{Gate, Head};
 use mimosapass_core::view::{Beat, View};
+use mimosapass_instance::compact::Lengthener;
 use mimosapass_instance::link::Links;
 use mimosapass_operator::document::Document;
 use mimosapass_platform::kv::Kv;
 use mimosapass_platform::list::Member;
 use mimosapass_platform::pacing::Paced;
+use mimosapass_target::lines::Lines;
 use ureq::Agent;
 
 use crate::flow::turn::Turns;
@@ -55,6 +57,8 @@
     pub board: Board,
     /// Members in reach.
     pub view: View,
+    /// What is known of targets whose records come in short form.
+    pub lengthener: Lengthener,
     /// Fencing number of this instance's orders, while it leads its zone.
     pub fence: Option<u64>,
     /// Peers that the list does not name.
@@ -98,6 +102,8 @@
     pub control: Paced,
     /// Agent for calls that may be repeated.
     pub pooled: Agent,
+    /// Agents for streams of engines.
+    pub lines: Lines,
     /// Agent for calls that must not meet a connection used before.
     pub single: Agent,
     /// Traces.
@@ -139,6 +145,7 @@
             asked: None,
             board: Board::default(),
             view: View::new(InstanceId::clone(&name), ZoneId::clone(&zone)),
+            lengthener: Lengthener::default(),
             fence: None,
             contacts: Contacts::default(),
             summaries: Summaries::default(),
@@ -159,6 +166,7 @@
             control: Paced::new(kv.clone()),
             kv,
             pooled: mimosapass_target::client::agent(IDLE),
+            lines: Lines::default(),
             single: mimosapass_target::client::agent(0),
             traces: Traces::new(settings.trace, &settings.name, &settings.zone),
             metrics: Metrics::new(),
--- a/src/parts/contacts.rs
+++ b/src/parts/contacts.rs
@@ -30,6 +30,8 @@
     named: BTreeMap<SocketAddr, Instant>,
     told: Option<Instant>,
     turn: u32,
+    new: bool,
+    far: usize,
 }
 
 impl Contacts {
@@ -44,6 +46,22 @@
         self.turn = self.turn.wrapping_add(1);
     }
 
+    /// Counts a turn of telling other zones and returns its number.
+    pub fn far_turn(&mut self) -> usize {
+        self.far = self.far.wrapping_add(1);
+        self.far
+    }
+
+    /// Notes whether a peer was heard for the first time.
+    pub fn welcome(&mut self, new: bool) {
+        self.new |= new;
+    }
+
+    /// Returns whether there was a new peer since the last call.
+    pub fn take_new(&mut self) -> bool {
+        std::mem::take(&mut self.new)
+    }
+
     /// Forgets addresses that were named long ago.
     pub fn prune(&mut self, now: Instant) {
         self.named.retain(|_, at| now.saturating_duration_since(*at) < TRY);
@@ -65,7 +83,10 @@
 }
 
 /// Returns the addresses of partners in other zones.
-pub fn far(node: &Node) -> BTreeSet<SocketAddr> {
+///
+/// The first set has one of each zone, by `turn`, and peers that the list does
+/// not name; the second has the others.
+pub fn far(node: &Node, turn: usize) -> (BTreeSet<SocketAddr>, BTreeSet<SocketAddr>) {
     let state = node.state();
     let mut zones: BTreeMap<&str, BTreeMap<InstanceId, SocketAddr>> = BTreeMap::new();
     for member in state.members.iter().filter(|m| m.role == Role::Entry) {
@@ -81,15 +102,23 @@
         .filter(|b| b.zone != node.zone && unlisted(&b.name))
         .filter_map(|b| b.addr)
         .collect();
+    let mut others = BTreeSet::new();
     let own = zones.remove(&*node.zone).unwrap_or_default();
     let mut mine: Vec<&str> = own.keys().map(AsRef::as_ref).collect();
     mine.push(&node.name);
     for theirs in zones.values() {
         let names: Vec<InstanceId> = theirs.keys().cloned().collect();
-        found.extend(partners(&node.name, &mine, &names).iter().filter_map(|n| theirs.get(*n)));
+        let partners = partners(&node.name, &mine, &names);
+        let at = turn % partners.len().max(1);
+        let addrs = partners.iter().enumerate().filter_map(|(i, n)| Some((i, *theirs.get(*n)?)));
+        for (i, addr) in addrs {
+            let set = if i == at { &mut found } else { &mut others };
+            set.insert(addr);
+        }
     }
+    others.retain(|addr| !found.contains(addr));
     found.remove(&node.links.addr());
-    found
+    (found, others)
 }
 
 /// Returns what those that this instance tells have said so far.
