--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -90,7 +90,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn prometheus::core::Collector>; 9] = [
+        let all: [Box<dyn prometheus::core::Collector>; 11] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.first.clone()),
