--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -38,6 +38,10 @@
     pub lost: IntCounter,
     /// Peers that are alive.
     pub peers: IntGauge,
+    /// Idempotency records that wait to be settled.
+    pub unsettled: IntGauge,
+    /// Requests that wait for their turn.
+    pub waiting: IntGauge,
 }
 
 impl Metrics {
@@ -71,6 +75,8 @@
             lost: IntCounter::new("mimosapass_lost_pieces_freed_total", "Lost pieces freed.")
                 .expect("metric is well formed"),
             peers: gauge("mimosapass_peers_alive", "Peers alive."),
+            unsettled: gauge("mimosapass_unsettled_records", "Records to be settled."),
+            waiting: gauge("mimosapass_waiting_requests", "Requests that wait for their turn."),
             registry,
         };
         metrics.register();
@@ -84,7 +90,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn prometheus::core::Collector>; 9] = [
+        let all: [Box<dyn prometheus::core::Collector>; 11] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.first.clone()),
@@ -94,6 +100,8 @@
             Box::new(self.claims.clone()),
             Box::new(self.lost.clone()),
             Box::new(self.peers.clone()),
+            Box::new(self.unsettled.clone()),
+            Box::new(self.waiting.clone()),
         ];
         for collector in all {
             self.registry.register(collector).expect("metric names differ");
--- a/src/parts/peers.rs
+++ b/src/parts/peers.rs
@@ -6,21 +6,24 @@
 //! head of the configuration, so that a change reaches every zone while the
 //! key-value service is out.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
-use mimosapass_core::ids::ZoneId;
+use mimosapass_core::ids::{TargetId, ZoneId};
 use mimosapass_core::spill::{Room, Summary};
 use mimosapass_core::split::BANDS;
 use mimosapass_core::summary::{PoolState, summarize};
 use mimosapass_core::version::{Head, Heard};
 use mimosapass_core::view::{BEAT, Beat, FAR_BEAT};
-use mimosapass_instance::link::Incoming;
+use mimosapass_instance::compact::id;
+use mimosapass_instance::link::{Identity, Incoming};
 use mimosapass_instance::message::{self, Body};
+use mimosapass_instance::pack::{pack, unpack};
 use mimosapass_operator::document;
+use mimosapass_platform::list::Role;
 
 use crate::node::Node;
 use crate::parts::{contacts, groups, listing, poll};
@@ -70,7 +73,7 @@
         let from = poll::address(&message.addr);
         match message.body {
             Body::Beat(beat) => heard(node, &message.from, from, &beat),
-            Body::Records(records) => poll::note(node, &records),
+            Body::Records(records) => poll::note(node, records),
             Body::Want(want) => wanted(node, from, want.above),
             Body::Config(config) => offered(node, &config),
             Body::GroupAsk(ask) => groups::asked(node, from, ask),
@@ -90,12 +93,18 @@
     node.links.tell(&near, std::iter::once(beat_body(node)).chain(more).collect());
 }
 
-/// Sends a heartbeat and the summary of this zone to partners in other zones.
+/// Sends a heartbeat to partners in other zones, and to one in each the summary.
+///
+/// The partners take turns with the summary, so that a dead one does no harm.
 fn tell_far(node: &Node) {
-    let far = contacts::far(node);
-    if !far.is_empty() {
+    let turn = node.state().contacts.far_turn();
+    let (told, only_beat) = contacts::far(node, turn);
+    if !told.is_empty() {
         let summary = summary_body(node);
-        node.links.tell(&far, std::iter::once(beat_body(node)).chain(summary).collect());
+        node.links.tell(&told, std::iter::once(beat_body(node)).chain(summary).collect());
+    }
+    if !only_beat.is_empty() {
+        node.links.tell(&only_beat, vec![beat_body(node)]);
     }
 }
 
@@ -108,8 +117,6 @@
 fn beat_body(node: &Node) -> Body {
     let beat = node.beat();
     Body::Beat(message::Beat {
-        zone: beat.zone.to_string(),
-        boot: beat.boot,
         leaving: beat.leaving,
         config: beat.head.version,
         digest: beat.head.digest,
@@ -122,7 +129,9 @@
     let document = state.document.clone()?;
     let now = Instant::now();
     let pools = summarize(&state.board, &document.config, &node.zone, now);
-    let others = state.view.alive(now).filter(|b| b.zone != node.zone).count();
+    // Of other zones this instance hears only its partners; all may send here.
+    let others = state.members.iter().filter(|m| m.role == Role::Entry && m.zone != *node.zone);
+    let others = others.count();
     let spill = state.board.summary(&node.zone, others, now);
     drop(state);
     let pools = pools.iter().map(|p| message::Pool {
@@ -134,7 +143,7 @@
         speed: p.speed,
     });
     let rooms = spill.rooms.iter().map(|r| message::Room {
-        target: r.target.to_string(),
+        id: id(&r.target),
         band: r.band as u32,
         prefill: r.prefill,
         free: r.free,
@@ -158,27 +167,33 @@
         prefill: p.prefill,
         speed: p.speed,
     });
-    let rooms = summary.rooms.into_iter().map(|r| Room {
-        target: r.target.into(),
-        band: (r.band as usize).min(BANDS - 1),
-        prefill: r.prefill,
-        free: r.free,
-        speed: r.speed,
+    let (zone, now) = (ZoneId::from(summary.zone), Instant::now());
+    let mut state = node.state();
+    let near = state.board.all().filter(|k| k.listed.zone == zone);
+    let names: BTreeMap<u64, TargetId> =
+        near.map(|k| (id(&k.listed.name), TargetId::clone(&k.listed.name))).collect();
+    let rooms = summary.rooms.into_iter().filter_map(|r| {
+        Some(Room {
+            target: TargetId::clone(names.get(&r.id)?),
+            band: (r.band as usize).min(BANDS - 1),
+            prefill: r.prefill,
+            free: r.free,
+            speed: r.speed,
+        })
     });
     let wait = Duration::from_millis(summary.wait_ms);
     let spill = Summary { wait, spare: summary.spare, rooms: rooms.collect() };
-    let (zone, now) = (ZoneId::from(summary.zone), Instant::now());
-    let mut state = node.state();
     state.board.offer(&zone, &spill, now);
     state.summaries.note(zone, pools.collect(), now);
 }
 
-fn heard(node: &Node, name: &str, from: Option<SocketAddr>, beat: &message::Beat) {
+fn heard(node: &Node, peer: &Identity, from: Option<SocketAddr>, beat: &message::Beat) {
+    let name = peer.name.as_str();
     let head = Head { version: beat.config, digest: beat.digest };
     let seen = Beat {
         name: name.into(),
-        zone: beat.zone.as_str().into(),
-        boot: beat.boot,
+        zone: peer.zone.as_str().into(),
+        boot: peer.boot,
         leaving: beat.leaving,
         cut: beat.cut,
         addr: from,
@@ -193,13 +208,14 @@
     if asks {
         state.asked = Some(now);
     }
+    state.contacts.welcome(new);
     drop(state);
     if let Some(to) = from {
         if asks {
             node.links.send(to, Body::Want(message::Want { above }));
         }
         if new {
-            contacts::introduce(node, to, &beat.zone);
+            contacts::introduce(node, to, &peer.zone);
         }
     }
     let fault = (verdict == Heard::Conflict && above > 0)
@@ -215,14 +231,21 @@
     if let (Some(document), Some(to)) = (document, from)
         && head.version > above
     {
-        let text = document.text.clone();
-        let config = message::Config { version: head.version, digest: head.digest, text };
+        let Ok(packed) = pack(&document.text) else { return };
+        let config = message::Config { version: head.version, digest: head.digest, packed };
         node.links.send(to, Body::Config(config));
     }
 }
 
 fn offered(node: &Node, config: &message::Config) {
-    match document::read(&config.text) {
+    let text = match unpack(&config.packed, document::LONGEST) {
+        Ok(text) => text,
+        Err(e) => {
+            log::error!("config: version {} cannot be unpacked: {e}.", config.version);
+            return;
+        }
+    };
+    match document::read(&text) {
         Ok(document) if document.digest == config.digest => {
             node.install(config.version, document);
         }
