A prompt waits for memory that is taken, in place of a refusal at once

Cause: a choice of a target found no engine with free memory and the request was refused as no_target, although an engine of the zone can hold it. Ruled out: waiting in the admission queue, whose lanes hold prompts of all lengths, so that a long one would hold up short ones of its workspace. Change: the choice is looked at again every 250 ms until the deadline, as for groups; then queue_timeout, not run. A gauge counts those that wait.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -266,6 +266,12 @@
     field
 }
 
+/// Returns whether only a want of free memory keeps engines from the request.
+pub fn short_of_memory(board: &Board, ask: &Ask<'_>, now: Instant) -> bool {
+    let large = |k: &Known| k.report.capacity >= ask.memory();
+    board.all().any(|k| large(k) && serves(k, ask, now))
+}
+
 /// Returns whether the target is open to the request and has memory for it.
 pub fn fits(known: &Known, ask: &Ask<'_>, now: Instant) -> bool {
     known.free() >= ask.memory() && serves(known, ask, now)
--- a/src/flow/group.rs
+++ b/src/flow/group.rs
@@ -1,7 +1,7 @@
 //! A group of engines for one attempt, given back whatever happens.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use mimosapass_caller::openai::Prompt;
 use mimosapass_core::error::{Failure, Kind};
@@ -11,13 +11,11 @@
 use mimosapass_instance::message::GroupAsk;
 
 use crate::flow::admit::Admitted;
+use crate::flow::pick::PAUSE;
 use crate::node::Node;
 use crate::parts::groups;
 use crate::parts::memory::{Claimed, holder};
 
-/// Time between two requests for a group.
-const PAUSE: Duration = Duration::from_millis(250);
-
 /// A group whose memory is reserved until this value is dropped.
 #[derive(Debug)]
 pub struct Grant {
--- a/src/flow/pick.rs
+++ b/src/flow/pick.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_core::config::TargetKind;
-use mimosapass_core::error::Failure;
+use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
 use mimosapass_core::route::{self, Ask, Choice, choose};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -15,6 +15,9 @@
 /// Shortest prompt from which an engine's rate is learned, in tokens.
 const LEARNED: u64 = 500;
 
+/// Time between two looks at whether engines have memory.
+pub const PAUSE: Duration = Duration::from_millis(250);
+
 /// What a prompt asks of an engine.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Work {
@@ -31,17 +34,19 @@
     xxh3_64_with_seed(admitted.id.as_bytes(), tried.len() as u64)
 }
 
-/// Chooses an engine for a prompt.
+/// Chooses an engine for a prompt, and waits while engines are short of memory.
 ///
 /// # Errors
 ///
-/// Fails when no engine may serve it now.
+/// Fails when no engine may serve it now, and with [`Kind::QueueTimeout`] when
+/// its memory did not become free in time.
 pub fn engine(
     node: &Node,
     admitted: &Admitted,
     model: &str,
     work: Work,
     tried: &[TargetId],
+    gone: impl Fn() -> bool,
 ) -> Result<Choice, Failure> {
     let config = &admitted.document.config;
     let pools: Vec<_> = config.pools_for(&admitted.class, model).collect();
@@ -56,7 +61,40 @@
         seed: seed(admitted, tried),
         tried,
     };
-    choose(&node.state().board, &ask, Instant::now())
+    loop {
+        let now = Instant::now();
+        let state = node.state();
+        let chosen = choose(&state.board, &ask, now);
+        let short = chosen.is_err() && route::short_of_memory(&state.board, &ask, now);
+        drop(state);
+        if !short {
+            return chosen;
+        }
+        wait_for_memory(node, admitted, &ask, &gone)?;
+    }
+}
+
+/// Waits a moment for memory of engines that are otherwise fit.
+fn wait_for_memory(
+    node: &Node,
+    admitted: &Admitted,
+    ask: &Ask<'_>,
+    gone: impl Fn() -> bool,
+) -> Result<(), Failure> {
+    if node.ending() {
+        return Err(Failure::new(Kind::Stopping, "the instance was made to end"));
+    }
+    if gone() {
+        return Err(Failure::new(Kind::CallerGone, "the caller went away"));
+    }
+    if admitted.left() <= PAUSE {
+        let text = format!("{} tokens of memory were not free in time", ask.memory());
+        return Err(Failure::new(Kind::QueueTimeout, text));
+    }
+    node.metrics.memory.inc();
+    node.sleep(PAUSE);
+    node.metrics.memory.dec();
+    Ok(())
 }
 
 /// Chooses a target of the service `name`.
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -139,7 +139,8 @@
         }
         let answer = u64::from(self.prompt.max_tokens.unwrap_or(0));
         let work = pick::Work { tokens: self.tokens, answer, prefix: self.prefix() };
-        pick::engine(self.node, &self.admitted, &self.prompt.model, work, tried)
+        let gone = || self.exchange.caller_gone();
+        pick::engine(self.node, &self.admitted, &self.prompt.model, work, tried, gone)
     }
 
     fn open(&self, choice: &Choice) -> bool {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -42,6 +42,8 @@
     pub unsettled: IntGauge,
     /// Requests that wait for their turn.
     pub waiting: IntGauge,
+    /// Requests that wait for memory of an engine.
+    pub memory: IntGauge,
 }
 
 impl Metrics {
@@ -77,6 +79,7 @@
             peers: gauge("mimosapass_peers_alive", "Peers alive."),
             unsettled: gauge("mimosapass_unsettled_records", "Records to be settled."),
             waiting: gauge("mimosapass_waiting_requests", "Requests that wait for their turn."),
+            memory: gauge("mimosapass_memory_waits", "Requests that wait for memory."),
             registry,
         };
         metrics.register();
@@ -90,7 +93,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn prometheus::core::Collector>; 11] = [
+        let all: [Box<dyn prometheus::core::Collector>; 12] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.first.clone()),
@@ -102,6 +105,7 @@
             Box::new(self.peers.clone()),
             Box::new(self.unsettled.clone()),
             Box::new(self.waiting.clone()),
+            Box::new(self.memory.clone()),
         ];
         for collector in all {
             self.registry.register(collector).expect("metric names differ");
--- a/tests/suite/turns.rs
+++ b/tests/suite/turns.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mimosapass_standin::engine::{Engine, Faults, Settings};
+use rstest::rstest;
 
 use crate::common::{CONFIG, Fleet, Seen, agent, chat, code, ended, metric, post, status, until};
 
@@ -154,3 +155,38 @@
     assert_eq!(waiting.map(|w| w.join().expect("an answer").status), [200, 200]);
     assert_eq!(engine.runs(), 3);
 }
+
+#[rstest]
+#[case::that_becomes_free(20_000, "ok", false)]
+#[case::that_stays_taken(2_000, "queue_timeout", true)]
+fn a_prompt_waits_for_memory(
+    #[case] deadline_ms: u32,
+    #[case] outcome: &str,
+    #[case] not_run: bool,
+) {
+    let fleet = fleet(Settings { capacity: 3_000, ..Settings::default() });
+    let engine = &fleet.engines[0].1;
+    engine.set(Faults { hold_from: Some(0), ..Faults::default() });
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    let send = |deadline: String| {
+        let url = url.clone();
+        let headers = move |url: &str| {
+            post(url, &[("mimosapass-deadline-ms", &deadline)], &chat(2_000, 1, false))
+        };
+        thread::spawn(move || headers(&url).expect("an answer"))
+    };
+    let first = send("20000".to_owned());
+    until("the memory is taken", || engine.runs() == 1);
+    let second = send(deadline_ms.to_string());
+    if !not_run {
+        until("the second one waits", || {
+            metric(&fleet.instances[0], "mimosapass_memory_waits", "") > 0
+        });
+        engine.set(Faults::default());
+    }
+    let seen = second.join().expect("an answer");
+    assert_eq!((code(&seen).as_str(), seen.not_run), (outcome, not_run), "{seen:?}");
+    engine.set(Faults::default());
+    assert_eq!(code(&first.join().expect("an answer")), "ok");
+    assert_eq!(engine.runs(), if not_run { 1 } else { 2 });
+}
