A request that waits for its turn is refused when the instance is made to end

Cause: the wait for a turn did not look at a stop that was cut short, so the process ended without an answer to it. Ruled out: the slot's own request, which ends too and gives the turn away; the test takes the slot through another instance. Seen: the connection broke before, 503 stopping with the not-run mark after.

--- a/src/flow/turn.rs
+++ b/src/flow/turn.rs
@@ -97,7 +97,7 @@
     story.trace.hop("queue", "no target had room, or others waited");
     let begun = Instant::now();
     let hope = || check(node, admitted, &asked, work.tokens);
-    let turn = follow(&inbox, exchange, admitted, hope);
+    let turn = follow(node, &inbox, exchange, admitted, hope);
     let mut state = node.state();
     let forecast = state.turns.waiters.remove(&ticket).map(|w| w.forecast).unwrap_or_default();
     state.turns.queue.remove(&id, admitted.workspace(), ticket);
@@ -110,6 +110,7 @@
 
 /// Returns the turn of a waiting request, or `None` when its deadline passed.
 fn follow(
+    node: &Node,
     inbox: &Receiver<Result<(), Failure>>,
     exchange: &Exchange<'_>,
     admitted: &Admitted,
@@ -120,6 +121,9 @@
             Ok(turn) => return Some(turn),
             Err(RecvTimeoutError::Disconnected) => return None,
             Err(RecvTimeoutError::Timeout) if admitted.left().is_zero() => return None,
+            Err(RecvTimeoutError::Timeout) if node.ending() => {
+                return Some(Err(Failure::new(Kind::Stopping, "the instance was made to end")));
+            }
             Err(RecvTimeoutError::Timeout) if exchange.caller_gone() => {
                 return Some(Err(Failure::new(Kind::CallerGone, "the caller went away")));
             }
--- a/tests/suite/turns.rs
+++ b/tests/suite/turns.rs
@@ -190,3 +190,30 @@
     assert_eq!(code(&first.join().expect("an answer")), "ok");
     assert_eq!(engine.runs(), if not_run { 1 } else { 2 });
 }
+
+#[test]
+fn a_waiting_request_of_an_instance_that_is_made_to_end_is_refused() {
+    let mut fleet = fleet(narrow());
+    fleet.start("zone-a", "");
+    fleet.settle();
+    // The slot is taken through the other instance, so nothing frees it here.
+    let engine = &fleet.engines[0].1;
+    engine.set(Faults { hold_from: Some(0), ..Faults::default() });
+    let url = fleet.instances[1].url("/v1/chat/completions");
+    let first = thread::spawn(move || post(&url, &LARGE, &chat(10, 1, false)).expect("an answer"));
+    let full = || {
+        let targets = status(&fleet.instances[0])["targets"].clone();
+        targets.as_array().is_some_and(|all| all.iter().any(|t| t["running"] == 1))
+    };
+    until("the other instance knows", full);
+    let second = begin(&fleet, SMALL);
+    until("it waits", || metric(&fleet.instances[0], "mimosapass_waiting_requests", "") == 1);
+    fleet.instances[0].signal("TERM");
+    until("the instance is not ready", || !fleet.instances[0].ready());
+    fleet.instances[0].signal("TERM");
+    let seen = second.join().expect("an answer");
+    assert_eq!((code(&seen).as_str(), seen.not_run), ("stopping", true), "{seen:?}");
+    engine.set(Faults::default());
+    assert_eq!(code(&first.join().expect("an answer")), "ok");
+    assert_eq!(engine.runs(), 1);
+}
