A frozen engine delays no report of the engines polled beside it

Cause: a round of polls waited for all of its answers, so one engine that never answers stretched every round of its owner to the poll's time limit, and routing saw the other engines' load that much later. Ruled out: polls one after the other; they ran side by side and were joined. Change: a poll that is still open is left alone and the round goes on after 500 ms; what comes later is told in the next round.

--- a/src/parts/poll.rs
+++ b/src/parts/poll.rs
@@ -4,9 +4,10 @@
 //! rendezvous hash. Two owners while members change do no harm: a report
 //! carries its own number and the newest wins.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
 use mimosapass_core::board::{Known, Report};
@@ -18,17 +19,24 @@
 use mimosapass_target::engine::{self, Load};
 
 use crate::node::{Node, State};
-use crate::parts::peers;
+use crate::parts::{peers, spawn};
 
 /// Time between two polls of an engine.
 const PERIOD: Duration = Duration::from_secs(1);
+/// Time for which a round waits for the answers to its polls.
+const GATHER: Duration = Duration::from_millis(500);
+
+/// What one poll brought: the engine's name and its record, if it answered.
+type Polled = (String, Option<Record>);
 
 /// Polls for as long as the process lives.
 pub fn run(node: &Arc<Node>) {
     let ticks = node.timer.subscribe(PERIOD);
     let mut shortener = Shortener::default();
+    let mut polls = Polls::new();
     while ticks.recv().is_ok() {
-        let records = poll_all(node, &owned(node));
+        polls.start(node);
+        let records = polls.gather();
         if !records.is_empty() {
             let whole = node.state().contacts.take_new();
             let records = shortener.shorten(&records, whole);
@@ -37,13 +45,49 @@
     }
 }
 
-/// Polls engines at the same time, so that a frozen one holds up no other.
-fn poll_all(node: &Node, owned: &[(String, String)]) -> Vec<Record> {
-    thread::scope(|scope| {
-        let polls: Vec<_> =
-            owned.iter().map(|(name, addr)| scope.spawn(move || poll(node, name, addr))).collect();
-        polls.into_iter().filter_map(|p| p.join().ok().flatten()).collect()
-    })
+/// Polls that are under way; a frozen engine holds up no other.
+struct Polls {
+    sender: Sender<Polled>,
+    inbox: Receiver<Polled>,
+    open: BTreeSet<String>,
+}
+
+impl Polls {
+    fn new() -> Self {
+        let (sender, inbox) = channel();
+        Self { sender, inbox, open: BTreeSet::new() }
+    }
+
+    /// Polls each own engine whose last poll has ended.
+    fn start(&mut self, node: &Arc<Node>) {
+        for (name, addr) in owned(node) {
+            if self.open.contains(&name) {
+                continue;
+            }
+            let (polling, sender, engine) = (Arc::clone(node), self.sender.clone(), name.clone());
+            let poll = move || {
+                let record = poll(&polling, &engine, &addr);
+                sender.send((engine, record)).unwrap_or_default();
+            };
+            match spawn("poll-engine", poll) {
+                Ok(()) => drop(self.open.insert(name)),
+                Err(e) => log::error!("poll: no thread for {name}: {e}."),
+            }
+        }
+    }
+
+    /// Returns what came in time; what comes later is told in the next round.
+    fn gather(&mut self) -> Vec<Record> {
+        let end = Instant::now() + GATHER;
+        let mut records = Vec::new();
+        while !self.open.is_empty() {
+            let left = end.saturating_duration_since(Instant::now());
+            let Ok((name, record)) = self.inbox.recv_timeout(left) else { break };
+            self.open.remove(&name);
+            records.extend(record);
+        }
+        records
+    }
 }
 
 /// Returns names and addresses of the engines that this instance owns.
--- a/tests/suite/membership.rs
+++ b/tests/suite/membership.rs
@@ -1,5 +1,9 @@
 //! Who knows whom, by list, seeds and introductions, and what zones tell.
 
+use std::io::Read;
+use std::net::TcpListener;
+
+use mimosapass_platform::list::Role;
 use mimosapass_standin::engine::Settings;
 use mimosapass_standin::platform::Faults;
 use rstest::rstest;
@@ -75,3 +79,35 @@
     };
     until("each knows the other zone", || tells(0, "zone-b") && tells(1, "zone-a"));
 }
+
+#[test]
+fn an_engine_that_never_answers_delays_no_report_of_another() {
+    let mut fleet = Fleet::new(&[("zone-a", Settings::default())]);
+    fleet.apply(CONFIG);
+    fleet.start("zone-a", "");
+    fleet.settle();
+    let silent = TcpListener::bind("127.0.0.1:0").expect("an address");
+    let mut members = fleet.members();
+    let mut member = members.iter().find(|m| m.role == Role::Engine).expect("an engine").clone();
+    "engine-silent".clone_into(&mut member.name);
+    member.addr = silent.local_addr().expect("an address").to_string();
+    members.push(member);
+    fleet.platform.list(members);
+    let engine = &fleet.engines[0].1;
+    // The connections stay open, so that each poll runs into its time limit.
+    let mut open = Vec::new();
+    let mut polled = || loop {
+        let (mut stream, _) = silent.accept().expect("a call");
+        let mut head = [0; 9];
+        stream.read_exact(&mut head).expect("a request");
+        open.push(stream);
+        if head == *b"GET /load" {
+            return;
+        }
+    };
+    polled();
+    let before = engine.reports();
+    (0..3).for_each(|_| polled());
+    let reports = engine.reports() - before;
+    assert!(reports >= 5, "{reports} reports beside 3 polls of the silent engine");
+}
