The call to the zone leader has a span of its own

Cause: a prompt that needs a group asks a peer within its request, and that hop was hidden in the span of the choice. Change: the span is named peer where another instance leads the zone. Seen: the test finds no such span with the old name, and finds it now.

--- a/src/flow/retry.rs
+++ b/src/flow/retry.rs
@@ -30,6 +30,8 @@
     pub end: Instant,
     /// Whether an attempt may follow one that may have run.
     pub repeatable: bool,
+    /// Whether a peer is asked for the choice, which makes it a hop of its own.
+    pub peer: bool,
 }
 
 /// Makes attempts until one ends the request or a bound is met.
@@ -64,8 +66,8 @@
             story.steps.push("no retry: the budget is spent".to_owned());
             break;
         }
-        // For a prompt that needs a group, this is the call to the zone leader.
-        story.trace.hop("choice", if number == 0 { "first attempt" } else { "another attempt" });
+        let hop = if bounds.peer { "peer" } else { "choice" };
+        story.trace.hop(hop, if number == 0 { "first attempt" } else { "another attempt" });
         let choice = match pick(run, &tried) {
             Ok(choice) => {
                 story.trace.leave("ok");
--- a/src/flow/service.rs
+++ b/src/flow/service.rs
@@ -150,7 +150,12 @@
     }
 
     fn run(&mut self, story: &mut Story) -> Result<Answer, Failure> {
-        let bounds = Bounds { most: ATTEMPTS, end: self.admitted.end, repeatable: self.idempotent };
+        let bounds = Bounds {
+            most: ATTEMPTS,
+            end: self.admitted.end,
+            repeatable: self.idempotent,
+            peer: false,
+        };
         retry::attempts(self.node, self, bounds, story, Self::pick, Self::attempt)
     }
 
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -26,6 +26,7 @@
 use crate::flow::reply::Reply;
 use crate::flow::retry::{self, Bounds, Ended};
 use crate::node::Node;
+use crate::parts::groups;
 use crate::parts::memory::{self, Claimed};
 use crate::parts::reclaim::Freed;
 use crate::story::Story;
@@ -125,7 +126,8 @@
     pub fn run(mut self, story: &mut Story) -> Result<(), Failure> {
         let node = Arc::clone(self.node);
         let repeatable = self.admitted.class.idempotent != Some(false);
-        let bounds = Bounds { most: ATTEMPTS, end: self.admitted.end, repeatable };
+        let peer = self.need.is_some() && groups::led_by_peer(&node);
+        let bounds = Bounds { most: ATTEMPTS, end: self.admitted.end, repeatable, peer };
         retry::attempts(&node, &mut self, bounds, story, Self::pick, Self::attempt)
     }
 
--- a/src/parts/groups.rs
+++ b/src/parts/groups.rs
@@ -71,6 +71,11 @@
 }
 
 /// Returns the address of the zone's leader, or `None` if it is this instance.
+/// Returns whether another instance leads this zone.
+pub fn led_by_peer(node: &Node) -> bool {
+    leader_addr(node).is_some()
+}
+
 fn leader_addr(node: &Node) -> Option<SocketAddr> {
     let now = Instant::now();
     let state = node.state();
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -1,5 +1,6 @@
 //! A small fleet for tests: the real binary, with stand-ins in this process.
 
+use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -224,10 +225,12 @@
         );
         let file = self.dir.join(format!("{name}.yaml"));
         std::fs::write(&file, text).expect("settings can be written");
+        let output = File::create(self.dir.join(format!("{name}.out"))).expect("a file");
         let child = Command::new(env!("CARGO_BIN_EXE_mimosapass"))
             .args(["serve", "--config"])
             .arg(&file)
             .stdin(Stdio::null())
+            .stdout(output)
             .env("RUST_LOG", std::env::var("TEST_LOG").unwrap_or_else(|_| "error".to_owned()))
             .spawn()
             .expect("the daemon starts");
@@ -235,6 +238,12 @@
         self.instances.len() - 1
     }
 
+    /// Returns what an instance wrote to its standard output, such as spans.
+    pub fn output(&self, at: usize) -> String {
+        let file = self.dir.join(format!("{}.out", self.instances[at].name));
+        std::fs::read_to_string(file).expect("it has an output")
+    }
+
     /// Waits until every instance is ready and knows all targets.
     pub fn settle(&self) {
         for at in 0..self.instances.len() {
--- a/tests/suite/groups.rs
+++ b/tests/suite/groups.rs
@@ -55,6 +55,27 @@
     }
 }
 
+#[test]
+fn the_call_to_the_leader_is_a_hop_with_a_span() {
+    let mut fleet = engines(3);
+    fleet.apply(CONFIG);
+    for _ in 0..2 {
+        fleet.start("zone-a", &format!("{QUICK}trace: stdout\nstop: {{notice_ms: 0}}\n"));
+    }
+    fleet.settle();
+    ready(&fleet);
+    let names: Vec<&str> = fleet.instances.iter().map(|i| i.name.as_str()).collect();
+    let leader = leader(&names).expect("one lives").to_owned();
+    let other = usize::from(fleet.instances[0].name == leader);
+    let url = fleet.instances[other].url("/v1/chat/completions");
+    assert_eq!(post(&url, &[], &chat(LONG, 1, false)).expect("an answer").status, 200);
+    fleet.instances[other].signal("TERM");
+    fleet.instances[other].child.wait().expect("it ends");
+    let spans = fleet.output(other);
+    assert!(spans.contains(": peer\n"), "{spans}");
+    assert!(!spans.contains(": choice\n"), "{spans}");
+}
+
 fn set(fleet: &Fleet, faults: &Faults) {
     fleet.engines.iter().for_each(|(_, e)| e.set(faults.clone()));
 }
