--- a/tests/suite/recovery.rs
+++ b/tests/suite/recovery.rs
@@ -1,6 +1,8 @@
 //! Outages of the platform: what survives, what cannot be done, and the way back.
 
-use mimosapass_standin::engine::Settings;
+use std::thread;
+
+use mimosapass_standin::engine::{self, Settings};
 use mimosapass_standin::platform::Faults;
 
 use crate::common::{CONFIG, Fleet, agent, chat, post, status, until};
@@ -50,6 +52,32 @@
     });
 }
 
+#[test]
+fn memory_comes_back_although_all_instances_are_replaced_in_an_outage() {
+    let mut fleet = Fleet::new(&[("zone-a", Settings::default())]);
+    fleet.apply(CONFIG);
+    let extra = "stop: {notice_ms: 100}\nclaims: {period_ms: 300, expiry_ms: 3000}\n";
+    for _ in 0..2 {
+        fleet.start("zone-a", extra);
+    }
+    fleet.settle();
+    fleet.platform.set(out());
+    let engine = fleet.engines[0].1.clone();
+    engine.set(engine::Faults { hold_from: Some(1), ..engine::Faults::default() });
+    let url = fleet.instances[0].url("/v1/chat/completions");
+    let asking = thread::spawn(move || post(&url, &[], &chat(100, 4, false)).is_err());
+    until("the engine holds a stream", || engine.held().len() == 1);
+    fleet.instances[0].signal("KILL");
+    assert!(asking.join().expect("it ends"));
+    let seed = [fleet.instances[1].peers()];
+    let new = fleet.launch("zone-a", extra, fleet.platform.addr(), &seed);
+    fleet.settle_one(new);
+    fleet.instances[1].signal("TERM");
+    assert!(fleet.instances[1].child.wait().expect("it ends").success());
+    // The only instance left never saw the holder.
+    until("the engine holds nothing", || engine.held().is_empty());
+}
+
 #[test]
 fn a_cold_start_with_the_store_out_says_what_it_cannot_do() {
     let mut fleet = Fleet::new(&[("zone-a", Settings::default())]);
--- a/tests/suite/turns.rs
+++ b/tests/suite/turns.rs
@@ -191,8 +191,10 @@
     assert_eq!(engine.runs(), if not_run { 1 } else { 2 });
 }
 
-#[test]
-fn a_waiting_request_of_an_instance_that_is_made_to_end_is_refused() {
+#[rstest]
+#[case::in_a_planned_stop(false, "ok")]
+#[case::in_a_stop_cut_short(true, "stopping")]
+fn a_waiting_request_of_a_stopping_instance(#[case] cut_short: bool, #[case] outcome: &str) {
     let mut fleet = fleet(narrow());
     fleet.start("zone-a", "");
     fleet.settle();
@@ -210,10 +212,14 @@
     until("it waits", || metric(&fleet.instances[0], "mimosapass_waiting_requests", "") == 1);
     fleet.instances[0].signal("TERM");
     until("the instance is not ready", || !fleet.instances[0].ready());
-    fleet.instances[0].signal("TERM");
+    if cut_short {
+        fleet.instances[0].signal("TERM");
+    } else {
+        engine.set(Faults::default());
+    }
     let seen = second.join().expect("an answer");
-    assert_eq!((code(&seen).as_str(), seen.not_run), ("stopping", true), "{seen:?}");
+    assert_eq!((code(&seen).as_str(), seen.not_run), (outcome, cut_short), "{seen:?}");
     engine.set(Faults::default());
     assert_eq!(code(&first.join().expect("an answer")), "ok");
-    assert_eq!(engine.runs(), 1);
+    assert_eq!(engine.runs(), if cut_short { 1 } else { 2 });
 }
