--- a/crates/core/examples/routing/speed.rs
+++ b/crates/core/examples/routing/speed.rs
@@ -1,4 +1,4 @@
-//! Time and allocations of single decisions over 67 targets.
+//! Time and allocations of single decisions over 67, 200 and 600 targets.
 
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::collections::BTreeMap;
@@ -12,8 +12,8 @@
 
 /// Decisions that are timed.
 const COUNT: u64 = 200_000;
-/// Engines on the board.
-const ENGINES: u64 = 67;
+/// Engines on the board; a zone of the stated size has 67.
+const ENGINES: [u64; 3] = [67, 200, 600];
 
 struct Counting;
 
@@ -36,7 +36,7 @@
 #[global_allocator]
 static ALLOCATOR: Counting = Counting;
 
-fn board(pool: &Pool, now: Instant) -> Board {
+fn board(engines: u64, pool: &Pool, now: Instant) -> Board {
     let listed = |i: u64| Listed {
         name: format!("engine-{i:03}").into(),
         kind: TargetKind::Engine,
@@ -47,8 +47,8 @@
     };
     let mut board = Board::default();
     let config = Config { pools: vec![pool.clone()], ..Config::default() };
-    board.list((0..ENGINES).map(listed).collect(), &config);
-    for i in 0..ENGINES {
+    board.list((0..engines).map(listed).collect(), &config);
+    for i in 0..engines {
         let prefill = (i * 7919) % 60_000;
         let report = Report {
             boot: 1,
@@ -68,9 +68,15 @@
 
 /// Prints the time and the allocations of one decision.
 pub fn print() {
+    println!("\n### speed: one decision\n");
+    println!("| targets | choose | allocations in {COUNT} | estimate |\n|---|---|---|---|");
+    ENGINES.into_iter().for_each(measure);
+}
+
+fn measure(engines: u64) {
     let now = Instant::now();
     let pool = Pool { name: "pool".into(), ..Pool::default() };
-    let board = board(&pool, now);
+    let board = board(engines, &pool, now);
     let pools = [&pool];
     let ask = |seed| Ask {
         pools: &pools,
@@ -79,17 +85,16 @@
         seed,
         ..Ask::default()
     };
-    println!("\n### speed: one decision over {ENGINES} targets\n");
     let (before, start) = (ALLOCATIONS.load(Ordering::Relaxed), Instant::now());
     for seed in 0..COUNT {
         black_box(choose(&board, &ask(seed), now).is_ok());
     }
     let (took, allocated) = (start.elapsed(), ALLOCATIONS.load(Ordering::Relaxed) - before);
-    let nanos = took.as_nanos() as u64 / COUNT;
-    println!("choose: {nanos} ns each, {allocated} allocations in {COUNT}");
+    let chosen = took.as_nanos() as u64 / COUNT;
     let start = Instant::now();
     for seed in 0..COUNT {
         black_box(estimate(&board, &ask(seed), now));
     }
-    println!("estimate: {} ns each", start.elapsed().as_nanos() as u64 / COUNT);
+    let estimated = start.elapsed().as_nanos() as u64 / COUNT;
+    println!("| {engines} | {chosen} ns | {allocated} | {estimated} ns |");
 }
