One wait for memory, one estimate of a prompt's length, one test fixture

Cause: the wait of a prompt for free memory and that of a group stood twice with the same checks; a request estimated its prompt's tokens twice, so that queue and books could differ; three test themes built the same fleet; and a doc comment stood over the wrong function. Change: groups wait by the same function, so mimosapass_memory_waits counts them too; the estimate is passed on; Fleet::one starts the fleet of one. Ruled out: sharing Load and Report, which are the engine's protocol and the decisions' own type; core must not know the protocol.

--- a/src/flow/group.rs
+++ b/src/flow/group.rs
@@ -11,7 +11,7 @@
 use mimosapass_instance::message::GroupAsk;
 
 use crate::flow::admit::Admitted;
-use crate::flow::pick::PAUSE;
+use crate::flow::pick::wait_for_memory;
 use crate::node::Node;
 use crate::parts::groups;
 use crate::parts::memory::{Claimed, holder};
@@ -95,17 +95,7 @@
                 let text = format!("it needs {need} tokens of memory, the zone has {most}");
                 return Err(Failure::new(Kind::NeverFits, text));
             }
-            Plan::Later { .. } if node.ending() => {
-                return Err(Failure::new(Kind::Stopping, "the instance was made to end"));
-            }
-            Plan::Later { .. } if gone() => {
-                return Err(Failure::new(Kind::CallerGone, "the caller went away"));
-            }
-            Plan::Later { .. } if admitted.left() <= PAUSE => {
-                let text = format!("{need} tokens of memory were not free in time");
-                return Err(Failure::new(Kind::QueueTimeout, text));
-            }
-            Plan::Later { .. } => node.sleep(PAUSE),
+            Plan::Later { .. } => wait_for_memory(node, admitted, need, &gone)?,
         }
     }
 }
--- a/src/flow/model.rs
+++ b/src/flow/model.rs
@@ -28,7 +28,7 @@
         let work = Work { kind: TargetKind::Engine, name: &prompt.model, tokens: story.tokens };
         turn::wait(node, exchange, &admitted, work, &mut story)?;
         let guard = protect(node, exchange, &admitted, call)?;
-        let result = Run::new(node, exchange, admitted, prompt, call).run(&mut story);
+        let result = Run::new(node, exchange, admitted, prompt, call, story.tokens).run(&mut story);
         if let Some(guard) = guard {
             settle(&guard, &result);
         }
--- a/src/flow/pick.rs
+++ b/src/flow/pick.rs
@@ -16,7 +16,7 @@
 const LEARNED: u64 = 500;
 
 /// Time between two looks at whether engines have memory.
-pub const PAUSE: Duration = Duration::from_millis(250);
+const PAUSE: Duration = Duration::from_millis(250);
 
 /// What a prompt asks of an engine.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -70,15 +70,20 @@
         if !short {
             return chosen;
         }
-        wait_for_memory(node, admitted, &ask, &gone)?;
+        wait_for_memory(node, admitted, ask.memory(), &gone)?;
     }
 }
 
-/// Waits a moment for memory of engines that are otherwise fit.
-fn wait_for_memory(
+/// Waits a moment for `need` tokens of memory at engines that are otherwise fit.
+///
+/// # Errors
+///
+/// [`Kind::QueueTimeout`] when no time is left for another look,
+/// [`Kind::CallerGone`], and [`Kind::Stopping`] when the instance has to end.
+pub fn wait_for_memory(
     node: &Node,
     admitted: &Admitted,
-    ask: &Ask<'_>,
+    need: u64,
     gone: impl Fn() -> bool,
 ) -> Result<(), Failure> {
     if node.ending() {
@@ -88,7 +93,7 @@
         return Err(Failure::new(Kind::CallerGone, "the caller went away"));
     }
     if admitted.left() <= PAUSE {
-        let text = format!("{} tokens of memory were not free in time", ask.memory());
+        let text = format!("{need} tokens of memory were not free in time");
         return Err(Failure::new(Kind::QueueTimeout, text));
     }
     node.metrics.memory.inc();
--- a/src/flow/stream.rs
+++ b/src/flow/stream.rs
@@ -85,20 +85,20 @@
 }
 
 impl<'r, 'e> Run<'r, 'e> {
-    /// Prepares to run an admitted request.
+    /// Prepares to run an admitted request of about `tokens` prompt tokens.
     pub fn new(
         node: &'r Arc<Node>,
         exchange: &'r mut Exchange<'e>,
         admitted: Admitted,
         prompt: Prompt,
         call: Call,
+        tokens: u64,
     ) -> Self {
         let (sender, inbox) = channel();
         let alarm = sender.clone();
         let deadline =
             node.timer.at(admitted.end, move || alarm.send(Message::Deadline).unwrap_or_default());
         let reply = Reply::new(call, &admitted.id, &prompt);
-        let tokens = node.state().ratios.tokens(&prompt.model, prompt.bytes);
         let need = group::wanted(node, &admitted, &prompt, tokens);
         Self {
             node,
--- a/src/parts/groups.rs
+++ b/src/parts/groups.rs
@@ -70,12 +70,12 @@
     waiting
 }
 
-/// Returns the address of the zone's leader, or `None` if it is this instance.
 /// Returns whether another instance leads this zone.
 pub fn led_by_peer(node: &Node) -> bool {
     leader_addr(node).is_some()
 }
 
+/// Returns the address of the zone's leader, or `None` if it is this instance.
 fn leader_addr(node: &Node) -> Option<SocketAddr> {
     let now = Instant::now();
     let state = node.state();
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -161,6 +161,15 @@
         fleet
     }
 
+    /// Starts one engine and one instance that is ready, under [`CONFIG`].
+    pub fn one(extra: &str) -> Self {
+        let mut fleet = Self::new(&[("zone-a", Settings::default())]);
+        fleet.apply(CONFIG);
+        fleet.start("zone-a", extra);
+        fleet.settle();
+        fleet
+    }
+
     /// Returns the list of all members as the platform gives it.
     pub fn members(&self) -> Vec<Member> {
         let member = |name: &str, role, zone: &str, addr: String, kind: &str| Member {
--- a/tests/suite/path.rs
+++ b/tests/suite/path.rs
@@ -3,19 +3,11 @@
 use std::io::{BufRead, BufReader};
 
 use crate::common::{CONFIG, Fleet, agent, chat, post, until};
-use mimosapass_standin::engine::{Faults, Settings};
-
-fn fleet() -> Fleet {
-    let mut fleet = Fleet::new(&[("zone-a", Settings::default())]);
-    fleet.apply(CONFIG);
-    fleet.start("zone-a", "");
-    fleet.settle();
-    fleet
-}
+use mimosapass_standin::engine::Faults;
 
 #[test]
 fn a_chat_is_answered_whole() {
-    let fleet = fleet();
+    let fleet = Fleet::one("");
     let url = fleet.instances[0].url("/v1/chat/completions");
     let seen = post(&url, &[], &chat(100, 3, false)).expect("an answer");
     assert_eq!(seen.status, 200, "{seen:?}");
@@ -26,7 +18,7 @@
 
 #[test]
 fn the_first_event_comes_before_the_last_is_made() {
-    let fleet = fleet();
+    let fleet = Fleet::one("");
     let engine = &fleet.engines[0].1;
     engine.set(Faults { hold_from: Some(1), ..Faults::default() });
     let url = fleet.instances[0].url("/v1/chat/completions");
@@ -44,7 +36,7 @@
 
 #[test]
 fn a_service_call_passes_whole() {
-    let fleet = fleet();
+    let fleet = Fleet::one("");
     let url = fleet.instances[0].url("/services/bookings/vans/7?day=2");
     let seen = post(&url, &[], "one van").expect("an answer");
     assert_eq!(seen.status, 200, "{seen:?}");
@@ -56,7 +48,7 @@
 
 #[test]
 fn a_caller_that_went_away_frees_the_engine() {
-    let fleet = fleet();
+    let fleet = Fleet::one("");
     let engine = &fleet.engines[0].1;
     engine.set(Faults { hold_from: Some(1), ..Faults::default() });
     let url = fleet.instances[0].url("/v1/chat/completions");
@@ -69,7 +61,7 @@
 
 #[test]
 fn a_new_configuration_reaches_all_instances() {
-    let mut fleet = fleet();
+    let mut fleet = Fleet::one("");
     fleet.start("zone-b", "");
     fleet.settle();
     let version = fleet.apply(&format!("{CONFIG}  - name: dokaz\n"));
@@ -80,7 +72,7 @@
 
 #[test]
 fn metrics_tell_the_first_token_by_length_of_prompt() {
-    let fleet = fleet();
+    let fleet = Fleet::one("");
     let url = fleet.instances[0].url("/v1/chat/completions");
     for tokens in [500, 500, 5_000, 50_000] {
         assert_eq!(post(&url, &[], &chat(tokens, 1, false)).expect("an answer").status, 200);
--- a/tests/suite/refusals.rs
+++ b/tests/suite/refusals.rs
@@ -7,17 +7,9 @@
 
 use crate::common::{CONFIG, Fleet, PATIENCE, chat, post};
 
-fn fleet(extra: &str) -> Fleet {
-    let mut fleet = Fleet::new(&[("zone-a", Settings::default())]);
-    fleet.apply(CONFIG);
-    fleet.start("zone-a", extra);
-    fleet.settle();
-    fleet
-}
-
 #[test]
 fn an_unknown_workspace_is_refused_for_good() {
-    let fleet = fleet("");
+    let fleet = Fleet::one("");
     let url = fleet.instances[0].url("/v1/chat/completions");
     let seen = post(&url, &[("mimosapass-workspace", "nobody")], &chat(10, 1, false));
     let seen = seen.expect("an answer");
@@ -27,7 +19,7 @@
 
 #[test]
 fn an_engine_that_refuses_makes_a_true_refusal() {
-    let fleet = fleet("");
+    let fleet = Fleet::one("");
     fleet.engines[0].1.set(Faults { refuse: true, ..Faults::default() });
     let url = fleet.instances[0].url("/v1/chat/completions");
     let seen = post(&url, &[], &chat(10, 1, false)).expect("an answer");
@@ -38,7 +30,7 @@
 
 #[test]
 fn a_head_that_never_ends_is_answered() {
-    let fleet = fleet("callers: {head_ms: 300}\n");
+    let fleet = Fleet::one("callers: {head_ms: 300}\n");
     let mut stream = TcpStream::connect(fleet.instances[0].callers()).expect("connects");
     stream.set_read_timeout(Some(PATIENCE)).expect("set");
     stream.write_all(b"GET /v1/models HTTP/1.1\r\nx-slow: ").expect("sent");
--- a/tests/suite/stop.rs
+++ b/tests/suite/stop.rs
@@ -13,14 +13,6 @@
 
 use crate::common::{CONFIG, Fleet, Instance, PATIENCE, agent, chat, post, until};
 
-fn fleet(extra: &str) -> Fleet {
-    let mut fleet = Fleet::new(&[("zone-a", Settings::default())]);
-    fleet.apply(CONFIG);
-    fleet.start("zone-a", extra);
-    fleet.settle();
-    fleet
-}
-
 fn open_stream(fleet: &Fleet) -> impl Iterator<Item = String> + use<> {
     let engine = &fleet.engines[0].1;
     engine.set(Faults { hold_from: Some(1), ..Faults::default() });
@@ -45,7 +37,7 @@
 
 #[test]
 fn an_open_stream_outlives_the_signal() {
-    let mut fleet = fleet("stop: {notice_ms: 100}\n");
+    let mut fleet = Fleet::one("stop: {notice_ms: 100}\n");
     let lines = open_stream(&fleet);
     terminate(&fleet.instances[0]);
     fleet.engines[0].1.set(Faults::default());
@@ -94,7 +86,7 @@
 #[case::at_the_service(Moment::AtTheService)]
 #[case::between_requests_on_a_kept_connection(Moment::Kept)]
 fn a_request_is_answered_whole_when_the_signal_comes(#[case] moment: Moment) {
-    let mut fleet = fleet("stop: {notice_ms: 1000}\n");
+    let mut fleet = Fleet::one("stop: {notice_ms: 1000}\n");
     let service = moment == Moment::AtTheService;
     let path = if service { "/services/lookups/vans" } else { "/v1/chat/completions" };
     let sent = bytes(path, &chat(100, 3, false));
@@ -134,7 +126,7 @@
 
 #[test]
 fn an_idle_kept_connection_does_not_hold_the_stop_up() {
-    let mut fleet = fleet("stop: {notice_ms: 100}\n");
+    let mut fleet = Fleet::one("stop: {notice_ms: 100}\n");
     let stream = TcpStream::connect(fleet.instances[0].callers()).expect("connects");
     stream.set_read_timeout(Some(PATIENCE)).expect("set");
     terminate(&fleet.instances[0]);
@@ -152,7 +144,7 @@
     #[case] extra: &str,
     #[case] signal: bool,
 ) {
-    let mut fleet = fleet(extra);
+    let mut fleet = Fleet::one(extra);
     let lines = open_stream(&fleet);
     fleet.desk.set(service::Faults { hold: true, ..service::Faults::default() });
     let asked = |path: &str, body: String, headers: &'static [(&str, &str)]| {
