--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Returns the connection, to wait for the caller beside something else.
+    pub fn socket(&self) -> &'a std::net::TcpStream {
+        self.paced.stream
+    }
+
     /// Writes a whole answer.
     ///
     /// # Errors
@@ -151,12 +156,29 @@
     ///
     /// Fails when the caller went away.
     pub fn begin(&mut self, status: u16, headers: &[Header]) -> io::Result<()> {
+        self.begin_relayed(status, &[], headers)
+    }
+
+    /// Begins a streamed answer that carries headers of a target.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller went away.
+    pub fn begin_relayed(
+        &mut self,
+        status: u16,
+        relayed: &[(String, String)],
+        headers: &[Header],
+    ) -> io::Result<()> {
         self.state = State::Broken;
         self.paced.end = self.end.get();
         // A caller of HTTP/1.0 knows no chunks: there the end of the connection
         // ends the answer, and one that breaks off ends with a reset.
         self.close |= self.head.old;
         let mut head = self.start(status, headers);
+        for (name, value) in relayed {
+            push(&mut head, name, value);
+        }
         head.push_str(if self.head.old { "\r\n" } else { "transfer-encoding: chunked\r\n\r\n" });
         self.paced.write_all(head.as_bytes())?;
         self.streaming = true;
--- a/crates/caller/src/head.rs
+++ b/crates/caller/src/head.rs
@@ -12,6 +12,8 @@
     pub path: String,
     /// Query without its question mark; empty for none.
     pub query: String,
+    /// Path and query as they came.
+    pub target: String,
     /// Names, in lower case, and values.
     pub headers: Vec<(String, String)>,
     /// Whether the request came as HTTP/1.0.
@@ -98,6 +100,7 @@
         method: request.method.unwrap_or_default().to_owned(),
         path: path.to_owned(),
         query: query.to_owned(),
+        target: target.to_owned(),
         headers,
         old: request.version == Some(0),
     };
--- /dev/null
+++ b/crates/core/src/edge/plan.rs
@@ -0,0 +1,169 @@
+//! Routes, services and workspaces of one configuration version.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::edge::cost::Engine;
+use crate::ids::WorkspaceId;
+
+/// Name of a service.
+pub type ServiceId = Arc<str>;
+
+/// What may be repeated of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Repeat {
+    /// The request may run more than once.
+    Idempotent,
+    /// The request runs at most once.
+    Once,
+}
+
+/// Part of a route's requests that goes to one service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Share {
+    /// Service.
+    pub service: ServiceId,
+    /// Weight against the other shares, 0 or more.
+    pub weight: f64,
+}
+
+/// One route of the operator.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name.
+    pub name: Arc<str>,
+    /// Value of the `Host` header, in lower case.
+    pub host: String,
+    /// Start of the path; it begins and ends with a slash.
+    pub prefix: String,
+    /// What may be repeated.
+    pub repeat: Repeat,
+    /// Whether the answer is a series of events.
+    pub streaming: bool,
+    /// Longest time that a request may be kept waiting.
+    pub timeout: Duration,
+    /// Time to the answer, or to its first event, that callers were promised.
+    pub goal: Duration,
+    /// Longest pause between events of an answer that is on time.
+    pub gap: Duration,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Services and their weights; never empty.
+    pub split: Vec<Share>,
+    /// Most targets to which one request may be sent; at least 1.
+    pub attempts: u32,
+    /// Whether requests need no key.
+    pub public: bool,
+}
+
+/// A service behind routes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Name.
+    pub name: ServiceId,
+    /// Path of its health check.
+    pub health: String,
+    /// Most connections that one target takes from all instances together.
+    pub connections: u32,
+    /// Cost model, where its targets are engines.
+    pub engine: Option<Engine>,
+}
+
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallerLimits {
+    /// Bytes of a request head.
+    pub head_bytes: usize,
+    /// Bytes of a request body.
+    pub body_bytes: usize,
+    /// Time for a whole head.
+    pub head_time: Duration,
+    /// Time that a kept connection may stay silent.
+    pub idle_time: Duration,
+}
+
+/// Holder of API keys.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Workspace {
+    /// Name.
+    pub name: WorkspaceId,
+    /// Rank that goes before the route's, where it is stated.
+    pub priority: Option<u8>,
+}
+
+/// One configuration version, indexed for look-ups.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// Version.
+    pub version: u64,
+    /// Whether requests need a key unless their route is public.
+    pub keyed: bool,
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+    services: HashMap<ServiceId, Arc<Service>>,
+    keys: HashMap<String, Arc<Workspace>>,
+    /// Bounds on callers, where they are stated.
+    pub limits: Option<CallerLimits>,
+}
+
+impl Plan {
+    /// Builds the index of a version.
+    pub fn new(version: u64, routes: Vec<Route>, services: Vec<Service>) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            // The longest prefix wins, so it is looked at first.
+            routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        }
+        let services =
+            services.into_iter().map(|s| (ServiceId::clone(&s.name), Arc::new(s))).collect();
+        Self { version, hosts, services, ..Self::default() }
+    }
+
+    /// Adds a workspace with its keys; from then on requests need a key.
+    pub fn add_workspace(&mut self, workspace: Workspace, keys: Vec<String>) {
+        self.keyed = true;
+        let workspace = Arc::new(workspace);
+        for key in keys {
+            self.keys.insert(key, Arc::clone(&workspace));
+        }
+    }
+
+    /// Returns the route of a request; `host` may carry a port.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.split(':').next().unwrap_or_default().to_ascii_lowercase();
+        self.hosts.get(&name)?.iter().find(|r| path.starts_with(r.prefix.as_str()))
+    }
+
+    /// Returns the service of that name.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
+    /// Returns the workspace that holds the key.
+    pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
+        self.keys.get(key)
+    }
+}
+
+impl Route {
+    /// Chooses a service by weight; `draw` is from 0 to 1.
+    pub fn service(&self, draw: f64) -> Option<&ServiceId> {
+        let total: f64 = self.split.iter().map(|s| s.weight).sum();
+        let mut left = draw.clamp(0.0, 1.0) * total;
+        for share in self.split.iter().filter(|s| s.weight > 0.0) {
+            left -= share.weight;
+            if left <= 0.0 {
+                return Some(&share.service);
+            }
+        }
+        self.split.iter().rfind(|s| s.weight > 0.0).map(|s| &s.service)
+    }
+}
--- /dev/null
+++ b/crates/core/src/edge/wait.rs
@@ -0,0 +1,62 @@
+//! The order in which waiting requests get a place, and when one is refused.
+//!
+//! Answers bursts in which more comes than targets can serve on time. What can
+//! still keep its promise goes first, by its worth for each millisecond that it
+//! takes; what is late already fills what is left. A request that cannot be
+//! served before its caller gives up is refused as soon as that is known.
+
+use std::time::{Duration, Instant};
+
+use crate::edge::place::Place;
+
+/// Least time for which callers wait for an event before they give up.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+/// Time that is left for a first event once a place was found.
+const LAST_PLACE: Duration = Duration::from_millis(150);
+/// Share of a request's worth that it may cost others while it is on time.
+const BEARABLE: f64 = 0.5;
+
+/// Returns how long a caller of a stream waits for its first event.
+pub fn patience(goal: Duration, gap: Duration) -> Duration {
+    LEAST_PATIENCE.max(goal * 4).max(gap * 8)
+}
+
+/// A request that waits for a place.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Waiting {
+    /// When the request came.
+    pub since: Instant,
+    /// Until when its first event is on time.
+    pub promise: Instant,
+    /// When its caller stops waiting, or its time is over.
+    pub end: Instant,
+    /// What an answer on time is worth.
+    pub worth: f64,
+    /// Time that it takes of its target.
+    pub work: Duration,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+}
+
+impl Waiting {
+    /// Returns the key by which waiting requests are sorted; less goes first.
+    pub fn rank(&self, now: Instant) -> (bool, u8, f64) {
+        let late = now + self.work > self.promise;
+        let density = self.worth / self.work.as_secs_f64().max(0.001);
+        (late, self.priority, -density)
+    }
+
+    /// Returns whether a place is good enough to take now.
+    pub fn takes(&self, place: &Place, now: Instant) -> bool {
+        let on_time = now + place.first <= self.promise;
+        let late = now > self.promise;
+        let bearable = place.harm <= self.worth * if late { BEARABLE / 4.0 } else { BEARABLE };
+        bearable && (on_time || late || now + place.first + LAST_PLACE >= self.end)
+            || bearable && now + place.first > self.promise + self.work
+    }
+
+    /// Returns whether the request has to be refused.
+    pub fn over(&self, now: Instant) -> bool {
+        now + self.work + LAST_PLACE >= self.end
+    }
+}
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -18,6 +18,8 @@
     SlowRequest,
     /// No such path, model or service.
     NotFound,
+    /// The key belongs to no workspace.
+    UnknownKey,
     /// The workspace is not in the configuration.
     UnknownWorkspace,
     /// No class of work accepts the request.
@@ -97,11 +99,12 @@
 }
 
 /// The whole table, one row for each kind in the order of [`Kind`].
-pub const TABLE: [Row; 26] = [
+pub const TABLE: [Row; 27] = [
     row(Kind::BadRequest, 400, "bad_request", true, NEVER),
     row(Kind::TooLarge, 413, "too_large", true, NEVER),
     row(Kind::SlowRequest, 408, "slow_request", true, SOON),
     row(Kind::NotFound, 404, "not_found", true, NEVER),
+    row(Kind::UnknownKey, 401, "unknown_key", true, NEVER),
     row(Kind::UnknownWorkspace, 403, "unknown_workspace", true, NEVER),
     row(Kind::NoClass, 403, "no_class", true, NEVER),
     row(Kind::NeverFits, 422, "never_fits", true, NEVER),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod classify;
 pub mod config;
 mod draw;
+pub mod edge;
 pub mod error;
 pub mod estimate;
 pub mod forecast;
--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -5,12 +5,12 @@
 use mimosapass_core::config::{Config, Target};
 use mimosapass_core::ids::ConfigVersion;
 use mimosapass_core::labels::{Selector, matches};
+use mimosapass_keyvalue::kv::Kv;
+use mimosapass_keyvalue::list::{List, Member, Role};
 use mimosapass_operator::document::{self, Document};
 use mimosapass_operator::edit::{self, EditError};
 use mimosapass_operator::store::{self, HeadRecord, StoreError, Stored};
 use mimosapass_operator::yaml::Faults;
-use mimosapass_platform::kv::Kv;
-use mimosapass_platform::list::{List, Member, Role};
 use similar::TextDiff;
 
 use crate::fail::Fail;
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -14,8 +14,8 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-use mimosapass_platform::kv::Kv;
-use mimosapass_platform::list::List;
+use mimosapass_keyvalue::kv::Kv;
+use mimosapass_keyvalue::list::List;
 
 use crate::cli::{Command, selector};
 use crate::fail::Fail;
--- a/crates/ctl/src/versions.rs
+++ b/crates/ctl/src/versions.rs
@@ -1,8 +1,8 @@
 //! Commands that read configurations, the accepted one and earlier ones.
 
 use mimosapass_core::ids::ConfigVersion;
+use mimosapass_keyvalue::kv::Kv;
 use mimosapass_operator::store::{self, HeadRecord, StoreError};
-use mimosapass_platform::kv::Kv;
 
 use crate::change::text;
 use crate::fail::Fail;
--- /dev/null
+++ b/crates/instance/src/datagram.rs
@@ -0,0 +1,164 @@
+//! Datagrams in which instances tell their peers what they have in flight.
+//!
+//! A later datagram supersedes an earlier one, so a lost one does no harm and
+//! no connection can fall silent. What must arrive goes over links instead.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+use prost::Message;
+
+/// Version of the datagrams; another one is dropped.
+pub const VERSION: u32 = 1;
+/// Longest datagram, in bytes; it stays whole on networks with small packets.
+pub const LONGEST: usize = 1_400;
+/// Most bytes that one target's works take beside its name; checked before
+/// another target is put into a datagram.
+const ROOM: usize = 200;
+
+/// What an instance tells its peers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Datagram {
+    /// Version of the datagrams.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// Name of the sender.
+    #[prost(string, tag = "2")]
+    pub from: String,
+    /// Start number of the sender's process.
+    #[prost(uint64, tag = "3")]
+    pub boot: u64,
+    /// Number of the datagram since the start.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+    /// Configuration version in force.
+    #[prost(uint64, tag = "5")]
+    pub config: u64,
+    /// Whether the store refuses the sender or does not answer it.
+    #[prost(bool, tag = "6")]
+    pub cut: bool,
+    /// Whether the sender is leaving.
+    #[prost(bool, tag = "7")]
+    pub leaving: bool,
+    /// Whether targets that are not named have nothing of the sender in flight.
+    #[prost(bool, tag = "8")]
+    pub whole: bool,
+    /// Requests in flight by target.
+    #[prost(message, repeated, tag = "9")]
+    pub targets: Vec<TargetWorks>,
+    /// Revision of the store up to which the sender knows the targets.
+    #[prost(uint64, tag = "10")]
+    pub seen: u64,
+}
+
+/// Requests of the sender at one target.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TargetWorks {
+    /// Target.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// The requests; none when all have ended.
+    #[prost(message, repeated, tag = "2")]
+    pub works: Vec<Work>,
+}
+
+/// One request in flight.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Work {
+    /// Tokens of the prompt.
+    #[prost(uint64, tag = "1")]
+    pub prompt: u64,
+    /// Parts in which the prompt is read.
+    #[prost(uint32, tag = "2")]
+    pub parts: u32,
+    /// Whether the target reads a part only.
+    #[prost(bool, tag = "3")]
+    pub part: bool,
+    /// Tokens expected of the answer.
+    #[prost(uint64, tag = "4")]
+    pub answer: u64,
+    /// Longest pause between events, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub gap_ms: u32,
+    /// Worth of an answer on time.
+    #[prost(float, tag = "6")]
+    pub worth: f32,
+    /// Time since it was sent, in milliseconds.
+    #[prost(uint32, tag = "7")]
+    pub sent_ms: u32,
+    /// Time since its first event in milliseconds, plus one; 0 before it.
+    #[prost(uint32, tag = "8")]
+    pub writing_ms: u32,
+}
+
+/// The socket for datagrams.
+#[derive(Debug)]
+pub struct Datagrams {
+    socket: UdpSocket,
+}
+
+impl Datagrams {
+    /// Binds the socket.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn bind(addr: SocketAddr) -> io::Result<Self> {
+        let socket = UdpSocket::bind(addr)?;
+        socket.set_read_timeout(Some(Duration::from_millis(500)))?;
+        Ok(Self { socket })
+    }
+
+    /// Sends one datagram to each peer; a failed send is as good as a lost one.
+    pub fn send(&self, datagram: &Datagram, peers: &[SocketAddr]) {
+        let bytes = datagram.encode_to_vec();
+        for peer in peers {
+            if let Err(e) = self.socket.send_to(&bytes, peer) {
+                log::debug!("datagram: not sent to {peer}: {e}.");
+            }
+        }
+    }
+
+    /// Waits for the next datagram; `None` when nothing readable came for a while.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket is broken.
+    pub fn receive(&self) -> io::Result<Option<(Datagram, SocketAddr)>> {
+        let mut buffer = [0; 64 * 1024];
+        match self.socket.recv_from(&mut buffer) {
+            Ok((read, from)) => match Datagram::decode(&buffer[..read]) {
+                Ok(datagram) if datagram.version == VERSION => Ok(Some((datagram, from))),
+                Ok(_) => Ok(None),
+                Err(e) => {
+                    log::warn!("datagram: one from {from} is broken: {e}.");
+                    Ok(None)
+                }
+            },
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                Ok(None)
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+}
+
+/// Splits targets into groups that fit into one datagram each.
+pub fn groups(targets: Vec<TargetWorks>) -> Vec<Vec<TargetWorks>> {
+    let mut groups = vec![Vec::new()];
+    let mut size = ROOM;
+    for target in targets {
+        let more = target.encoded_len() + 4;
+        if size + more > LONGEST && groups.last().is_some_and(|g| !g.is_empty()) {
+            groups.push(Vec::new());
+            size = ROOM;
+        }
+        size += more;
+        if let Some(group) = groups.last_mut() {
+            group.push(target);
+        }
+    }
+    groups
+}
--- a/crates/platform/tests/kv.rs
+++ b/crates/keyvalue/tests/kv.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use mimosapass_platform::kv::{Kv, KvError, LARGEST, Revision};
+use mimosapass_keyvalue::kv::{Kv, KvError, LARGEST, Revision};
 use mimosapass_standin::platform::{Faults, Platform};
 use rstest::rstest;
 
--- a/crates/platform/tests/membership.rs
+++ b/crates/keyvalue/tests/membership.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use mimosapass_platform::kv::{Kv, KvError};
-use mimosapass_platform::leases;
-use mimosapass_platform::list::{List, Member, Role};
-use mimosapass_platform::pacing::Paced;
+use mimosapass_keyvalue::kv::{Kv, KvError};
+use mimosapass_keyvalue::leases;
+use mimosapass_keyvalue::list::{List, Member, Role};
+use mimosapass_keyvalue::pacing::Paced;
 use mimosapass_standin::platform::{Faults, Platform};
 use rstest::rstest;
 
--- a/crates/operator/src/store.rs
+++ b/crates/operator/src/store.rs
@@ -10,7 +10,7 @@
 
 use mimosapass_core::ids::ConfigVersion;
 use mimosapass_core::version;
-use mimosapass_platform::kv::{Kv, KvError, Revision};
+use mimosapass_keyvalue::kv::{Kv, KvError, Revision};
 use serde::{Deserialize, Serialize};
 
 use crate::document::{Document, Faults, read};
--- a/crates/operator/tests/store.rs
+++ b/crates/operator/tests/store.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
+use mimosapass_keyvalue::kv::Kv;
 use mimosapass_operator::document::{Document, read};
 use mimosapass_operator::store::{self, KEPT, StoreError, Stored};
-use mimosapass_platform::kv::Kv;
 use mimosapass_standin::platform::{Faults, Platform};
 use rstest::rstest;
 
--- /dev/null
+++ b/crates/target/src/http.rs
@@ -0,0 +1,379 @@
+//! One HTTP/1.1 connection to a target, read piece by piece.
+//!
+//! `ureq` hides what the gateway has to tell apart: whether any byte of a
+//! request was written, whether a connection holds bytes that belong to no
+//! request, and whether an answer ended by its framing or was cut. So the
+//! connection stands on `std` sockets and `httparse`. A thread waits for the
+//! target and for the caller at once.
+
+use std::io::{self, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::os::fd::AsFd;
+use std::time::{Duration, Instant};
+
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use socket2::SockRef;
+
+/// Bytes read at once.
+const READ: usize = 16 * 1024;
+/// Most bytes of an answer's head.
+const HEAD: usize = 64 * 1024;
+/// Most headers of an answer.
+const MOST_HEADERS: usize = 64;
+/// Longest line that states the size of a chunk, in bytes.
+const CHUNK_LINE: usize = 256;
+/// Time for which the kernel tries to deliver bytes before the connection
+/// counts as broken; a partition shows only so.
+const UNDELIVERED: Duration = Duration::from_secs(3);
+/// Flags of Linux: look without taking, and do not wait.
+const PEEK: i32 = 0x02 | 0x40;
+
+/// How an answer is framed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    /// So many bytes are left.
+    Length(u64),
+    /// Chunked transfer coding.
+    Chunked,
+    /// The end of the connection ends the answer.
+    Close,
+}
+
+/// Head of an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Names, in lower case, and values.
+    pub headers: Vec<(String, String)>,
+    /// How its body is framed.
+    pub framing: Framing,
+    /// Whether the target closes the connection afterwards.
+    pub close: bool,
+}
+
+impl Reply {
+    /// Returns the first value of the header; `name` is in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+}
+
+/// Why an answer could not be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Broken {
+    /// The connection ended or was reset before the answer was whole.
+    Cut,
+    /// The bytes are no answer.
+    Nonsense,
+}
+
+/// What a wait ended with.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Woken {
+    /// The target sent something, or the connection broke.
+    Target,
+    /// The caller sent something, or went away.
+    Caller,
+    /// Time is up.
+    Late,
+}
+
+/// One part of an answer's body.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Piece {
+    /// Bytes of the body.
+    Data(Vec<u8>),
+    /// More has to be read.
+    More,
+    /// The body is whole.
+    End,
+}
+
+/// State of a chunked body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Chunk {
+    Size,
+    Data(u64),
+    DataEnd,
+    Trailer,
+}
+
+/// A connection to a target.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    addr: SocketAddr,
+    kept: Vec<u8>,
+    chunk: Chunk,
+    ended: bool,
+    reset: bool,
+    /// When it was last used, and for how long the target keeps it.
+    idle: Option<(Instant, Duration)>,
+}
+
+impl Connection {
+    /// Connects to a target within `time`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no connection in time.
+    pub fn open(addr: SocketAddr, time: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&addr, time.max(Duration::from_millis(1)))?;
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(UNDELIVERED))?;
+        stream.set_nonblocking(true)?;
+        Ok(Self {
+            stream,
+            addr,
+            kept: Vec::new(),
+            chunk: Chunk::Size,
+            ended: false,
+            reset: false,
+            idle: None,
+        })
+    }
+
+    /// Returns the address of the target.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Marks the connection as idle; the target keeps it for `time`.
+    pub fn rest(&mut self, time: Duration, now: Instant) {
+        self.idle = Some((now, time));
+    }
+
+    /// Returns whether the connection can carry another request.
+    ///
+    /// Bytes that nobody asked for belong to no request, so a connection that
+    /// holds any is not used again.
+    pub fn reusable(&self, now: Instant) -> bool {
+        let fresh = self.idle.is_none_or(|(since, time)| now < since + time);
+        let mut byte = [MaybeUninit::uninit()];
+        let silent = || {
+            let seen = SockRef::from(&self.stream).recv_with_flags(&mut byte, PEEK);
+            matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        };
+        fresh && self.kept.is_empty() && !self.ended && { silent }()
+    }
+
+    /// Writes a whole request by `end`; tells how many bytes were written on failure.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the number of bytes that the kernel had taken.
+    pub fn send(&mut self, mut bytes: &[u8], end: Instant) -> Result<(), usize> {
+        self.idle = None;
+        self.chunk = Chunk::Size;
+        let whole = bytes.len();
+        while !bytes.is_empty() {
+            match self.stream.write(bytes) {
+                Ok(0) => return Err(whole - bytes.len()),
+                Ok(written) => bytes = &bytes[written..],
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock && Instant::now() < end => {
+                    self.writable(end).map_err(|_| whole - bytes.len())?;
+                }
+                Err(_) => return Err(whole - bytes.len()),
+            }
+        }
+        Ok(())
+    }
+
+    fn writable(&self, end: Instant) -> io::Result<()> {
+        let mut fds = [PollFd::new(&self.stream, PollFlags::OUT)];
+        match poll(&mut fds, left(end).as_ref()) {
+            Ok(0) => Err(io::ErrorKind::TimedOut.into()),
+            Ok(_) | Err(rustix::io::Errno::INTR) => Ok(()),
+            Err(e) => Err(e.into()),
+        }
+    }
+
+    /// Waits until the target or the caller sends something, or `end` has come.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the kernel cannot wait.
+    pub fn wait(&self, caller: Option<&impl AsFd>, end: Instant) -> io::Result<Woken> {
+        let target = PollFd::new(&self.stream, PollFlags::IN);
+        let mut fds = match caller {
+            Some(caller) => vec![target, PollFd::new(caller, PollFlags::IN)],
+            None => vec![target],
+        };
+        loop {
+            match poll(&mut fds, left(end).as_ref()) {
+                Ok(0) => return Ok(Woken::Late),
+                Ok(_) if !fds[0].revents().is_empty() => return Ok(Woken::Target),
+                Ok(_) => return Ok(Woken::Caller),
+                Err(rustix::io::Errno::INTR) => {}
+                Err(e) => return Err(e.into()),
+            }
+        }
+    }
+
+    /// Reads what has come, without waiting; returns whether anything was read.
+    pub fn fill(&mut self) -> bool {
+        let mut buffer = [0; READ];
+        loop {
+            match self.stream.read(&mut buffer) {
+                Ok(0) => self.ended = true,
+                Ok(read) => {
+                    self.kept.extend_from_slice(&buffer[..read]);
+                    return true;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => (self.ended, self.reset) = (true, true),
+            }
+            return false;
+        }
+    }
+
+    /// Returns whether the target has sent anything that is not taken yet.
+    pub fn pending(&self) -> bool {
+        !self.kept.is_empty()
+    }
+
+    /// Parses the head of an answer; `None` when more has to be read.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the bytes are no answer, or end before the head does.
+    pub fn head(&mut self, method: &str) -> Result<Option<Reply>, Broken> {
+        loop {
+            let mut slots = [httparse::EMPTY_HEADER; MOST_HEADERS];
+            let mut response = httparse::Response::new(&mut slots);
+            let length = match response.parse(&self.kept) {
+                Ok(httparse::Status::Complete(length)) => length,
+                Ok(httparse::Status::Partial) if self.kept.len() > HEAD => {
+                    return Err(Broken::Nonsense);
+                }
+                Ok(httparse::Status::Partial) if self.ended => return Err(Broken::Cut),
+                Ok(httparse::Status::Partial) => return Ok(None),
+                Err(_) => return Err(Broken::Nonsense),
+            };
+            let reply = reply(&response, method).ok_or(Broken::Nonsense)?;
+            self.kept.drain(..length);
+            self.chunk = Chunk::Size;
+            // Interim answers carry no body and are followed by another head.
+            if reply.status >= 200 {
+                return Ok(Some(reply));
+            }
+        }
+    }
+
+    /// Takes the next piece of the body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is cut short or its framing makes no sense.
+    pub fn body(&mut self, framing: &mut Framing) -> Result<Piece, Broken> {
+        match framing {
+            Framing::Length(0) => Ok(Piece::End),
+            Framing::Length(left) => {
+                let take = (*left).min(self.kept.len() as u64) as usize;
+                *left -= take as u64;
+                self.take(take)
+            }
+            Framing::Chunked => self.chunked(),
+            Framing::Close if !self.kept.is_empty() => self.take(self.kept.len()),
+            Framing::Close if self.reset => Err(Broken::Cut),
+            Framing::Close if self.ended => Ok(Piece::End),
+            Framing::Close => Ok(Piece::More),
+        }
+    }
+
+    fn take(&mut self, bytes: usize) -> Result<Piece, Broken> {
+        match bytes {
+            0 if self.ended => Err(Broken::Cut),
+            0 => Ok(Piece::More),
+            _ => Ok(Piece::Data(self.kept.drain(..bytes).collect())),
+        }
+    }
+
+    fn chunked(&mut self) -> Result<Piece, Broken> {
+        let mut data = Vec::new();
+        loop {
+            match self.chunk {
+                Chunk::Size => match httparse::parse_chunk_size(&self.kept) {
+                    Ok(httparse::Status::Complete((line, size))) => {
+                        self.kept.drain(..line);
+                        self.chunk = if size == 0 { Chunk::Trailer } else { Chunk::Data(size) };
+                    }
+                    Ok(httparse::Status::Partial) if self.kept.len() <= CHUNK_LINE => break,
+                    Ok(httparse::Status::Partial) | Err(_) => return Err(Broken::Nonsense),
+                },
+                Chunk::Data(left) => {
+                    let take = left.min(self.kept.len() as u64) as usize;
+                    if take == 0 {
+                        break;
+                    }
+                    data.extend(self.kept.drain(..take));
+                    let left = left - take as u64;
+                    self.chunk = if left == 0 { Chunk::DataEnd } else { Chunk::Data(left) };
+                }
+                Chunk::DataEnd => match self.kept.get(..2) {
+                    Some(b"\r\n") => {
+                        self.kept.drain(..2);
+                        self.chunk = Chunk::Size;
+                    }
+                    Some(_) => return Err(Broken::Nonsense),
+                    None => break,
+                },
+                Chunk::Trailer => match self.kept.windows(2).position(|w| w == b"\r\n") {
+                    // Data goes first; the end is found again at the next call.
+                    _ if !data.is_empty() => break,
+                    Some(0) => {
+                        self.kept.drain(..2);
+                        return Ok(Piece::End);
+                    }
+                    Some(line) => drop(self.kept.drain(..line + 2)),
+                    None => break,
+                },
+            }
+        }
+        match data.is_empty() {
+            false => Ok(Piece::Data(data)),
+            true if self.ended => Err(Broken::Cut),
+            true => Ok(Piece::More),
+        }
+    }
+
+    /// Breaks the connection off, so that the target stops its work.
+    pub fn abandon(&self) {
+        if let Err(e) = self.stream.shutdown(Shutdown::Both) {
+            log::debug!("target: {} was closed already: {e}.", self.addr);
+        }
+    }
+}
+
+fn left(end: Instant) -> Option<Timespec> {
+    Timespec::try_from(end.saturating_duration_since(Instant::now())).ok()
+}
+
+fn reply(response: &httparse::Response<'_, '_>, method: &str) -> Option<Reply> {
+    let status = response.code?;
+    let mut headers = Vec::with_capacity(response.headers.len());
+    for header in response.headers.iter() {
+        let value = String::from_utf8_lossy(header.value).trim().to_owned();
+        headers.push((header.name.to_ascii_lowercase(), value));
+    }
+    let find = |name: &str| headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str());
+    let coding = find("transfer-encoding");
+    let length = headers.iter().filter(|(n, _)| n == "content-length").map(|(_, v)| v);
+    let mut lengths = length.map(|v| v.parse::<u64>());
+    let framing = match (coding, lengths.next(), lengths.next()) {
+        _ if method == "HEAD" || status < 200 || matches!(status, 204 | 304) => Framing::Length(0),
+        (Some(v), None, None) if v.eq_ignore_ascii_case("chunked") => Framing::Chunked,
+        (None, Some(Ok(length)), None) => Framing::Length(length),
+        (None, None, None) => Framing::Close,
+        _ => return None,
+    };
+    let stated = find("connection").unwrap_or_default().to_ascii_lowercase();
+    let close = stated.contains("close")
+        || response.version == Some(0) && !stated.contains("keep-alive")
+        || framing == Framing::Close;
+    Some(Reply { status, headers, framing, close })
+}
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod client;
 pub mod engine;
 pub mod fault;
+pub mod http;
+pub mod idle;
 pub mod lines;
 pub mod memory;
 pub mod orders;
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -17,9 +17,9 @@
 use std::thread;
 use std::time::Duration;
 
+use mimosapass_keyvalue::kv::Kv;
+use mimosapass_keyvalue::list::{Member, Role};
 use mimosapass_operator::{document, store};
-use mimosapass_platform::kv::Kv;
-use mimosapass_platform::list::{Member, Role};
 use mimosapass_standin::engine::{Engine, Settings};
 use mimosapass_standin::platform::Platform;
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -18,6 +18,19 @@
         #[bpaf(long, argument("FILE"))]
         config: PathBuf,
     },
+    /// Serves the routes of a platform's operator until it gets SIGTERM.
+    ///
+    ///
+    /// Example: mimosapass gateway --config gateway.yaml
+    #[bpaf(command)]
+    Gateway {
+        /// Settings of this gateway, a YAML file.
+        #[bpaf(long, argument("FILE"))]
+        config: PathBuf,
+        /// Only checks the settings and lists every fault.
+        #[bpaf(long)]
+        check: bool,
+    },
     /// Checks a settings file and lists every fault.
     ///
     ///
--- a/src/flow/once.rs
+++ b/src/flow/once.rs
@@ -6,7 +6,7 @@
 use mimosapass_core::claim::{Claim, End, Step, Wrote};
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::once::{self, Outcome, Record, State, Verdict};
-use mimosapass_platform::kv::{Entry, KvError};
+use mimosapass_keyvalue::kv::{Entry, KvError};
 
 use crate::node::Node;
 use crate::parts::records::{Job, Lease};
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,175 @@
+//! Follows the store: configuration, targets and peers.
+//!
+//! One watch covers all of them. Targets report every second or so, and a
+//! watch returns with the first change, so its pace is bounded: between two
+//! calls changes gather and come together. Views outlive outages of the store.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use mimosapass_core::edge::fleet::Change;
+use mimosapass_core::ids::TargetId;
+use mimosapass_platform::store::{Entry, Page, StoreError};
+use mimosapass_platform::{plan, runner};
+
+use super::member;
+use super::state::Gateway;
+
+/// Least time between two watches. Changes have to be in force within two
+/// seconds of their acknowledgement, so a change may wait half of that.
+const PACE: Duration = Duration::from_millis(900);
+/// Time that a watch waits for a change.
+const WAIT: Duration = Duration::from_millis(1_000);
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Failed calls in a row after which the store counts as away.
+const AWAY_AFTER: u32 = 2;
+
+/// Follows the store for as long as the process runs.
+pub fn run(gateway: &Arc<Gateway>) {
+    let mut failed = 0;
+    let mut listed = false;
+    loop {
+        let begun = Instant::now();
+        let result = if listed { watch(gateway) } else { list(gateway) };
+        match result {
+            Ok(()) => {
+                listed = true;
+                failed = 0;
+                back(gateway);
+                thread::sleep(PACE.saturating_sub(begun.elapsed()));
+            }
+            Err(StoreError::Compacted) => {
+                log::warn!("store: the history was dropped, all is listed again.");
+                listed = false;
+            }
+            Err(e) => {
+                failed += 1;
+                if failed == AWAY_AFTER {
+                    away(gateway, &e);
+                }
+                thread::sleep(PAUSE);
+            }
+        }
+        expire(gateway);
+    }
+}
+
+fn away(gateway: &Gateway, error: &StoreError) {
+    let mut state = gateway.state();
+    if state.store.away.is_none() {
+        state.store.away = Some(Instant::now());
+        gateway.metrics.store.set(0);
+        let at = state.store.at;
+        log::warn!(revision = at; "store: lost, views stay as they are: {error}.");
+    }
+}
+
+fn back(gateway: &Gateway) {
+    let mut state = gateway.state();
+    gateway.metrics.store.set(1);
+    if let Some(since) = state.store.away.take() {
+        let now = Instant::now();
+        state.store.back = Some(now);
+        let away_ms = (now - since).as_millis() as u64;
+        log::info!(revision = state.store.at, away_ms; "store: regained.");
+    }
+}
+
+fn expire(gateway: &Gateway) {
+    let mut state = gateway.state();
+    let away = state.store.away.is_some();
+    for id in state.fleet.expire(away, Instant::now()) {
+        log::info!(target_id = &*id; "target: gone, its entry did not come back.");
+        state.outcomes.forget(&id);
+    }
+}
+
+/// Lists everything anew.
+fn list(gateway: &Gateway) -> Result<(), StoreError> {
+    let targets = gateway.store.list(runner::PREFIX)?;
+    if let Some(entry) = gateway.store.get(plan::KEY)? {
+        take(gateway, &entry);
+    }
+    let members = gateway.store.list(member::PREFIX)?;
+    let Page { entries, at } = targets;
+    let named: Vec<TargetId> = entries
+        .iter()
+        .filter_map(|e| e.key.strip_prefix(runner::PREFIX))
+        .map(TargetId::from)
+        .collect();
+    for entry in entries.iter().chain(&members.entries) {
+        take(gateway, entry);
+    }
+    let mut state = gateway.state();
+    let now = Instant::now();
+    let outage = state.outage(now);
+    for id in state.fleet.relist(&named, outage, now) {
+        log::info!(target_id = &*id, revision = at; "target: gone, it is not listed.");
+        state.outcomes.forget(&id);
+    }
+    state.store.at = at;
+    state.store.listed = true;
+    gateway.metrics.targets.set(state.fleet.all().filter(|t| !t.draining).count() as i64);
+    Ok(())
+}
+
+/// Waits for changes and takes them.
+fn watch(gateway: &Gateway) -> Result<(), StoreError> {
+    let after = gateway.state().store.at;
+    let page = gateway.store.watch("", after, WAIT)?;
+    for entry in &page.entries {
+        take(gateway, entry);
+    }
+    let mut state = gateway.state();
+    state.store.at = state.store.at.max(page.at);
+    gateway.metrics.targets.set(state.fleet.all().filter(|t| !t.draining).count() as i64);
+    Ok(())
+}
+
+/// Takes one entry of the store.
+pub fn take(gateway: &Gateway, entry: &Entry) {
+    if entry.key == plan::KEY {
+        configure(gateway, entry);
+    } else if let Some(id) = entry.key.strip_prefix(runner::PREFIX) {
+        target(gateway, id, entry);
+    } else if let Some(name) = entry.key.strip_prefix(member::PREFIX) {
+        member::changed(gateway, name, entry.value.as_deref());
+    }
+}
+
+fn configure(gateway: &Gateway, entry: &Entry) {
+    let Some(text) = &entry.value else { return };
+    match plan::decode(text) {
+        Ok(plan) => drop(gateway.install(plan, text)),
+        Err(e) => log::error!(revision = entry.revision; "config: it cannot be read: {e}."),
+    }
+}
+
+fn target(gateway: &Gateway, id: &str, entry: &Entry) {
+    let now = Instant::now();
+    let mut state = gateway.state();
+    let outage = state.outage(now);
+    let revision = entry.revision;
+    let change = if entry.deleted {
+        state.fleet.remove(id, outage, now)
+    } else {
+        let value = entry.value.as_deref().unwrap_or_default();
+        match runner::decode(id, value) {
+            Ok(target) => state.fleet.report(target),
+            Err(e) => {
+                log::warn!(target_id = id, revision; "target: its entry cannot be read: {e}.");
+                return;
+            }
+        }
+    };
+    match change {
+        Change::Same => return,
+        Change::Joined => log::info!(target_id = id, revision; "target: takes work."),
+        Change::Draining => log::info!(target_id = id, revision; "target: drains."),
+        Change::Gone => log::info!(target_id = id, revision, outage; "target: gone."),
+    }
+    state.outcomes.forget(id);
+    state.dispatch(gateway, now);
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,122 @@
+//! Passes a stream on, event by event.
+//!
+//! Only whole events are passed on, so that a stream that breaks in the middle
+//! of an event can go on at another target without a gap or a repeat.
+
+use std::time::{Duration, Instant};
+
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_target::http::{Connection, Framing, Reply};
+
+use super::attempt::{self, Next};
+
+/// Least silence of a target in mid-stream that counts as broken.
+const LEAST_SILENCE: Duration = Duration::from_secs(1);
+
+/// What a caller has got of a stream.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Whether the head of the answer was sent.
+    pub begun: bool,
+    /// Identifier of the last event that was sent.
+    pub last_event: Option<String>,
+    /// Events that were sent.
+    pub events: usize,
+}
+
+/// How the relay of one target's stream ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// The stream is complete.
+    Complete,
+    /// The target broke off or fell silent; the text says how.
+    Cut(&'static str),
+    /// The caller left or reads too slowly.
+    CallerGone,
+    /// The request's time is over.
+    Late,
+}
+
+/// Passes on what a target streams until it ends; `first` is called at its
+/// first event.
+pub fn run(
+    exchange: &mut Exchange<'_>,
+    connection: &mut Connection,
+    reply: &Reply,
+    progress: &mut Progress,
+    gap: Duration,
+    end: Instant,
+    mut first: impl FnMut(),
+) -> End {
+    let mut framing = reply.framing;
+    let mut partial: Vec<u8> = Vec::new();
+    let mut seen = false;
+    let silence = LEAST_SILENCE.max(gap * 4);
+    loop {
+        let until = end.min(Instant::now() + silence);
+        match attempt::next(exchange, connection, &mut framing, until) {
+            Next::Data(data) => {
+                partial.extend(data);
+                let Some(whole) = boundary(&partial) else { continue };
+                if !seen {
+                    seen = true;
+                    first();
+                }
+                if !pass(exchange, reply, progress, &partial[..whole]) {
+                    return End::CallerGone;
+                }
+                partial.drain(..whole);
+            }
+            Next::End if !partial.is_empty() && framing == Framing::Close => {
+                return End::Cut("the stream ended in the middle of an event");
+            }
+            Next::End => {
+                let rest = std::mem::take(&mut partial);
+                return match pass(exchange, reply, progress, &rest) {
+                    true => End::Complete,
+                    false => End::CallerGone,
+                };
+            }
+            Next::CallerGone => return End::CallerGone,
+            Next::Cut(_) if Instant::now() >= end => return End::Late,
+            Next::Cut(why) => return End::Cut(why),
+        }
+    }
+}
+
+/// Sends whole events to the caller; returns whether it took them.
+fn pass(
+    exchange: &mut Exchange<'_>,
+    reply: &Reply,
+    progress: &mut Progress,
+    events: &[u8],
+) -> bool {
+    if !progress.begun {
+        progress.begun = true;
+        if exchange.begin_relayed(reply.status, &attempt::relayed(reply), &[]).is_err() {
+            return false;
+        }
+    }
+    if events.is_empty() {
+        return true;
+    }
+    if let Some(id) = last_id(events) {
+        progress.last_event = Some(id);
+    }
+    progress.events += 1;
+    exchange.send(events).is_ok()
+}
+
+/// Returns the length of the whole events at the start of `bytes`.
+fn boundary(bytes: &[u8]) -> Option<usize> {
+    let plain = bytes.windows(2).rposition(|w| w == b"\n\n").map(|at| at + 2);
+    let returns = bytes.windows(4).rposition(|w| w == b"\r\n\r\n").map(|at| at + 4);
+    plain.max(returns)
+}
+
+/// Returns the identifier of the last event that states one.
+fn last_id(events: &[u8]) -> Option<String> {
+    let lines = events.split(|b| *b == b'\n').rev();
+    let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    std::str::from_utf8(value).ok().map(|id| id.trim().to_owned())
+}
--- /dev/null
+++ b/src/gateway/serve.rs
@@ -0,0 +1,145 @@
+//! Starts the parts of a gateway and stops them in order.
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_caller::server::{Limits, Server};
+use mimosapass_instance::datagram::Datagrams;
+use prometheus::TextEncoder;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use super::settings::Settings;
+use super::state::Gateway;
+use super::{flow, follow, gossip, member};
+
+/// Stack of a part's thread, in bytes.
+const STACK: usize = 512 * 1024;
+/// Time for which new connections are still served after the signal to stop:
+/// the balancer asks each second and takes an instance out after two misses.
+const NOTICE: Duration = Duration::from_millis(2_500);
+/// Time for which an idle kept connection is left open after the notice.
+const LINGER: Duration = Duration::from_millis(1_000);
+/// Time before the end of a stop at which requests are made to end.
+const LAST: Duration = Duration::from_millis(400);
+/// Time between two looks at whether all requests have ended.
+const LOOK: Duration = Duration::from_millis(50);
+/// Bounds on callers: what the operator allows is within them.
+const IDLE: Duration = Duration::from_secs(120);
+/// Longest body, in bytes.
+const BODY: usize = 4 * 1024 * 1024;
+/// Part of the machine's memory that bodies of requests may take.
+const BODIES: usize = 4;
+
+/// Serves until a signal asks to stop.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound or a thread cannot be started.
+pub fn run(settings: Settings) -> io::Result<()> {
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let boot = now.as_millis() as u64;
+    let socket = Arc::new(Datagrams::bind(settings.listen.peers)?);
+    let gateway = Arc::new(Gateway::new(settings, boot));
+    let (name, zone) = (&*gateway.name, gateway.settings.zone.as_str());
+    log::info!(name, zone, boot; "gateway: started.");
+    part(&gateway, "follow", follow::run)?;
+    part(&gateway, "member", member::run)?;
+    let telling = Arc::clone(&socket);
+    part(&gateway, "tell", move |g| gossip::tell(g, &telling))?;
+    part(&gateway, "hear", move |g| gossip::hear(g, &socket))?;
+    let server = serve_callers(&gateway)?;
+    let ready = serve_ready(&gateway)?;
+    let metrics = serve_metrics(&gateway)?;
+    for signal in signals.forever() {
+        if signal == SIGHUP {
+            log::info!("gateway: settings are read at the start only; SIGHUP changes nothing.");
+            continue;
+        }
+        stop(&gateway, &server);
+        break;
+    }
+    drop((ready, metrics));
+    Ok(())
+}
+
+fn part(
+    gateway: &Arc<Gateway>,
+    name: &str,
+    run: impl FnOnce(&Arc<Gateway>) + Send + 'static,
+) -> io::Result<()> {
+    let gateway = Arc::clone(gateway);
+    let builder = thread::Builder::new().name(name.to_owned()).stack_size(STACK);
+    builder.spawn(move || run(&gateway)).map(drop)
+}
+
+fn serve_callers(gateway: &Arc<Gateway>) -> io::Result<Server> {
+    let serving = Arc::clone(gateway);
+    let limits = Limits {
+        body_bytes: BODY,
+        bodies_bytes: gateway.settings.memory_mb * 1024 * 1024 / BODIES,
+        idle_time: IDLE,
+        ..Limits::default()
+    };
+    Server::start(
+        gateway.settings.listen.callers,
+        limits,
+        Arc::new(move |exchange| flow::handle(&serving, exchange)),
+    )
+}
+
+fn serve_ready(gateway: &Arc<Gateway>) -> io::Result<Server> {
+    let asked = Arc::clone(gateway);
+    Server::start(
+        gateway.settings.listen.ready,
+        Limits::default(),
+        Arc::new(move |exchange| match asked.ready() {
+            Ok(()) => tell(exchange, 200, "ready\n"),
+            Err(why) => tell(exchange, 503, why),
+        }),
+    )
+}
+
+fn serve_metrics(gateway: &Arc<Gateway>) -> io::Result<Server> {
+    let registry = gateway.metrics.registry.clone();
+    Server::start(
+        gateway.settings.listen.metrics,
+        Limits::default(),
+        Arc::new(move |exchange| match TextEncoder::new().encode_to_string(&registry.gather()) {
+            Ok(text) => tell(exchange, 200, &text),
+            Err(e) => tell(exchange, 500, &e.to_string()),
+        }),
+    )
+}
+
+fn tell(exchange: &mut Exchange<'_>, status: u16, text: &str) {
+    let headers = [("content-type", "text/plain".to_owned())];
+    if let Err(e) = exchange.answer(status, &headers, text.as_bytes()) {
+        log::debug!("gateway: a page was not taken: {e}.");
+    }
+}
+
+/// Stops without cutting a request, as long as the time for it lasts.
+fn stop(gateway: &Gateway, server: &Server) {
+    let begun = Instant::now();
+    log::info!(open = server.busy(); "gateway: stopping.");
+    gateway.stop();
+    server.leave();
+    thread::sleep(NOTICE);
+    server.stop(LINGER);
+    let limit = begun + gateway.settings.stop_limit.saturating_sub(LAST);
+    while !server.drained() && Instant::now() < limit {
+        thread::sleep(LOOK);
+    }
+    if !server.drained() {
+        log::warn!(open = server.busy(); "gateway: requests are made to end.");
+        gateway.end();
+        server.end();
+        thread::sleep(LAST / 2);
+    }
+    log::info!("gateway: stopped.");
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,266 @@
+//! What the parts of one instance share.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Instant;
+
+use mimosapass_core::edge::cost::Engine;
+use mimosapass_core::edge::fleet::Fleet;
+use mimosapass_core::edge::load::{Load, Work, WorkId};
+use mimosapass_core::edge::outcomes::{Outcome, Outcomes};
+use mimosapass_core::edge::plan::{Plan, ServiceId};
+use mimosapass_core::edge::retry::Repeats;
+use mimosapass_core::ids::{InstanceId, TargetId};
+use mimosapass_platform::store::{Revision, Store};
+use mimosapass_target::idle::Idle;
+
+use super::metrics::Metrics;
+use super::settings::Settings;
+use super::turn::Waiters;
+
+/// What is known of the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreView {
+    /// Since when it gives no answers; `None` while it does.
+    pub away: Option<Instant>,
+    /// When it was last away.
+    pub back: Option<Instant>,
+    /// Revision up to which changes have been taken.
+    pub at: Revision,
+    /// Whether all targets have been listed once.
+    pub listed: bool,
+}
+
+/// A peer that was heard of.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Address of its datagrams.
+    pub addr: SocketAddr,
+    /// Start number of its process.
+    pub boot: u64,
+    /// Number of its last datagram.
+    pub number: u64,
+    /// When it was last heard.
+    pub heard: Instant,
+    /// Configuration version that it has in force.
+    pub config: u64,
+    /// Whether it cannot reach the store.
+    pub cut: bool,
+}
+
+/// Everything that changes while the instance runs.
+#[derive(Debug, Default)]
+pub struct State {
+    /// Targets.
+    pub fleet: Fleet,
+    /// Requests in flight.
+    pub load: Load,
+    /// How attempts ended.
+    pub outcomes: Outcomes,
+    /// Repeats by service.
+    pub repeats: HashMap<ServiceId, Repeats>,
+    /// Requests that wait for a place.
+    pub waiters: Waiters,
+    /// Peers by name.
+    pub peers: HashMap<InstanceId, Peer>,
+    /// Addresses of peers from the store, by name.
+    pub members: HashMap<InstanceId, SocketAddr>,
+    /// The store.
+    pub store: StoreView,
+    /// Targets at which something changed since the last datagram.
+    pub changed: BTreeSet<TargetId>,
+}
+
+/// One gateway, shared by its parts.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Settings.
+    pub settings: Settings,
+    /// Name of the instance.
+    pub name: InstanceId,
+    /// Start number of this process, in Unix milliseconds.
+    pub boot: u64,
+    /// Client of the store.
+    pub store: Store,
+    /// Idle connections to targets.
+    pub idle: Idle,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Rung when a target's load changed, so that peers are told.
+    pub bell: Condvar,
+    state: Mutex<State>,
+    plan: RwLock<Arc<Plan>>,
+    text: Mutex<Arc<[u8]>>,
+    stopping: AtomicBool,
+    ending: AtomicBool,
+    counter: AtomicU64,
+}
+
+impl Gateway {
+    /// Builds the shared part of a gateway.
+    pub fn new(settings: Settings, boot: u64) -> Self {
+        Self {
+            name: settings.name.as_str().into(),
+            boot,
+            store: Store::new(settings.store),
+            idle: Idle::default(),
+            metrics: Metrics::new(),
+            bell: Condvar::new(),
+            state: Mutex::default(),
+            plan: RwLock::default(),
+            text: Mutex::new(Arc::from(&b""[..])),
+            stopping: AtomicBool::new(false),
+            ending: AtomicBool::new(false),
+            counter: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// Locks the state; hold it for a few steps only, never across I/O.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the configuration in force; version 0 stands for none.
+    pub fn plan(&self) -> Arc<Plan> {
+        Arc::clone(&self.plan.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts a configuration in force if it is newer; returns whether it did.
+    pub fn install(&self, plan: Plan, text: &[u8]) -> bool {
+        let mut current = self.plan.write().unwrap_or_else(PoisonError::into_inner);
+        if plan.version <= current.version {
+            return false;
+        }
+        log::info!(version = plan.version, before = current.version; "config: in force.");
+        self.metrics.config.set(plan.version as i64);
+        *current = Arc::new(plan);
+        *self.text.lock().unwrap_or_else(PoisonError::into_inner) = Arc::from(text);
+        true
+    }
+
+    /// Returns the text of the configuration in force.
+    pub fn text(&self) -> Arc<[u8]> {
+        Arc::clone(&self.text.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Returns a number that no other request of this process has.
+    pub fn unique(&self) -> WorkId {
+        self.counter.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Marks the instance as stopping.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether the instance is stopping.
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Makes all requests end with a failure.
+    pub fn end(&self) {
+        self.ending.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether requests have to end now.
+    pub fn ending(&self) -> bool {
+        self.ending.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether the instance takes requests, or else why not.
+    ///
+    /// # Errors
+    ///
+    /// Says why it does not.
+    pub fn ready(&self) -> Result<(), &'static str> {
+        if self.stopping() {
+            return Err("the instance is stopping");
+        }
+        if self.plan().version == 0 {
+            return Err("there is no configuration yet");
+        }
+        if !self.state().store.listed {
+            return Err("targets have not been listed yet");
+        }
+        Ok(())
+    }
+
+    /// Notes the first event of a request, which ends the reading of its prompt.
+    pub fn first_event(&self, targets: &[TargetId], id: WorkId, now: Instant) {
+        let mut state = self.state();
+        for (i, target) in targets.iter().enumerate() {
+            if i == 0 {
+                state.load.first_event(target, id, now);
+            } else {
+                state.load.end(target, id);
+            }
+            state.changed.insert(TargetId::clone(target));
+        }
+        self.bell.notify_all();
+        state.dispatch(self, now);
+    }
+
+    /// Notes that a request has ended at its targets.
+    pub fn finish(&self, targets: &[TargetId], id: WorkId, now: Instant) {
+        let mut state = self.state();
+        for target in targets {
+            state.load.end(target, id);
+            state.changed.insert(TargetId::clone(target));
+        }
+        self.bell.notify_all();
+        state.dispatch(self, now);
+    }
+
+    /// Notes how an attempt at a target ended.
+    pub fn note(&self, target: &TargetId, outcome: Outcome, now: Instant) {
+        let mut state = self.state();
+        let peers = state.peer_failures(target);
+        if let Some(pause) = state.outcomes.note(target, outcome, peers, now) {
+            let pause_ms = pause.as_millis() as u64;
+            log::warn!(target_id = &**target, outcome:? = outcome, pause_ms; "target: avoided.");
+        }
+    }
+}
+
+impl State {
+    /// Adds a request to the load of its targets; the first one answers.
+    pub fn begin(&mut self, targets: &[TargetId], id: WorkId, work: Work) {
+        for (i, target) in targets.iter().enumerate() {
+            let work = Work { first: i == 0, ..work };
+            self.load.begin(target, id, work);
+            self.changed.insert(TargetId::clone(target));
+        }
+    }
+
+    /// Returns the least share of failures among the other targets of a service.
+    fn peer_failures(&self, target: &str) -> f64 {
+        let Some(own) = self.fleet.get(target) else { return 0.0 };
+        let others = self.fleet.serving(&own.service).filter(|t| t.id != own.id);
+        let (mut sum, mut count) = (0.0, 0.0);
+        for other in others {
+            sum += self.outcomes.failures(&other.id);
+            count += 1.0;
+        }
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
+    /// Returns the count of instances that are alive, this one included.
+    pub fn instances(&self) -> usize {
+        (self.peers.len() + 1).max(self.members.len())
+    }
+
+    /// Returns whether the store was away lately, so that entries may have lapsed.
+    pub fn outage(&self, now: Instant) -> bool {
+        let lately = |at: Instant| now < at + mimosapass_core::edge::fleet::LAPSE_GRACE;
+        self.store.away.is_some() || self.store.back.is_some_and(lately)
+    }
+}
+
+/// Returns the cost model of a service, where its targets are engines.
+pub fn engine_of(plan: &Plan, service: &str) -> Option<Engine> {
+    plan.service(service).and_then(|s| s.engine)
+}
--- /dev/null
+++ b/src/gateway/turn.rs
@@ -0,0 +1,225 @@
+//! Waits for a place at a target.
+//!
+//! Requests wait in one list. Whenever the load changes, places are given in
+//! the order that `mimosapass_core::edge::wait` states; the thread of a request
+//! that got one wakes up.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use mimosapass_core::edge::cost::Engine;
+use mimosapass_core::edge::load::{Work, WorkId};
+use mimosapass_core::edge::place::{Ask, Candidate, Place, choose};
+use mimosapass_core::edge::plan::ServiceId;
+use mimosapass_core::edge::wait::Waiting;
+use mimosapass_core::error::{Failure, Kind};
+use mimosapass_core::ids::{TargetId, ZoneId};
+
+use super::state::{Gateway, State};
+
+/// Time between two looks at whether a waiting caller is still there. Targets
+/// must not get requests of callers that left half a second ago.
+const LOOK: Duration = Duration::from_millis(100);
+/// Least time between two dispatches that nothing of this instance caused.
+const CALM: Duration = Duration::from_millis(5);
+/// Requests for which no place is looked for again in one dispatch: those behind
+/// them in the order need as much or have less right to it.
+const MOST_MISSES: usize = 6;
+
+/// What a request needs of a place.
+#[derive(Clone, Debug)]
+pub struct Need {
+    /// Service.
+    pub service: ServiceId,
+    /// Cost model, where the service's targets are engines.
+    pub engine: Option<Engine>,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Tokens expected of the answer.
+    pub answer: u64,
+    /// Longest pause between events that is on time.
+    pub gap: Duration,
+    /// Order among waiting requests.
+    pub waiting: Waiting,
+    /// Targets that failed this request already.
+    pub avoid: Vec<TargetId>,
+}
+
+/// A place that was given; the load of its targets counts the request already.
+#[derive(Clone, Debug)]
+pub struct Grant {
+    /// The place.
+    pub place: Place,
+    /// Number under which the load knows the request.
+    pub id: WorkId,
+}
+
+impl Grant {
+    /// Returns the targets of the place, the answering one first.
+    pub fn targets(&self) -> Vec<TargetId> {
+        let helpers = self.place.helpers.iter().map(|t| TargetId::clone(&t.id));
+        std::iter::once(TargetId::clone(&self.place.target.id)).chain(helpers).collect()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Slot {
+    given: Mutex<Option<Grant>>,
+    bell: Condvar,
+}
+
+#[derive(Clone, Debug)]
+struct Waiter {
+    need: Need,
+    slot: Arc<Slot>,
+}
+
+/// Requests that wait.
+#[derive(Debug, Default)]
+pub struct Waiters {
+    list: HashMap<WorkId, Waiter>,
+    last: Option<Instant>,
+}
+
+/// Waits until the request gets a place.
+///
+/// # Errors
+///
+/// Fails when the caller left, or when no place can be had in time.
+pub fn wait(gateway: &Gateway, need: &Need, gone: impl Fn() -> bool) -> Result<Grant, Failure> {
+    let id = gateway.unique();
+    let slot = Arc::new(Slot::default());
+    {
+        let mut state = gateway.state();
+        let waiter = Waiter { need: need.clone(), slot: Arc::clone(&slot) };
+        state.waiters.list.insert(id, waiter);
+        state.waiters.last = None;
+        state.dispatch(gateway, Instant::now());
+        gateway.metrics.waiting.set(state.waiters.list.len() as i64);
+    }
+    let result = loop {
+        let given = slot.given.lock().unwrap_or_else(PoisonError::into_inner);
+        let waited = slot.bell.wait_timeout_while(given, LOOK, |g| g.is_none());
+        let mut given = waited.unwrap_or_else(PoisonError::into_inner).0;
+        if let Some(grant) = given.take() {
+            return Ok(grant);
+        }
+        drop(given);
+        let now = Instant::now();
+        if gone() {
+            break Failure::new(Kind::CallerGone, "the caller left while it waited");
+        }
+        if gateway.ending() {
+            break Failure::new(Kind::Stopping, "the instance stops");
+        }
+        if need.waiting.over(now) {
+            break late(gateway, need, now);
+        }
+        gateway.state().dispatch(gateway, now);
+    };
+    let mut state = gateway.state();
+    state.waiters.list.remove(&id);
+    gateway.metrics.waiting.set(state.waiters.list.len() as i64);
+    drop(state);
+    // A place may have been given between the last look and the removal.
+    let given = slot.given.lock().unwrap_or_else(PoisonError::into_inner).take();
+    match given {
+        Some(grant) if result.kind != Kind::CallerGone => Ok(grant),
+        Some(grant) => {
+            gateway.finish(&grant.targets(), grant.id, Instant::now());
+            Err(result)
+        }
+        None => Err(result),
+    }
+}
+
+fn late(gateway: &Gateway, need: &Need, now: Instant) -> Failure {
+    let state = gateway.state();
+    let targets = state.fleet.serving(&need.service).count();
+    let waiting = state.waiters.list.len();
+    let waited_ms = (now - need.waiting.since).as_millis() as u64;
+    let text = format!(
+        "no place after {waited_ms} ms: {targets} targets of {}, {waiting} requests wait",
+        need.service
+    );
+    let kind = if targets == 0 { Kind::NoTarget } else { Kind::QueueTimeout };
+    Failure::new(kind, text)
+}
+
+impl State {
+    /// Gives places to waiting requests.
+    pub fn dispatch(&mut self, gateway: &Gateway, now: Instant) {
+        let calm = self.waiters.last.is_some_and(|last| now < last + CALM);
+        if self.waiters.list.is_empty() || calm {
+            return;
+        }
+        self.waiters.last = Some(now);
+        let mut order: Vec<WorkId> = self.waiters.list.keys().copied().collect();
+        order.sort_by(|a, b| {
+            let rank = |id| self.waiters.list[id].need.waiting.rank(now);
+            let (a, b) = (rank(a), rank(b));
+            a.0.cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.total_cmp(&b.2))
+        });
+        let mut misses: HashMap<ServiceId, usize> = HashMap::new();
+        for id in order {
+            let Some(waiter) = self.waiters.list.get(&id) else { continue };
+            let missed = misses.entry(ServiceId::clone(&waiter.need.service)).or_default();
+            if *missed >= MOST_MISSES {
+                continue;
+            }
+            let waiter = waiter.clone();
+            match self.place(gateway, &waiter.need, now) {
+                Some(place) => self.give(id, &waiter, place, now),
+                None => *missed += 1,
+            }
+        }
+    }
+
+    fn place(&self, gateway: &Gateway, need: &Need, now: Instant) -> Option<Place> {
+        let far = |zone: &ZoneId| {
+            let same = **zone == *gateway.settings.zone;
+            if same { Duration::ZERO } else { Duration::from_millis(1) }
+        };
+        let usable = |avoid: bool| {
+            self.fleet
+                .serving(&need.service)
+                .filter(|t| !avoid || !self.outcomes.avoided(&t.id, now))
+                .filter(|t| !need.avoid.contains(&t.id))
+                .map(|target| Candidate { target, pace: 1.0, far: far(&target.zone) })
+                .collect::<Vec<_>>()
+        };
+        let mut candidates = usable(true);
+        if candidates.is_empty() {
+            candidates = usable(false);
+        }
+        let ask = Ask {
+            prompt: need.prompt,
+            answer: need.answer,
+            gap: need.gap,
+            worth: need.waiting.worth,
+            left: need.waiting.promise.saturating_duration_since(now),
+        };
+        choose(&ask, need.engine.as_ref(), &candidates, &self.load, now)
+            .filter(|place| need.waiting.takes(place, now))
+    }
+
+    fn give(&mut self, id: WorkId, waiter: &Waiter, place: Place, now: Instant) {
+        self.waiters.list.remove(&id);
+        let need = &waiter.need;
+        let work = Work {
+            prompt: need.prompt,
+            parts: place.helpers.len() as u32 + 1,
+            first: true,
+            answer: need.answer,
+            gap: need.gap,
+            worth: need.waiting.worth,
+            sent: now,
+            writing: None,
+        };
+        let grant = Grant { place, id };
+        self.begin(&grant.targets(), id, work);
+        *waiter.slot.given.lock().unwrap_or_else(PoisonError::into_inner) = Some(grant);
+        waiter.slot.bell.notify_one();
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 
 mod cli;
 mod flow;
+mod gateway;
 mod metrics;
 mod node;
 mod parts;
@@ -42,6 +43,14 @@
 fn run(command: cli::Command) -> Result<(), Box<dyn Error>> {
     match command {
         cli::Command::Serve { config } => Ok(serve::run(settings::load(&config)?)?),
+        cli::Command::Gateway { config, check } => {
+            let settings = gateway::settings::load(&config)?;
+            if check {
+                println!("{}: no faults", config.display());
+                return Ok(());
+            }
+            Ok(gateway::serve::run(settings)?)
+        }
         cli::Command::Check { file } => {
             settings::load(&file)?;
             println!("{}: no faults", file.display());
--- a/src/node.rs
+++ b/src/node.rs
@@ -17,10 +17,10 @@
 use mimosapass_core::view::{Beat, View};
 use mimosapass_instance::compact::Lengthener;
 use mimosapass_instance::link::Links;
+use mimosapass_keyvalue::kv::Kv;
+use mimosapass_keyvalue::list::Member;
+use mimosapass_keyvalue::pacing::Paced;
 use mimosapass_operator::document::Document;
-use mimosapass_platform::kv::Kv;
-use mimosapass_platform::list::Member;
-use mimosapass_platform::pacing::Paced;
 use mimosapass_target::lines::Lines;
 use ureq::Agent;
 
--- a/src/parts/configure.rs
+++ b/src/parts/configure.rs
@@ -10,8 +10,8 @@
 use mimosapass_core::pace::spread;
 use mimosapass_core::roles::watchers;
 use mimosapass_core::version::Heard;
+use mimosapass_keyvalue::kv::{Entry, Revision};
 use mimosapass_operator::store::{self, StoreError, Stored};
-use mimosapass_platform::kv::{Entry, Revision};
 
 use crate::node::{Node, PLATFORM};
 
--- a/src/parts/listing.rs
+++ b/src/parts/listing.rs
@@ -10,7 +10,7 @@
 use mimosapass_core::board::Listed;
 use mimosapass_core::config::TargetKind;
 use mimosapass_instance::message::{self, Body};
-use mimosapass_platform::list::{List, Member, Role};
+use mimosapass_keyvalue::list::{List, Member, Role};
 
 use crate::node::Node;
 
--- a/src/parts/orders.rs
+++ b/src/parts/orders.rs
@@ -15,9 +15,9 @@
 use mimosapass_core::pace::{Backoff, Bucket};
 use mimosapass_core::roles::leader;
 use mimosapass_core::tenure::{ORDER, TTL, Tenure};
-use mimosapass_platform::kv::KvError;
-use mimosapass_platform::leases::{self, Held};
-use mimosapass_platform::list::Role;
+use mimosapass_keyvalue::kv::KvError;
+use mimosapass_keyvalue::leases::{self, Held};
+use mimosapass_keyvalue::list::Role;
 use mimosapass_target::fault::Fault;
 use mimosapass_target::orders::{self, LIMITED, NONE, OLD};
 
--- a/src/parts/peers.rs
+++ b/src/parts/peers.rs
@@ -22,8 +22,8 @@
 use mimosapass_instance::link::{Identity, Incoming};
 use mimosapass_instance::message::{self, Body};
 use mimosapass_instance::pack::{pack, unpack};
+use mimosapass_keyvalue::list::Role;
 use mimosapass_operator::document;
-use mimosapass_platform::list::Role;
 
 use crate::node::Node;
 use crate::parts::{contacts, groups, listing, poll};
--- a/src/parts/records.rs
+++ b/src/parts/records.rs
@@ -11,7 +11,7 @@
 use mimosapass_core::claim::{Left, settle};
 use mimosapass_core::once::{KEEP, Record, Revision, SLOT, State};
 use mimosapass_core::pace::Backoff;
-use mimosapass_platform::kv::{Kv, KvError, LeaseId};
+use mimosapass_keyvalue::kv::{Kv, KvError, LeaseId};
 
 use crate::node::Node;
 
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -6,9 +6,9 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
+use mimosapass_keyvalue::kv::Kv;
+use mimosapass_keyvalue::list::{Member, Role};
 use mimosapass_operator::{document, store};
-use mimosapass_platform::kv::Kv;
-use mimosapass_platform::list::{Member, Role};
 use mimosapass_standin::engine::{Engine, Settings};
 use mimosapass_standin::platform::Platform;
 use mimosapass_standin::service::Service;
