Streams: silence is a reason to go elsewhere only while there is an elsewhere

Change: without another send left the stream goes on until its end; otherwise the bound is 0.7 of the caller's own patience.

--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -4,6 +4,7 @@
 
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_core::edge::outcomes::Outcome;
+use mimosapass_core::edge::wait::patience;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
 use mimosapass_platform::header;
@@ -18,10 +19,11 @@
 
 /// Sends that reached no target and are tried again elsewhere, at most.
 const MOST_UNSENT: u32 = 4;
-/// Least time for an answer that is asked for elsewhere when it does not come.
-const LEAST_SILENCE: Duration = Duration::from_millis(1_000);
-/// Multiple of the predicted time after which a target counts as silent.
-const SILENCE: u32 = 3;
+/// Part of a caller's patience after which a silent target's work is asked for
+/// elsewhere, so that the other one can still answer before the caller leaves.
+const SILENCE: f64 = 0.7;
+/// Time in which a target of a service answers, in its promises.
+const SERVICE_SILENCE: u32 = 2;
 
 /// How a request ended, for its log line.
 #[derive(Debug)]
@@ -67,6 +69,7 @@
     let mut way = Way::default();
     gateway.state().repeats.entry(request.need.service.clone()).or_default().request(arrived);
     let ended = serve(gateway, exchange, &mut request, &mut way);
+    let pause_ms = way.progress.pause.as_millis() as u64;
     let label = band(request.need.prompt);
     gateway.metrics.outcomes.with_label_values(&[label, ended.outcome]).inc();
     let took_ms = arrived.elapsed().as_millis() as u64;
@@ -83,6 +86,7 @@
         sends = way.sends,
         target_id,
         took_ms,
+        pause_ms,
         version = plan.version;
         "request: {}, {}.", ended.outcome, ended.why
     );
@@ -129,13 +133,9 @@
     grant: &Grant,
     targets: &[TargetId],
 ) -> Option<Ended> {
-    let again = request.repeatable() && way.sends + 1 < request.route.attempts;
-    let silence = if again {
-        Instant::now() + LEAST_SILENCE.max(grant.place.first * SILENCE)
-    } else {
-        request.end
-    };
-    match attempt::send(gateway, exchange, request, grant, silence) {
+    let silence = silence(request, way);
+    let until = silence.map_or(request.end, |silence| Instant::now() + silence);
+    match attempt::send(gateway, exchange, request, grant, until) {
         Sent::Whole(reply, body) => {
             way.sends += 1;
             way.ran = true;
@@ -147,7 +147,6 @@
             Some(pass_whole(exchange, &reply, &body))
         }
         Sent::Stream(connection, reply) => {
-            way.sends += 1;
             way.ran = true;
             stream(gateway, exchange, request, way, grant, targets, connection, &reply)
         }
@@ -177,6 +176,18 @@
     }
 }
 
+/// Returns for how long the target may be silent, where another one can be asked.
+fn silence(request: &Request, way: &Way) -> Option<Duration> {
+    let again = request.repeatable() && way.sends + 1 < request.route.attempts;
+    let route = &request.route;
+    let time = if route.streaming {
+        patience(route.goal, route.gap).mul_f64(SILENCE)
+    } else {
+        route.goal * SERVICE_SILENCE
+    };
+    again.then_some(time)
+}
+
 fn stream(
     gateway: &Gateway,
     exchange: &mut Exchange<'_>,
@@ -199,21 +210,24 @@
             prompt = request.need.prompt,
             parts = targets.len(),
             first_ms = (now - since).as_millis() as u64,
+            waited_ms = (grant.at - since).as_millis() as u64,
+            target_id = &*targets[0],
             predicted_ms = grant.place.first.as_millis() as u64,
             head_ms = (now - begun).as_millis() as u64;
             "request: first event."
         );
     };
+    let silence = silence(request, way);
     let progress = &mut way.progress;
-    let gap = request.route.gap;
-    let end = relay::run(exchange, &mut connection, reply, progress, gap, request.end, first);
+    let end = relay::run(exchange, &mut connection, reply, progress, silence, request.end, first);
     let id = &grant.place.target.id;
+    way.sends += 1;
     match end {
         End::Complete => {
             exchange.finish();
             gateway.note(id, Outcome::Answered, Instant::now());
             attempt::keep(gateway, connection, reply);
-            Some(Ended { outcome: "served", why: format!("{} pieces", progress.events) })
+            Some(Ended { outcome: "served", why: format!("{} pieces", progress.pieces) })
         }
         End::CallerGone => Some(Ended { outcome: "caller_gone", why: String::new() }),
         End::Late => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,9 +10,6 @@
 
 use super::attempt::{self, Next};
 
-/// Least silence of a target in mid-stream that counts as broken.
-const LEAST_SILENCE: Duration = Duration::from_secs(1);
-
 /// What a caller has got of a stream.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -20,8 +17,12 @@
     pub begun: bool,
     /// Identifier of the last event that was sent.
     pub last_event: Option<String>,
-    /// Events that were sent.
-    pub events: usize,
+    /// Pieces that were sent.
+    pub pieces: usize,
+    /// When the last piece was sent.
+    pub last: Option<Instant>,
+    /// Longest pause between two pieces.
+    pub pause: Duration,
 }
 
 /// How the relay of one target's stream ended.
@@ -39,21 +40,23 @@
 
 /// Passes on what a target streams until it ends; `first` is called at its
 /// first event.
+///
+/// Without `silence` the stream goes on until `end`, however long the target
+/// pauses: there is nobody else to ask.
 pub fn run(
     exchange: &mut Exchange<'_>,
     connection: &mut Connection,
     reply: &Reply,
     progress: &mut Progress,
-    gap: Duration,
+    silence: Option<Duration>,
     end: Instant,
     mut first: impl FnMut(),
 ) -> End {
     let mut framing = reply.framing;
     let mut partial: Vec<u8> = Vec::new();
     let mut seen = false;
-    let silence = LEAST_SILENCE.max(gap * 4);
     loop {
-        let until = end.min(Instant::now() + silence);
+        let until = silence.map_or(end, |silence| end.min(Instant::now() + silence));
         match attempt::next(exchange, connection, &mut framing, until) {
             Next::Data(data) => {
                 partial.extend(data);
@@ -103,7 +106,10 @@
     if let Some(id) = last_id(events) {
         progress.last_event = Some(id);
     }
-    progress.events += 1;
+    let now = Instant::now();
+    progress.pause = progress.pause.max(progress.last.map_or(Duration::ZERO, |at| now - at));
+    progress.last = Some(now);
+    progress.pieces += 1;
     exchange.send(events).is_ok()
 }
 
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -53,6 +53,8 @@
     pub place: Place,
     /// Number under which the load knows the request.
     pub id: WorkId,
+    /// When it was given.
+    pub at: Instant,
 }
 
 impl Grant {
@@ -217,7 +219,7 @@
             sent: now,
             writing: None,
         };
-        let grant = Grant { place, id };
+        let grant = Grant { place, id, at: now };
         self.begin(&grant.targets(), id, work);
         *waiter.slot.given.lock().unwrap_or_else(PoisonError::into_inner) = Some(grant);
         waiter.slot.bell.notify_one();
