Placement: a common order of targets, and long prompts wait in front of engines

Cause: with dossiers 2.7 times as many, every engine had both strict writers and long reads. Change: short prompts take engines from the front of the order of identifiers, long ones from its back; pauses of others count three times; a long prompt goes only where at most 100 ms are left to read.

--- a/crates/core/src/edge/load.rs
+++ b/crates/core/src/edge/load.rs
@@ -68,6 +68,8 @@
     pub memory: u64,
     /// Time until all prompts that were sent have been read.
     pub reading: Duration,
+    /// Part of that time for parts of prompts, which are read before whole ones.
+    pub reading_parts: Duration,
     /// Prompts or parts that are not read yet.
     pub readers: usize,
 }
@@ -152,16 +154,23 @@
             }
         }
         if let Some(engine) = engine {
-            outlook.reading = reading(entries, engine, &outlook, now);
+            outlook.reading = reading(entries, engine, &outlook, now, |_| true);
+            outlook.reading_parts = reading(entries, engine, &outlook, now, |w| w.parts > 1);
         }
         outlook
     }
 }
 
 /// Predicts how long `entries` that are not read yet keep their target reading.
-fn reading(entries: &[Entry], engine: &Engine, outlook: &Outlook, now: Instant) -> Duration {
-    let mut readers: Vec<&Work> =
-        entries.iter().map(|e| &e.work).filter(|w| w.writing.is_none()).collect();
+fn reading(
+    entries: &[Entry],
+    engine: &Engine,
+    outlook: &Outlook,
+    now: Instant,
+    counts: impl Fn(&Work) -> bool,
+) -> Duration {
+    let works = entries.iter().map(|e| &e.work);
+    let mut readers: Vec<&Work> = works.filter(|w| w.writing.is_none() && counts(w)).collect();
     readers.sort_by_key(|w| w.sent);
     let Some(first) = readers.first() else { return Duration::ZERO };
     let mut free = first.sent;
--- a/crates/core/src/edge/place.rs
+++ b/crates/core/src/edge/place.rs
@@ -20,10 +20,21 @@
 const SAFE: f64 = 0.6;
 /// Share of an answer's worth that is lost when it is late.
 const LATE: f64 = 0.75;
+/// Most that a target may still have to read when it gets a long prompt or a part
+/// of one. Engines read the newest part first, so what waits there loses its turn;
+/// the bound is about a pass, so that no engine stands idle between two prompts.
+const BACKLOG: Duration = Duration::from_millis(100);
 /// Most targets that read one prompt together, beside the first.
 pub const MOST_HELPERS: usize = 16;
-/// Worth of keeping an empty target empty, against that of a mean answer.
-const EMPTY: f64 = 0.02;
+/// Worth of the whole order of targets, against that of a mean answer: short
+/// prompts take targets from its front and long ones from its back.
+const ORDER: f64 = 0.4;
+/// Weight of pauses that others bear against this request's own promise. A
+/// target with strict writers that reads long prompts drives the next short
+/// ones to other targets, where they are in the way of the next long one.
+const HARM: f64 = 3.0;
+/// Share of an answer's worth that a whole promise's time costs.
+const HURRY: f64 = 0.02;
 /// Worth of one millisecond of an engine's time, against that of a mean answer.
 const BUSY_MS: f64 = 0.000_2;
 
@@ -40,6 +51,8 @@
     pub worth: f64,
     /// Time from now in which the first event is on time.
     pub left: Duration,
+    /// Whether reading the whole prompt makes the strictest streams pause too long.
+    pub long: bool,
 }
 
 /// A target that may serve a request.
@@ -78,6 +91,17 @@
     worth * LATE * ((used - SAFE) / (1.0 - SAFE)).clamp(0.0, 1.0)
 }
 
+/// Returns what a longer `time` costs even where the promise holds: targets that
+/// are done sooner are free sooner for what comes next.
+fn hurry(ask: &Ask, time: Duration) -> f64 {
+    ask.worth * HURRY * time.as_secs_f64() / ask.left.as_secs_f64().max(0.1)
+}
+
+/// Returns whether reading a whole prompt makes streams pause longer than they may.
+pub fn long(engine: &Engine, prompt: u64, strictest: Duration) -> bool {
+    engine.read(prompt, 1) + engine.pass(1, prompt) > strictest.mul_f64(SAFE)
+}
+
 /// Chooses the best place for a request, or `None` when no target has room.
 pub fn choose(
     ask: &Ask,
@@ -113,8 +137,12 @@
 struct Option1<'a> {
     candidate: &'a Candidate<'a>,
     outlook: Outlook,
+    /// Cost of its place in the common order.
+    order: f64,
     /// Time until the target begins to read this prompt.
     wait: Duration,
+    /// Time until it begins to read a part of it, which goes before whole prompts.
+    part_wait: Duration,
 }
 
 fn choose_engine(
@@ -124,22 +152,27 @@
     load: &Load,
     now: Instant,
 ) -> Option<Place> {
+    let mut candidates: Vec<&Candidate<'_>> = candidates.iter().collect();
+    candidates.sort_by(|a, b| a.target.id.cmp(&b.target.id));
+    let count = candidates.len() as f64;
     let options: Vec<Option1<'_>> = candidates
-        .iter()
-        .map(|candidate| {
+        .into_iter()
+        .enumerate()
+        .map(|(i, candidate)| {
             let outlook = load.outlook(&candidate.target.id, Some(engine), now);
             let residual = if outlook.writers > 0 {
                 engine.pass(outlook.writers, outlook.context) / 2
             } else {
                 Duration::ZERO
             };
-            Option1 { candidate, outlook, wait: outlook.reading + residual }
+            let part_wait = outlook.reading_parts + residual;
+            let position = (i as f64 + 0.5) / count;
+            let order = ORDER * if ask.long { 1.0 - position } else { position };
+            Option1 { candidate, outlook, order, wait: outlook.reading + residual, part_wait }
         })
         .collect();
     let mut best = alone(ask, engine, &options, load);
-    let whole = engine.read(ask.prompt, 1);
-    let long = whole > ask.left.mul_f64(0.15) || whole > Duration::from_millis(150);
-    if long {
+    if ask.long {
         for parts in [2, 3, 4, 6, 8, 12, 16] {
             if let Some(place) = joined(ask, engine, &options, load, parts)
                 && best.as_ref().is_none_or(|b| place.loss < b.loss)
@@ -158,16 +191,18 @@
 
 /// Judges each target as the only one that reads the prompt.
 fn alone(ask: &Ask, engine: &Engine, options: &[Option1<'_>], load: &Load) -> Option<Place> {
-    let places = options.iter().filter(|o| fits(ask, engine, o)).map(|option| {
+    let free = |o: &&Option1<'_>| !ask.long || o.outlook.reading <= BACKLOG;
+    let fitting = options.iter().filter(|o| fits(ask, engine, o)).filter(free);
+    let places = fitting.map(|option| {
         let read = engine.read(ask.prompt, 1).mul_f64(option.candidate.pace);
         let outlook = &option.outlook;
-        let pass = engine.pass(outlook.writers + 1, outlook.context + ask.prompt);
+        let pass = next_pass(engine, outlook, ask);
         let first = option.wait + read + pass + option.candidate.far;
         let harm = harm(option, engine, load, read);
-        let empty = if outlook.used == 0 { EMPTY } else { 0.0 };
         let loss = missed(ask.worth, first, ask.left)
             + harm
-            + empty
+            + option.order
+            + hurry(ask, first)
             + first.as_secs_f64() * 1000.0 * BUSY_MS;
         Place {
             target: Arc::clone(option.candidate.target),
@@ -192,11 +227,12 @@
     let mut rows: Vec<(f64, f64, &Option1<'_>)> = options
         .iter()
         .filter(|o| o.outlook.used < o.candidate.target.slots as usize)
+        .filter(|o| o.outlook.reading_parts <= BACKLOG)
         .map(|o| {
             let read = read.mul_f64(o.candidate.pace);
             let harm = harm(o, engine, load, read);
-            let late = missed(ask.worth, o.wait + read, ask.left);
-            (harm + late + o.wait.as_secs_f64() * 0.1, harm, o)
+            let time = o.part_wait + read;
+            (o.order + harm + hurry(ask, time) + missed(ask.worth, time, ask.left), harm, o)
         })
         .collect();
     if rows.len() < parts as usize {
@@ -206,21 +242,33 @@
     rows.truncate(parts as usize);
     let answering = rows.iter().position(|(_, _, o)| fits(ask, engine, o))?;
     let (_, _, first) = rows.remove(answering);
-    let slowest = rows.iter().map(|(_, _, o)| o.wait).max().unwrap_or_default().max(first.wait);
+    let slowest =
+        rows.iter().map(|(_, _, o)| o.part_wait).max().unwrap_or_default().max(first.part_wait);
     let pace = rows.iter().map(|r| r.2.candidate.pace).fold(first.candidate.pace, f64::max);
     let harm = rows.iter().map(|r| r.1).sum::<f64>() + harm(first, engine, load, read);
-    let pass = engine.pass(first.outlook.writers + 1, first.outlook.context + ask.prompt);
+    let order = rows.iter().map(|r| r.2.order).sum::<f64>() + first.order;
+    let order = order / f64::from(parts);
+    let pass = next_pass(engine, &first.outlook, ask);
     let time = slowest + read.mul_f64(pace) + pass + first.candidate.far;
     let busy = read.as_secs_f64() * 1000.0 * f64::from(parts) * BUSY_MS;
     Some(Place {
         target: Arc::clone(first.candidate.target),
         helpers: rows.iter().map(|r| Arc::clone(r.2.candidate.target)).collect(),
         first: time,
-        loss: missed(ask.worth, time, ask.left) + harm + busy + EMPTY * f64::from(parts),
+        loss: missed(ask.worth, time, ask.left) + hurry(ask, time) + harm + order + busy,
         harm,
     })
 }
 
+/// Returns the time of the pass that ends with the first event. Where nobody
+/// else writes, the first event follows the prompt at once.
+fn next_pass(engine: &Engine, outlook: &Outlook, ask: &Ask) -> Duration {
+    match outlook.writers {
+        0 => Duration::ZERO,
+        writers => engine.pass(writers + 1, outlook.context + ask.prompt),
+    }
+}
+
 /// Returns the worth that the writers of a target lose while it reads for `read` more.
 fn harm(option: &Option1<'_>, engine: &Engine, load: &Load, read: Duration) -> f64 {
     let outlook = &option.outlook;
@@ -231,5 +279,5 @@
     let unread = if outlook.readers == 0 { Duration::ZERO } else { outlook.reading };
     let pause = pass + unread + read;
     let writers = load.works(&option.candidate.target.id).filter(|w| w.writing.is_some());
-    writers.filter(|w| w.first).map(|w| missed(w.worth, pause, w.gap)).sum()
+    HARM * writers.filter(|w| w.first).map(|w| missed(w.worth, pause, w.gap)).sum::<f64>()
 }
--- a/crates/core/src/edge/plan.rs
+++ b/crates/core/src/edge/plan.rs
@@ -102,6 +102,7 @@
     hosts: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<ServiceId, Arc<Service>>,
     keys: HashMap<String, Arc<Workspace>>,
+    gaps: HashMap<ServiceId, Duration>,
     /// Bounds on callers, where they are stated.
     pub limits: Option<CallerLimits>,
 }
@@ -113,13 +114,20 @@
         for route in routes {
             hosts.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
+        let mut gaps: HashMap<ServiceId, Duration> = HashMap::new();
+        for route in hosts.values().flatten().filter(|r| r.streaming) {
+            for share in &route.split {
+                let gap = gaps.entry(ServiceId::clone(&share.service)).or_insert(route.gap);
+                *gap = route.gap.min(*gap);
+            }
+        }
         for routes in hosts.values_mut() {
             // The longest prefix wins, so it is looked at first.
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
         let services =
             services.into_iter().map(|s| (ServiceId::clone(&s.name), Arc::new(s))).collect();
-        Self { version, hosts, services, ..Self::default() }
+        Self { version, hosts, services, gaps, ..Self::default() }
     }
 
     /// Adds a workspace with its keys; from then on requests need a key.
@@ -142,6 +150,11 @@
         self.services.get(name)
     }
 
+    /// Returns the strictest pause that any stream of the service allows.
+    pub fn strictest_gap(&self, service: &str) -> Duration {
+        self.gaps.get(service).copied().unwrap_or_default()
+    }
+
     /// Returns all services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
         self.services.values()
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -5,6 +5,7 @@
 
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_caller::head::Head;
+use mimosapass_core::edge::place::long;
 use mimosapass_core::edge::plan::{Plan, Repeat, Route, ServiceId, Workspace};
 use mimosapass_core::edge::wait::{Waiting, patience};
 use mimosapass_core::error::{Failure, Kind};
@@ -102,6 +103,7 @@
         prompt,
         answer,
         gap: route.gap,
+        long: engine.is_some_and(|e| long(&e, prompt, plan.strictest_gap(service))),
         waiting: Waiting {
             since: arrived,
             promise: arrived + route.goal,
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -211,7 +211,7 @@
             parts = targets.len(),
             first_ms = (now - since).as_millis() as u64,
             waited_ms = (grant.at - since).as_millis() as u64,
-            target_id = &*targets[0],
+            targets = targets.join(","),
             predicted_ms = grant.place.first.as_millis() as u64,
             head_ms = (now - begun).as_millis() as u64;
             "request: first event."
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -40,6 +40,8 @@
     pub answer: u64,
     /// Longest pause between events that is on time.
     pub gap: Duration,
+    /// Whether reading the whole prompt makes the strictest streams pause too long.
+    pub long: bool,
     /// Order among waiting requests.
     pub waiting: Waiting,
     /// Targets that failed this request already.
@@ -200,6 +202,7 @@
             answer: need.answer,
             gap: need.gap,
             worth: need.waiting.worth,
+            long: need.long,
             left: need.waiting.promise.saturating_duration_since(now),
         };
         choose(&ask, need.engine.as_ref(), &candidates, &self.load, now)
