Load: the backlog of each engine is kept, and instances take turns with long prompts

Ruled out: slow engines, the cost model. Change: the time at which an engine has read all is carried along as work is sent; datagrams number the works and name long prompts that wait; the first in rank goes.

--- a/crates/core/src/edge/load.rs
+++ b/crates/core/src/edge/load.rs
@@ -49,10 +49,40 @@
     work: Work,
 }
 
+/// Requests in flight at one target.
+#[derive(Clone, Debug, Default)]
+struct AtTarget {
+    entries: Vec<Entry>,
+    /// When all prompts that were sent are read, if it read without a break.
+    ///
+    /// Engines read the newest part first, so this cannot be told from the
+    /// prompts that are still unread: those that came later and are done already
+    /// took their time from them.
+    free: Option<Instant>,
+}
+
+impl AtTarget {
+    fn add(&mut self, entry: Entry, engine: Option<&Engine>) {
+        if let (Some(engine), None) = (engine, entry.work.writing) {
+            let sent = entry.work.sent;
+            let begin = self.free.map_or(sent, |free| free.max(sent));
+            self.free = Some(begin + engine.read(entry.work.prompt, entry.work.parts));
+        }
+        self.entries.push(entry);
+    }
+
+    /// Forgets the backlog once nothing is left to read.
+    fn settle(&mut self) {
+        if self.entries.iter().all(|e| e.work.writing.is_some()) {
+            self.free = None;
+        }
+    }
+}
+
 /// Requests in flight by target.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
-    targets: HashMap<TargetId, Vec<Entry>>,
+    targets: HashMap<TargetId, AtTarget>,
 }
 
 /// What a target is predicted to do now.
@@ -68,25 +98,24 @@
     pub memory: u64,
     /// Time until all prompts that were sent have been read.
     pub reading: Duration,
-    /// Part of that time for parts of prompts, which are read before whole ones.
-    pub reading_parts: Duration,
     /// Prompts or parts that are not read yet.
     pub readers: usize,
 }
 
 impl Load {
     /// Notes a request of this instance that was sent to `target`.
-    pub fn begin(&mut self, target: &TargetId, id: WorkId, work: Work) {
-        let entries = self.targets.entry(TargetId::clone(target)).or_default();
-        entries.push(Entry { owner: None, id, work });
+    pub fn begin(&mut self, target: &TargetId, id: WorkId, work: Work, engine: Option<&Engine>) {
+        let at = self.targets.entry(TargetId::clone(target)).or_default();
+        at.add(Entry { owner: None, id, work }, engine);
     }
 
     /// Notes the first event of a request of this instance.
     pub fn first_event(&mut self, target: &str, id: WorkId, now: Instant) {
-        let entries = self.targets.get_mut(target).into_iter().flatten();
-        for entry in entries.filter(|e| e.owner.is_none() && e.id == id) {
+        let Some(at) = self.targets.get_mut(target) else { return };
+        for entry in at.entries.iter_mut().filter(|e| e.owner.is_none() && e.id == id) {
             entry.work.writing.get_or_insert(now);
         }
+        at.settle();
     }
 
     /// Notes that a request of this instance has ended at `target`.
@@ -95,28 +124,56 @@
     }
 
     /// Replaces what a peer has in flight at `target`.
-    pub fn replace(&mut self, peer: &InstanceId, target: &TargetId, works: Vec<Work>) {
-        self.retain(target, |e| e.owner.as_ref() != Some(peer));
-        if works.is_empty() {
-            return;
+    pub fn replace(
+        &mut self,
+        peer: &InstanceId,
+        target: &TargetId,
+        works: Vec<(WorkId, Work)>,
+        engine: Option<&Engine>,
+    ) {
+        let at = self.targets.entry(TargetId::clone(target)).or_default();
+        let theirs = |e: &Entry| e.owner.as_ref() == Some(peer);
+        at.entries.retain(|e| !theirs(e) || works.iter().any(|(id, _)| *id == e.id));
+        for (id, work) in works {
+            match at.entries.iter_mut().find(|e| theirs(e) && e.id == id) {
+                Some(entry) => entry.work.writing = entry.work.writing.or(work.writing),
+                None => {
+                    let owner = Some(InstanceId::clone(peer));
+                    at.add(Entry { owner, id, work }, engine);
+                }
+            }
+        }
+        at.settle();
+        if at.entries.is_empty() {
+            self.targets.remove(target);
         }
-        let entries = self.targets.entry(TargetId::clone(target)).or_default();
-        let owner = || Some(InstanceId::clone(peer));
-        entries.extend(works.into_iter().map(|work| Entry { owner: owner(), id: 0, work }));
     }
 
     /// Forgets all that a peer had in flight.
     pub fn forget_peer(&mut self, peer: &str) {
-        self.targets.retain(|_, entries| {
-            entries.retain(|e| e.owner.as_deref() != Some(peer));
-            !entries.is_empty()
+        self.targets.retain(|_, at| {
+            at.entries.retain(|e| e.owner.as_deref() != Some(peer));
+            at.settle();
+            !at.entries.is_empty()
+        });
+    }
+
+    /// Forgets what a peer had in flight at targets that `named` does not hold.
+    pub fn forget_others(&mut self, peer: &str, named: &[&str]) {
+        self.targets.retain(|id, at| {
+            if !named.contains(&&**id) {
+                at.entries.retain(|e| e.owner.as_deref() != Some(peer));
+                at.settle();
+            }
+            !at.entries.is_empty()
         });
     }
 
     fn retain(&mut self, target: &str, keep: impl Fn(&Entry) -> bool) {
-        if let Some(entries) = self.targets.get_mut(target) {
-            entries.retain(keep);
-            if entries.is_empty() {
+        if let Some(at) = self.targets.get_mut(target) {
+            at.entries.retain(keep);
+            at.settle();
+            if at.entries.is_empty() {
                 self.targets.remove(target);
             }
         }
@@ -124,26 +181,26 @@
 
     /// Returns the targets at which this instance has requests in flight.
     pub fn own_targets(&self) -> impl Iterator<Item = &TargetId> {
-        let own = |entries: &[Entry]| entries.iter().any(|e| e.owner.is_none());
-        self.targets.iter().filter(move |(_, entries)| own(entries)).map(|(id, _)| id)
+        let own = |at: &AtTarget| at.entries.iter().any(|e| e.owner.is_none());
+        self.targets.iter().filter(move |(_, at)| own(at)).map(|(id, _)| id)
     }
 
     /// Returns what this instance has in flight at `target`.
-    pub fn own(&self, target: &str) -> Vec<Work> {
-        let entries = self.targets.get(target).into_iter().flatten();
-        entries.filter(|e| e.owner.is_none()).map(|e| e.work).collect()
+    pub fn own(&self, target: &str) -> Vec<(WorkId, Work)> {
+        let entries = self.targets.get(target).into_iter().flat_map(|at| &at.entries);
+        entries.filter(|e| e.owner.is_none()).map(|e| (e.id, e.work)).collect()
     }
 
     /// Returns all that is known to be in flight at `target`.
     pub fn works(&self, target: &str) -> impl Iterator<Item = &Work> {
-        self.targets.get(target).into_iter().flatten().map(|e| &e.work)
+        self.targets.get(target).into_iter().flat_map(|at| &at.entries).map(|e| &e.work)
     }
 
     /// Predicts what `target` does at `now`.
     pub fn outlook(&self, target: &str, engine: Option<&Engine>, now: Instant) -> Outlook {
         let mut outlook = Outlook::default();
-        let Some(entries) = self.targets.get(target) else { return outlook };
-        for Entry { work, .. } in entries {
+        let Some(at) = self.targets.get(target) else { return outlook };
+        for Entry { work, .. } in &at.entries {
             outlook.used += 1;
             outlook.memory += work.held();
             if work.writing.is_some() {
@@ -153,30 +210,10 @@
                 outlook.readers += 1;
             }
         }
-        if let Some(engine) = engine {
-            outlook.reading = reading(entries, engine, &outlook, now, |_| true);
-            outlook.reading_parts = reading(entries, engine, &outlook, now, |w| w.parts > 1);
+        if let (Some(engine), Some(free)) = (engine, at.free) {
+            let least = engine.pass(outlook.writers, outlook.context);
+            outlook.reading = free.saturating_duration_since(now).max(least);
         }
         outlook
     }
 }
-
-/// Predicts how long `entries` that are not read yet keep their target reading.
-fn reading(
-    entries: &[Entry],
-    engine: &Engine,
-    outlook: &Outlook,
-    now: Instant,
-    counts: impl Fn(&Work) -> bool,
-) -> Duration {
-    let works = entries.iter().map(|e| &e.work);
-    let mut readers: Vec<&Work> = works.filter(|w| w.writing.is_none() && counts(w)).collect();
-    readers.sort_by_key(|w| w.sent);
-    let Some(first) = readers.first() else { return Duration::ZERO };
-    let mut free = first.sent;
-    for work in &readers {
-        free = free.max(work.sent) + engine.read(work.prompt, work.parts);
-    }
-    let least = engine.pass(outlook.writers, outlook.context);
-    free.saturating_duration_since(now).max(least)
-}
--- a/crates/core/src/edge/place.rs
+++ b/crates/core/src/edge/place.rs
@@ -165,7 +165,8 @@
             } else {
                 Duration::ZERO
             };
-            let part_wait = outlook.reading_parts + residual;
+            // A part goes before all that waits, so it waits for a pass at most.
+            let part_wait = outlook.reading.min(BACKLOG) + residual;
             let position = (i as f64 + 0.5) / count;
             let order = ORDER * if ask.long { 1.0 - position } else { position };
             Option1 { candidate, outlook, order, wait: outlook.reading + residual, part_wait }
@@ -227,7 +228,7 @@
     let mut rows: Vec<(f64, f64, &Option1<'_>)> = options
         .iter()
         .filter(|o| o.outlook.used < o.candidate.target.slots as usize)
-        .filter(|o| o.outlook.reading_parts <= BACKLOG)
+        .filter(|o| o.outlook.reading <= BACKLOG)
         .map(|o| {
             let read = read.mul_f64(o.candidate.pace);
             let harm = harm(o, engine, load, read);
--- a/crates/core/src/edge/wait.rs
+++ b/crates/core/src/edge/wait.rs
@@ -46,6 +46,13 @@
         (late, self.priority, -density)
     }
 
+    /// Returns whether this request goes before `other`; `tie` settles equal ranks.
+    pub fn before(&self, other: &Self, tie: bool, now: Instant) -> bool {
+        let (a, b) = (self.rank(now), other.rank(now));
+        let order = a.0.cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.total_cmp(&b.2));
+        order.is_lt() || order.is_eq() && tie
+    }
+
     /// Returns whether a place is good enough to take now.
     pub fn takes(&self, place: &Place, now: Instant) -> bool {
         let on_time = now + place.first <= self.promise;
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -47,11 +47,37 @@
     /// Requests in flight by target.
     #[prost(message, repeated, tag = "9")]
     pub targets: Vec<TargetWorks>,
+    /// Long prompts that wait for a place.
+    #[prost(message, repeated, tag = "11")]
+    pub waiting: Vec<Waiting>,
     /// Revision of the store up to which the sender knows the targets.
     #[prost(uint64, tag = "10")]
     pub seen: u64,
 }
 
+/// A long prompt that waits at the sender.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Waiting {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Time since it came, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub since_ms: u32,
+    /// Time in which its first event is on time, in milliseconds; below 0 it is late.
+    #[prost(sint32, tag = "3")]
+    pub promise_ms: i32,
+    /// Time that it takes of its targets, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub work_ms: u32,
+    /// Worth of an answer on time.
+    #[prost(float, tag = "5")]
+    pub worth: f32,
+    /// Rank; 0 is the most urgent.
+    #[prost(uint32, tag = "6")]
+    pub priority: u32,
+}
+
 /// Requests of the sender at one target.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct TargetWorks {
@@ -90,6 +116,9 @@
     /// Time since its first event in milliseconds, plus one; 0 before it.
     #[prost(uint32, tag = "8")]
     pub writing_ms: u32,
+    /// Number of the request, unique at the sender.
+    #[prost(uint64, tag = "9")]
+    pub id: u64,
 }
 
 /// The socket for datagrams.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use mimosapass_core::edge::load::Work;
+use mimosapass_core::edge::load::{Work, WorkId};
+use mimosapass_core::edge::plan::ServiceId;
+use mimosapass_core::edge::wait::Waiting;
 use mimosapass_core::ids::{InstanceId, TargetId};
 use mimosapass_instance::datagram::{self, Datagram, Datagrams, TargetWorks, groups};
 
@@ -16,7 +18,7 @@
 
 /// Time in which changes gather before peers are told. A pass of an engine takes
 /// some 45 ms; news that are much younger than that decide as well.
-const GATHER: Duration = Duration::from_millis(8);
+const GATHER: Duration = Duration::from_millis(1);
 /// Time between two tellings of the whole.
 const WHOLE: Duration = Duration::from_millis(1_000);
 /// Silence after which a peer and its requests are forgotten.
@@ -28,7 +30,7 @@
     let mut whole_at = Instant::now();
     loop {
         let mut state = gateway.state();
-        while state.changed.is_empty() && Instant::now() < whole_at {
+        while state.changed.is_empty() && !state.waiters.news && Instant::now() < whole_at {
             let left = whole_at.saturating_duration_since(Instant::now());
             let waited = gateway.bell.wait_timeout(state, left);
             state = waited.map_or_else(|e| e.into_inner().0, |(state, _)| state);
@@ -88,6 +90,9 @@
 
 fn datagrams(gateway: &Gateway, state: &mut State, whole: bool, now: Instant) -> Vec<Datagram> {
     let changed = std::mem::take(&mut state.changed);
+    state.waiters.news = false;
+    let waiting: Vec<datagram::Waiting> =
+        state.waiters.long().map(|(service, w)| wire_waiting(service, w, now)).collect();
     let targets: Vec<TargetId> = if whole {
         let ids = state.load.own_targets();
         ids.chain(changed.iter()).cloned().collect::<std::collections::BTreeSet<_>>()
@@ -97,7 +102,7 @@
     .into_iter()
     .collect();
     let works = |target: &TargetId| {
-        let works = state.load.own(target).iter().map(|w| wire(w, now)).collect();
+        let works = state.load.own(target).iter().map(|(id, w)| wire(*id, w, now)).collect();
         TargetWorks { target: target.to_string(), works }
     };
     let groups = groups(targets.iter().map(works).collect());
@@ -112,14 +117,53 @@
         leaving: gateway.stopping(),
         whole: whole && single,
         targets,
+        waiting: waiting.clone(),
         seen: state.store.at,
     };
     groups.into_iter().map(frame).collect()
 }
 
-fn wire(work: &Work, now: Instant) -> datagram::Work {
-    let ms = |d: Duration| d.as_millis().min(u128::from(u32::MAX)) as u32;
+/// Returns whole milliseconds, as datagrams state them.
+fn ms(time: Duration) -> u32 {
+    time.as_millis().min(u128::from(u32::MAX)) as u32
+}
+
+/// Returns the moment that was so many milliseconds ago.
+fn ago(ms: u32, now: Instant) -> Instant {
+    now.checked_sub(Duration::from_millis(u64::from(ms))).unwrap_or(now)
+}
+
+fn wire_waiting(service: &str, waiting: &Waiting, now: Instant) -> datagram::Waiting {
+    let late = ms(now.saturating_duration_since(waiting.promise)) as i32;
+    datagram::Waiting {
+        service: service.to_owned(),
+        since_ms: ms(now.saturating_duration_since(waiting.since)),
+        promise_ms: ms(waiting.promise.saturating_duration_since(now)) as i32 - late,
+        work_ms: ms(waiting.work),
+        worth: waiting.worth as f32,
+        priority: u32::from(waiting.priority),
+    }
+}
+
+fn read_waiting(wire: datagram::Waiting, now: Instant) -> (ServiceId, Waiting) {
+    let promise = match u32::try_from(wire.promise_ms) {
+        Ok(left) => now + Duration::from_millis(u64::from(left)),
+        Err(_) => ago(wire.promise_ms.unsigned_abs(), now),
+    };
+    let waiting = Waiting {
+        since: ago(wire.since_ms, now),
+        promise,
+        end: promise,
+        worth: f64::from(wire.worth),
+        work: Duration::from_millis(u64::from(wire.work_ms)),
+        priority: wire.priority.min(u32::from(u8::MAX)) as u8,
+    };
+    (ServiceId::from(wire.service), waiting)
+}
+
+fn wire(id: WorkId, work: &Work, now: Instant) -> datagram::Work {
     datagram::Work {
+        id,
         prompt: work.prompt,
         parts: work.parts,
         part: !work.first,
@@ -131,18 +175,18 @@
     }
 }
 
-fn read(wire: &datagram::Work, now: Instant) -> Work {
-    let ago = |ms: u32| now.checked_sub(Duration::from_millis(u64::from(ms))).unwrap_or(now);
-    Work {
+fn read(wire: &datagram::Work, now: Instant) -> (WorkId, Work) {
+    let work = Work {
         prompt: wire.prompt,
         parts: wire.parts.max(1),
         first: !wire.part,
         answer: wire.answer,
         gap: Duration::from_millis(u64::from(wire.gap_ms)),
         worth: f64::from(wire.worth),
-        sent: ago(wire.sent_ms),
-        writing: wire.writing_ms.checked_sub(1).map(ago),
-    }
+        sent: ago(wire.sent_ms, now),
+        writing: wire.writing_ms.checked_sub(1).map(|ms| ago(ms, now)),
+    };
+    (wire.id, work)
 }
 
 /// Hears peers for as long as the process runs.
@@ -165,6 +209,7 @@
     }
     let now = Instant::now();
     let name = InstanceId::from(datagram.from.as_str());
+    let plan = gateway.plan();
     let mut state = gateway.state();
     let known = state.peers.get(&name).map(|p| (p.boot, p.number));
     if known.is_some_and(|known| (datagram.boot, datagram.number) <= known) {
@@ -174,7 +219,11 @@
     if known.is_none() {
         log::info!(peer = &*name, addr:% = addr; "peer: heard.");
     }
-    if datagram.whole || restarted || datagram.leaving && datagram.targets.is_empty() {
+    if datagram.whole {
+        let named: Vec<&str> = datagram.targets.iter().map(|t| t.target.as_str()).collect();
+        state.load.forget_others(&name, &named);
+    }
+    if restarted || datagram.leaving && datagram.targets.is_empty() {
         state.load.forget_peer(&name);
     }
     let peer = Peer {
@@ -184,11 +233,13 @@
         heard: now,
         config: datagram.config,
         cut: datagram.cut,
+        waiting: datagram.waiting.into_iter().map(|w| read_waiting(w, now)).collect(),
     };
     state.peers.insert(InstanceId::clone(&name), peer);
     for TargetWorks { target, works } in datagram.targets {
         let works = works.iter().map(|w| read(w, now)).collect();
-        state.load.replace(&name, &TargetId::from(target), works);
+        let engine = state.engine_at(&plan, &target);
+        state.load.replace(&name, &TargetId::from(target), works, engine.as_ref());
     }
     state.dispatch(gateway, now);
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,6 +12,7 @@
 use mimosapass_core::edge::outcomes::{Outcome, Outcomes};
 use mimosapass_core::edge::plan::{Plan, ServiceId};
 use mimosapass_core::edge::retry::Repeats;
+use mimosapass_core::edge::wait::Waiting;
 use mimosapass_core::ids::{InstanceId, TargetId};
 use mimosapass_platform::store::{Revision, Store};
 use mimosapass_target::idle::Idle;
@@ -48,6 +49,8 @@
     pub config: u64,
     /// Whether it cannot reach the store.
     pub cut: bool,
+    /// Long prompts that wait there, by service.
+    pub waiting: Vec<(ServiceId, Waiting)>,
 }
 
 /// Everything that changes while the instance runs.
@@ -228,10 +231,10 @@
 
 impl State {
     /// Adds a request to the load of its targets; the first one answers.
-    pub fn begin(&mut self, targets: &[TargetId], id: WorkId, work: Work) {
+    pub fn begin(&mut self, targets: &[TargetId], id: WorkId, work: Work, engine: Option<&Engine>) {
         for (i, target) in targets.iter().enumerate() {
             let work = Work { first: i == 0, ..work };
-            self.load.begin(target, id, work);
+            self.load.begin(target, id, work, engine);
             self.changed.insert(TargetId::clone(target));
         }
     }
@@ -248,6 +251,11 @@
         if count > 0.0 { sum / count } else { 0.0 }
     }
 
+    /// Returns the cost model of a target, where it is an engine.
+    pub fn engine_at(&self, plan: &Plan, target: &str) -> Option<Engine> {
+        self.fleet.get(target).and_then(|t| engine_of(plan, &t.service))
+    }
+
     /// Returns the count of instances that are alive, this one included.
     pub fn instances(&self) -> usize {
         (self.peers.len() + 1).max(self.members.len())
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -84,6 +84,22 @@
 pub struct Waiters {
     list: HashMap<WorkId, Waiter>,
     last: Option<Instant>,
+    /// Whether peers have to be told of the long prompts that wait.
+    pub news: bool,
+}
+
+/// Long prompts of which peers are told; only the first of them matter.
+const MOST_TOLD: usize = 4;
+/// Time for which a long prompt waits behind those of peers that go before it. A
+/// peer that cannot place its own must not hold up the others for longer.
+const YIELD: Duration = Duration::from_millis(500);
+
+impl Waiters {
+    /// Returns the long prompts that wait, with their services.
+    pub fn long(&self) -> impl Iterator<Item = (&str, &Waiting)> {
+        let long = self.list.values().filter(|w| w.need.long);
+        long.map(|w| (&*w.need.service, &w.need.waiting)).take(MOST_TOLD)
+    }
 }
 
 /// Waits until the request gets a place.
@@ -97,9 +113,14 @@
     {
         let mut state = gateway.state();
         let waiter = Waiter { need: need.clone(), slot: Arc::clone(&slot) };
+        let long = need.long;
         state.waiters.list.insert(id, waiter);
         state.waiters.last = None;
         state.dispatch(gateway, Instant::now());
+        if long && state.waiters.list.contains_key(&id) {
+            state.waiters.news = true;
+            gateway.bell.notify_all();
+        }
         gateway.metrics.waiting.set(state.waiters.list.len() as i64);
     }
     let result = loop {
@@ -124,6 +145,8 @@
     };
     let mut state = gateway.state();
     state.waiters.list.remove(&id);
+    state.waiters.news |= need.long;
+    gateway.bell.notify_all();
     gateway.metrics.waiting.set(state.waiters.list.len() as i64);
     drop(state);
     // A place may have been given between the last look and the removal.
@@ -173,6 +196,9 @@
                 continue;
             }
             let waiter = waiter.clone();
+            if waiter.need.long && self.yields(&waiter.need, now) {
+                continue;
+            }
             match self.place(gateway, &waiter.need, now) {
                 Some(place) => self.give(id, &waiter, place, now),
                 None => *missed += 1,
@@ -180,6 +206,17 @@
         }
     }
 
+    /// Returns whether a long prompt of a peer goes before this one.
+    ///
+    /// Without this all instances would send the prompts that wait with them to
+    /// the same engine in the moment in which it gets free.
+    fn yields(&self, need: &Need, now: Instant) -> bool {
+        let peers = self.peers.values().flat_map(|p| &p.waiting);
+        let rivals = peers.filter(|(service, _)| *service == need.service);
+        now < need.waiting.since + YIELD
+            && rivals.into_iter().any(|(_, w)| w.before(&need.waiting, false, now))
+    }
+
     fn place(&self, gateway: &Gateway, need: &Need, now: Instant) -> Option<Place> {
         let far = |zone: &ZoneId| {
             let same = **zone == *gateway.settings.zone;
@@ -212,6 +249,7 @@
     fn give(&mut self, id: WorkId, waiter: &Waiter, place: Place, now: Instant) {
         self.waiters.list.remove(&id);
         let need = &waiter.need;
+        self.waiters.news |= need.long;
         let work = Work {
             prompt: need.prompt,
             parts: place.helpers.len() as u32 + 1,
@@ -223,7 +261,7 @@
             writing: None,
         };
         let grant = Grant { place, id, at: now };
-        self.begin(&grant.targets(), id, work);
+        self.begin(&grant.targets(), id, work, need.engine.as_ref());
         *waiter.slot.given.lock().unwrap_or_else(PoisonError::into_inner) = Some(grant);
         waiter.slot.bell.notify_one();
     }
