--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -115,6 +115,15 @@
         gateway.metrics.waited.with_label_values(&[label]).observe(begun.elapsed().as_secs_f64());
         let targets = grant.targets();
         way.target = targets.first().cloned();
+        log::debug!(
+            id = request.attempt.as_str(),
+            prompt = request.need.prompt,
+            targets = targets.join(","),
+            waited_ms = (grant.at - request.need.waiting.since).as_millis() as u64,
+            predicted_ms = grant.place.first.as_millis() as u64,
+            harm = grant.place.harm;
+            "request: placed."
+        );
         let ended = step(gateway, exchange, request, way, &grant, &targets);
         gateway.finish(&targets, grant.id, Instant::now());
         if let Some(ended) = ended {
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -200,7 +200,10 @@
                 continue;
             }
             match self.place(gateway, &waiter.need, now) {
-                Some(place) => self.give(id, &waiter, place, now),
+                Some(place) => {
+                    self.give(id, &waiter, place, now);
+                    gateway.bell.notify_all();
+                }
                 None => *missed += 1,
             }
         }
