--- a/crates/core/src/edge/cost.rs
+++ b/crates/core/src/edge/cost.rs
@@ -41,7 +41,9 @@
     pub fn read(&self, tokens: u64, parts: u32) -> Duration {
         let tokens = tokens as f64;
         let pairs = tokens * tokens / 2.0 / 1e6;
-        let whole = tokens / self.read_rate.max(1.0) + pairs * self.pairs_ms;
+        let steps = (tokens / f64::from(self.chunk.max(1))).ceil();
+        let whole =
+            tokens / self.read_rate.max(1.0) + pairs * self.pairs_ms + steps * self.step_ms;
         millis(whole / f64::from(parts.max(1)))
     }
 
--- a/crates/core/src/edge/wait.rs
+++ b/crates/core/src/edge/wait.rs
@@ -13,6 +13,9 @@
 const LEAST_PATIENCE: Duration = Duration::from_secs(2);
 /// Time that is left for a first event once a place was found.
 const LAST_PLACE: Duration = Duration::from_millis(150);
+/// Time for which a request waits for a place that keeps its promise, when there
+/// is one that does not: a few passes of an engine.
+const HOLD: Duration = Duration::from_millis(250);
 /// Share of a request's worth that it may cost others while it is on time.
 const BEARABLE: f64 = 0.5;
 
@@ -54,12 +57,14 @@
     }
 
     /// Returns whether a place is good enough to take now.
+    ///
+    /// A place that keeps the promise is taken at once. One that does not is
+    /// taken after a short wait, in which a better one may get free.
     pub fn takes(&self, place: &Place, now: Instant) -> bool {
-        let on_time = now + place.first <= self.promise;
         let late = now > self.promise;
         let bearable = place.harm <= self.worth * if late { BEARABLE / 4.0 } else { BEARABLE };
-        bearable && (on_time || late || now + place.first + LAST_PLACE >= self.end)
-            || bearable && now + place.first > self.promise + self.work
+        let on_time = now + place.first <= self.promise;
+        bearable && (on_time || late || now >= self.since + HOLD)
     }
 
     /// Returns whether the request has to be refused.
