--- a/crates/core/src/edge/cost.rs
+++ b/crates/core/src/edge/cost.rs
@@ -42,8 +42,7 @@
         let tokens = tokens as f64;
         let pairs = tokens * tokens / 2.0 / 1e6;
         let steps = (tokens / f64::from(self.chunk.max(1))).ceil();
-        let whole =
-            tokens / self.read_rate.max(1.0) + pairs * self.pairs_ms + steps * self.step_ms;
+        let whole = tokens / self.read_rate.max(1.0) + pairs * self.pairs_ms + steps * self.step_ms;
         millis(whole / f64::from(parts.max(1)))
     }
 
--- a/crates/core/src/edge/load.rs
+++ b/crates/core/src/edge/load.rs
@@ -23,6 +23,8 @@
     pub parts: u32,
     /// Whether this target writes the answer.
     pub first: bool,
+    /// Tokens of memory that it takes at this target.
+    pub memory: u64,
     /// Tokens that the answer is expected to have.
     pub answer: u64,
     /// Longest pause between events that is on time.
@@ -35,13 +37,6 @@
     pub writing: Option<Instant>,
 }
 
-impl Work {
-    /// Returns the tokens of the prompt that this target holds.
-    pub fn held(&self) -> u64 {
-        if self.first { self.prompt + self.answer } else { self.prompt / u64::from(self.parts) }
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Entry {
     owner: Option<InstanceId>,
@@ -202,7 +197,7 @@
         let Some(at) = self.targets.get(target) else { return outlook };
         for Entry { work, .. } in &at.entries {
             outlook.used += 1;
-            outlook.memory += work.held();
+            outlook.memory += work.memory;
             if work.writing.is_some() {
                 outlook.writers += 1;
                 outlook.context += work.prompt / u64::from(work.parts) + work.answer / 2;
@@ -217,3 +212,37 @@
         outlook
     }
 }
+
+/// Time constant of the mean that [`Pressure`] keeps: longer than one long prompt
+/// takes with several engines, shorter than a burst lasts.
+const PRESSURE_TIME: Duration = Duration::from_secs(2);
+
+/// Running mean of the share of a service's engines that have prompts to read.
+///
+/// Answers bursts of long prompts: while most engines read, what takes much time
+/// for its worth stands back.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pressure {
+    mean: f64,
+    at: Option<Instant>,
+}
+
+impl Pressure {
+    /// Takes in the share of reading engines at `now`.
+    pub fn observe(&mut self, share: f64, now: Instant) {
+        let passed = self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let weight = 1.0 - (-passed.as_secs_f64() / PRESSURE_TIME.as_secs_f64()).exp();
+        self.mean += (share - self.mean) * weight;
+        self.at = Some(now);
+    }
+
+    /// Returns when it was last observed.
+    pub fn at(&self) -> Option<Instant> {
+        self.at
+    }
+
+    /// Returns the mean, 0 to 1.
+    pub fn mean(&self) -> f64 {
+        self.mean
+    }
+}
--- a/crates/core/src/edge/place.rs
+++ b/crates/core/src/edge/place.rs
@@ -20,12 +20,15 @@
 const SAFE: f64 = 0.6;
 /// Share of an answer's worth that is lost when it is late.
 const LATE: f64 = 0.75;
+/// Part of an engine's memory that is counted on; requests of which this instance
+/// does not know yet take some.
+const ROOM: f64 = 0.9;
 /// Most that a target may still have to read when it gets a long prompt or a part
 /// of one. Engines read the newest part first, so what waits there loses its turn;
 /// the bound is about a pass, so that no engine stands idle between two prompts.
 const BACKLOG: Duration = Duration::from_millis(100);
-/// Most targets that read one prompt together, beside the first.
-pub const MOST_HELPERS: usize = 16;
+/// Most even parts in which a prompt is read.
+pub const MOST_PARTS: u32 = 16;
 /// Worth of the whole order of targets, against that of a mean answer: short
 /// prompts take targets from its front and long ones from its back.
 const ORDER: f64 = 0.4;
@@ -66,13 +69,24 @@
     pub far: Duration,
 }
 
+/// A target that reads a part of a prompt.
+#[derive(Clone, Debug)]
+pub struct Helper {
+    /// Target.
+    pub target: Arc<Target>,
+    /// Tokens of the prompt that it keeps until the answer is written; 0 for none.
+    pub keeps: u64,
+}
+
 /// Where a request goes.
 #[derive(Clone, Debug)]
 pub struct Place {
     /// Target that answers.
     pub target: Arc<Target>,
     /// Targets that read a part of the prompt.
-    pub helpers: Vec<Arc<Target>>,
+    pub helpers: Vec<Helper>,
+    /// Tokens of memory that the answering target needs.
+    pub memory: u64,
     /// Predicted time to the first event.
     pub first: Duration,
     /// Predicted loss of worth: of this request and of those that it delays.
@@ -131,7 +145,14 @@
     });
     let (_, best) = scored.min_by(|a, b| a.0.total_cmp(&b.0))?;
     let target = Arc::clone(best.target);
-    Some(Place { target, helpers: Vec::new(), first: ask.left / 4, loss: 0.0, harm: 0.0 })
+    Some(Place {
+        target,
+        helpers: Vec::new(),
+        memory: 0,
+        first: ask.left / 4,
+        loss: 0.0,
+        harm: 0.0,
+    })
 }
 
 struct Option1<'a> {
@@ -174,7 +195,7 @@
         .collect();
     let mut best = alone(ask, engine, &options, load);
     if ask.long {
-        for parts in [2, 3, 4, 6, 8, 12, 16] {
+        for parts in [2, 3, 4, 6, 8, 12, MOST_PARTS] {
             if let Some(place) = joined(ask, engine, &options, load, parts)
                 && best.as_ref().is_none_or(|b| place.loss < b.loss)
             {
@@ -208,6 +229,7 @@
         Place {
             target: Arc::clone(option.candidate.target),
             helpers: Vec::new(),
+            memory: ask.prompt + ask.answer,
             first,
             loss,
             harm,
@@ -241,8 +263,9 @@
     }
     rows.sort_by(|a, b| a.0.total_cmp(&b.0));
     rows.truncate(parts as usize);
-    let answering = rows.iter().position(|(_, _, o)| fits(ask, engine, o))?;
+    let (answering, keeps) = memory(ask, engine, &rows)?;
     let (_, _, first) = rows.remove(answering);
+    let kept: u64 = keeps.iter().sum();
     let slowest =
         rows.iter().map(|(_, _, o)| o.part_wait).max().unwrap_or_default().max(first.part_wait);
     let pace = rows.iter().map(|r| r.2.candidate.pace).fold(first.candidate.pace, f64::max);
@@ -254,7 +277,10 @@
     let busy = read.as_secs_f64() * 1000.0 * f64::from(parts) * BUSY_MS;
     Some(Place {
         target: Arc::clone(first.candidate.target),
-        helpers: rows.iter().map(|r| Arc::clone(r.2.candidate.target)).collect(),
+        helpers: std::iter::zip(&rows, keeps)
+            .map(|(r, keeps)| Helper { target: Arc::clone(r.2.candidate.target), keeps })
+            .collect(),
+        memory: ask.prompt + ask.answer - kept,
         first: time,
         loss: missed(ask.worth, time, ask.left) + hurry(ask, time) + harm + order + busy,
         harm,
@@ -270,6 +296,36 @@
     }
 }
 
+/// Chooses the row that answers, and what each of the others has to keep for it.
+///
+/// Answers prompts that need more memory than one engine has or has left: the
+/// engine with most room answers, and those with most room after it keep the rest.
+fn memory(
+    ask: &Ask,
+    engine: &Engine,
+    rows: &[(f64, f64, &Option1<'_>)],
+) -> Option<(usize, Vec<u64>)> {
+    if let Some(whole) = rows.iter().position(|(_, _, o)| fits(ask, engine, o)) {
+        return Some((whole, vec![0; rows.len() - 1]));
+    }
+    let room = |o: &Option1<'_>| {
+        let usable = (engine.memory as f64 * ROOM) as u64;
+        usable.saturating_sub(o.outlook.memory)
+    };
+    let answering = (0..rows.len()).max_by_key(|i| room(rows[*i].2))?;
+    let mut lacking = (ask.prompt + ask.answer).saturating_sub(room(rows[answering].2));
+    let others: Vec<u64> =
+        rows.iter().enumerate().filter(|(i, _)| *i != answering).map(|(_, r)| room(r.2)).collect();
+    let mut order: Vec<usize> = (0..others.len()).collect();
+    order.sort_by_key(|i| std::cmp::Reverse(others[*i]));
+    let mut keeps = vec![0; others.len()];
+    for i in order {
+        keeps[i] = lacking.min(others[i]);
+        lacking -= keeps[i];
+    }
+    (lacking == 0).then_some((answering, keeps))
+}
+
 /// Returns the worth that the writers of a target lose while it reads for `read` more.
 fn harm(option: &Option1<'_>, engine: &Engine, load: &Load, read: Duration) -> f64 {
     let outlook = &option.outlook;
--- a/crates/core/src/edge/wait.rs
+++ b/crates/core/src/edge/wait.rs
@@ -16,6 +16,15 @@
 /// Time for which a request waits for a place that keeps its promise, when there
 /// is one that does not: a few passes of an engine.
 const HOLD: Duration = Duration::from_millis(250);
+/// Worth of a second of an engine under full load, against that of a mean answer:
+/// about what prompts of some hundred thousand tokens bring for it.
+const ENGINE_SECOND: f64 = 10.0;
+/// Share of the worth that depends on whether the answer is on time.
+const GAIN: f64 = 0.75;
+/// Share of the worth that a late answer has.
+const LATE_SHARE: f64 = 0.25;
+/// Part of the promise after which a refusal would no longer be early.
+const EARLY: u32 = 8;
 /// Share of a request's worth that it may cost others while it is on time.
 const BEARABLE: f64 = 0.5;
 
@@ -37,6 +46,8 @@
     pub worth: f64,
     /// Time that it takes of its target.
     pub work: Duration,
+    /// Least time in which targets can take it together.
+    pub least: Duration,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
 }
@@ -60,15 +71,32 @@
     ///
     /// A place that keeps the promise is taken at once. One that does not is
     /// taken after a short wait, in which a better one may get free.
-    pub fn takes(&self, place: &Place, now: Instant) -> bool {
+    pub fn takes(&self, place: &Place, pressure: f64, now: Instant) -> bool {
+        if !self.pays(pressure, now) {
+            return false;
+        }
         let late = now > self.promise;
         let bearable = place.harm <= self.worth * if late { BEARABLE / 4.0 } else { BEARABLE };
         let on_time = now + place.first <= self.promise;
         bearable && (on_time || late || now >= self.since + HOLD)
     }
 
+    /// Returns whether the request is worth the time that others lack for it.
+    ///
+    /// `pressure` is the share of engines that are reading, 0 to 1.
+    pub fn pays(&self, pressure: f64, now: Instant) -> bool {
+        let gain = if now > self.promise { self.worth * LATE_SHARE } else { self.worth * GAIN };
+        pressure * pressure * self.work.as_secs_f64() * ENGINE_SECOND <= gain
+    }
+
+    /// Returns whether the request is to be refused, since it has not paid for a while.
+    pub fn hopeless(&self, pressure: f64, now: Instant) -> bool {
+        let asked = self.promise.saturating_duration_since(self.since) / EARLY;
+        now >= self.since + asked && !self.pays(pressure, now)
+    }
+
     /// Returns whether the request has to be refused.
     pub fn over(&self, now: Instant) -> bool {
-        now + self.work + LAST_PLACE >= self.end
+        now + self.least + LAST_PLACE >= self.end
     }
 }
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -119,6 +119,9 @@
     /// Number of the request, unique at the sender.
     #[prost(uint64, tag = "9")]
     pub id: u64,
+    /// Tokens of memory that it takes at the target.
+    #[prost(uint64, tag = "10")]
+    pub memory: u64,
 }
 
 /// The socket for datagrams.
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -377,3 +377,33 @@
         || framing == Framing::Close;
     Some(Reply { status, headers, framing, close })
 }
+
+/// Posts a JSON body and returns the status of the answer.
+///
+/// # Errors
+///
+/// Fails when the answer does not come whole by `end`.
+pub fn post(
+    connection: &mut Connection,
+    path: &str,
+    body: &[u8],
+    end: Instant,
+) -> Result<u16, Broken> {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: {}\r\ncontent-type: application/json\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n",
+        connection.addr,
+        body.len()
+    );
+    let whole = [head.as_bytes(), body].concat();
+    connection.send(&whole, end).map_err(|_| Broken::Cut)?;
+    loop {
+        if let Some(reply) = connection.head("POST")? {
+            return Ok(reply.status);
+        }
+        match connection.wait(None::<&TcpStream>, end) {
+            Ok(Woken::Target) => drop(connection.fill()),
+            Ok(_) | Err(_) => return Err(Broken::Cut),
+        }
+    }
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,11 +6,13 @@
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_caller::head::Head;
 use mimosapass_core::edge::outcomes::Outcome;
+use mimosapass_core::edge::place::Helper;
 use mimosapass_platform::header;
 use mimosapass_target::http::{Broken, Connection, Framing, Piece, Reply, Woken};
 
 use super::entry::Request;
 use super::state::Gateway;
+use super::tickets::Tickets;
 use super::turn::Grant;
 
 /// Time to connect. A zone is a millisecond away, and the first packet is sent
@@ -69,10 +71,11 @@
     exchange: &Exchange<'_>,
     request: &Request,
     grant: &Grant,
+    tickets: &Tickets,
     silence: Instant,
 ) -> Sent {
     let target = &grant.place.target;
-    let sent = exchange_once(gateway, exchange, request, grant, silence);
+    let sent = exchange_once(gateway, exchange, request, grant, tickets, silence);
     let outcome = match &sent {
         Sent::Whole(reply, _) if reply.status >= 500 => Some(Outcome::Failed),
         Sent::Whole(..) => Some(Outcome::Answered),
@@ -108,6 +111,7 @@
     exchange: &Exchange<'_>,
     request: &Request,
     grant: &Grant,
+    tickets: &Tickets,
     silence: Instant,
 ) -> Sent {
     let addr = grant.place.target.addr;
@@ -118,7 +122,7 @@
         Ok(connection) => connection,
         Err(e) => return Sent::Unsent(format!("no connection to {addr}: {e}")),
     };
-    let bytes = encode(&exchange.head, &exchange.body, request, grant, Instant::now());
+    let bytes = encode(&exchange.head, &exchange.body, request, grant, tickets, Instant::now());
     if let Err(written) = connection.send(&bytes, request.end) {
         let why = format!("{addr} took {written} bytes of the request");
         return if written == 0 { Sent::Unsent(why) } else { Sent::Lost(why) };
@@ -316,7 +320,14 @@
     }
 }
 
-fn encode(head: &Head, body: &[u8], request: &Request, grant: &Grant, now: Instant) -> Vec<u8> {
+fn encode(
+    head: &Head,
+    body: &[u8],
+    request: &Request,
+    grant: &Grant,
+    tickets: &Tickets,
+    now: Instant,
+) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(1024 + body.len());
     let mut line = |parts: [&str; 4]| {
         for part in parts {
@@ -342,8 +353,11 @@
         line([header::LAST_EVENT, ": ", event, "\r\n"]);
     }
     if !grant.place.helpers.is_empty() {
-        let helpers: Vec<String> =
-            grant.place.helpers.iter().map(|t| header::helper(t.addr, None)).collect();
+        let helper = |h: &Helper| {
+            let ticket = (h.keeps > 0).then_some(tickets.name.as_str());
+            header::helper(h.target.addr, ticket)
+        };
+        let helpers: Vec<String> = grant.place.helpers.iter().map(helper).collect();
         line([header::HELPERS, ": ", &helpers.join(","), "\r\n"]);
     }
     let framed = head.header("content-length").is_some()
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -5,7 +5,7 @@
 
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_caller::head::Head;
-use mimosapass_core::edge::place::long;
+use mimosapass_core::edge::place::{MOST_PARTS, long};
 use mimosapass_core::edge::plan::{Plan, Repeat, Route, ServiceId, Workspace};
 use mimosapass_core::edge::wait::{Waiting, patience};
 use mimosapass_core::error::{Failure, Kind};
@@ -110,6 +110,7 @@
             end: end.min(patience),
             worth: 1.0 + prompt as f64 / WORTH_TOKENS,
             work,
+            least: engine.map_or(SERVICE_WORK, |e| e.read(prompt, MOST_PARTS)),
             priority,
         },
         avoid: Vec::new(),
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -15,6 +15,7 @@
 use super::metrics::band;
 use super::relay::{self, End, Progress};
 use super::state::Gateway;
+use super::tickets::Tickets;
 use super::turn::{self, Grant};
 
 /// Sends that reached no target and are tried again elsewhere, at most.
@@ -142,9 +143,17 @@
     grant: &Grant,
     targets: &[TargetId],
 ) -> Option<Ended> {
+    let tickets = match Tickets::reserve(gateway, grant) {
+        Ok(tickets) => tickets,
+        Err(why) => {
+            way.unsent += 1;
+            way.why = why;
+            return None;
+        }
+    };
     let silence = silence(request, way);
     let until = silence.map_or(request.end, |silence| Instant::now() + silence);
-    match attempt::send(gateway, exchange, request, grant, until) {
+    match attempt::send(gateway, exchange, request, grant, &tickets, until) {
         Sent::Whole(reply, body) => {
             way.sends += 1;
             way.ran = true;
@@ -212,7 +221,7 @@
     let since = request.need.waiting.since;
     let first = || {
         let now = Instant::now();
-        gateway.first_event(targets, grant.id, now);
+        gateway.first_event(&grant.place, grant.id, now);
         gateway.metrics.first.with_label_values(&[band]).observe((now - since).as_secs_f64());
         log::debug!(
             id = request.attempt.as_str(),
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -156,6 +156,7 @@
         end: promise,
         worth: f64::from(wire.worth),
         work: Duration::from_millis(u64::from(wire.work_ms)),
+        least: Duration::ZERO,
         priority: wire.priority.min(u32::from(u8::MAX)) as u8,
     };
     (ServiceId::from(wire.service), waiting)
@@ -167,6 +168,7 @@
         prompt: work.prompt,
         parts: work.parts,
         part: !work.first,
+        memory: work.memory,
         answer: work.answer,
         gap_ms: ms(work.gap),
         worth: work.worth as f32,
@@ -180,6 +182,7 @@
         prompt: wire.prompt,
         parts: wire.parts.max(1),
         first: !wire.part,
+        memory: wire.memory,
         answer: wire.answer,
         gap: Duration::from_millis(u64::from(wire.gap_ms)),
         worth: f64::from(wire.worth),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 //! | `entry` | reads a request and finds its route and workspace |
 //! | `turn` | waits for a place at a target |
 //! | `attempt` | one send of a request to one target |
+//! | `tickets` | memory set aside for a prompt that one engine cannot hold |
 //! | `relay` | passes a stream on, event by event |
 //! | `flow` | the way of one request through all of these |
 //! | `serve` | starts and stops the parts |
@@ -29,4 +30,5 @@
 mod metrics;
 mod relay;
 mod state;
+mod tickets;
 mod turn;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use mimosapass_core::edge::cost::Engine;
 use mimosapass_core::edge::fleet::Fleet;
-use mimosapass_core::edge::load::{Load, Work, WorkId};
+use mimosapass_core::edge::load::{Load, Pressure, Work, WorkId};
 use mimosapass_core::edge::outcomes::{Outcome, Outcomes};
+use mimosapass_core::edge::place::Place;
 use mimosapass_core::edge::plan::{Plan, ServiceId};
 use mimosapass_core::edge::retry::Repeats;
 use mimosapass_core::edge::wait::Waiting;
@@ -21,6 +22,9 @@
 use super::settings::Settings;
 use super::turn::Waiters;
 
+/// Least time between two looks at how busy engines are: half a pass.
+const OBSERVE: Duration = Duration::from_millis(25);
+
 /// What is known of the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreView {
@@ -64,6 +68,8 @@
     pub outcomes: Outcomes,
     /// Repeats by service.
     pub repeats: HashMap<ServiceId, Repeats>,
+    /// How busy engines are, by service.
+    pub pressure: HashMap<ServiceId, Pressure>,
     /// Requests that wait for a place.
     pub waiters: Waiters,
     /// Peers by name.
@@ -193,15 +199,17 @@
     }
 
     /// Notes the first event of a request, which ends the reading of its prompt.
-    pub fn first_event(&self, targets: &[TargetId], id: WorkId, now: Instant) {
+    pub fn first_event(&self, place: &Place, id: WorkId, now: Instant) {
         let mut state = self.state();
-        for (i, target) in targets.iter().enumerate() {
-            if i == 0 {
-                state.load.first_event(target, id, now);
+        state.load.first_event(&place.target.id, id, now);
+        state.changed.insert(TargetId::clone(&place.target.id));
+        for helper in &place.helpers {
+            if helper.keeps > 0 {
+                state.load.first_event(&helper.target.id, id, now);
             } else {
-                state.load.end(target, id);
+                state.load.end(&helper.target.id, id);
             }
-            state.changed.insert(TargetId::clone(target));
+            state.changed.insert(TargetId::clone(&helper.target.id));
         }
         self.bell.notify_all();
         state.dispatch(self, now);
@@ -230,12 +238,15 @@
 }
 
 impl State {
-    /// Adds a request to the load of its targets; the first one answers.
-    pub fn begin(&mut self, targets: &[TargetId], id: WorkId, work: Work, engine: Option<&Engine>) {
-        for (i, target) in targets.iter().enumerate() {
-            let work = Work { first: i == 0, ..work };
+    /// Adds a request to the load of the targets of its place.
+    pub fn begin(&mut self, place: &Place, id: WorkId, work: Work, engine: Option<&Engine>) {
+        let mut add = |target: &TargetId, work| {
             self.load.begin(target, id, work, engine);
             self.changed.insert(TargetId::clone(target));
+        };
+        add(&place.target.id, work);
+        for helper in &place.helpers {
+            add(&helper.target.id, Work { first: false, memory: helper.keeps, ..work });
         }
     }
 
@@ -251,6 +262,30 @@
         if count > 0.0 { sum / count } else { 0.0 }
     }
 
+    /// Takes in how many engines of each service are reading.
+    pub fn observe(&mut self, plan: &Plan, now: Instant) {
+        let engines = plan.services().filter_map(|s| s.engine.map(|e| (&s.name, e)));
+        for (service, engine) in engines {
+            let known = self.pressure.get(service).and_then(Pressure::at);
+            if known.is_some_and(|at| now < at + OBSERVE) {
+                continue;
+            }
+            let (mut reading, mut count) = (0.0, 0.0);
+            for target in self.fleet.serving(service) {
+                let outlook = self.load.outlook(&target.id, Some(&engine), now);
+                count += 1.0;
+                reading += f64::from(u8::from(outlook.readers > 0));
+            }
+            let share = if count > 0.0 { reading / count } else { 0.0 };
+            self.pressure.entry(ServiceId::clone(service)).or_default().observe(share, now);
+        }
+    }
+
+    /// Returns the share of a service's engines that read, as a running mean.
+    pub fn pressure(&self, service: &str) -> f64 {
+        self.pressure.get(service).map_or(0.0, Pressure::mean)
+    }
+
     /// Returns the cost model of a target, where it is an engine.
     pub fn engine_at(&self, plan: &Plan, target: &str) -> Option<Engine> {
         self.fleet.get(target).and_then(|t| engine_of(plan, &t.service))
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -62,7 +62,7 @@
 impl Grant {
     /// Returns the targets of the place, the answering one first.
     pub fn targets(&self) -> Vec<TargetId> {
-        let helpers = self.place.helpers.iter().map(|t| TargetId::clone(&t.id));
+        let helpers = self.place.helpers.iter().map(|h| TargetId::clone(&h.target.id));
         std::iter::once(TargetId::clone(&self.place.target.id)).chain(helpers).collect()
     }
 }
@@ -141,7 +141,15 @@
         if need.waiting.over(now) {
             break late(gateway, need, now);
         }
-        gateway.state().dispatch(gateway, now);
+        let mut state = gateway.state();
+        if need.long && need.waiting.hopeless(state.pressure(&need.service), now) {
+            let text = format!(
+                "engines are busy with what is worth more, {:.2} of them read",
+                state.pressure(&need.service)
+            );
+            break Failure::new(Kind::TooLate, text);
+        }
+        state.dispatch(gateway, now);
     };
     let mut state = gateway.state();
     state.waiters.list.remove(&id);
@@ -177,6 +185,7 @@
 impl State {
     /// Gives places to waiting requests.
     pub fn dispatch(&mut self, gateway: &Gateway, now: Instant) {
+        self.observe(&gateway.plan(), now);
         let calm = self.waiters.last.is_some_and(|last| now < last + CALM);
         if self.waiters.list.is_empty() || calm {
             return;
@@ -237,6 +246,7 @@
         if candidates.is_empty() {
             candidates = usable(false);
         }
+        let pressure = if need.long { self.pressure(&need.service) } else { 0.0 };
         let ask = Ask {
             prompt: need.prompt,
             answer: need.answer,
@@ -246,7 +256,7 @@
             left: need.waiting.promise.saturating_duration_since(now),
         };
         choose(&ask, need.engine.as_ref(), &candidates, &self.load, now)
-            .filter(|place| need.waiting.takes(place, now))
+            .filter(|place| need.waiting.takes(place, pressure, now))
     }
 
     fn give(&mut self, id: WorkId, waiter: &Waiter, place: Place, now: Instant) {
@@ -257,6 +267,7 @@
             prompt: need.prompt,
             parts: place.helpers.len() as u32 + 1,
             first: true,
+            memory: place.memory,
             answer: need.answer,
             gap: need.gap,
             worth: need.waiting.worth,
@@ -264,7 +275,7 @@
             writing: None,
         };
         let grant = Grant { place, id, at: now };
-        self.begin(&grant.targets(), id, work, need.engine.as_ref());
+        self.begin(&grant.place, id, work, need.engine.as_ref());
         *waiter.slot.given.lock().unwrap_or_else(PoisonError::into_inner) = Some(grant);
         waiter.slot.bell.notify_one();
     }
