Mirror: an instance that the store does not serve takes configuration and targets from peers

Cause: with the store closed to some instances a configuration reached them only at its return; one that restarted meanwhile stayed without any view. Change: datagrams say which version and revision an instance has; who is behind asks a peer that sees the store.

--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -24,7 +24,7 @@
     #[prost(uint64, tag = "5")]
     pub boot: u64,
     /// The message; absent when this version does not know its kind.
-    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 20, 21, 30, 31, 32, 33")]
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 20, 21, 30, 31, 32, 33, 40, 41")]
     pub body: Option<Body>,
 }
 
@@ -73,6 +73,68 @@
     /// The platform's list of members.
     #[prost(message, tag = "33")]
     List(List),
+    /// Request of a gateway for what a peer knows from the store.
+    #[prost(message, tag = "40")]
+    ViewAsk(ViewAsk),
+    /// What a gateway knows from the store.
+    #[prost(message, tag = "41")]
+    View(StoreView),
+}
+
+/// Request of a gateway for what a peer knows from the store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ViewAsk {
+    /// Configuration version in force at the asking instance.
+    #[prost(uint64, tag = "1")]
+    pub config: u64,
+    /// Revision of the store up to which it knows the targets.
+    #[prost(uint64, tag = "2")]
+    pub seen: u64,
+}
+
+/// What a gateway knows from the store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StoreView {
+    /// Text of the configuration as the operator wrote it; empty when the asking
+    /// instance has it.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub config: bytes::Bytes,
+    /// Revision of the store up to which the targets are known; 0 when they are
+    /// left out.
+    #[prost(uint64, tag = "2")]
+    pub seen: u64,
+    /// All targets.
+    #[prost(message, repeated, tag = "3")]
+    pub targets: Vec<StoreTarget>,
+}
+
+/// What a target said of itself in the store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StoreTarget {
+    /// Identifier.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Address, `IP:port`.
+    #[prost(string, tag = "3")]
+    pub addr: String,
+    /// Availability zone.
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    /// Requests that it runs at once.
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    /// Whether it takes no new work.
+    #[prost(bool, tag = "6")]
+    pub draining: bool,
+    /// Start, in Unix milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub born: u64,
+    /// Number of the report since the start.
+    #[prost(uint64, tag = "8")]
+    pub seq: u64,
 }
 
 /// A sign of life and the sender's configuration version.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -68,6 +68,7 @@
 
 fn back(gateway: &Gateway) {
     let mut state = gateway.state();
+    state.store.heard = Some(Instant::now());
     gateway.metrics.store.set(1);
     if let Some(since) = state.store.away.take() {
         let now = Instant::now();
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -236,6 +236,7 @@
         heard: now,
         config: datagram.config,
         cut: datagram.cut,
+        seen: datagram.seen,
         waiting: datagram.waiting.into_iter().map(|w| read_waiting(w, now)).collect(),
     };
     state.peers.insert(InstanceId::clone(&name), peer);
--- /dev/null
+++ b/src/gateway/mirror.rs
@@ -0,0 +1,150 @@
+//! The store as peers see it, where this instance does not.
+//!
+//! The store may serve some instances and refuse others, and a connection to it
+//! may fall silent. An instance that sees from datagrams that it is behind asks
+//! a peer for the configuration and the targets. One that has just started
+//! while the store is away gets its first view so.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use mimosapass_core::edge::fleet::{Change, Target};
+use mimosapass_core::ids::TargetId;
+use mimosapass_instance::link::{Incoming, Links};
+use mimosapass_instance::message::{Body, StoreTarget, StoreView, ViewAsk};
+use mimosapass_platform::plan;
+use rand::seq::IndexedRandom;
+
+use super::state::{Gateway, State};
+
+/// Time between two looks at whether this instance is behind.
+const LOOK: Duration = Duration::from_millis(200);
+/// Time for which a peer may have a newer configuration before it is asked: each
+/// instance reads the store about once a second itself.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+/// Silence of the store after which peers are asked for targets.
+const SILENT: Duration = Duration::from_millis(1_500);
+/// Least time between two requests.
+const PAUSE: Duration = Duration::from_millis(600);
+
+/// Asks a peer whenever this instance is behind, for as long as the process runs.
+pub fn ask(gateway: &Arc<Gateway>, links: &Links) {
+    loop {
+        thread::sleep(LOOK);
+        let now = Instant::now();
+        let mine = gateway.plan().version;
+        let mut state = gateway.state();
+        if let Some((peer, ask)) = behind(&mut state, mine, now) {
+            state.asked = Some(now);
+            drop(state);
+            log::info!(peer:% = peer, version = mine, revision = ask.seen; "mirror: a peer is asked.");
+            links.send(peer, Body::ViewAsk(ask));
+        }
+    }
+}
+
+/// Returns whom to ask for what, if this instance is behind.
+fn behind(state: &mut State, mine: u64, now: Instant) -> Option<(SocketAddr, ViewAsk)> {
+    let newest = state.peers.values().map(|p| p.config).max().unwrap_or_default();
+    state.newer = if newest > mine { state.newer.or(Some(now)) } else { None };
+    let old = state.newer.is_some_and(|since| now >= since + PATIENCE);
+    let silent = state.store.heard.is_none_or(|at| now >= at + SILENT);
+    if !old && !silent || state.asked.is_some_and(|at| now < at + PAUSE) {
+        return None;
+    }
+    let seen = state.store.at;
+    let knows = |config: u64, at: u64| config > mine || silent && at > seen;
+    let able: Vec<(bool, SocketAddr)> =
+        state.peers.values().filter(|p| knows(p.config, p.seen)).map(|p| (p.cut, p.addr)).collect();
+    // A peer that sees the store itself goes before one that was told, too.
+    let seeing: Vec<SocketAddr> =
+        able.iter().filter(|(cut, _)| !cut).map(|(_, addr)| *addr).collect();
+    let told = || able.choose(&mut rand::rng()).map(|(_, addr)| *addr);
+    let peer = seeing.choose(&mut rand::rng()).copied().or_else(told)?;
+    Some((peer, ViewAsk { config: mine, seen }))
+}
+
+/// Answers peers and takes their answers, for as long as the process runs.
+pub fn answer(gateway: &Arc<Gateway>, links: &Links, inbox: &Receiver<Incoming>) {
+    for Incoming { from, addr, body } in inbox {
+        match (body, addr.parse()) {
+            (Body::ViewAsk(ask), Ok(to)) => links.send(to, Body::View(view(gateway, &ask))),
+            (Body::View(view), _) => take(gateway, &from.name, &view),
+            (_, Ok(_)) => log::debug!("mirror: {} sent what gateways do not use.", from.name),
+            (_, Err(e)) => log::warn!("mirror: {} has no address: {e}.", from.name),
+        }
+    }
+}
+
+fn view(gateway: &Gateway, ask: &ViewAsk) -> StoreView {
+    let newer = gateway.plan().version > ask.config;
+    let config = if newer { Bytes::copy_from_slice(&gateway.text()) } else { Bytes::new() };
+    let state = gateway.state();
+    let known = state.store.listed && state.store.at > ask.seen;
+    let targets = if known { state.fleet.all().map(|t| wire(t)).collect() } else { Vec::new() };
+    StoreView { config, seen: if known { state.store.at } else { 0 }, targets }
+}
+
+fn wire(target: &Target) -> StoreTarget {
+    StoreTarget {
+        id: target.id.to_string(),
+        service: target.service.to_string(),
+        addr: target.addr.to_string(),
+        zone: target.zone.to_string(),
+        slots: target.slots,
+        draining: target.draining,
+        born: target.born,
+        seq: target.seq,
+    }
+}
+
+fn read(wire: &StoreTarget) -> Option<Target> {
+    let addr = match wire.addr.parse() {
+        Ok(addr) => addr,
+        Err(e) => {
+            log::warn!(target_id = wire.id.as_str(); "mirror: its address cannot be read: {e}.");
+            return None;
+        }
+    };
+    Some(Target {
+        id: wire.id.as_str().into(),
+        service: wire.service.as_str().into(),
+        addr,
+        zone: wire.zone.as_str().into(),
+        slots: wire.slots,
+        draining: wire.draining,
+        born: wire.born,
+        seq: wire.seq,
+        cold: Duration::ZERO,
+    })
+}
+
+fn take(gateway: &Gateway, peer: &str, view: &StoreView) {
+    if !view.config.is_empty() {
+        match plan::decode(&view.config) {
+            Ok(plan) => drop(gateway.install(plan, &view.config)),
+            Err(e) => log::error!(peer; "mirror: its configuration cannot be read: {e}."),
+        }
+    }
+    let now = Instant::now();
+    let mut state = gateway.state();
+    if view.seen <= state.store.at {
+        return;
+    }
+    let targets: Vec<Target> = view.targets.iter().filter_map(read).collect();
+    let named: Vec<TargetId> = targets.iter().map(|t| TargetId::clone(&t.id)).collect();
+    let mut changes = 0;
+    for target in targets {
+        changes += usize::from(state.fleet.report(target) != Change::Same);
+    }
+    // The peer has settled already which entries only lapsed.
+    let gone = state.fleet.relist(&named, false, now).len();
+    state.store.at = view.seen;
+    state.store.listed = true;
+    log::info!(peer, revision = view.seen, changes, gone; "mirror: targets are taken over.");
+    state.dispatch(gateway, now);
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! | `state` | what the parts of one instance share |
 //! | `follow` | the views of configuration and targets, from the store |
 //! | `member` | the entry by which peers find this instance |
+//! | `mirror` | the store as peers see it, where this instance does not |
 //! | `gossip` | requests in flight, told to peers and heard from them |
 //! | `entry` | reads a request and finds its route and workspace |
 //! | `turn` | waits for a place at a target |
@@ -28,6 +29,7 @@
 mod gossip;
 mod member;
 mod metrics;
+mod mirror;
 mod relay;
 mod state;
 mod tickets;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -2,19 +2,21 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::mpsc::channel;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_caller::server::{Limits, Server};
 use mimosapass_instance::datagram::Datagrams;
+use mimosapass_instance::link::{Identity, Links};
 use prometheus::TextEncoder;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use super::settings::Settings;
 use super::state::Gateway;
-use super::{flow, follow, gossip, member};
+use super::{flow, follow, gossip, member, mirror};
 
 /// Stack of a part's thread, in bytes.
 const STACK: usize = 512 * 1024;
@@ -52,6 +54,11 @@
     let telling = Arc::clone(&socket);
     part(&gateway, "tell", move |g| gossip::tell(g, &telling))?;
     part(&gateway, "hear", move |g| gossip::hear(g, &socket))?;
+    let (incoming, inbox) = channel();
+    let links = Links::start(&identity(&gateway), gateway.settings.listen.peers, incoming)?;
+    let asking = links.clone();
+    part(&gateway, "ask", move |g| mirror::ask(g, &asking))?;
+    part(&gateway, "answer", move |g| mirror::answer(g, &links, &inbox))?;
     let server = serve_callers(&gateway)?;
     let ready = serve_ready(&gateway)?;
     let metrics = serve_metrics(&gateway)?;
@@ -67,6 +74,14 @@
     Ok(())
 }
 
+fn identity(gateway: &Gateway) -> Identity {
+    Identity {
+        name: gateway.name.to_string(),
+        zone: gateway.settings.zone.clone(),
+        boot: gateway.boot,
+    }
+}
+
 fn part(
     gateway: &Arc<Gateway>,
     name: &str,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -27,8 +27,6 @@
     stop: Stop,
     #[serde(default)]
     repeats: Repeats,
-    #[serde(default = "stall_ms")]
-    stall_ms: u64,
     #[serde(default = "memory_mb")]
     memory_mb: usize,
 }
@@ -73,10 +71,6 @@
     }
 }
 
-fn stall_ms() -> u64 {
-    1_500
-}
-
 fn memory_mb() -> usize {
     256
 }
@@ -98,8 +92,6 @@
     pub stop_limit: Duration,
     /// Bounds on repeats of all instances.
     pub repeats: Bounds,
-    /// Time after which a target that waits for a dead one gives up.
-    pub stall: Duration,
     /// Memory of the machine, in megabytes.
     pub memory_mb: usize,
 }
@@ -114,7 +106,7 @@
     let text = std::fs::read_to_string(path)
         .map_err(|e| Faults::whole(e.to_string()).of(name.as_str()))?;
     let file = yaml::read(&text, check).map_err(|faults| faults.of(name))?;
-    let File { name, zone, listen, store, seeds, stop, repeats, stall_ms, memory_mb } = file;
+    let File { name, zone, listen, store, seeds, stop, repeats, memory_mb } = file;
     Ok(Settings {
         name,
         zone,
@@ -127,7 +119,6 @@
             slack: repeats.slack,
             window: Duration::from_millis(repeats.window_ms),
         },
-        stall: Duration::from_millis(stall_ms),
         memory_mb,
     })
 }
@@ -150,11 +141,8 @@
     );
     need(!peers.ip().is_unspecified(), "listen.peers", "write the address that peers reach");
     need(file.store.port() > 0, "store", "write the port of the store");
-    let times = [
-        ("stop.limit_ms", file.stop.limit_ms),
-        ("repeats.window_ms", file.repeats.window_ms),
-        ("stall_ms", file.stall_ms),
-    ];
+    let times =
+        [("stop.limit_ms", file.stop.limit_ms), ("repeats.window_ms", file.repeats.window_ms)];
     for (path, time) in times {
         need((1..=LONGEST_MS).contains(&time), path, "write milliseconds, 1 to 3600000");
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -36,6 +36,8 @@
     pub at: Revision,
     /// Whether all targets have been listed once.
     pub listed: bool,
+    /// When a call last succeeded.
+    pub heard: Option<Instant>,
 }
 
 /// A peer that was heard of.
@@ -53,6 +55,8 @@
     pub config: u64,
     /// Whether it cannot reach the store.
     pub cut: bool,
+    /// Revision of the store up to which it knows the targets.
+    pub seen: u64,
     /// Long prompts that wait there, by service.
     pub waiting: Vec<(ServiceId, Waiting)>,
 }
@@ -78,6 +82,10 @@
     pub members: HashMap<InstanceId, SocketAddr>,
     /// The store.
     pub store: StoreView,
+    /// Since when a peer has a newer configuration.
+    pub newer: Option<Instant>,
+    /// When a peer was last asked for its view of the store.
+    pub asked: Option<Instant>,
     /// Targets at which something changed since the last datagram.
     pub changed: BTreeSet<TargetId>,
 }
--- a/src/gateway/tickets.rs
+++ b/src/gateway/tickets.rs
@@ -33,6 +33,7 @@
     /// Name under which all of them stand; empty where there are none.
     pub name: String,
     /// Dropping it ends the renewals.
+    #[expect(dead_code, reason = "its drop is its use")]
     keeper: Option<Sender<()>>,
 }
 
--- a/src/parts/peers.rs
+++ b/src/parts/peers.rs
@@ -82,6 +82,9 @@
             Body::Summary(summary) => summed_up(node, summary),
             Body::ListAsk(ask) => listing::answer(node, from, ask.longest),
             Body::List(list) => listing::offered(node, &list),
+            Body::ViewAsk(_) | Body::View(_) => {
+                log::warn!("peers: {} is a gateway of another fleet.", message.from.name);
+            }
         }
     }
 }
