--- /dev/null
+++ b/crates/core/tests/edge_fleet.rs
@@ -0,0 +1,97 @@
+//! Targets that registered themselves: reports late, out of order, and gone.
+
+use std::time::{Duration, Instant};
+
+use mimosapass_core::edge::fleet::{Change, Fleet, LAPSE_GRACE, Target};
+
+fn target(id: &str, born: u64, seq: u64, draining: bool) -> Target {
+    Target {
+        id: id.into(),
+        service: "pool".into(),
+        addr: "127.0.0.1:9000".parse().expect("an address"),
+        zone: "a".into(),
+        slots: 4,
+        draining,
+        born,
+        seq,
+        cold: Duration::ZERO,
+    }
+}
+
+fn serving(fleet: &Fleet) -> usize {
+    fleet.serving("pool").count()
+}
+
+/// Names a case of reports in sequence, the last change, and how many serve then.
+macro_rules! reports {
+    ($($name:ident: [$(($born:expr, $seq:expr, $draining:expr)),+] => $change:expr, $serving:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            let mut fleet = Fleet::default();
+            let mut change = Change::Same;
+            $(change = fleet.report(target("x", $born, $seq, $draining));)+
+            assert_eq!((change, serving(&fleet)), ($change, $serving));
+        })+
+    };
+}
+
+reports! {
+    first_report_joins: [(1, 1, false)] => Change::Joined, 1;
+    repeated_report_changes_nothing: [(1, 1, false), (1, 2, false)] => Change::Same, 1;
+    draining_takes_no_work: [(1, 1, false), (1, 2, true)] => Change::Draining, 0;
+    late_report_does_not_undo_draining: [(1, 2, true), (1, 1, false)] => Change::Same, 0;
+    draining_is_final_for_a_start: [(1, 2, true), (1, 3, false)] => Change::Same, 0;
+    new_start_under_the_same_id_joins: [(1, 9, true), (2, 1, false)] => Change::Joined, 1;
+    report_of_an_earlier_start_is_dropped: [(2, 1, false), (1, 9, true)] => Change::Same, 1;
+}
+
+#[test]
+fn late_report_does_not_bring_back_a_gone_target() {
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    fleet.report(target("x", 1, 5, false));
+    assert_eq!(fleet.remove("x", false, now), Change::Gone);
+    assert_eq!(fleet.report(target("x", 1, 5, false)), Change::Same);
+    assert_eq!(serving(&fleet), 0);
+    assert_eq!(fleet.report(target("x", 1, 6, false)), Change::Joined);
+}
+
+#[test]
+fn entry_that_lapsed_in_an_outage_is_kept_for_a_while() {
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    fleet.report(target("x", 1, 5, false));
+    assert_eq!(fleet.remove("x", true, now), Change::Same);
+    assert_eq!(serving(&fleet), 1);
+    assert!(fleet.expire(true, now + LAPSE_GRACE * 5).is_empty(), "the store is still away");
+    let back = now + LAPSE_GRACE * 5;
+    assert!(fleet.expire(false, back + LAPSE_GRACE / 2).is_empty());
+    assert_eq!(fleet.expire(false, back + LAPSE_GRACE).len(), 1);
+    assert_eq!(serving(&fleet), 0);
+}
+
+#[test]
+fn entry_that_came_back_after_an_outage_stays() {
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    fleet.report(target("x", 1, 5, false));
+    fleet.remove("x", true, now);
+    fleet.report(target("x", 1, 6, false));
+    assert!(fleet.expire(false, now + LAPSE_GRACE * 2).is_empty());
+    assert_eq!(serving(&fleet), 1);
+}
+
+#[test]
+fn draining_target_that_lapses_in_an_outage_is_gone() {
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    fleet.report(target("x", 1, 5, true));
+    assert_eq!(fleet.remove("x", true, now), Change::Gone);
+}
+
+#[test]
+fn listing_removes_what_it_does_not_name() {
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    for id in ["x", "y"] {
+        fleet.report(target(id, 1, 1, false));
+    }
+    let gone = fleet.relist(&["y".into()], false, now);
+    assert_eq!(gone, ["x".into()]);
+    assert_eq!(serving(&fleet), 1);
+}
--- /dev/null
+++ b/crates/core/tests/edge_place.rs
@@ -0,0 +1,222 @@
+//! Choice of targets, replayed for the loads that the module answers.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mimosapass_core::edge::cost::Engine;
+use mimosapass_core::edge::fleet::Target;
+use mimosapass_core::edge::load::{Load, Work};
+use mimosapass_core::edge::place::{Ask, Candidate, Place, choose, long};
+
+/// An engine much like those of the users: a pass takes 45 ms.
+fn engine() -> Engine {
+    Engine {
+        slots: 16,
+        memory: 450_000,
+        step_ms: 0.9,
+        writer_ms: 0.005,
+        context_ms: 0.0025,
+        read_rate: 256.0,
+        pairs_ms: 0.09,
+        chunk: 2_048,
+        stride: 46,
+        hop_ms: 0.1,
+        usual_prompt: 13_000.0,
+        usual_answer: 1_500.0,
+    }
+}
+
+const STRICT: Duration = Duration::from_millis(200);
+
+fn targets(count: usize) -> Vec<Arc<Target>> {
+    let target = |i: usize| Target {
+        id: format!("t{i:02}").as_str().into(),
+        service: "pool".into(),
+        addr: "127.0.0.1:9000".parse().expect("an address"),
+        zone: "a".into(),
+        slots: 16,
+        draining: false,
+        born: 1,
+        seq: 1,
+        cold: Duration::ZERO,
+    };
+    (0..count).map(|i| Arc::new(target(i))).collect()
+}
+
+fn ask(prompt: u64, goal_ms: u64, gap_ms: u64) -> Ask {
+    Ask {
+        prompt,
+        answer: 800,
+        gap: Duration::from_millis(gap_ms),
+        worth: 1.0 + prompt as f64 / 10_000.0,
+        left: Duration::from_millis(goal_ms),
+        long: long(&engine(), prompt, STRICT),
+    }
+}
+
+/// Requests of one kind that a replay sends.
+struct Replay {
+    targets: Vec<Arc<Target>>,
+    load: Load,
+    now: Instant,
+    next: u64,
+}
+
+impl Replay {
+    fn new(count: usize) -> Self {
+        Self { targets: targets(count), load: Load::default(), now: Instant::now(), next: 0 }
+    }
+
+    fn choose(&self, ask: &Ask) -> Option<Place> {
+        let candidates: Vec<Candidate<'_>> = self
+            .targets
+            .iter()
+            .map(|target| Candidate { target, pace: 1.0, far: Duration::ZERO })
+            .collect();
+        choose(ask, Some(&engine()), &candidates, &self.load, self.now)
+    }
+
+    /// Sends a request to its place; `writing` says that it is past its prompt.
+    fn send(&mut self, ask: &Ask, place: &Place, writing: bool) {
+        self.next += 1;
+        let work = Work {
+            prompt: ask.prompt,
+            parts: place.helpers.len() as u32 + 1,
+            first: true,
+            memory: place.memory,
+            answer: ask.answer,
+            gap: ask.gap,
+            worth: ask.worth,
+            sent: self.now,
+            writing: writing.then_some(self.now),
+        };
+        self.load.begin(&place.target.id, self.next, work, Some(&engine()));
+        for helper in place.helpers.iter().filter(|_| !writing) {
+            let work = Work { first: false, memory: helper.keeps, ..work };
+            self.load.begin(&helper.target.id, self.next, work, Some(&engine()));
+        }
+    }
+
+    /// Returns how many targets hold anything.
+    fn used(&self) -> usize {
+        let used = |t: &&Arc<Target>| self.load.works(&t.id).next().is_some();
+        self.targets.iter().filter(used).count()
+    }
+}
+
+/// Chats at a steady rate fill few engines, so that others stay free for what is long.
+#[test]
+fn short_prompts_share_engines() {
+    let mut replay = Replay::new(12);
+    let chat = ask(5_000, 300, 200);
+    for _ in 0..20 {
+        let place = replay.choose(&chat).expect("room");
+        assert!(place.first <= Duration::from_millis(300));
+        replay.send(&chat, &place, true);
+    }
+    assert!(replay.used() <= 4, "20 chats are on {} engines", replay.used());
+}
+
+/// Trace: quiet-1 of atlas-loc, eleven chats within 70 ms on one engine.
+#[test]
+fn burst_of_short_prompts_spreads_while_none_is_read() {
+    let mut replay = Replay::new(12);
+    let chat = ask(5_000, 300, 200);
+    for _ in 0..30 {
+        let place = replay.choose(&chat).expect("room");
+        assert!(place.first <= Duration::from_millis(300), "predicted {:?}", place.first);
+        replay.send(&chat, &place, false);
+    }
+}
+
+/// A long prompt beside strict streams: its parts go where nobody writes.
+#[test]
+fn long_prompt_keeps_off_strict_writers() {
+    let mut replay = Replay::new(8);
+    let chat = ask(5_000, 300, 200);
+    for _ in 0..10 {
+        let place = replay.choose(&chat).expect("room");
+        replay.send(&chat, &place, true);
+    }
+    let place = replay.choose(&ask(210_000, 3_000, 800)).expect("room");
+    assert!(place.harm < 0.01, "harm {}", place.harm);
+    assert!(place.first <= Duration::from_millis(1_800), "predicted {:?}", place.first);
+}
+
+/// A prompt that one engine cannot read in time is read by several.
+#[test]
+fn prompt_too_slow_for_one_engine_is_read_in_parts() {
+    let replay = Replay::new(8);
+    let review = ask(300_000, 3_000, 800);
+    assert!(engine().read(300_000, 1) > review.left);
+    let place = replay.choose(&review).expect("room");
+    assert!(!place.helpers.is_empty() && place.first < review.left);
+    assert!(place.helpers.iter().all(|h| h.keeps == 0), "it fits into one engine's memory");
+}
+
+/// Long prompts that come while all engines read wait in front of them: an
+/// engine reads the newest part first, so what waits there loses its turn.
+#[test]
+fn long_prompt_waits_while_all_engines_read() {
+    let mut replay = Replay::new(4);
+    let review = ask(300_000, 3_000, 800);
+    let mut placed = 0;
+    while let Some(place) = replay.choose(&review) {
+        replay.send(&review, &place, false);
+        placed += 1;
+        assert!(placed <= 4, "an engine got a second long prompt");
+    }
+    assert!(replay.choose(&ask(3_000, 300, 200)).is_some(), "a short one still goes");
+}
+
+/// Prompts up to a million tokens: more than one engine's memory.
+#[test]
+fn prompt_larger_than_an_engine_is_kept_by_several() {
+    let replay = Replay::new(16);
+    let place = replay.choose(&ask(1_000_000, 6_000, 800)).expect("room");
+    let kept: u64 = place.helpers.iter().map(|h| h.keeps).sum();
+    assert_eq!(kept + place.memory, 1_000_800);
+    assert!(place.memory <= 450_000);
+    assert!(place.helpers.iter().all(|h| h.keeps <= 450_000));
+}
+
+#[test]
+fn memory_that_is_taken_is_not_given_again() {
+    let mut replay = Replay::new(1);
+    let review = ask(300_000, 20_000, 800);
+    let place = replay.choose(&review).expect("room");
+    replay.send(&review, &place, true);
+    assert!(replay.choose(&review).is_none(), "300k and 300k do not fit into 450k");
+}
+
+/// Names a case of a prompt's length, and whether it is long beside strict streams.
+macro_rules! lengths {
+    ($($name:ident: $tokens:expr => $long:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            assert_eq!(long(&engine(), $tokens, STRICT), $long);
+        })+
+    };
+}
+
+lengths! {
+    usual_chat_is_short: 5_000 => false;
+    largest_chat_is_long: 23_800 => true;
+    summary_is_long: 45_000 => true;
+}
+
+#[test]
+fn service_gets_the_least_used_target() {
+    let mut replay = Replay::new(3);
+    let call = Ask { long: false, ..ask(0, 300, 0) };
+    for _ in 0..3 {
+        let candidates: Vec<Candidate<'_>> = replay
+            .targets
+            .iter()
+            .map(|target| Candidate { target, pace: 1.0, far: Duration::ZERO })
+            .collect();
+        let place = choose(&call, None, &candidates, &replay.load, replay.now).expect("room");
+        replay.send(&call, &place, false);
+    }
+    assert_eq!(replay.used(), 3);
+}
--- /dev/null
+++ b/crates/core/tests/edge_retry.rs
@@ -0,0 +1,78 @@
+//! Repeats of all instances stay within the operator's bound.
+
+use std::time::{Duration, Instant};
+
+use mimosapass_core::edge::outcomes::{Outcome, Outcomes};
+use mimosapass_core::edge::retry::{Bounds, Repeats};
+use proptest::prelude::*;
+
+const BOUNDS: Bounds = Bounds { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) };
+
+proptest! {
+    /// In any window all instances together stay below the bound.
+    #[test]
+    fn all_instances_stay_within_the_bound(
+        instances in 1_usize..20,
+        gaps in proptest::collection::vec(0_u64..400, 1..400),
+    ) {
+        let begin = Instant::now();
+        let mut repeats = Repeats::default();
+        let (mut asked, mut taken) = (Vec::new(), Vec::new());
+        let mut now = begin;
+        for (i, gap) in gaps.iter().enumerate() {
+            now += Duration::from_millis(*gap);
+            if i % 3 == 0 {
+                repeats.request(now);
+                asked.push(now);
+            } else if repeats.take(&BOUNDS, instances, now) {
+                taken.push(now);
+            }
+            let within = |at: &&Instant| now.duration_since(**at) <= BOUNDS.window;
+            let used = taken.iter().filter(within).count() as f64;
+            let own = asked.iter().filter(within).count() as f64 * BOUNDS.ratio;
+            prop_assert!(used <= BOUNDS.slack / instances as f64 + own + 1.0);
+        }
+    }
+}
+
+#[test]
+fn window_gives_repeats_back() {
+    let (mut repeats, now) = (Repeats::default(), Instant::now());
+    let taken = (0..200).filter(|_| repeats.take(&BOUNDS, 1, now)).count();
+    assert!(taken < 100, "{taken} at once");
+    let later = now + BOUNDS.window + Duration::from_millis(1);
+    assert!(repeats.take(&BOUNDS, 1, later));
+}
+
+#[test]
+fn silent_target_is_avoided_and_comes_back() {
+    let (mut outcomes, now) = (Outcomes::default(), Instant::now());
+    let id = "x".into();
+    let pause = outcomes.note(&id, Outcome::Silent, 0.0, now).expect("a pause");
+    assert!(outcomes.avoided("x", now) && !outcomes.avoided("x", now + pause));
+    let longer = outcomes.note(&id, Outcome::Silent, 0.0, now + pause).expect("a pause");
+    assert!(longer > pause, "it doubles");
+}
+
+#[test]
+fn target_that_fails_no_more_than_its_peers_is_kept() {
+    let (mut outcomes, now) = (Outcomes::default(), Instant::now());
+    for i in 0..100 {
+        let outcome = if i % 7 == 0 { Outcome::Failed } else { Outcome::Answered };
+        assert_eq!(outcomes.note(&"x".into(), outcome, 0.14, now), None);
+    }
+}
+
+#[test]
+fn grey_target_is_avoided() {
+    let (mut outcomes, now) = (Outcomes::default(), Instant::now());
+    let avoided = (0..10).any(|_| outcomes.note(&"x".into(), Outcome::Failed, 0.0, now).is_some());
+    assert!(avoided);
+}
+
+#[test]
+fn refusal_says_nothing_of_a_target() {
+    let (mut outcomes, now) = (Outcomes::default(), Instant::now());
+    assert_eq!(outcomes.note(&"x".into(), Outcome::Refused, 0.0, now), None);
+    assert!(!outcomes.avoided("x", now));
+}
--- /dev/null
+++ b/crates/core/tests/edge_wait.rs
@@ -0,0 +1,127 @@
+//! Order among waiting requests, and when one is placed or refused.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mimosapass_core::edge::fleet::Target;
+use mimosapass_core::edge::place::Place;
+use mimosapass_core::edge::wait::{Waiting, patience};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn waiting(now: Instant, work_ms: u64, worth: f64, promise_ms: u64) -> Waiting {
+    Waiting {
+        since: now,
+        promise: now + ms(promise_ms),
+        end: now + ms(promise_ms * 4),
+        worth,
+        work: ms(work_ms),
+        least: ms(work_ms / 16),
+        priority: 1,
+    }
+}
+
+fn place(first_ms: u64, harm: f64) -> Place {
+    let target = Target {
+        id: "x".into(),
+        service: "pool".into(),
+        addr: "127.0.0.1:9000".parse().expect("an address"),
+        zone: "a".into(),
+        slots: 4,
+        draining: false,
+        born: 1,
+        seq: 1,
+        cold: Duration::ZERO,
+    };
+    Place {
+        target: Arc::new(target),
+        helpers: Vec::new(),
+        memory: 0,
+        first: ms(first_ms),
+        loss: harm,
+        harm,
+    }
+}
+
+/// Names a case of two requests as (work, worth, promise), the first of which goes first.
+macro_rules! order {
+    ($($name:ident: ($($a:expr),+) before ($($b:expr),+);)+) => {
+        $(#[test]
+        fn $name() {
+            let now = Instant::now();
+            let (a, b) = (waiting(now, $($a),+), waiting(now, $($b),+));
+            assert!(a.before(&b, false, now) && !b.before(&a, false, now));
+        })+
+    };
+}
+
+order! {
+    worth_for_its_time_goes_first: (20, 1.5, 300) before (3_000, 22.0, 4_000);
+    of_two_long_ones_the_shorter: (1_600, 16.0, 3_000) before (5_000, 31.0, 6_000);
+    what_can_be_on_time: (3_000, 22.0, 4_000) before (20, 1.5, 10);
+}
+
+#[test]
+fn more_urgent_rank_goes_first() {
+    let now = Instant::now();
+    let urgent = Waiting { priority: 0, ..waiting(now, 100, 1.0, 300) };
+    assert!(urgent.before(&waiting(now, 1, 9.0, 300), false, now));
+}
+
+#[test]
+fn place_that_keeps_the_promise_is_taken_at_once() {
+    let now = Instant::now();
+    assert!(waiting(now, 20, 1.5, 300).takes(&place(200, 0.0), 0.0, now));
+}
+
+#[test]
+fn place_that_is_late_is_taken_after_a_short_wait() {
+    let now = Instant::now();
+    let waiting = waiting(now, 20, 1.5, 300);
+    assert!(!waiting.takes(&place(400, 0.0), 0.0, now));
+    assert!(waiting.takes(&place(400, 0.0), 0.0, now + ms(260)));
+}
+
+#[test]
+fn place_that_costs_others_more_than_it_brings_is_left() {
+    let now = Instant::now();
+    assert!(!waiting(now, 20, 1.5, 300).takes(&place(200, 1.0), 0.0, now));
+}
+
+/// A burst of long prompts: the largest stand back while most engines read.
+#[test]
+fn largest_prompt_stands_back_under_pressure() {
+    let now = Instant::now();
+    let largest = waiting(now, 25_000, 71.0, 3_000);
+    let usual = waiting(now, 3_300, 22.0, 3_000);
+    assert!(largest.pays(0.2, now) && usual.pays(0.2, now));
+    assert!(!largest.pays(0.6, now) && usual.pays(0.6, now));
+    assert!(!largest.hopeless(0.6, now + ms(200)), "it waits for an eighth of its promise");
+    assert!(largest.hopeless(0.6, now + ms(400)), "then it is refused, while that is early");
+}
+
+#[test]
+fn request_that_cannot_begin_in_time_is_refused() {
+    let now = Instant::now();
+    let waiting = waiting(now, 1_600, 10.0, 300);
+    assert!(!waiting.over(now + ms(900)));
+    assert!(waiting.over(now + ms(1_000)), "100 ms of work and 150 ms of margin are left");
+}
+
+/// Names a case of goal and pause, and for how long callers wait.
+macro_rules! patience {
+    ($($name:ident: $goal:expr, $gap:expr => $ms:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            assert_eq!(patience(ms($goal), ms($gap)), ms($ms));
+        })+
+    };
+}
+
+patience! {
+    two_seconds_at_least: 300, 200 => 2_000;
+    four_times_the_goal: 3_000, 800 => 12_000;
+    eight_times_the_pause: 500, 400 => 3_200;
+}
