--- a/crates/core/src/edge/outcomes.rs
+++ b/crates/core/src/edge/outcomes.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use crate::edge::fleet::TargetId;
+use crate::ids::ZoneId;
 
 /// First pause after a failure to connect or a broken connection. A restarting
 /// target needs about a second until it answers again.
@@ -95,3 +96,42 @@
         self.records.remove(id);
     }
 }
+
+/// Silence of all peers of a zone after which it may be cut off: three of their
+/// regular datagrams are missed.
+const ZONE_SILENT: Duration = Duration::from_millis(1_000);
+
+/// Zones that seem to be cut off from this instance.
+///
+/// Answers the loss of a zone: without it each of the zone's targets would cost
+/// some request a connection that hangs, again and again. Neither sign is enough
+/// alone: peers may be dead while targets live, and one target may be dark.
+#[derive(Clone, Debug, Default)]
+pub struct Reach {
+    heard: HashMap<ZoneId, Instant>,
+    cut: HashMap<ZoneId, Instant>,
+}
+
+impl Reach {
+    /// Notes that a peer of the zone was heard.
+    pub fn heard(&mut self, zone: &ZoneId, now: Instant) {
+        self.heard.insert(ZoneId::clone(zone), now);
+        self.cut.remove(zone);
+    }
+
+    /// Notes that a target of the zone is silent; returns whether the zone counts
+    /// as cut off from now on and did not before.
+    pub fn silent(&mut self, zone: &ZoneId, now: Instant) -> bool {
+        let silent = |at: &Instant| now >= *at + ZONE_SILENT;
+        let cut = self.heard.get(zone).is_some_and(silent);
+        cut && self.cut.insert(ZoneId::clone(zone), now).is_none()
+    }
+
+    /// Returns whether the targets of the zone are to be avoided.
+    ///
+    /// One request after a while tries whether they can be reached again, for
+    /// the case that all peers of the zone stay away.
+    pub fn cut(&self, zone: &str, now: Instant) -> bool {
+        self.cut.get(zone).is_some_and(|at| now < *at + LONGEST_PAUSE)
+    }
+}
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -47,6 +47,9 @@
     /// Requests in flight by target.
     #[prost(message, repeated, tag = "9")]
     pub targets: Vec<TargetWorks>,
+    /// Availability zone of the sender.
+    #[prost(string, tag = "12")]
+    pub zone: String,
     /// Long prompts that wait for a place.
     #[prost(message, repeated, tag = "11")]
     pub waiting: Vec<Waiting>,
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -16,8 +16,9 @@
 use super::turn::Grant;
 
 /// Time to connect. A zone is a millisecond away, and the first packet is sent
-/// again only after a second, so more than this means that nobody answers.
-const CONNECT: Duration = Duration::from_millis(350);
+/// again only after a second, so more than this means that nobody answers; the
+/// rest of a short prompt's promise is enough for another target.
+const CONNECT: Duration = Duration::from_millis(150);
 /// Time between two looks at whether the instance ends its requests.
 const LOOK: Duration = Duration::from_millis(500);
 /// Time for which a target is known to keep an idle connection, where it says nothing.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -11,7 +11,7 @@
 use mimosapass_core::edge::load::{Work, WorkId};
 use mimosapass_core::edge::plan::ServiceId;
 use mimosapass_core::edge::wait::Waiting;
-use mimosapass_core::ids::{InstanceId, TargetId};
+use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
 use mimosapass_instance::datagram::{self, Datagram, Datagrams, TargetWorks, groups};
 
 use super::state::{Gateway, Peer, State};
@@ -19,8 +19,12 @@
 /// Time in which changes gather before peers are told. A pass of an engine takes
 /// some 45 ms; news that are much younger than that decide as well.
 const GATHER: Duration = Duration::from_millis(1);
-/// Time between two tellings of the whole.
-const WHOLE: Duration = Duration::from_millis(1_000);
+/// Least time between two tellings of the whole. Three that are missed tell that
+/// a zone is cut off within about a second.
+const WHOLE: Duration = Duration::from_millis(300);
+/// Time between two tellings of the whole for each peer, so that what an instance
+/// hears grows no faster than the fleet.
+const WHOLE_PEER: Duration = Duration::from_millis(15);
 /// Silence after which a peer and its requests are forgotten.
 const SILENT: Duration = Duration::from_millis(3_500);
 
@@ -39,10 +43,10 @@
         std::thread::sleep(GATHER);
         let now = Instant::now();
         let whole = now >= whole_at;
+        let mut state = gateway.state();
         if whole {
-            whole_at = now + WHOLE;
+            whole_at = now + WHOLE.max(WHOLE_PEER * state.peers.len() as u32);
         }
-        let mut state = gateway.state();
         forget_silent(&mut state, now);
         let peers = addresses(gateway, &state);
         let datagrams = datagrams(gateway, &mut state, whole, now);
@@ -110,6 +114,7 @@
     let frame = |targets| Datagram {
         version: datagram::VERSION,
         from: gateway.name.to_string(),
+        zone: gateway.settings.zone.clone(),
         boot: gateway.boot,
         number: 0,
         config: gateway.plan().version,
@@ -237,8 +242,10 @@
         config: datagram.config,
         cut: datagram.cut,
         seen: datagram.seen,
+        zone: ZoneId::from(datagram.zone),
         waiting: datagram.waiting.into_iter().map(|w| read_waiting(w, now)).collect(),
     };
+    state.reach.heard(&peer.zone, now);
     state.peers.insert(InstanceId::clone(&name), peer);
     for TargetWorks { target, works } in datagram.targets {
         let works = works.iter().map(|w| read(w, now)).collect();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,12 +9,12 @@
 use mimosapass_core::edge::cost::Engine;
 use mimosapass_core::edge::fleet::Fleet;
 use mimosapass_core::edge::load::{Load, Pressure, Work, WorkId};
-use mimosapass_core::edge::outcomes::{Outcome, Outcomes};
+use mimosapass_core::edge::outcomes::{Outcome, Outcomes, Reach};
 use mimosapass_core::edge::place::Place;
 use mimosapass_core::edge::plan::{Plan, ServiceId};
 use mimosapass_core::edge::retry::Repeats;
 use mimosapass_core::edge::wait::Waiting;
-use mimosapass_core::ids::{InstanceId, TargetId};
+use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
 use mimosapass_platform::store::{Revision, Store};
 use mimosapass_target::idle::Idle;
 
@@ -57,6 +57,8 @@
     pub cut: bool,
     /// Revision of the store up to which it knows the targets.
     pub seen: u64,
+    /// Availability zone.
+    pub zone: ZoneId,
     /// Long prompts that wait there, by service.
     pub waiting: Vec<(ServiceId, Waiting)>,
 }
@@ -70,6 +72,8 @@
     pub load: Load,
     /// How attempts ended.
     pub outcomes: Outcomes,
+    /// Zones that seem to be cut off.
+    pub reach: Reach,
     /// Repeats by service.
     pub repeats: HashMap<ServiceId, Repeats>,
     /// How busy engines are, by service.
@@ -238,6 +242,12 @@
     pub fn note(&self, target: &TargetId, outcome: Outcome, now: Instant) {
         let mut state = self.state();
         let peers = state.peer_failures(target);
+        let zone = state.fleet.get(target).map(|t| ZoneId::clone(&t.zone));
+        if let (Some(zone), Outcome::Silent) = (&zone, outcome)
+            && state.reach.silent(zone, now)
+        {
+            log::warn!(zone = &**zone; "zone: cut off, its targets are avoided.");
+        }
         if let Some(pause) = state.outcomes.note(target, outcome, peers, now) {
             let pause_ms = pause.as_millis() as u64;
             log::warn!(target_id = &**target, outcome:? = outcome, pause_ms; "target: avoided.");
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -238,6 +238,7 @@
             self.fleet
                 .serving(&need.service)
                 .filter(|t| !avoid || !self.outcomes.avoided(&t.id, now))
+                .filter(|t| !avoid || !self.reach.cut(&t.zone, now))
                 .filter(|t| !need.avoid.contains(&t.id))
                 .map(|target| Candidate { target, pace: 1.0, far: far(&target.zone) })
                 .collect::<Vec<_>>()
