--- a/crates/core/src/edge/load.rs
+++ b/crates/core/src/edge/load.rs
@@ -217,7 +217,7 @@
 /// takes with several engines, shorter than a burst lasts.
 const PRESSURE_TIME: Duration = Duration::from_secs(2);
 
-/// Running mean of the share of a service's engines that have prompts to read.
+/// Running mean of the share of a service's engines that have a backlog to read.
 ///
 /// Answers bursts of long prompts: while most engines read, what takes much time
 /// for its worth stands back.
--- a/crates/core/src/edge/place.rs
+++ b/crates/core/src/edge/place.rs
@@ -26,7 +26,7 @@
 /// Most that a target may still have to read when it gets a long prompt or a part
 /// of one. Engines read the newest part first, so what waits there loses its turn;
 /// the bound is about a pass, so that no engine stands idle between two prompts.
-const BACKLOG: Duration = Duration::from_millis(100);
+pub const BACKLOG: Duration = Duration::from_millis(100);
 /// Most even parts in which a prompt is read.
 pub const MOST_PARTS: u32 = 16;
 /// Worth of the whole order of targets, against that of a mean answer: short
--- a/crates/core/src/edge/wait.rs
+++ b/crates/core/src/edge/wait.rs
@@ -18,7 +18,7 @@
 const HOLD: Duration = Duration::from_millis(250);
 /// Worth of a second of an engine under full load, against that of a mean answer:
 /// about what prompts of some hundred thousand tokens bring for it.
-const ENGINE_SECOND: f64 = 10.0;
+const ENGINE_SECOND: f64 = 25.0;
 /// Share of the worth that depends on whether the answer is on time.
 const GAIN: f64 = 0.75;
 /// Share of the worth that a late answer has.
@@ -83,7 +83,7 @@
 
     /// Returns whether the request is worth the time that others lack for it.
     ///
-    /// `pressure` is the share of engines that are reading, 0 to 1.
+    /// `pressure` is the share of engines with a backlog, 0 to 1.
     pub fn pays(&self, pressure: f64, now: Instant) -> bool {
         let gain = if now > self.promise { self.worth * LATE_SHARE } else { self.worth * GAIN };
         pressure * pressure * self.work.as_secs_f64() * ENGINE_SECOND <= gain
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,7 +10,7 @@
 use mimosapass_core::edge::fleet::Fleet;
 use mimosapass_core::edge::load::{Load, Pressure, Work, WorkId};
 use mimosapass_core::edge::outcomes::{Outcome, Outcomes, Reach};
-use mimosapass_core::edge::place::Place;
+use mimosapass_core::edge::place::{BACKLOG, Place};
 use mimosapass_core::edge::plan::{Plan, ServiceId};
 use mimosapass_core::edge::retry::Repeats;
 use mimosapass_core::edge::wait::Waiting;
@@ -280,7 +280,7 @@
         if count > 0.0 { sum / count } else { 0.0 }
     }
 
-    /// Takes in how many engines of each service are reading.
+    /// Takes in how many engines of each service have a backlog.
     pub fn observe(&mut self, plan: &Plan, now: Instant) {
         let engines = plan.services().filter_map(|s| s.engine.map(|e| (&s.name, e)));
         for (service, engine) in engines {
@@ -292,14 +292,14 @@
             for target in self.fleet.serving(service) {
                 let outlook = self.load.outlook(&target.id, Some(&engine), now);
                 count += 1.0;
-                reading += f64::from(u8::from(outlook.readers > 0));
+                reading += f64::from(u8::from(outlook.reading > BACKLOG));
             }
             let share = if count > 0.0 { reading / count } else { 0.0 };
             self.pressure.entry(ServiceId::clone(service)).or_default().observe(share, now);
         }
     }
 
-    /// Returns the share of a service's engines that read, as a running mean.
+    /// Returns the share of a service's engines with a backlog, as a running mean.
     pub fn pressure(&self, service: &str) -> f64 {
         self.pressure.get(service).map_or(0.0, Pressure::mean)
     }
