Stand-ins for the platform's store and targets, and tests of the gateway over them

The store: revisions, watches, listing in pages, leases, dropped history, several addresses with faults of their own. The target: cut, short, crossed, surplus, unsigned and silent answers, refusals, streams that break off in mid-event, orders.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod engine;
 mod generate;
 pub mod memory;
+pub mod metastore;
 pub mod orders;
 pub mod platform;
 pub mod relay;
 pub mod reply;
+pub mod runner;
 pub mod service;
--- /dev/null
+++ b/crates/standin/src/metastore.rs
@@ -0,0 +1,330 @@
+//! Stand-in for the platform's metadata store: revisions, watches, leases, faults.
+//!
+//! One store may have several addresses, each with faults of its own, so that
+//! some instances lose it while others do not.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_caller::server::{Limits, Server};
+use serde_json::{Value, json};
+
+/// Most items of one page.
+const PAGE: usize = 500;
+
+/// What is wrong at one address of the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Each call is refused with this status and not carried out.
+    Refuses(u16),
+    /// No call is answered or carried out.
+    Silent,
+    /// Writes are carried out and their answers are lost.
+    LosesAnswers,
+    /// Answers take this many milliseconds.
+    Slow(u64),
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: String,
+    revision: u64,
+    created: u64,
+    lease: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    /// Changes since `compacted`, each with its revision and its JSON form.
+    history: Vec<(u64, Value)>,
+    compacted: u64,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+    calls: usize,
+}
+
+/// The store; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Metastore {
+    state: Arc<Mutex<State>>,
+    changed: Arc<Condvar>,
+}
+
+/// One address of the store.
+#[derive(Clone, Debug)]
+pub struct Front {
+    /// Address.
+    pub addr: SocketAddr,
+    fault: Arc<Mutex<Fault>>,
+}
+
+impl Front {
+    /// Sets what is wrong from now on.
+    pub fn fail(&self, fault: Fault) {
+        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+}
+
+impl Metastore {
+    /// Opens an address.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no address can be bound.
+    pub fn front(&self) -> Front {
+        let fault = Arc::new(Mutex::new(Fault::None));
+        let (store, seen) = (self.clone(), Arc::clone(&fault));
+        let handler = move |exchange: &mut Exchange<'_>| {
+            let now = *seen.lock().unwrap_or_else(PoisonError::into_inner);
+            store.serve(exchange, now);
+        };
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::start(any, Limits::default(), Arc::new(handler)).expect("an address");
+        Front { addr: server.addr(), fault }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes an item as the operator or a target does.
+    pub fn set(&self, key: &str, value: &[u8]) {
+        self.lock().set(key, BASE64_STANDARD.encode(value), 0);
+        self.changed.notify_all();
+    }
+
+    /// Writes an item whose value is no base64.
+    pub fn set_unreadable(&self, key: &str) {
+        self.lock().set(key, "%%%".to_owned(), 0);
+        self.changed.notify_all();
+    }
+
+    /// Deletes an item.
+    pub fn delete(&self, key: &str) {
+        self.lock().delete(key);
+        self.changed.notify_all();
+    }
+
+    /// Drops the history.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.history.clear();
+        state.compacted = state.revision;
+    }
+
+    /// Returns the calls that were carried out.
+    pub fn calls(&self) -> usize {
+        self.lock().calls
+    }
+
+    /// Returns the keys under a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.lock();
+        state.items.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
+    }
+
+    fn serve(&self, exchange: &mut Exchange<'_>, fault: Fault) {
+        match fault {
+            Fault::Refuses(status) => return answer(exchange, status, &json!({})),
+            Fault::Silent => {
+                thread::sleep(Duration::from_secs(4));
+                return;
+            }
+            Fault::Slow(ms) => thread::sleep(Duration::from_millis(ms)),
+            Fault::None | Fault::LosesAnswers => {}
+        }
+        let writes = exchange.head.method != "GET";
+        let (status, body) = self.call(exchange);
+        if fault == Fault::LosesAnswers && writes {
+            thread::sleep(Duration::from_secs(4));
+            return;
+        }
+        answer(exchange, status, &body);
+    }
+
+    fn call(&self, exchange: &Exchange<'_>) -> (u16, Value) {
+        let head = &exchange.head;
+        let asked = |name: &str| {
+            let pairs = head.query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.filter(|(n, _)| *n == name).map(|(_, v)| v.to_owned()).next().unwrap_or_default()
+        };
+        let body: Value = serde_json::from_slice(&exchange.body).unwrap_or_default();
+        let number = |name: &str| asked(name).parse::<u64>().unwrap_or_default();
+        let mut state = self.lock();
+        state.calls += 1;
+        state.expire();
+        match (head.method.as_str(), head.path.as_str()) {
+            ("GET", "/kv-key") => state.get(&asked("key")),
+            ("GET", "/kv-range") => state.range(&asked("prefix"), &asked("after")),
+            ("GET", "/kv-watch") => {
+                drop(state);
+                let wait = Duration::from_millis(number("wait_ms"));
+                self.watch(&asked("prefix"), number("after"), wait)
+            }
+            ("POST", "/kv-txn") => {
+                let result = state.transact(&body);
+                self.changed.notify_all();
+                result
+            }
+            ("POST", "/kv-lease") => state.grant(body["ttl_ms"].as_u64().unwrap_or(1_000)),
+            ("POST", path) => state.renew(path.rsplit('/').next().unwrap_or_default()),
+            ("DELETE", path) => {
+                let result = state.end(path.rsplit('/').next().unwrap_or_default());
+                self.changed.notify_all();
+                result
+            }
+            _ => (400, json!({})),
+        }
+    }
+
+    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, Value) {
+        let end = Instant::now() + wait;
+        let mut state = self.lock();
+        loop {
+            if after < state.compacted {
+                return (410, json!({}));
+            }
+            let news: Vec<&Value> = state
+                .history
+                .iter()
+                .filter(|(at, e)| {
+                    *at > after && e["key"].as_str().unwrap_or("").starts_with(prefix)
+                })
+                .map(|(_, event)| event)
+                .collect();
+            let left = end.saturating_duration_since(Instant::now());
+            if !news.is_empty() || left.is_zero() {
+                return (200, json!({ "events": news, "at": state.revision }));
+            }
+            let waited = self.changed.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+}
+
+impl State {
+    fn set(&mut self, key: &str, value: String, lease: u64) {
+        self.revision += 1;
+        let revision = self.revision;
+        let created = self.items.get(key).map_or(revision, |item| item.created);
+        let item = Item { value, revision, created, lease };
+        self.history.push((revision, shown(key, &item)));
+        self.items.insert(key.to_owned(), item);
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            let event = json!({ "key": key, "revision": self.revision, "deleted": true });
+            self.history.push((self.revision, event));
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<u64> =
+            self.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(id, _)| *id).collect();
+        for lease in ended {
+            self.drop_lease(lease);
+        }
+    }
+
+    fn drop_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> =
+            self.items.iter().filter(|(_, i)| i.lease == lease).map(|(k, _)| k.clone()).collect();
+        for key in keys {
+            self.delete(&key);
+        }
+    }
+
+    fn get(&self, key: &str) -> (u16, Value) {
+        match self.items.get(key) {
+            Some(item) => (200, shown(key, item)),
+            None => (404, json!({})),
+        }
+    }
+
+    fn range(&self, prefix: &str, after: &str) -> (u16, Value) {
+        let under = |key: &str| key.starts_with(prefix) && (after.is_empty() || key > after);
+        let all: Vec<Value> =
+            self.items.iter().filter(|(k, _)| under(k)).map(|(k, i)| shown(k, i)).collect();
+        let truncated = all.len() > PAGE;
+        let page = &all[..all.len().min(PAGE)];
+        (200, json!({ "entries": page, "truncated": truncated, "at": self.revision }))
+    }
+
+    fn transact(&mut self, body: &Value) -> (u16, Value) {
+        let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let holds = rows("expected").iter().all(|row| {
+            let key = row["key"].as_str().unwrap_or_default();
+            let at = self.items.get(key).map_or(0, |item| item.revision);
+            row["revision"].as_u64() == Some(at)
+        });
+        if !holds {
+            return (412, json!({ "entries": [] }));
+        }
+        for row in rows("set_keys") {
+            let lease = row["lease"].as_u64().unwrap_or_default();
+            if lease != 0 && !self.leases.contains_key(&lease) {
+                return (404, json!({}));
+            }
+            let value = row["value"].as_str().unwrap_or_default().to_owned();
+            self.set(row["key"].as_str().unwrap_or_default(), value, lease);
+        }
+        for key in rows("remove") {
+            self.delete(key.as_str().unwrap_or_default());
+        }
+        (200, json!({ "revision": self.revision }))
+    }
+
+    fn grant(&mut self, ttl_ms: u64) -> (u16, Value) {
+        self.revision += 1;
+        let ttl = Duration::from_millis(ttl_ms);
+        self.leases.insert(self.revision, (Instant::now() + ttl, ttl));
+        (200, json!({ "lease": self.revision, "ttl_ms": ttl_ms }))
+    }
+
+    fn renew(&mut self, lease: &str) -> (u16, Value) {
+        let lease = lease.parse().unwrap_or_default();
+        match self.leases.get_mut(&lease) {
+            Some((end, ttl)) => {
+                *end = Instant::now() + *ttl;
+                (200, json!({ "ttl_ms": ttl.as_millis() as u64 }))
+            }
+            None => (404, json!({})),
+        }
+    }
+
+    fn end(&mut self, lease: &str) -> (u16, Value) {
+        self.drop_lease(lease.parse().unwrap_or_default());
+        (200, json!({}))
+    }
+}
+
+fn shown(key: &str, item: &Item) -> Value {
+    json!({
+        "key": key,
+        "value": item.value,
+        "revision": item.revision,
+        "created": item.created,
+        "lease": item.lease,
+    })
+}
+
+fn answer(exchange: &mut Exchange<'_>, status: u16, body: &Value) {
+    let headers = [("content-type", "application/json".to_owned())];
+    if let Err(e) = exchange.answer(status, &headers, body.to_string().as_bytes()) {
+        log::debug!("metastore: an answer was not taken: {e}.");
+    }
+}
--- /dev/null
+++ b/crates/standin/src/runner.rs
@@ -0,0 +1,302 @@
+//! Stand-in for a target of the platform: it answers as a test tells it to.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use mimosapass_caller::head::{Framing, Head, Parsed, parse};
+use serde_json::{Value, json};
+
+/// Time between two looks at whether the caller of a silent target left.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// What a target does with a request.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// A whole answer with this status and body.
+    Answer(u16, &'static str),
+    /// A whole answer without the target's signature.
+    Unsigned(&'static str),
+    /// A refusal that says that the request did not run.
+    NotRun(u16),
+    /// Events with identifiers from 1, a pause before each, and the end.
+    Stream {
+        /// Identifier of the last event.
+        last: u64,
+        /// Pause before each event.
+        pause: Duration,
+        /// Identifier of the event in whose middle the connection is cut, if any.
+        cut: Option<u64>,
+    },
+    /// A body that ends before its stated length.
+    Short(&'static str),
+    /// First the answer to another request, then the right one.
+    Crossed(&'static str),
+    /// A right answer, and bytes that nobody asked for behind it.
+    Surplus(&'static str),
+    /// The connection closes without an answer.
+    Cut,
+    /// No answer, until the caller leaves.
+    Silent,
+}
+
+/// What a target was asked.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// Head of the request.
+    pub head: Head,
+    /// Body.
+    pub body: Vec<u8>,
+    /// When the caller was seen to have left a silent target.
+    pub left: Option<Instant>,
+}
+
+type Script = Arc<dyn Fn(&Head) -> Act + Send + Sync>;
+
+#[derive(Default)]
+struct State {
+    asked: Vec<Asked>,
+    connections: usize,
+    tickets: BTreeMap<String, u64>,
+    reserved: usize,
+    released: usize,
+}
+
+/// A target on loopback.
+#[derive(Clone)]
+pub struct Runner {
+    /// Identifier under which it registers.
+    pub id: String,
+    /// Address.
+    pub addr: SocketAddr,
+    script: Script,
+    state: Arc<Mutex<State>>,
+}
+
+impl std::fmt::Debug for Runner {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Runner").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
+impl Runner {
+    /// Starts a target that does what `script` says.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no address can be bound.
+    pub fn start(id: &str, script: impl Fn(&Head) -> Act + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+        let addr = listener.local_addr().expect("an address");
+        let runner =
+            Self { id: id.to_owned(), addr, script: Arc::new(script), state: Arc::default() };
+        let accepting = runner.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let serving = accepting.clone();
+                thread::spawn(move || serving.serve(stream));
+            }
+        });
+        runner
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns its entry in the store.
+    pub fn entry(&self, service: &str, state: &str, born: u64, seq: u64) -> Vec<u8> {
+        let entry = json!({
+            "service": service, "address": self.addr.to_string(), "zone": "a", "version": "v1",
+            "slots": 16, "state": state, "cold_left_ms": 0, "seq": seq, "born": born,
+        });
+        entry.to_string().into_bytes()
+    }
+
+    /// Returns what it was asked, without orders.
+    pub fn asked(&self) -> Vec<Asked> {
+        self.lock().asked.clone()
+    }
+
+    /// Returns the connections that it took.
+    pub fn connections(&self) -> usize {
+        self.lock().connections
+    }
+
+    /// Returns the memory that is set aside, and how many orders set aside and gave back.
+    pub fn memory(&self) -> (u64, usize, usize) {
+        let state = self.lock();
+        (state.tickets.values().sum(), state.reserved, state.released)
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        self.lock().connections += 1;
+        let mut kept = Vec::new();
+        while let Some((head, body)) = read(&mut stream, &mut kept) {
+            if head.path == "/order" {
+                self.order(&mut stream, &body);
+                continue;
+            }
+            let act = (self.script)(&head);
+            let number = {
+                let mut state = self.lock();
+                state.asked.push(Asked { head: head.clone(), body, left: None });
+                state.asked.len() - 1
+            };
+            if !self.perform(&mut stream, &head, act, number) {
+                return;
+            }
+        }
+    }
+
+    fn order(&self, stream: &mut TcpStream, body: &[u8]) {
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let id = body["id"].as_str().unwrap_or_default().to_owned();
+        let mut state = self.lock();
+        if body["op"] == "reserve" {
+            state.reserved += 1;
+            state.tickets.insert(id, body["token_count"].as_u64().unwrap_or_default());
+        } else {
+            state.released += 1;
+            state.tickets.remove(&id);
+        }
+        drop(state);
+        write(stream, b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
+    }
+
+    /// Answers a request; returns whether the connection is kept.
+    fn perform(&self, stream: &mut TcpStream, head: &Head, act: Act, number: usize) -> bool {
+        let id = head.header("x-attempt-id").unwrap_or_default();
+        match act {
+            Act::Answer(status, body) => write(stream, &whole(status, id, body)),
+            Act::Unsigned(body) => {
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\ncontent-length: {}\r\n\r\n{body}",
+                    body.len()
+                );
+                write(stream, text.as_bytes())
+            }
+            Act::NotRun(status) => {
+                let text = format!(
+                    "HTTP/1.1 {status} No\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+                );
+                write(stream, text.as_bytes())
+            }
+            Act::Stream { last, pause, cut } => self.stream(stream, head, last, pause, cut),
+            Act::Short(body) => {
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-seal: s\r\n\
+                     content-length: {}\r\n\r\n{body}",
+                    body.len() + 7
+                );
+                write(stream, text.as_bytes());
+                false
+            }
+            Act::Crossed(body) => {
+                let both = [whole(200, "another", "not yours"), whole(200, id, body)].concat();
+                write(stream, &both)
+            }
+            Act::Surplus(body) => {
+                let both = [whole(200, id, body), whole(200, id, body)].concat();
+                write(stream, &both)
+            }
+            Act::Cut => false,
+            Act::Silent => {
+                self.wait_for_leaving(stream, number);
+                false
+            }
+        }
+    }
+
+    fn stream(
+        &self,
+        stream: &mut TcpStream,
+        head: &Head,
+        last: u64,
+        pause: Duration,
+        cut: Option<u64>,
+    ) -> bool {
+        let id = head.header("x-attempt-id").unwrap_or_default();
+        let from = head.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let start = format!(
+            "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-seal: {}\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            self.id
+        );
+        write(stream, start.as_bytes());
+        for event in from + 1..=last {
+            thread::sleep(pause);
+            let text = format!("id: {event}\ndata: e{event}\n\n");
+            if cut == Some(event) {
+                write(stream, format!("{:x}\r\n{}", text.len(), &text[..6]).as_bytes());
+                return false;
+            }
+            if !write(stream, format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()) {
+                return false;
+            }
+        }
+        write(stream, b"0\r\n\r\n")
+    }
+
+    fn wait_for_leaving(&self, stream: &mut TcpStream, number: usize) {
+        stream.set_read_timeout(Some(LOOK)).unwrap_or_default();
+        let mut byte = [0];
+        loop {
+            match stream.read(&mut byte) {
+                Ok(read) if read > 0 => {}
+                Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock) => {}
+                Ok(_) | Err(_) => break,
+            }
+        }
+        self.lock().asked[number].left = Some(Instant::now());
+    }
+}
+
+fn whole(status: u16, id: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    let text = format!(
+        "HTTP/1.1 {status} Status\r\nx-attempt-id: {id}\r\nx-server-seal: s\r\n\
+         content-length: {length}\r\n\r\n{body}"
+    );
+    text.into_bytes()
+}
+
+fn write(stream: &mut TcpStream, bytes: &[u8]) -> bool {
+    stream.write_all(bytes).is_ok()
+}
+
+/// Reads a request; `None` at the end of the connection.
+fn read(stream: &mut TcpStream, kept: &mut Vec<u8>) -> Option<(Head, Vec<u8>)> {
+    let mut buffer = [0; 4096];
+    let mut more = |kept: &mut Vec<u8>| match stream.read(&mut buffer) {
+        Ok(read) if read > 0 => {
+            kept.extend_from_slice(&buffer[..read]);
+            true
+        }
+        Ok(_) | Err(_) => false,
+    };
+    let head = loop {
+        match parse(kept) {
+            Parsed::Whole(head, length) => {
+                kept.drain(..length);
+                break head;
+            }
+            Parsed::Partial if more(kept) => {}
+            _ => return None,
+        }
+    };
+    let length = match head.framing() {
+        Some(Framing::Length(length)) => length as usize,
+        _ => return None,
+    };
+    while kept.len() < length {
+        if !more(kept) {
+            return None;
+        }
+    }
+    let body = kept.drain(..length).collect();
+    Some((head, body))
+}
--- /dev/null
+++ b/tests/suite/gateway/mod.rs
@@ -0,0 +1,237 @@
+//! The gateway over stand-ins of the platform: the real program, real sockets.
+
+mod answers;
+mod streams;
+mod views;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use mimosapass_standin::metastore::{Front, Metastore};
+use mimosapass_standin::runner::{Act, Runner};
+use mimosapass_target::http::{Connection, Piece, Reply, Woken};
+use serde_json::{Value, json};
+
+use crate::common::{PATIENCE, fresh_ip};
+
+/// Host of all routes of these tests.
+const HOST: &str = "shop.example";
+/// Key of the one workspace.
+const KEY: &str = "key-one";
+
+/// A store with a configuration, and the gateways before it.
+pub struct Grid {
+    pub store: Metastore,
+    pub front: Front,
+    gateways: Vec<Gateway>,
+}
+
+/// One gateway process.
+pub struct Gateway {
+    child: Child,
+    ip: Ipv4Addr,
+    settings: std::path::PathBuf,
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct Answer {
+    pub reply: Reply,
+    pub body: String,
+    /// Whether it ended as its framing says.
+    pub whole: bool,
+}
+
+/// Routes: `/chat/` streams, `/look/` may be repeated, `/book/` may not.
+pub fn config(version: u64, keys: &[&str], paths: &[&str]) -> Value {
+    let route = |path: &str| {
+        let kind = match path {
+            "chat" | "archive" => "streaming",
+            "look" => "idempotent",
+            _ => "non_idempotent",
+        };
+        let service = if kind == "streaming" { "pool" } else { "desk" };
+        json!({
+            "name": path, "host": HOST, "prefix": format!("/{path}/"), "type": kind,
+            "timeout_ms": 8000, "goal_ms": 500, "priority": 1, "service": service,
+            "attempts": if kind == "non_idempotent" { 1 } else { 2 }, "public": false,
+            "resumable": true, "gap_target_ms": 300, "field_of_later": 1,
+        })
+    };
+    let routes: Vec<Value> = paths.iter().map(|p| route(p)).collect();
+    json!({
+        "version": version,
+        "routes": routes,
+        "services": [
+            { "name": "desk", "health_path": "/h", "max_conns": 50 },
+            { "name": "pool", "health_path": "/h", "max_conns": 50, "engine": {
+                "slots": 16, "kv_capacity": 450_000, "step_ms": 0.9, "per_seq_ms": 0.005,
+                "context_per_k": 0.0025, "read_per_s": 256_000.0, "pairs_per_m": 0.09,
+                "chunk": 2048, "stride": 46, "hop_ms": 0.1,
+                "usual": { "prompt": 13_000, "answer": 1_500 } } },
+        ],
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 4_194_304,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
+        "tenants": [{ "name": "atlas", "api_keys": keys, "priority": 1 }],
+    })
+}
+
+impl Grid {
+    /// Starts a store with a configuration and `count` gateways, none of them ready.
+    pub fn start(count: usize) -> Self {
+        let store = Metastore::default();
+        let front = store.front();
+        let mut grid = Self { store, front, gateways: Vec::new() };
+        grid.configure(&config(3, &[KEY], &["chat", "look", "book"]));
+        for _ in 0..count {
+            let front = grid.front.clone();
+            grid.add(&front, &[]);
+        }
+        grid
+    }
+
+    /// Starts a gateway that sees the store at `front`; returns its number.
+    pub fn add(&mut self, front: &Front, seeds: &[SocketAddr]) -> usize {
+        let number = self.gateways.len();
+        let ip = fresh_ip();
+        let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
+        let text = format!(
+            "name: gate-{number}\nzone: a\nlisten:\n  callers: {ip}:8080\n  ready: {ip}:8081\n  \
+             peers: {ip}:8082\n  metrics: {ip}:8083\nstore: {}\nseeds: [{}]\n",
+            front.addr,
+            seeds.join(", ")
+        );
+        let settings = std::env::temp_dir().join(format!("mimosapass-gate-{ip}.yaml"));
+        std::fs::write(&settings, text).expect("written");
+        let child = Command::new(env!("CARGO_BIN_EXE_mimosapass"))
+            .args(["gateway", "--config"])
+            .arg(&settings)
+            .stderr(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("it starts");
+        self.gateways.push(Gateway { child, ip, settings });
+        number
+    }
+
+    /// Writes a configuration as the operator does.
+    pub fn configure(&self, config: &Value) {
+        self.store.set("op/config", config.to_string().as_bytes());
+    }
+
+    /// Registers a target as ready.
+    pub fn register(&self, runner: &Runner, service: &str) {
+        let key = format!("servers/{}", runner.id);
+        self.store.set(&key, &runner.entry(service, "ready", 1, 1));
+    }
+
+    /// Waits until a gateway is ready.
+    pub fn ready(&self, number: usize) -> &Self {
+        let addr = SocketAddr::from((self.gateways[number].ip, 8081));
+        eventually("the gateway is ready", || {
+            try_call(addr, "GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n", b"")
+                .is_some_and(|a| a.reply.status == 200)
+        });
+        self
+    }
+
+    /// Returns where a gateway takes callers.
+    pub fn callers(&self, number: usize) -> SocketAddr {
+        SocketAddr::from((self.gateways[number].ip, 8080))
+    }
+
+    /// Returns where a gateway takes datagrams.
+    pub fn peers(&self, number: usize) -> SocketAddr {
+        SocketAddr::from((self.gateways[number].ip, 8082))
+    }
+
+    /// Sends a signal to a gateway.
+    pub fn signal(&self, number: usize, signal: &str) {
+        let id = self.gateways[number].child.id().to_string();
+        let sent = Command::new("kill").args([signal, &id]).status().expect("kill runs");
+        assert!(sent.success());
+    }
+
+    /// Asks a gateway for a path, with the right key.
+    pub fn ask(&self, number: usize, path: &str, id: &str) -> Answer {
+        self.ask_with(number, path, id, "")
+    }
+
+    /// Asks a gateway with more header lines, each with its line end.
+    pub fn ask_with(&self, number: usize, path: &str, id: &str, more: &str) -> Answer {
+        call(self.callers(number), &head(path, id, KEY, more), b"question")
+    }
+}
+
+impl Drop for Grid {
+    fn drop(&mut self) {
+        for gateway in &mut self.gateways {
+            gateway.child.kill().unwrap_or_default();
+            gateway.child.wait().map(drop).unwrap_or_default();
+            std::fs::remove_file(&gateway.settings).unwrap_or_default();
+        }
+    }
+}
+
+/// Returns the head of a request with a body of eight bytes.
+pub fn head(path: &str, id: &str, key: &str, more: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: {id}\r\nx-deadline-ms: 6000\r\n\
+         authorization: Token {key}\r\ncontent-length: 8\r\n{more}\r\n"
+    )
+}
+
+/// Sends a request and reads the answer to its end.
+pub fn call(addr: SocketAddr, head: &str, body: &[u8]) -> Answer {
+    try_call(addr, head, body).expect("an answer")
+}
+
+/// As [`call`]; `None` when there is no head of an answer.
+pub fn try_call(addr: SocketAddr, head: &str, body: &[u8]) -> Option<Answer> {
+    let mut connection = Connection::open(addr, Duration::from_secs(2)).ok()?;
+    let end = Instant::now() + PATIENCE;
+    connection.send(&[head.as_bytes(), body].concat(), end).ok()?;
+    let mut more = |connection: &mut Connection| {
+        let woken = connection.wait(None::<&std::net::TcpStream>, end);
+        matches!(woken, Ok(Woken::Target)).then(|| connection.fill())
+    };
+    let reply = loop {
+        match connection.head("POST") {
+            Ok(Some(reply)) => break reply,
+            Ok(None) => drop(more(&mut connection)?),
+            Err(_) => return None,
+        }
+    };
+    let mut framing = reply.framing;
+    let mut body = Vec::new();
+    let whole = loop {
+        match connection.body(&mut framing) {
+            Ok(Piece::Data(data)) => body.extend(data),
+            Ok(Piece::More) => drop(more(&mut connection)?),
+            Ok(Piece::End) => break true,
+            Err(_) => break false,
+        }
+    };
+    let body = String::from_utf8(body).ok()?;
+    Some(Answer { reply, body, whole })
+}
+
+/// Waits until something holds.
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "in vain: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Starts a target that always does the same.
+pub fn runner(id: &str, act: Act) -> Runner {
+    Runner::start(id, move |_| act.clone())
+}
+
+/// Returns the text of events `from` to `to`.
+pub fn events(from: u64, to: u64) -> String {
+    (from..=to).map(|n| format!("id: {n}\ndata: e{n}\n\n")).collect()
+}
--- /dev/null
+++ b/tests/suite/gateway/streams.rs
@@ -0,0 +1,97 @@
+//! Streams: whole events only, and what happens when a target breaks off.
+
+use std::time::Duration;
+
+use mimosapass_standin::runner::{Act, Runner};
+
+use super::{Grid, events, runner};
+
+const PAUSE: Duration = Duration::from_millis(5);
+
+fn grid(runners: &[&Runner]) -> Grid {
+    let grid = Grid::start(1);
+    for runner in runners {
+        grid.register(runner, "pool");
+    }
+    grid.ready(0);
+    grid
+}
+
+fn stream(last: u64, cut: Option<u64>) -> Act {
+    Act::Stream { last, pause: PAUSE, cut }
+}
+
+const SHORT: &str = "x-token-usage: 100,50\r\n";
+
+#[test]
+fn stream_is_passed_on_whole() {
+    let target = runner("i-0", stream(5, None));
+    let answer = grid(&[&target]).ask_with(0, "/chat/1", "id-1", SHORT);
+    assert_eq!((answer.reply.status, answer.whole), (200, true));
+    assert_eq!(answer.body, events(1, 5));
+    assert_eq!(answer.reply.header("x-server-seal"), Some("i-0"));
+}
+
+/// The event in whose middle the first target was cut comes whole from the second.
+#[test]
+fn stream_that_is_cut_goes_on_at_another_target() {
+    let acts = |head: &mimosapass_caller::head::Head| match head.header("last-event-id") {
+        None => stream(5, Some(3)),
+        Some(_) => stream(5, None),
+    };
+    let (one, two) = (Runner::start("i-0", acts), Runner::start("i-1", acts));
+    let answer = grid(&[&one, &two]).ask_with(0, "/chat/1", "id-1", SHORT);
+    assert!(answer.whole, "{answer:?}");
+    assert_eq!(answer.body, events(1, 5));
+    let all = [one.asked(), two.asked()].concat();
+    let from: Vec<_> = all.iter().filter_map(|a| a.head.header("last-event-id")).collect();
+    assert_eq!((all.len(), from), (2, vec!["2"]));
+    assert!(one.asked().len() == 1 && two.asked().len() == 1, "not the same target again");
+}
+
+#[test]
+fn stream_that_is_never_finished_does_not_look_whole() {
+    let (one, two) = (runner("i-0", stream(5, Some(3))), runner("i-1", stream(5, Some(3))));
+    let answer = grid(&[&one, &two]).ask_with(0, "/chat/1", "id-1", SHORT);
+    assert!(!answer.whole);
+    assert_eq!(answer.body, events(1, 2));
+}
+
+#[test]
+fn stream_goes_on_from_the_callers_last_event() {
+    let target = runner("i-0", stream(5, None));
+    let more = format!("{SHORT}last-event-id: 3\r\n");
+    let answer = grid(&[&target]).ask_with(0, "/chat/1", "id-1", &more);
+    assert_eq!(answer.body, events(4, 5));
+}
+
+/// A prompt larger than one engine's memory is kept by several, and given back.
+#[test]
+fn memory_for_a_large_prompt_is_set_aside_and_given_back() {
+    let runners: Vec<Runner> =
+        (0..16).map(|i| runner(&format!("i-{i:02}"), stream(3, None))).collect();
+    let grid = grid(&runners.iter().collect::<Vec<_>>());
+    let answer = grid.ask_with(0, "/chat/1", "id-1", "x-token-usage: 600000,50\r\n");
+    assert_eq!((answer.reply.status, answer.body), (200, events(1, 3)));
+    let sum = |part: fn((u64, usize, usize)) -> u64| -> u64 {
+        runners.iter().map(|r| part(r.memory())).sum()
+    };
+    assert!(sum(|m| m.1 as u64) >= 1, "memory was set aside");
+    super::eventually("all memory is given back", || sum(|m| m.0) == 0);
+    let helped = runners.iter().flat_map(Runner::asked);
+    assert!(helped.filter_map(|a| a.head.header("x-helpers").map(str::to_owned)).count() == 1);
+}
+
+#[test]
+fn planned_stop_cuts_no_stream() {
+    let target = runner("i-0", Act::Stream { last: 30, pause: PAUSE * 10, cut: None });
+    let grid = grid(&[&target]);
+    let answer = std::thread::scope(|scope| {
+        let asking = scope.spawn(|| grid.ask_with(0, "/chat/1", "id-1", SHORT));
+        super::eventually("the stream runs", || !target.asked().is_empty());
+        grid.signal(0, "-TERM");
+        asking.join().expect("an answer")
+    });
+    assert!(answer.whole);
+    assert_eq!(answer.body, events(1, 30));
+}
--- /dev/null
+++ b/tests/suite/gateway/views.rs
@@ -0,0 +1,130 @@
+//! What a gateway knows of configuration and targets, while the store fails.
+
+use mimosapass_standin::metastore::Fault;
+use mimosapass_standin::runner::{Act, Runner};
+
+use super::{Grid, KEY, call, config, eventually, head, runner};
+
+/// Returns the status of a call with a key.
+fn status(grid: &Grid, number: usize, path: &str, key: &str) -> u16 {
+    call(grid.callers(number), &head(path, "id-1", key, ""), b"question").reply.status
+}
+
+fn served(count: usize) -> (Grid, Runner) {
+    let grid = Grid::start(count);
+    let runner = runner("i-0", Act::Answer(200, "yes"));
+    grid.register(&runner, "desk");
+    for number in 0..count {
+        grid.ready(number);
+    }
+    (grid, runner)
+}
+
+#[test]
+fn gateway_without_configuration_refuses_and_is_not_ready() {
+    let mut grid = Grid::start(0);
+    let front = grid.store.front();
+    front.fail(Fault::Refuses(503));
+    grid.add(&front, &[]);
+    eventually("it listens", || std::net::TcpStream::connect(grid.callers(0)).is_ok());
+    assert_eq!(status(&grid, 0, "/book/1", KEY), 503, "not 404: it does not know yet");
+}
+
+#[test]
+fn new_configuration_is_in_force_and_an_older_one_never_is() {
+    let (grid, _runner) = served(1);
+    grid.configure(&config(9, &["key-two"], &["book", "new"]));
+    eventually("the new route is served", || status(&grid, 0, "/new/1", "key-two") == 200);
+    assert_eq!(status(&grid, 0, "/book/1", KEY), 401, "the old key is gone");
+    assert_eq!(status(&grid, 0, "/look/1", "key-two"), 404, "the old route is gone");
+    grid.configure(&config(5, &[KEY], &["look", "book"]));
+    grid.configure(&config(10, &["key-two"], &["book", "newer"]));
+    eventually("the next one is served", || status(&grid, 0, "/newer/1", "key-two") == 200);
+    assert_eq!(status(&grid, 0, "/book/1", KEY), 401);
+}
+
+#[test]
+fn draining_target_gets_no_work() {
+    let (grid, old) = served(1);
+    let new = runner("i-1", Act::Answer(200, "new"));
+    grid.register(&new, "desk");
+    grid.store.set("servers/i-0", &old.entry("desk", "draining", 1, 2));
+    eventually("only the new one is asked", || {
+        let before = old.asked().len();
+        (0..6).all(|_| status(&grid, 0, "/look/1", KEY) == 200) && old.asked().len() == before
+    });
+    assert!(!new.asked().is_empty());
+}
+
+#[test]
+fn target_that_started_again_under_its_id_is_used() {
+    let (grid, old) = served(1);
+    grid.store.set("servers/i-0", &old.entry("desk", "draining", 1, 9));
+    eventually("it is left", || status(&grid, 0, "/look/1", KEY) == 503);
+    grid.store.set("servers/i-0", &old.entry("desk", "ready", 2, 1));
+    eventually("it is used", || status(&grid, 0, "/look/1", KEY) == 200);
+}
+
+#[test]
+fn unreadable_entries_do_no_harm() {
+    let (grid, _runner) = served(1);
+    grid.store.set("servers/i-7", b"{\"service\": 7}");
+    grid.store.set("servers/i-8", b"\xff\xfe");
+    grid.store.set_unreadable("servers/i-9");
+    grid.store.set("op/config", b"no configuration");
+    grid.configure(&config(9, &[KEY], &["book", "new"]));
+    eventually("what follows is taken", || status(&grid, 0, "/new/1", KEY) == 200);
+}
+
+#[test]
+fn dropped_history_is_made_up_for() {
+    let (grid, _runner) = served(1);
+    grid.front.fail(Fault::Refuses(503));
+    grid.configure(&config(9, &[KEY], &["book", "new"]));
+    grid.store.compact();
+    grid.front.fail(Fault::None);
+    eventually("the new route is served", || status(&grid, 0, "/new/1", KEY) == 200);
+}
+
+#[test]
+fn views_outlive_the_store() {
+    let (grid, _runner) = served(1);
+    grid.front.fail(Fault::Silent);
+    for _ in 0..5 {
+        assert_eq!(status(&grid, 0, "/book/1", KEY), 200);
+    }
+}
+
+/// The store serves the operator and one instance, and refuses the other.
+#[test]
+fn instance_that_the_store_refuses_learns_from_its_peer() {
+    let mut grid = Grid::start(1);
+    let runner = runner("i-0", Act::Answer(200, "yes"));
+    grid.register(&runner, "desk");
+    let other = grid.store.front();
+    grid.add(&other, &[]);
+    grid.ready(0).ready(1);
+    eventually("both are members", || grid.store.keys("mimosapass/instances/").len() == 2);
+    other.fail(Fault::Refuses(429));
+    grid.configure(&config(9, &[KEY], &["book", "new"]));
+    eventually("the new route is served", || status(&grid, 1, "/new/1", KEY) == 200);
+    let late = self::runner("i-1", Act::Answer(200, "late"));
+    grid.register(&late, "desk");
+    grid.store.delete("servers/i-0");
+    eventually("the new target is used", || {
+        let before = late.asked().len();
+        status(&grid, 1, "/book/1", KEY) == 200 && late.asked().len() > before
+    });
+}
+
+/// An instance that starts while the store is away asks the seeds.
+#[test]
+fn instance_that_starts_without_the_store_learns_from_a_seed() {
+    let (mut grid, _runner) = served(1);
+    let away = grid.store.front();
+    away.fail(Fault::Refuses(503));
+    let seed = grid.peers(0);
+    let number = grid.add(&away, &[seed]);
+    grid.ready(number);
+    assert_eq!(status(&grid, number, "/book/1", KEY), 200);
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod configuration;
 mod deadline;
+mod gateway;
 mod groups;
 mod leaving;
 mod membership;
