Logs of the gateway: one line of pairs, a bounded queue, a rate for each level

Cause: logs went to standard error and blocked; a reader that stops reading would have held up requests. Change: lines go through a bounded queue to a thread; what is left out is counted. The way of a request is a struct of its own in flow, and waiting is in short steps. Tests: three failed requests led from their id to the cause by the program's own output; 1,500 requests served while nobody reads the output.

--- a/crates/core/src/edge/fleet.rs
+++ b/crates/core/src/edge/fleet.rs
@@ -144,8 +144,12 @@
             return Vec::new();
         }
         let late = |e: &Entry| e.lapsed.is_some_and(|at| now >= at + LAPSE_GRACE);
-        let gone: Vec<TargetId> =
-            self.entries.iter().filter(|(_, e)| late(e)).map(|(id, _)| id.clone()).collect();
+        let gone: Vec<TargetId> = self
+            .entries
+            .iter()
+            .filter(|(_, e)| late(e))
+            .map(|(id, _)| TargetId::clone(id))
+            .collect();
         for id in &gone {
             self.bury(id);
         }
--- a/crates/core/src/edge/load.rs
+++ b/crates/core/src/edge/load.rs
@@ -130,12 +130,11 @@
         let theirs = |e: &Entry| e.owner.as_ref() == Some(peer);
         at.entries.retain(|e| !theirs(e) || works.iter().any(|(id, _)| *id == e.id));
         for (id, work) in works {
-            match at.entries.iter_mut().find(|e| theirs(e) && e.id == id) {
-                Some(entry) => entry.work.writing = entry.work.writing.or(work.writing),
-                None => {
-                    let owner = Some(InstanceId::clone(peer));
-                    at.add(Entry { owner, id, work }, engine);
-                }
+            if let Some(entry) = at.entries.iter_mut().find(|e| theirs(e) && e.id == id) {
+                entry.work.writing = entry.work.writing.or(work.writing);
+            } else {
+                let owner = Some(InstanceId::clone(peer));
+                at.add(Entry { owner, id, work }, engine);
             }
         }
         at.settle();
--- a/crates/core/src/edge/outcomes.rs
+++ b/crates/core/src/edge/outcomes.rs
@@ -99,7 +99,7 @@
 
 /// Silence of all peers of a zone after which it may be cut off: three of their
 /// regular datagrams are missed.
-const ZONE_SILENT: Duration = Duration::from_millis(1_000);
+const ZONE_SILENT: Duration = Duration::from_secs(1);
 
 /// Zones that seem to be cut off from this instance.
 ///
--- a/crates/core/src/edge/place.rs
+++ b/crates/core/src/edge/place.rs
@@ -141,7 +141,7 @@
         let used = load.outlook(&c.target.id, None, now).used;
         let free = used < c.target.slots as usize;
         let share = used as f64 / f64::from(c.target.slots.max(1));
-        free.then(|| (share * c.pace + c.far.as_secs_f64() * 20.0 + (c.pace - 1.0) * 0.3, c))
+        free.then_some((share * c.pace + c.far.as_secs_f64() * 20.0 + (c.pace - 1.0) * 0.3, c))
     });
     let (_, best) = scored.min_by(|a, b| a.0.total_cmp(&b.0))?;
     let target = Arc::clone(best.target);
@@ -155,7 +155,8 @@
     })
 }
 
-struct Option1<'a> {
+/// What one target promises for a request.
+struct Prospect<'a> {
     candidate: &'a Candidate<'a>,
     outlook: Outlook,
     /// Cost of its place in the common order.
@@ -176,7 +177,7 @@
     let mut candidates: Vec<&Candidate<'_>> = candidates.iter().collect();
     candidates.sort_by(|a, b| a.target.id.cmp(&b.target.id));
     let count = candidates.len() as f64;
-    let options: Vec<Option1<'_>> = candidates
+    let options: Vec<Prospect<'_>> = candidates
         .into_iter()
         .enumerate()
         .map(|(i, candidate)| {
@@ -190,7 +191,7 @@
             let part_wait = outlook.reading.min(BACKLOG) + residual;
             let position = (i as f64 + 0.5) / count;
             let order = ORDER * if ask.long { 1.0 - position } else { position };
-            Option1 { candidate, outlook, order, wait: outlook.reading + residual, part_wait }
+            Prospect { candidate, outlook, order, wait: outlook.reading + residual, part_wait }
         })
         .collect();
     let mut best = alone(ask, engine, &options, load);
@@ -206,14 +207,14 @@
     best
 }
 
-fn fits(ask: &Ask, engine: &Engine, option: &Option1<'_>) -> bool {
+fn fits(ask: &Ask, engine: &Engine, option: &Prospect<'_>) -> bool {
     let slots = option.candidate.target.slots.min(engine.slots.max(1)) as usize;
     option.outlook.used < slots && option.outlook.memory + ask.prompt + ask.answer <= engine.memory
 }
 
 /// Judges each target as the only one that reads the prompt.
-fn alone(ask: &Ask, engine: &Engine, options: &[Option1<'_>], load: &Load) -> Option<Place> {
-    let free = |o: &&Option1<'_>| !ask.long || o.outlook.reading <= BACKLOG;
+fn alone(ask: &Ask, engine: &Engine, options: &[Prospect<'_>], load: &Load) -> Option<Place> {
+    let free = |o: &&Prospect<'_>| !ask.long || o.outlook.reading <= BACKLOG;
     let fitting = options.iter().filter(|o| fits(ask, engine, o)).filter(free);
     let places = fitting.map(|option| {
         let read = engine.read(ask.prompt, 1).mul_f64(option.candidate.pace);
@@ -242,12 +243,12 @@
 fn joined(
     ask: &Ask,
     engine: &Engine,
-    options: &[Option1<'_>],
+    options: &[Prospect<'_>],
     load: &Load,
     parts: u32,
 ) -> Option<Place> {
     let read = engine.read(ask.prompt, parts);
-    let mut rows: Vec<(f64, f64, &Option1<'_>)> = options
+    let mut rows: Vec<(f64, f64, &Prospect<'_>)> = options
         .iter()
         .filter(|o| o.outlook.used < o.candidate.target.slots as usize)
         .filter(|o| o.outlook.reading <= BACKLOG)
@@ -303,12 +304,12 @@
 fn memory(
     ask: &Ask,
     engine: &Engine,
-    rows: &[(f64, f64, &Option1<'_>)],
+    rows: &[(f64, f64, &Prospect<'_>)],
 ) -> Option<(usize, Vec<u64>)> {
     if let Some(whole) = rows.iter().position(|(_, _, o)| fits(ask, engine, o)) {
         return Some((whole, vec![0; rows.len() - 1]));
     }
-    let room = |o: &Option1<'_>| {
+    let room = |o: &Prospect<'_>| {
         let usable = (engine.memory as f64 * ROOM) as u64;
         usable.saturating_sub(o.outlook.memory)
     };
@@ -327,7 +328,7 @@
 }
 
 /// Returns the worth that the writers of a target lose while it reads for `read` more.
-fn harm(option: &Option1<'_>, engine: &Engine, load: &Load, read: Duration) -> f64 {
+fn harm(option: &Prospect<'_>, engine: &Engine, load: &Load, read: Duration) -> f64 {
     let outlook = &option.outlook;
     if outlook.writers == 0 {
         return 0.0;
--- a/crates/core/tests/edge_fleet.rs
+++ b/crates/core/tests/edge_fleet.rs
@@ -28,9 +28,9 @@
         $(#[test]
         fn $name() {
             let mut fleet = Fleet::default();
-            let mut change = Change::Same;
-            $(change = fleet.report(target("x", $born, $seq, $draining));)+
-            assert_eq!((change, serving(&fleet)), ($change, $serving));
+            let reports = [$(target("x", $born, $seq, $draining)),+];
+            let last = reports.into_iter().map(|report| fleet.report(report)).last();
+            assert_eq!((last, serving(&fleet)), (Some($change), $serving));
         })+
     };
 }
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -13,6 +13,8 @@
 pub const VERSION: u32 = 1;
 /// Longest datagram, in bytes; it stays whole on networks with small packets.
 pub const LONGEST: usize = 1_400;
+/// Longest datagram that is received; one target alone may go beyond [`LONGEST`].
+const LONGEST_RECEIVED: usize = 16 * 1024;
 /// Most bytes that one target's works take beside its name; checked before
 /// another target is put into a datagram.
 const ROOM: usize = 200;
@@ -161,7 +163,7 @@
     ///
     /// Fails when the socket is broken.
     pub fn receive(&self) -> io::Result<Option<(Datagram, SocketAddr)>> {
-        let mut buffer = [0; 64 * 1024];
+        let mut buffer = [0; LONGEST_RECEIVED];
         match self.socket.recv_from(&mut buffer) {
             Ok((read, from)) => match Datagram::decode(&buffer[..read]) {
                 Ok(datagram) if datagram.version == VERSION => Ok(Some((datagram, from))),
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -146,7 +146,7 @@
                 state.asked.push(Asked { head: head.clone(), body, left: None });
                 state.asked.len() - 1
             };
-            if !self.perform(&mut stream, &head, act, number) {
+            if !self.perform(&mut stream, &head, &act, number) {
                 return;
             }
         }
@@ -168,10 +168,10 @@
     }
 
     /// Answers a request; returns whether the connection is kept.
-    fn perform(&self, stream: &mut TcpStream, head: &Head, act: Act, number: usize) -> bool {
+    fn perform(&self, stream: &mut TcpStream, head: &Head, act: &Act, number: usize) -> bool {
         let id = head.header("x-attempt-id").unwrap_or_default();
         match act {
-            Act::Answer(status, body) => write(stream, &whole(status, id, body)),
+            Act::Answer(status, body) => write(stream, &whole(*status, id, body)),
             Act::Unsigned(body) => {
                 let text = format!(
                     "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\ncontent-length: {}\r\n\r\n{body}",
@@ -185,7 +185,7 @@
                 );
                 write(stream, text.as_bytes())
             }
-            Act::Stream { last, pause, cut } => self.stream(stream, head, last, pause, cut),
+            Act::Stream { last, pause, cut } => self.stream(stream, head, *last, *pause, *cut),
             Act::Short(body) => {
                 let text = format!(
                     "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-seal: s\r\n\
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -174,7 +174,10 @@
                 Ok(written) => bytes = &bytes[written..],
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock && Instant::now() < end => {
-                    self.writable(end).map_err(|_| whole - bytes.len())?;
+                    if let Err(e) = self.writable(end) {
+                        log::debug!("target: {} takes no more of a request: {e}.", self.addr);
+                        return Err(whole - bytes.len());
+                    }
                 }
                 Err(_) => return Err(whole - bytes.len()),
             }
@@ -396,7 +399,9 @@
         body.len()
     );
     let whole = [head.as_bytes(), body].concat();
-    connection.send(&whole, end).map_err(|_| Broken::Cut)?;
+    if connection.send(&whole, end).is_err() {
+        return Err(Broken::Cut);
+    }
     loop {
         if let Some(reply) = connection.head("POST")? {
             return Ok(reply.status);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,5 @@
 //! One send of a request to one target.
 
-use std::io;
 use std::time::{Duration, Instant};
 
 use mimosapass_caller::exchange::Exchange;
@@ -80,9 +79,8 @@
     let outcome = match &sent {
         Sent::Whole(reply, _) if reply.status >= 500 => Some(Outcome::Failed),
         Sent::Whole(..) => Some(Outcome::Answered),
-        Sent::Unsent(_) => Some(Outcome::Silent),
         Sent::NotRun(_) => Some(Outcome::Refused),
-        Sent::Lost(_) => Some(Outcome::Silent),
+        Sent::Lost(_) | Sent::Unsent(_) => Some(Outcome::Silent),
         Sent::Stream(..) | Sent::CallerGone | Sent::Late => None,
     };
     if let Some(outcome) = outcome {
@@ -250,9 +248,8 @@
         Ok(Woken::Caller) => {
             // The caller sent its next request early, which stays readable.
             let until = end.min(Instant::now() + LOOK / 5);
-            match connection.wait(None::<&std::net::TcpStream>, until) {
-                Ok(Woken::Target) => drop(connection.fill()),
-                Ok(_) | Err(_) => {}
+            if let Ok(Woken::Target) = connection.wait(None::<&std::net::TcpStream>, until) {
+                connection.fill();
             }
         }
         Ok(Woken::Late) => {}
@@ -388,8 +385,3 @@
     };
     reply.headers.iter().filter(|(name, _)| keep(name)).cloned().collect()
 }
-
-/// Says whether an answer to a caller failed because it left.
-pub fn told(result: io::Result<()>) -> bool {
-    result.is_ok()
-}
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -1,9 +1,11 @@
 //! The way of one request: route, place, send, answer.
 
+use std::thread;
 use std::time::{Duration, Instant};
 
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_core::edge::outcomes::Outcome;
+use mimosapass_core::edge::plan::{Plan, ServiceId};
 use mimosapass_core::edge::wait::patience;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
@@ -13,7 +15,7 @@
 use super::attempt::{self, Sent};
 use super::entry::{self, Request};
 use super::metrics::band;
-use super::relay::{self, End, Progress};
+use super::relay::{self, End, Limits, Progress};
 use super::state::Gateway;
 use super::tickets::Tickets;
 use super::turn::{self, Grant};
@@ -25,6 +27,11 @@
 const SILENCE: f64 = 0.7;
 /// Time in which a target of a service answers, in its promises.
 const SERVICE_SILENCE: u32 = 2;
+/// Time for which a request waits for the first configuration: an instance that
+/// starts has it within some hundred milliseconds when the store is well.
+const FIRST_PLAN: Duration = Duration::from_millis(500);
+/// Time between two looks for it.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// How a request ended, for its log line.
 #[derive(Debug)]
@@ -33,9 +40,17 @@
     why: String,
 }
 
-/// What is known of a request on its way.
-#[derive(Debug, Default)]
-struct Way {
+impl Ended {
+    fn caller_gone() -> Self {
+        Self { outcome: "caller_gone", why: "the caller left".to_owned() }
+    }
+}
+
+/// One request on its way.
+struct Flow<'a, 'e> {
+    gateway: &'a Gateway,
+    exchange: &'a mut Exchange<'e>,
+    request: Request,
     /// Sends that reached a target.
     sends: u32,
     /// Sends that reached none.
@@ -55,274 +70,282 @@
 /// Serves one request; it answers on the exchange.
 pub fn handle(gateway: &Gateway, exchange: &mut Exchange<'_>) {
     let arrived = Instant::now();
+    while gateway.plan().version == 0 && arrived.elapsed() < FIRST_PLAN {
+        thread::sleep(LOOK);
+    }
     let plan = gateway.plan();
-    let mut request = match entry::read(&plan, exchange, arrived) {
+    let request = match entry::read(&plan, exchange, arrived) {
         Ok(request) => request,
         Err(failure) => {
             let id = exchange.head.header(header::ATTEMPT).unwrap_or_default();
             let kind = failure.kind;
             log::info!(id, version = plan.version, kind:? = kind; "request: refused, {failure}.");
-            fail(exchange, &failure);
-            return;
+            gateway.metrics.outcomes.with_label_values(&["none", kind.row().code]).inc();
+            return fail(exchange, &failure);
         }
     };
     exchange.end_by(request.end);
-    let mut way = Way::default();
-    gateway.state().repeats.entry(request.need.service.clone()).or_default().request(arrived);
-    let ended = serve(gateway, exchange, &mut request, &mut way);
-    let pause_ms = way.progress.pause.as_millis() as u64;
-    let label = band(request.need.prompt);
-    gateway.metrics.outcomes.with_label_values(&[label, ended.outcome]).inc();
-    let took_ms = arrived.elapsed().as_millis() as u64;
-    let target_id = way.target.as_deref().unwrap_or("none");
-    let level = match ended.outcome {
-        "served" | "caller_gone" => log::Level::Debug,
-        _ => log::Level::Info,
+    gateway.note_request(&request.need.service, arrived);
+    let mut flow = Flow {
+        gateway,
+        exchange,
+        request,
+        sends: 0,
+        unsent: 0,
+        ran: false,
+        kept: None,
+        progress: Progress::default(),
+        why: String::new(),
+        target: None,
     };
-    log::log!(
-        level,
-        id = request.attempt.as_str(),
-        route = &*request.route.name,
-        prompt = request.need.prompt,
-        sends = way.sends,
-        target_id,
-        took_ms,
-        pause_ms,
-        version = plan.version;
-        "request: {}, {}.", ended.outcome, ended.why
-    );
+    let ended = flow.serve();
+    flow.report(&ended, &plan, arrived);
 }
 
-fn serve(
-    gateway: &Gateway,
-    exchange: &mut Exchange<'_>,
-    request: &mut Request,
-    way: &mut Way,
-) -> Ended {
-    loop {
-        if way.sends + way.unsent > 0 && !may_repeat(gateway, request, way) {
-            return give_up(exchange, way);
-        }
-        let begun = Instant::now();
-        let grant = match turn::wait(gateway, &request.need, || exchange.caller_gone()) {
-            Ok(grant) => grant,
-            Err(failure) if way.sends > 0 => {
-                way.why = format!("{}; then {failure}", way.why);
-                return give_up(exchange, way);
-            }
-            Err(failure) => return refuse(exchange, &failure),
+impl Flow<'_, '_> {
+    /// Counts and logs how the request ended.
+    fn report(&self, ended: &Ended, plan: &Plan, arrived: Instant) {
+        let label = band(self.request.need.prompt);
+        self.gateway.metrics.outcomes.with_label_values(&[label, ended.outcome]).inc();
+        let level = match ended.outcome {
+            "served" | "caller_gone" => log::Level::Debug,
+            _ => log::Level::Info,
         };
-        let label = band(request.need.prompt);
-        gateway.metrics.waited.with_label_values(&[label]).observe(begun.elapsed().as_secs_f64());
-        let targets = grant.targets();
-        way.target = targets.first().cloned();
-        log::debug!(
-            id = request.attempt.as_str(),
-            prompt = request.need.prompt,
-            targets = targets.join(","),
-            waited_ms = (grant.at - request.need.waiting.since).as_millis() as u64,
-            predicted_ms = grant.place.first.as_millis() as u64,
-            harm = grant.place.harm;
-            "request: placed."
+        log::log!(
+            level,
+            id = self.request.attempt.as_str(),
+            route = &*self.request.route.name,
+            prompt = self.request.need.prompt,
+            sends = self.sends,
+            target_id = self.target.as_deref().unwrap_or("none"),
+            took_ms = arrived.elapsed().as_millis() as u64,
+            pause_ms = self.progress.pause.as_millis() as u64,
+            version = plan.version;
+            "request: {}, {}.", ended.outcome, ended.why
         );
-        let ended = step(gateway, exchange, request, way, &grant, &targets);
-        gateway.finish(&targets, grant.id, Instant::now());
-        if let Some(ended) = ended {
-            return ended;
-        }
-        request.need.avoid.push(TargetId::clone(&grant.place.target.id));
     }
-}
 
-/// Sends the request once; `None` when it may be worth another send.
-fn step(
-    gateway: &Gateway,
-    exchange: &mut Exchange<'_>,
-    request: &mut Request,
-    way: &mut Way,
-    grant: &Grant,
-    targets: &[TargetId],
-) -> Option<Ended> {
-    let tickets = match Tickets::reserve(gateway, grant) {
-        Ok(tickets) => tickets,
-        Err(why) => {
-            way.unsent += 1;
-            way.why = why;
-            return None;
-        }
-    };
-    let silence = silence(request, way);
-    let until = silence.map_or(request.end, |silence| Instant::now() + silence);
-    match attempt::send(gateway, exchange, request, grant, &tickets, until) {
-        Sent::Whole(reply, body) => {
-            way.sends += 1;
-            way.ran = true;
-            if reply.status >= 500 && request.repeatable() {
-                way.why = format!("status {}", reply.status);
-                way.kept = Some((reply, body));
-                return None;
+    fn serve(&mut self) -> Ended {
+        loop {
+            if self.sends + self.unsent > 0 && !self.may_repeat() {
+                return self.give_up();
             }
-            Some(pass_whole(exchange, &reply, &body))
-        }
-        Sent::Stream(connection, reply) => {
-            way.ran = true;
-            stream(gateway, exchange, request, way, grant, targets, connection, &reply)
-        }
-        Sent::Unsent(why) => {
-            way.unsent += 1;
-            way.why = why;
-            gateway.idle.forget(grant.place.target.addr);
-            None
-        }
-        Sent::NotRun(why) => {
-            way.sends += 1;
-            way.why = why;
-            None
-        }
-        Sent::Lost(why) => {
-            way.sends += 1;
-            way.ran = true;
-            way.why = why;
-            None
-        }
-        Sent::CallerGone => Some(Ended { outcome: "caller_gone", why: String::new() }),
-        Sent::Late => {
-            way.ran = true;
-            way.why = "its time was over at the target".to_owned();
-            Some(late(exchange, way))
+            let exchange = &*self.exchange;
+            let waited = turn::wait(self.gateway, &self.request.need, || exchange.caller_gone());
+            let grant = match waited {
+                Ok(grant) => grant,
+                Err(failure) if self.sends > 0 && failure.kind != Kind::CallerGone => {
+                    self.why = format!("{}; then {failure}", self.why);
+                    return self.give_up();
+                }
+                Err(failure) => return self.refuse(&failure),
+            };
+            self.placed(&grant);
+            let ended = self.step(&grant);
+            self.gateway.finish(&grant.targets(), grant.id, Instant::now());
+            if let Some(ended) = ended {
+                return ended;
+            }
+            self.request.need.avoid.push(TargetId::clone(&grant.place.target.id));
         }
     }
-}
 
-/// Returns for how long the target may be silent, where another one can be asked.
-fn silence(request: &Request, way: &Way) -> Option<Duration> {
-    let again = request.repeatable() && way.sends + 1 < request.route.attempts;
-    let route = &request.route;
-    let time = if route.streaming {
-        patience(route.goal, route.gap).mul_f64(SILENCE)
-    } else {
-        route.goal * SERVICE_SILENCE
-    };
-    again.then_some(time)
-}
-
-fn stream(
-    gateway: &Gateway,
-    exchange: &mut Exchange<'_>,
-    request: &mut Request,
-    way: &mut Way,
-    grant: &Grant,
-    targets: &[TargetId],
-    mut connection: Connection,
-    reply: &Reply,
-) -> Option<Ended> {
-    let begun = Instant::now();
-    let band = band(request.need.prompt);
-    let since = request.need.waiting.since;
-    let first = || {
-        let now = Instant::now();
-        gateway.first_event(&grant.place, grant.id, now);
-        gateway.metrics.first.with_label_values(&[band]).observe((now - since).as_secs_f64());
+    /// Notes the place that the request got.
+    fn placed(&mut self, grant: &Grant) {
+        let need = &self.request.need;
+        let waited = grant.at.saturating_duration_since(need.waiting.since);
+        let label = band(need.prompt);
+        let times = self.gateway.metrics.waited.with_label_values(&[label]);
+        times.observe(waited.as_secs_f64());
+        self.target = Some(TargetId::clone(&grant.place.target.id));
         log::debug!(
-            id = request.attempt.as_str(),
-            prompt = request.need.prompt,
-            parts = targets.len(),
-            first_ms = (now - since).as_millis() as u64,
-            waited_ms = (grant.at - since).as_millis() as u64,
-            targets = targets.join(","),
+            id = self.request.attempt.as_str(),
+            prompt = need.prompt,
+            targets = grant.targets().join(","),
+            waited_ms = waited.as_millis() as u64,
             predicted_ms = grant.place.first.as_millis() as u64,
-            head_ms = (now - begun).as_millis() as u64;
-            "request: first event."
+            harm = grant.place.harm;
+            "request: placed."
         );
-    };
-    let silence = silence(request, way);
-    let progress = &mut way.progress;
-    let end = relay::run(exchange, &mut connection, reply, progress, silence, request.end, first);
-    let id = &grant.place.target.id;
-    way.sends += 1;
-    match end {
-        End::Complete => {
-            exchange.finish();
-            gateway.note(id, Outcome::Answered, Instant::now());
-            attempt::keep(gateway, connection, reply);
-            Some(Ended { outcome: "served", why: format!("{} pieces", progress.pieces) })
-        }
-        End::CallerGone => Some(Ended { outcome: "caller_gone", why: String::new() }),
-        End::Late => {
-            way.why = "its time was over in mid-stream".to_owned();
-            Some(late(exchange, way))
-        }
-        End::Cut(why) => {
-            connection.abandon();
-            gateway.note(id, Outcome::Silent, Instant::now());
-            way.why = why.to_owned();
-            request.last_event = progress.last_event.clone().or(request.last_event.take());
-            None
+    }
+
+    /// Sends the request once; `None` when it may be worth another send.
+    fn step(&mut self, grant: &Grant) -> Option<Ended> {
+        let tickets = match Tickets::reserve(self.gateway, grant) {
+            Ok(tickets) => tickets,
+            Err(why) => return self.unsent(why),
+        };
+        let until = self.silence().map_or(self.request.end, |silence| Instant::now() + silence);
+        let sent =
+            attempt::send(self.gateway, self.exchange, &self.request, grant, &tickets, until);
+        match sent {
+            Sent::Whole(reply, body) => {
+                self.sends += 1;
+                self.ran = true;
+                if reply.status < 500 || !self.request.repeatable() {
+                    return Some(self.pass_whole(&reply, &body));
+                }
+                self.why = format!("status {}", reply.status);
+                self.kept = Some((reply, body));
+                None
+            }
+            Sent::Stream(connection, reply) => {
+                self.ran = true;
+                self.stream(grant, connection, &reply)
+            }
+            Sent::Unsent(why) => {
+                self.gateway.idle.forget(grant.place.target.addr);
+                self.unsent(why)
+            }
+            Sent::NotRun(why) => self.failed(why, false),
+            Sent::Lost(why) => self.failed(why, true),
+            Sent::CallerGone => Some(Ended::caller_gone()),
+            Sent::Late => {
+                self.ran = true;
+                "its time was over at the target".clone_into(&mut self.why);
+                Some(self.late())
+            }
         }
     }
-}
 
-/// Returns whether a request may be sent once more.
-fn may_repeat(gateway: &Gateway, request: &Request, way: &mut Way) -> bool {
-    if way.unsent >= MOST_UNSENT || way.sends >= request.route.attempts {
-        return false;
+    fn unsent(&mut self, why: String) -> Option<Ended> {
+        self.unsent += 1;
+        self.why = why;
+        None
     }
-    if way.ran && !request.repeatable() {
-        return false;
+
+    fn failed(&mut self, why: String, ran: bool) -> Option<Ended> {
+        self.sends += 1;
+        self.ran |= ran;
+        self.why = why;
+        None
     }
-    if way.progress.begun && way.progress.last_event.is_none() {
-        return false;
+
+    /// Returns for how long the target may be silent, where another one can be asked.
+    fn silence(&self) -> Option<Duration> {
+        let route = &self.request.route;
+        let again = self.request.repeatable() && self.sends + 1 < route.attempts;
+        let time = if route.streaming {
+            patience(route.goal, route.gap).mul_f64(SILENCE)
+        } else {
+            route.goal * SERVICE_SILENCE
+        };
+        again.then_some(time)
     }
-    if way.sends == 0 {
-        return true;
+
+    /// Passes a stream on; `None` when it broke off and may go on elsewhere.
+    fn stream(
+        &mut self,
+        grant: &Grant,
+        mut connection: Connection,
+        reply: &Reply,
+    ) -> Option<Ended> {
+        let limits = Limits { silence: self.silence(), end: self.request.end };
+        let (gateway, request) = (self.gateway, &self.request);
+        let first = || first_event(gateway, request, grant);
+        let progress = &mut self.progress;
+        let end = relay::run(self.exchange, &mut connection, reply, progress, limits, first);
+        let id = &grant.place.target.id;
+        self.sends += 1;
+        match end {
+            End::Complete => {
+                self.exchange.finish();
+                self.gateway.note(id, Outcome::Answered, Instant::now());
+                attempt::keep(self.gateway, connection, reply);
+                Some(Ended { outcome: "served", why: format!("{} pieces", self.progress.pieces) })
+            }
+            End::CallerGone => Some(Ended::caller_gone()),
+            End::Late => {
+                "its time was over in mid-stream".clone_into(&mut self.why);
+                Some(self.late())
+            }
+            End::Cut(why) => {
+                connection.abandon();
+                self.gateway.note(id, Outcome::Silent, Instant::now());
+                why.clone_into(&mut self.why);
+                if self.progress.last_event.is_some() {
+                    self.request.last_event.clone_from(&self.progress.last_event);
+                }
+                None
+            }
+        }
     }
-    let now = Instant::now();
-    let mut state = gateway.state();
-    let instances = state.instances();
-    let repeats = state.repeats.entry(request.need.service.clone()).or_default();
-    let allowed = repeats.take(&gateway.settings.repeats, instances, now);
-    if !allowed {
-        way.why = format!("{}; no repeat is left in the window", way.why);
+
+    /// Returns whether the request may be sent once more.
+    fn may_repeat(&mut self) -> bool {
+        let request = &self.request;
+        if self.unsent >= MOST_UNSENT || self.sends >= request.route.attempts {
+            return false;
+        }
+        if self.ran && !request.repeatable() {
+            return false;
+        }
+        if self.progress.begun && self.progress.last_event.is_none() {
+            return false;
+        }
+        let allowed =
+            self.sends == 0 || self.gateway.take_repeat(&request.need.service, Instant::now());
+        if !allowed {
+            self.why = format!("{}; no repeat is left in the window", self.why);
+        }
+        allowed
     }
-    allowed
-}
 
-fn pass_whole(exchange: &mut Exchange<'_>, reply: &Reply, body: &[u8]) -> Ended {
-    let outcome = if reply.status < 500 { "served" } else { "target_failed" };
-    let sent = exchange.relay(reply.status, &attempt::relayed(reply), &[], body);
-    if attempt::told(sent) {
-        Ended { outcome, why: format!("status {}", reply.status) }
-    } else {
-        Ended { outcome: "caller_gone", why: String::new() }
+    fn pass_whole(&mut self, reply: &Reply, body: &[u8]) -> Ended {
+        let outcome = if reply.status < 500 { "served" } else { "target_failed" };
+        match self.exchange.relay(reply.status, &attempt::relayed(reply), &[], body) {
+            Ok(()) => Ended { outcome, why: format!("status {}", reply.status) },
+            Err(_) => Ended::caller_gone(),
+        }
     }
-}
 
-/// Answers with the truest failure that is left.
-fn give_up(exchange: &mut Exchange<'_>, way: &mut Way) -> Ended {
-    if way.progress.begun {
-        // The connection is broken off, so that the stream does not look whole.
-        return Ended { outcome: "cut", why: way.why.clone() };
+    /// Answers with the truest failure that is left.
+    fn give_up(&mut self) -> Ended {
+        if self.progress.begun {
+            // The connection is broken off, so that the stream does not look whole.
+            return Ended { outcome: "cut", why: self.why.clone() };
+        }
+        if let Some((reply, body)) = self.kept.take() {
+            return self.pass_whole(&reply, &body);
+        }
+        let kind = if self.ran { Kind::TargetFailed } else { Kind::Refused };
+        self.refuse(&Failure::new(kind, self.why.clone()))
     }
-    if let Some((reply, body)) = way.kept.take() {
-        return pass_whole(exchange, &reply, &body);
+
+    fn late(&mut self) -> Ended {
+        if self.progress.begun {
+            return Ended { outcome: "cut", why: self.why.clone() };
+        }
+        self.refuse(&Failure::new(Kind::RunTimeout, self.why.clone()))
     }
-    let kind = if way.ran { Kind::TargetFailed } else { Kind::Refused };
-    refuse(exchange, &Failure::new(kind, way.why.clone()))
-}
 
-fn late(exchange: &mut Exchange<'_>, way: &Way) -> Ended {
-    if way.progress.begun {
-        return Ended { outcome: "cut", why: way.why.clone() };
+    fn refuse(&mut self, failure: &Failure) -> Ended {
+        if failure.kind == Kind::CallerGone {
+            return Ended::caller_gone();
+        }
+        fail(self.exchange, failure);
+        Ended { outcome: failure.kind.row().code, why: failure.to_string() }
     }
-    refuse(exchange, &Failure::new(Kind::RunTimeout, way.why.clone()))
 }
 
-fn refuse(exchange: &mut Exchange<'_>, failure: &Failure) -> Ended {
-    if failure.kind == Kind::CallerGone {
-        return Ended { outcome: "caller_gone", why: String::new() };
-    }
-    fail(exchange, failure);
-    Ended { outcome: failure.kind.row().code, why: failure.to_string() }
+/// Notes the first event of a stream.
+fn first_event(gateway: &Gateway, request: &Request, grant: &Grant) {
+    let now = Instant::now();
+    gateway.first_event(&grant.place, grant.id, now);
+    let since = request.need.waiting.since;
+    let first = now.saturating_duration_since(since);
+    let label = band(request.need.prompt);
+    gateway.metrics.first.with_label_values(&[label]).observe(first.as_secs_f64());
+    log::debug!(
+        id = request.attempt.as_str(),
+        prompt = request.need.prompt,
+        parts = grant.place.helpers.len() + 1,
+        first_ms = first.as_millis() as u64,
+        waited_ms = grant.at.saturating_duration_since(since).as_millis() as u64,
+        targets = grant.targets().join(","),
+        predicted_ms = grant.place.first.as_millis() as u64;
+        "request: first event."
+    );
 }
 
 /// Answers with a failure of the gateway's own.
@@ -336,3 +359,18 @@
         log::debug!("request: the caller took no answer: {e}.");
     }
 }
+
+impl Gateway {
+    /// Counts a request of a caller for the bound on repeats.
+    fn note_request(&self, service: &ServiceId, now: Instant) {
+        self.state().repeats.entry(ServiceId::clone(service)).or_default().request(now);
+    }
+
+    /// Takes one repeat; returns whether the bound allowed it.
+    fn take_repeat(&self, service: &ServiceId, now: Instant) -> bool {
+        let mut state = self.state();
+        let instances = state.instances();
+        let repeats = state.repeats.entry(ServiceId::clone(service)).or_default();
+        repeats.take(&self.settings.repeats, instances, now)
+    }
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -20,7 +20,7 @@
 /// seconds of their acknowledgement, so a change may wait half of that.
 const PACE: Duration = Duration::from_millis(900);
 /// Time that a watch waits for a change.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Failed calls in a row after which the store counts as away.
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -25,7 +25,7 @@
 const LOOK: Duration = Duration::from_millis(200);
 /// Time for which a peer may have a newer configuration before it is asked: each
 /// instance reads the store about once a second itself.
-const PATIENCE: Duration = Duration::from_millis(1_000);
+const PATIENCE: Duration = Duration::from_secs(1);
 /// Silence of the store after which peers are asked for targets.
 const SILENT: Duration = Duration::from_millis(1_500);
 /// Least time between two requests.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -38,6 +38,15 @@
     Late,
 }
 
+/// For how long a stream may go on.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest pause of the target, where another one can be asked.
+    pub silence: Option<Duration>,
+    /// When the request's time is over.
+    pub end: Instant,
+}
+
 /// Passes on what a target streams until it ends; `first` is called at its
 /// first event.
 ///
@@ -48,10 +57,10 @@
     connection: &mut Connection,
     reply: &Reply,
     progress: &mut Progress,
-    silence: Option<Duration>,
-    end: Instant,
+    limits: Limits,
     mut first: impl FnMut(),
 ) -> End {
+    let Limits { silence, end } = limits;
     let mut framing = reply.framing;
     let mut partial: Vec<u8> = Vec::new();
     let mut seen = false;
@@ -75,10 +84,8 @@
             }
             Next::End => {
                 let rest = std::mem::take(&mut partial);
-                return match pass(exchange, reply, progress, &rest) {
-                    true => End::Complete,
-                    false => End::CallerGone,
-                };
+                let taken = pass(exchange, reply, progress, &rest);
+                return if taken { End::Complete } else { End::CallerGone };
             }
             Next::CallerGone => return End::CallerGone,
             Next::Cut(_) if Instant::now() >= end => return End::Late,
@@ -122,7 +129,7 @@
 
 /// Returns the identifier of the last event that states one.
 fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|b| *b == b'\n').rev();
-    let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    let mut lines = events.split(|b| *b == b'\n').rev();
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(value).ok().map(|id| id.trim().to_owned())
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -24,13 +24,14 @@
 /// the balancer asks each second and takes an instance out after two misses.
 const NOTICE: Duration = Duration::from_millis(2_500);
 /// Time for which an idle kept connection is left open after the notice.
-const LINGER: Duration = Duration::from_millis(1_000);
+const LINGER: Duration = Duration::from_secs(1);
 /// Time before the end of a stop at which requests are made to end.
 const LAST: Duration = Duration::from_millis(400);
 /// Time between two looks at whether all requests have ended.
 const LOOK: Duration = Duration::from_millis(50);
-/// Bounds on callers: what the operator allows is within them.
-const IDLE: Duration = Duration::from_secs(120);
+/// Time that a caller's connection may stay silent; longer than any that the
+/// operator states, so that a connection is not closed on a caller that uses it.
+const IDLE: Duration = Duration::from_mins(2);
 /// Longest body, in bytes.
 const BODY: usize = 4 * 1024 * 1024;
 /// Part of the machine's memory that bodies of requests may take.
--- a/src/gateway/tickets.rs
+++ b/src/gateway/tickets.rs
@@ -17,7 +17,7 @@
 
 /// Life of a reservation without renewal. Memory that no request uses any more
 /// has to be back within four seconds.
-const HOLD: Duration = Duration::from_millis(3_000);
+const HOLD: Duration = Duration::from_secs(3);
 /// Time between renewals: two may fail before the memory lapses.
 const RENEWAL: Duration = Duration::from_millis(900);
 /// Time for one order; an engine answers within milliseconds.
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -73,6 +73,15 @@
     bell: Condvar,
 }
 
+impl Slot {
+    /// Takes the place that was given, or waits for one.
+    fn take(&self, time: Duration) -> Option<Grant> {
+        let given = self.given.lock().unwrap_or_else(PoisonError::into_inner);
+        let waited = self.bell.wait_timeout_while(given, time, |given| given.is_none());
+        waited.unwrap_or_else(PoisonError::into_inner).0.take()
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Waiter {
     need: Need,
@@ -110,27 +119,11 @@
 pub fn wait(gateway: &Gateway, need: &Need, gone: impl Fn() -> bool) -> Result<Grant, Failure> {
     let id = gateway.unique();
     let slot = Arc::new(Slot::default());
-    {
-        let mut state = gateway.state();
-        let waiter = Waiter { need: need.clone(), slot: Arc::clone(&slot) };
-        let long = need.long;
-        state.waiters.list.insert(id, waiter);
-        state.waiters.last = None;
-        state.dispatch(gateway, Instant::now());
-        if long && state.waiters.list.contains_key(&id) {
-            state.waiters.news = true;
-            gateway.bell.notify_all();
-        }
-        gateway.metrics.waiting.set(state.waiters.list.len() as i64);
-    }
-    let result = loop {
-        let given = slot.given.lock().unwrap_or_else(PoisonError::into_inner);
-        let waited = slot.bell.wait_timeout_while(given, LOOK, |g| g.is_none());
-        let mut given = waited.unwrap_or_else(PoisonError::into_inner).0;
-        if let Some(grant) = given.take() {
+    join(gateway, id, Waiter { need: need.clone(), slot: Arc::clone(&slot) });
+    let failure = loop {
+        if let Some(grant) = slot.take(LOOK) {
             return Ok(grant);
         }
-        drop(given);
         let now = Instant::now();
         if gone() {
             break Failure::new(Kind::CallerGone, "the caller left while it waited");
@@ -142,33 +135,48 @@
             break late(gateway, need, now);
         }
         let mut state = gateway.state();
-        if need.long && need.waiting.hopeless(state.pressure(&need.service), now) {
-            let text = format!(
-                "engines are busy with what is worth more, {:.2} of them read",
-                state.pressure(&need.service)
-            );
+        let pressure = state.pressure(&need.service);
+        if need.long && need.waiting.hopeless(pressure, now) {
+            let text = format!("engines have work of more worth, pressure is {pressure:.2}");
             break Failure::new(Kind::TooLate, text);
         }
         state.dispatch(gateway, now);
     };
-    let mut state = gateway.state();
-    state.waiters.list.remove(&id);
-    state.waiters.news |= need.long;
-    gateway.bell.notify_all();
-    gateway.metrics.waiting.set(state.waiters.list.len() as i64);
-    drop(state);
+    leave(gateway, id, need);
     // A place may have been given between the last look and the removal.
-    let given = slot.given.lock().unwrap_or_else(PoisonError::into_inner).take();
-    match given {
-        Some(grant) if result.kind != Kind::CallerGone => Ok(grant),
+    match slot.take(Duration::ZERO) {
+        Some(grant) if failure.kind != Kind::CallerGone => Ok(grant),
         Some(grant) => {
             gateway.finish(&grant.targets(), grant.id, Instant::now());
-            Err(result)
+            Err(failure)
         }
-        None => Err(result),
+        None => Err(failure),
     }
 }
 
+/// Puts a request among those that wait; it may get a place at once.
+fn join(gateway: &Gateway, id: WorkId, waiter: Waiter) {
+    let long = waiter.need.long;
+    let mut state = gateway.state();
+    state.waiters.list.insert(id, waiter);
+    state.waiters.last = None;
+    state.dispatch(gateway, Instant::now());
+    if long && state.waiters.list.contains_key(&id) {
+        state.waiters.news = true;
+        gateway.bell.notify_all();
+    }
+    gateway.metrics.waiting.set(state.waiters.list.len() as i64);
+}
+
+/// Takes a request out that waits no more.
+fn leave(gateway: &Gateway, id: WorkId, need: &Need) {
+    let mut state = gateway.state();
+    state.waiters.list.remove(&id);
+    state.waiters.news |= need.long;
+    gateway.bell.notify_all();
+    gateway.metrics.waiting.set(state.waiters.list.len() as i64);
+}
+
 fn late(gateway: &Gateway, need: &Need, now: Instant) -> Failure {
     let state = gateway.state();
     let targets = state.fleet.serving(&need.service).count();
@@ -200,8 +208,8 @@
         let mut misses: HashMap<ServiceId, usize> = HashMap::new();
         for id in order {
             let Some(waiter) = self.waiters.list.get(&id) else { continue };
-            let missed = misses.entry(ServiceId::clone(&waiter.need.service)).or_default();
-            if *missed >= MOST_MISSES {
+            let count = misses.entry(ServiceId::clone(&waiter.need.service)).or_default();
+            if *count >= MOST_MISSES {
                 continue;
             }
             let waiter = waiter.clone();
@@ -213,7 +221,7 @@
                     self.give(id, &waiter, place, now);
                     gateway.bell.notify_all();
                 }
-                None => *missed += 1,
+                None => *count += 1,
             }
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 mod cli;
 mod flow;
 mod gateway;
+mod logs;
 mod metrics;
 mod node;
 mod parts;
@@ -28,8 +29,12 @@
 const FAILED: u8 = 1;
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    match run(cli::command().run()) {
+    let command = cli::command().run();
+    if !matches!(command, cli::Command::Gateway { .. }) {
+        // Its standard output may carry spans of traces.
+        env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    }
+    match run(command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             let faulty = e.is::<Faults>();
@@ -49,6 +54,7 @@
                 println!("{}: no faults", config.display());
                 return Ok(());
             }
+            logs::start()?;
             Ok(gateway::serve::run(settings)?)
         }
         cli::Command::Check { file } => {
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway over stand-ins of the platform: the real program, real sockets.
 
 mod answers;
+mod explain;
 mod streams;
 mod views;
 
@@ -104,13 +105,8 @@
         );
         let settings = std::env::temp_dir().join(format!("mimosapass-gate-{ip}.yaml"));
         std::fs::write(&settings, text).expect("written");
-        let child = Command::new(env!("CARGO_BIN_EXE_mimosapass"))
-            .args(["gateway", "--config"])
-            .arg(&settings)
-            .stderr(Stdio::null())
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("it starts");
+        let log = std::fs::File::create(settings.with_extension("log")).expect("a file");
+        let child = spawn(&settings, Stdio::from(log));
         self.gateways.push(Gateway { child, ip, settings });
         number
     }
@@ -126,6 +122,34 @@
         self.store.set(&key, &runner.entry(service, "ready", 1, 1));
     }
 
+    /// Starts a gateway whose standard output nobody reads, as the first one.
+    pub fn add_unread(&mut self) {
+        let front = self.front.clone();
+        let number = self.add(&front, &[]);
+        let gateway = &mut self.gateways[number];
+        gateway.child.kill().expect("killed");
+        gateway.child.wait().expect("it ends");
+        gateway.child = spawn(&gateway.settings, Stdio::piped());
+    }
+
+    /// Returns what a gateway has logged.
+    pub fn log(&self, number: usize) -> String {
+        let file = self.gateways[number].settings.with_extension("log");
+        std::fs::read_to_string(file).expect("a log")
+    }
+
+    /// Waits for a line of the log that holds all of `parts`.
+    pub fn logged(&self, number: usize, parts: &[&str]) -> String {
+        let mut found = None;
+        eventually(&format!("a line with {parts:?}"), || {
+            let log = self.log(number);
+            let line = log.lines().find(|line| parts.iter().all(|part| line.contains(part)));
+            found = line.map(str::to_owned);
+            found.is_some()
+        });
+        found.unwrap_or_default()
+    }
+
     /// Waits until a gateway is ready.
     pub fn ready(&self, number: usize) -> &Self {
         let addr = SocketAddr::from((self.gateways[number].ip, 8081));
@@ -170,10 +194,22 @@
             gateway.child.kill().unwrap_or_default();
             gateway.child.wait().map(drop).unwrap_or_default();
             std::fs::remove_file(&gateway.settings).unwrap_or_default();
+            std::fs::remove_file(gateway.settings.with_extension("log")).unwrap_or_default();
         }
     }
 }
 
+fn spawn(settings: &std::path::Path, out: Stdio) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_mimosapass"))
+        .args(["gateway", "--config"])
+        .arg(settings)
+        .env("RUST_LOG", "debug")
+        .stderr(Stdio::null())
+        .stdout(out)
+        .spawn()
+        .expect("it starts")
+}
+
 /// Returns the head of a request with a body of eight bytes.
 pub fn head(path: &str, id: &str, key: &str, more: &str) -> String {
     format!(
@@ -192,7 +228,7 @@
     let mut connection = Connection::open(addr, Duration::from_secs(2)).ok()?;
     let end = Instant::now() + PATIENCE;
     connection.send(&[head.as_bytes(), body].concat(), end).ok()?;
-    let mut more = |connection: &mut Connection| {
+    let more = |connection: &mut Connection| {
         let woken = connection.wait(None::<&std::net::TcpStream>, end);
         matches!(woken, Ok(Woken::Target)).then(|| connection.fill())
     };
@@ -233,5 +269,6 @@
 
 /// Returns the text of events `from` to `to`.
 pub fn events(from: u64, to: u64) -> String {
-    (from..=to).map(|n| format!("id: {n}\ndata: e{n}\n\n")).collect()
+    let events: Vec<String> = (from..=to).map(|n| format!("id: {n}\ndata: e{n}\n\n")).collect();
+    events.concat()
 }
