--- a/src/logs.rs
+++ b/src/logs.rs
@@ -61,7 +61,9 @@
                 .unwrap_or_default();
         }
         // A broken pipe leaves nobody to tell.
-        out.write_all(told.as_bytes()).and_then(|()| out.write_all(line.as_bytes())).ok();
+        if out.write_all(told.as_bytes()).and_then(|()| out.write_all(line.as_bytes())).is_err() {
+            return;
+        }
     }
 }
 
