Views: an entry removed after the store's return has left, it has not lapsed

Ruled out: late reports, the mirror, the pace of the watch. Change: only what comes with the first answer after failed calls may have lapsed; lapsed entries are looked at five times a second.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -46,13 +46,13 @@
             }
             Err(e) => {
                 failed += 1;
+                gateway.state().store.failing = true;
                 if failed == AWAY_AFTER {
                     away(gateway, &e);
                 }
                 thread::sleep(PAUSE);
             }
         }
-        expire(gateway);
     }
 }
 
@@ -69,18 +69,18 @@
 fn back(gateway: &Gateway) {
     let mut state = gateway.state();
     state.store.heard = Some(Instant::now());
+    state.store.failing = false;
     gateway.metrics.store.set(1);
     if let Some(since) = state.store.away.take() {
-        let now = Instant::now();
-        state.store.back = Some(now);
-        let away_ms = (now - since).as_millis() as u64;
+        let away_ms = since.elapsed().as_millis() as u64;
         log::info!(revision = state.store.at, away_ms; "store: regained.");
     }
 }
 
-fn expire(gateway: &Gateway) {
+/// Removes targets whose entries lapsed in an outage and did not come back.
+pub fn expire(gateway: &Gateway) {
     let mut state = gateway.state();
-    let away = state.store.away.is_some();
+    let away = state.store.failing;
     for id in state.fleet.expire(away, Instant::now()) {
         log::info!(target_id = &*id; "target: gone, its entry did not come back.");
         state.outcomes.forget(&id);
@@ -105,7 +105,7 @@
     }
     let mut state = gateway.state();
     let now = Instant::now();
-    let outage = state.outage(now);
+    let outage = state.store.failing;
     for id in state.fleet.relist(&named, outage, now) {
         log::info!(target_id = &*id, revision = at; "target: gone, it is not listed.");
         state.outcomes.forget(&id);
@@ -151,7 +151,9 @@
 fn target(gateway: &Gateway, id: &str, entry: &Entry) {
     let now = Instant::now();
     let mut state = gateway.state();
-    let outage = state.outage(now);
+    // What comes with the first answer after failed calls went in the outage; what
+    // comes later has left on purpose.
+    let outage = state.store.failing;
     let revision = entry.revision;
     let change = if entry.deleted {
         state.fleet.remove(id, outage, now)
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -19,6 +19,7 @@
 use mimosapass_platform::plan;
 use rand::seq::IndexedRandom;
 
+use super::follow;
 use super::state::{Gateway, State};
 
 /// Time between two looks at whether this instance is behind.
@@ -36,6 +37,7 @@
     loop {
         thread::sleep(LOOK);
         let now = Instant::now();
+        follow::expire(gateway);
         let mine = gateway.plan().version;
         let mut state = gateway.state();
         if let Some((peer, ask)) = behind(&mut state, mine, now) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -30,8 +30,8 @@
 pub struct StoreView {
     /// Since when it gives no answers; `None` while it does.
     pub away: Option<Instant>,
-    /// When it was last away.
-    pub back: Option<Instant>,
+    /// Whether the last call failed, so that entries may lapse unseen.
+    pub failing: bool,
     /// Revision up to which changes have been taken.
     pub at: Revision,
     /// Whether all targets have been listed once.
@@ -313,12 +313,6 @@
     pub fn instances(&self) -> usize {
         (self.peers.len() + 1).max(self.members.len())
     }
-
-    /// Returns whether the store was away lately, so that entries may have lapsed.
-    pub fn outage(&self, now: Instant) -> bool {
-        let lately = |at: Instant| now < at + mimosapass_core::edge::fleet::LAPSE_GRACE;
-        self.store.away.is_some() || self.store.back.is_some_and(lately)
-    }
 }
 
 /// Returns the cost model of a service, where its targets are engines.
--- a/tests/suite/gateway/views.rs
+++ b/tests/suite/gateway/views.rs
@@ -86,6 +86,26 @@
     eventually("the new route is served", || status(&grid, 0, "/new/1", KEY) == 200);
 }
 
+/// Days trouble-1 with seeds 191208220829 and 975522294861 of atlas-loc: an entry
+/// removed after the store's return was taken for one that lapsed meanwhile.
+#[test]
+fn target_removed_after_an_outage_gets_no_work() {
+    let (grid, old) = served(1);
+    grid.front.fail(Fault::Refuses(503));
+    grid.logged(0, &["store: lost"]);
+    grid.front.fail(Fault::None);
+    grid.logged(0, &["store: regained"]);
+    grid.store.delete("servers/i-0");
+    let new = runner("i-1", Act::Answer(200, "new"));
+    grid.register(&new, "desk");
+    grid.logged(0, &["target: takes work", "target_id=i-1"]);
+    let before = old.asked().len();
+    for _ in 0..6 {
+        assert_eq!(status(&grid, 0, "/look/1", KEY), 200);
+    }
+    assert_eq!(old.asked().len(), before, "its removal came before the other one");
+}
+
 #[test]
 fn views_outlive_the_store() {
     let (grid, _runner) = served(1);
