Streams that break off wait anew; the watch waits longer; refused long prompts come back later

Entries change on news only, not with each report, so a short watch was 1 call a second for nothing. Long prompts refused in a burst came back into it after 1 s. Change: patience from the last event; 2 s a watch with 0.2 s between; 2 to 4 s until a refused long prompt comes back. Ruled out: no room at targets (their slots were free).

--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -263,14 +263,24 @@
                 connection.abandon();
                 self.gateway.note(id, Outcome::Silent, Instant::now());
                 why.clone_into(&mut self.why);
-                if self.progress.last_event.is_some() {
-                    self.request.last_event.clone_from(&self.progress.last_event);
-                }
+                self.go_on();
                 None
             }
         }
     }
 
+    /// Makes a stream that broke off go on after its last event.
+    ///
+    /// Its caller waits anew from that event on, and nothing else of it is due.
+    fn go_on(&mut self) {
+        let Some(last) = self.progress.last else { return };
+        self.request.last_event.clone_from(&self.progress.last_event);
+        let route = &self.request.route;
+        let waiting = &mut self.request.need.waiting;
+        waiting.end = self.request.end.min(last + patience(route.goal, route.gap));
+        waiting.promise = waiting.end;
+    }
+
     /// Returns whether the request may be sent once more.
     fn may_repeat(&mut self) -> bool {
         let request = &self.request;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,8 +1,8 @@
 //! Follows the store: configuration, targets and peers.
 //!
-//! One watch covers all of them. Targets report every second or so, and a
-//! watch returns with the first change, so its pace is bounded: between two
-//! calls changes gather and come together. Views outlive outages of the store.
+//! One watch covers all of them. It returns with the first change; its pace is
+//! bounded, so that changes in quick succession gather and come together. Views
+//! outlive outages of the store.
 
 use std::sync::Arc;
 use std::thread;
@@ -16,11 +16,11 @@
 use super::member;
 use super::state::Gateway;
 
-/// Least time between two watches. Changes have to be in force within two
-/// seconds of their acknowledgement, so a change may wait half of that.
-const PACE: Duration = Duration::from_millis(900);
-/// Time that a watch waits for a change.
-const WAIT: Duration = Duration::from_secs(1);
+/// Least time between two watches, for changes that come in quick succession.
+const PACE: Duration = Duration::from_millis(200);
+/// Time that a watch waits for a change. A connection that falls silent for good
+/// is noticed after this and the time of a call, within the users' bounds.
+const WAIT: Duration = Duration::from_secs(2);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Failed calls in a row after which the store counts as away.
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -25,10 +25,11 @@
 /// Time between two looks at whether this instance is behind.
 const LOOK: Duration = Duration::from_millis(200);
 /// Time for which a peer may have a newer configuration before it is asked: each
-/// instance reads the store about once a second itself.
+/// instance hears of it from the store itself, unless something is wrong.
 const PATIENCE: Duration = Duration::from_secs(1);
-/// Silence of the store after which peers are asked for targets.
-const SILENT: Duration = Duration::from_millis(1_500);
+/// Silence of the store after which peers are asked for targets: a watch is
+/// answered within two seconds when the store is well.
+const SILENT: Duration = Duration::from_millis(2_600);
 /// Least time between two requests.
 const PAUSE: Duration = Duration::from_millis(600);
 
--- a/src/gateway/turn.rs
+++ b/src/gateway/turn.rs
@@ -21,6 +21,11 @@
 /// Time between two looks at whether a waiting caller is still there. Targets
 /// must not get requests of callers that left half a second ago.
 const LOOK: Duration = Duration::from_millis(100);
+/// Least time after which a caller that was refused may come back, about the time
+/// over which pressure is taken.
+const COME_BACK: Duration = Duration::from_secs(2);
+/// Steps over which returning callers are spread.
+const SPREAD: u64 = 16;
 /// Least time between two dispatches that nothing of this instance caused.
 const CALM: Duration = Duration::from_millis(5);
 /// Requests for which no place is looked for again in one dispatch: those behind
@@ -138,7 +143,7 @@
         let pressure = state.pressure(&need.service);
         if need.long && need.waiting.hopeless(pressure, now) {
             let text = format!("engines have work of more worth, pressure is {pressure:.2}");
-            break Failure::new(Kind::TooLate, text);
+            break Failure::new(Kind::TooLate, text).after(come_back(id));
         }
         state.dispatch(gateway, now);
     };
@@ -177,6 +182,13 @@
     gateway.metrics.waiting.set(state.waiters.list.len() as i64);
 }
 
+/// Returns when a caller may come back to engines that have work of more worth.
+///
+/// Bursts last for seconds; callers that were refused together come back apart.
+fn come_back(id: WorkId) -> Duration {
+    COME_BACK + COME_BACK.mul_f64((id % SPREAD) as f64 / SPREAD as f64)
+}
+
 fn late(gateway: &Gateway, need: &Need, now: Instant) -> Failure {
     let state = gateway.state();
     let targets = state.fleet.serving(&need.service).count();
--- a/tests/suite/gateway/streams.rs
+++ b/tests/suite/gateway/streams.rs
@@ -57,6 +57,25 @@
     assert_eq!(answer.body, events(1, 2));
 }
 
+/// Incident inc-e2c9 of dokaz-zapad: a stream that was cut long after its first
+/// event found no place at once and was given up, though its caller still waited.
+#[test]
+fn stream_that_is_cut_late_waits_for_a_place() {
+    let one = Runner::start("i-0", |_| Act::Stream { last: 9, pause: PAUSE * 60, cut: Some(9) });
+    let two = runner("i-1", stream(9, None));
+    let grid = grid(&[&one]);
+    let answer = std::thread::scope(|scope| {
+        let asking = scope.spawn(|| grid.ask_with(0, "/chat/1", "id-1", SHORT));
+        grid.logged(0, &["target: avoided.", "target_id=i-0"]);
+        // Longer than the time between two looks of a request that waits.
+        std::thread::sleep(PAUSE * 80);
+        grid.register(&two, "pool");
+        asking.join().expect("an answer")
+    });
+    assert!(answer.whole, "{answer:?}");
+    assert_eq!(answer.body, events(1, 9));
+}
+
 #[test]
 fn stream_goes_on_from_the_callers_last_event() {
     let target = runner("i-0", stream(5, None));
