--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,6 +1,7 @@
 //! Starts the parts of a gateway and stops them in order.
 
 use std::io;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::mpsc::channel;
 use std::thread;
@@ -14,7 +15,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use super::settings::Settings;
+use super::settings::{self, Settings};
 use super::state::Gateway;
 use super::{flow, follow, gossip, member, mirror};
 
@@ -42,7 +43,7 @@
 /// # Errors
 ///
 /// Fails when an address cannot be bound or a thread cannot be started.
-pub fn run(settings: Settings) -> io::Result<()> {
+pub fn run(settings: Settings, file: &Path) -> io::Result<()> {
     let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let boot = now.as_millis() as u64;
@@ -65,7 +66,7 @@
     let metrics = serve_metrics(&gateway)?;
     for signal in signals.forever() {
         if signal == SIGHUP {
-            log::info!("gateway: settings are read at the start only; SIGHUP changes nothing.");
+            reload(file);
             continue;
         }
         stop(&gateway, &server);
@@ -75,6 +76,15 @@
     Ok(())
 }
 
+/// Reads the settings again and tells what is wrong with them; those that the
+/// process runs with stay in force until its next start.
+fn reload(file: &Path) {
+    match settings::load(file) {
+        Ok(_) => log::info!("gateway: settings are sound, they hold from the next start on."),
+        Err(faults) => log::error!("gateway: settings are faulty, the old ones hold: {faults}"),
+    }
+}
+
 fn identity(gateway: &Gateway) -> Identity {
     Identity {
         name: gateway.name.to_string(),
--- a/src/main.rs
+++ b/src/main.rs
@@ -55,7 +55,7 @@
                 return Ok(());
             }
             logs::start()?;
-            Ok(gateway::serve::run(settings)?)
+            Ok(gateway::serve::run(settings, &config)?)
         }
         cli::Command::Check { file } => {
             settings::load(&file)?;
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod explain;
 mod streams;
 mod views;
+mod wire;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
