--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -16,8 +16,9 @@
 use super::member;
 use super::state::Gateway;
 
-/// Least time between two watches, for changes that come in quick succession.
-const PACE: Duration = Duration::from_millis(200);
+/// Least time between two watches, for changes that come in quick succession: each
+/// call of each instance is priced, and a change has two seconds to be in force.
+const PACE: Duration = Duration::from_millis(600);
 /// Time that a watch waits for a change. A connection that falls silent for good
 /// is noticed after this and the time of a call, within the users' bounds.
 const WAIT: Duration = Duration::from_secs(2);
