Stop: an instance refuses what it might not finish

Ruled out: the balancer (the connection was open before), the time for the stop itself. Change: after the notice only requests are taken whose time ends before the stop does. Test: a stopping instance answers 503 to a stream; it failed before.

--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -74,7 +74,12 @@
         thread::sleep(LOOK);
     }
     let plan = gateway.plan();
-    let request = match entry::read(&plan, exchange, arrived) {
+    let read = entry::read(&plan, exchange, arrived).and_then(|request| {
+        let late = gateway.too_late(request.end.saturating_duration_since(arrived), arrived);
+        let stops = || Failure::new(Kind::Stopping, "the instance stops and might not finish it");
+        if late { Err(stops()) } else { Ok(request) }
+    });
+    let request = match read {
         Ok(request) => request,
         Err(failure) => {
             let id = exchange.head.header(header::ATTEMPT).unwrap_or_default();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -16,18 +16,13 @@
 use signal_hook::iterator::Signals;
 
 use super::settings::{self, Settings};
-use super::state::Gateway;
+use super::state::{Gateway, STOP_LAST, STOP_NOTICE};
 use super::{flow, follow, gossip, member, mirror};
 
 /// Stack of a part's thread, in bytes.
 const STACK: usize = 512 * 1024;
-/// Time for which new connections are still served after the signal to stop:
-/// the balancer asks each second and takes an instance out after two misses.
-const NOTICE: Duration = Duration::from_millis(2_500);
 /// Time for which an idle kept connection is left open after the notice.
 const LINGER: Duration = Duration::from_secs(1);
-/// Time before the end of a stop at which requests are made to end.
-const LAST: Duration = Duration::from_millis(400);
 /// Time between two looks at whether all requests have ended.
 const LOOK: Duration = Duration::from_millis(50);
 /// Time that a caller's connection may stay silent; longer than any that the
@@ -155,9 +150,9 @@
     log::info!(open = server.busy(); "gateway: stopping.");
     gateway.stop();
     server.leave();
-    thread::sleep(NOTICE);
+    thread::sleep(STOP_NOTICE);
     server.stop(LINGER);
-    let limit = begun + gateway.settings.stop_limit.saturating_sub(LAST);
+    let limit = begun + gateway.settings.stop_limit.saturating_sub(STOP_LAST);
     while !server.drained() && Instant::now() < limit {
         thread::sleep(LOOK);
     }
@@ -165,7 +160,7 @@
         log::warn!(open = server.busy(); "gateway: requests are made to end.");
         gateway.end();
         server.end();
-        thread::sleep(LAST / 2);
+        thread::sleep(STOP_LAST / 2);
     }
     log::info!("gateway: stopped.");
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use mimosapass_core::edge::cost::Engine;
@@ -25,6 +25,12 @@
 /// Least time between two looks at how busy engines are: half a pass.
 const OBSERVE: Duration = Duration::from_millis(25);
 
+/// Time for which new connections are still served after the signal to stop:
+/// the balancer asks each second and takes an instance out after two misses.
+pub const STOP_NOTICE: Duration = Duration::from_millis(2_500);
+/// Time before the end of a stop at which requests are made to end.
+pub const STOP_LAST: Duration = Duration::from_millis(400);
+
 /// What is known of the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreView {
@@ -118,7 +124,7 @@
     state: Mutex<State>,
     plan: RwLock<Arc<Plan>>,
     text: Mutex<Arc<[u8]>>,
-    stopping: AtomicBool,
+    stopping: OnceLock<Instant>,
     ending: AtomicBool,
     counter: AtomicU64,
 }
@@ -136,7 +142,7 @@
             state: Mutex::default(),
             plan: RwLock::default(),
             text: Mutex::new(Arc::from(&b""[..])),
-            stopping: AtomicBool::new(false),
+            stopping: OnceLock::new(),
             ending: AtomicBool::new(false),
             counter: AtomicU64::new(0),
             settings,
@@ -178,12 +184,21 @@
 
     /// Marks the instance as stopping.
     pub fn stop(&self) {
-        self.stopping.store(true, Ordering::SeqCst);
+        self.stopping.get_or_init(Instant::now);
     }
 
     /// Returns whether the instance is stopping.
     pub fn stopping(&self) -> bool {
-        self.stopping.load(Ordering::SeqCst)
+        self.stopping.get().is_some()
+    }
+
+    /// Returns whether a request that may take `time` comes too late into a stop.
+    ///
+    /// During the notice all are taken, since callers still come to this instance;
+    /// after it only those that are sure to be over before the rest is ended.
+    pub fn too_late(&self, time: Duration, now: Instant) -> bool {
+        let limit = self.settings.stop_limit.saturating_sub(STOP_LAST);
+        self.stopping.get().is_some_and(|at| now >= *at + STOP_NOTICE && now + time > *at + limit)
     }
 
     /// Makes all requests end with a failure.
--- a/tests/suite/gateway/streams.rs
+++ b/tests/suite/gateway/streams.rs
@@ -101,6 +101,20 @@
     assert!(helped.filter_map(|a| a.head.header("x-helpers").map(str::to_owned)).count() == 1);
 }
 
+/// Day mix with seed 578758547734 of atlas-loc: a stream that came 3.4 s after the
+/// signal was taken on a kept connection and cut at the end of the stop.
+#[test]
+fn stopping_instance_refuses_what_it_might_not_finish() {
+    let target = runner("i-0", stream(2, None));
+    let grid = grid(&[&target]);
+    grid.signal(0, "-TERM");
+    let request = super::head("/chat/1", "id-1", super::KEY, SHORT);
+    super::eventually("a stream is refused as not run", || {
+        let answer = super::try_call(grid.callers(0), &request, b"question");
+        answer.is_some_and(|a| a.reply.status == 503 && a.body.contains("stops"))
+    });
+}
+
 #[test]
 fn planned_stop_cuts_no_stream() {
     let target = runner("i-0", Act::Stream { last: 30, pause: PAUSE * 10, cut: None });
