--- a/crates/operator/src/yaml/mod.rs
+++ b/crates/operator/src/yaml/mod.rs
@@ -11,6 +11,7 @@
 mod tree;
 
 use std::fmt;
+use std::path::Path;
 
 use mimosapass_core::config::Fault;
 use serde::de::DeserializeOwned;
@@ -96,6 +97,21 @@
     }
 }
 
+/// Reads a file as [`read`] does; the faults name it.
+///
+/// # Errors
+///
+/// Lists every fault that was found, or that the file cannot be read.
+pub fn load<T: DeserializeOwned>(
+    path: &Path,
+    check: impl FnOnce(&T) -> Vec<Fault>,
+) -> Result<T, Faults> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Faults::whole(e.to_string()).of(name.as_str()))?;
+    read(&text, check).map_err(|faults| faults.of(name))
+}
+
 fn locate(tree: &Tree, fault: Fault) -> Located {
     Located { line: tree.line_of(&fault.path), path: fault.path, text: fault.text }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -102,11 +102,8 @@
 ///
 /// Lists every fault that was found.
 pub fn load(path: &Path) -> Result<Settings, Faults> {
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path)
-        .map_err(|e| Faults::whole(e.to_string()).of(name.as_str()))?;
-    let file = yaml::read(&text, check).map_err(|faults| faults.of(name))?;
-    let File { name, zone, listen, store, seeds, stop, repeats, memory_mb } = file;
+    let File { name, zone, listen, store, seeds, stop, repeats, memory_mb } =
+        yaml::load(path, check)?;
     Ok(Settings {
         name,
         zone,
