The round in which places are given moves into core

Ruled out: a copy of the rounds in an emulator; it would drift.

Change: `edge::schedule::Scheduler` holds one instance's view of targets, load and outcomes with the requests that wait, and decides without I/O, time passed in. `src/gateway/turn.rs` only wakes threads. Equal ranks now go by number instead of the order of a hash map, so rounds repeat.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -10,6 +10,7 @@
 //! - [`load`]: requests in flight at each target, of all instances.
 //! - [`place`]: the choice of a target for one request.
 //! - [`wait`]: the order in which waiting requests get a place.
+//! - [`schedule`]: an instance's view, and the rounds in which places are given.
 //! - [`retry`]: how many sends beyond the first an instance may make.
 //! - [`outcomes`]: targets that fail or stay silent are avoided for a while.
 
@@ -20,4 +21,5 @@
 pub mod place;
 pub mod plan;
 pub mod retry;
+pub mod schedule;
 pub mod wait;
--- /dev/null
+++ b/crates/core/src/edge/schedule.rs
@@ -0,0 +1,331 @@
+//! What one instance believes, and the rounds in which waiting requests get places.
+//!
+//! Requests wait in one list. Whenever the load changes, places are given in
+//! the order that [`wait`](crate::edge::wait) states. Answers bursts: what
+//! stands first in rank is placed first, and instances that learn of a free
+//! engine at the same moment do not all send to it, since a long prompt stands
+//! back behind those of peers that go before it.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use crate::edge::cost::Engine;
+use crate::edge::fleet::{Fleet, TargetId};
+use crate::edge::load::{Load, Pressure, Work, WorkId};
+use crate::edge::outcomes::{Outcome, Outcomes, Reach};
+use crate::edge::place::{Ask, BACKLOG, Candidate, Place, choose};
+use crate::edge::plan::{Plan, ServiceId};
+use crate::edge::wait::Waiting;
+use crate::ids::{InstanceId, ZoneId};
+
+/// Least time between two looks at how busy engines are: half a pass.
+const OBSERVE: Duration = Duration::from_millis(25);
+/// Least time between two rounds that nothing of this instance caused.
+const CALM: Duration = Duration::from_millis(5);
+/// Requests for which no place is looked for again in one round: those behind
+/// them in the order need as much or have less right to it.
+const MOST_MISSES: usize = 6;
+/// Long prompts of which peers are told; only the first of them matter.
+const MOST_TOLD: usize = 4;
+/// Time for which a long prompt waits behind those of peers that go before it. A
+/// peer that cannot place its own must not hold up the others for longer.
+const YIELD: Duration = Duration::from_millis(500);
+/// Additional time on the way to a target of another availability zone.
+const FAR: Duration = Duration::from_millis(1);
+
+/// What a request needs of a place.
+#[derive(Clone, Debug)]
+pub struct Need {
+    /// Service.
+    pub service: ServiceId,
+    /// Cost model, where the service's targets are engines.
+    pub engine: Option<Engine>,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Tokens expected of the answer.
+    pub answer: u64,
+    /// Longest pause between events that is on time.
+    pub gap: Duration,
+    /// Whether reading the whole prompt makes the strictest streams pause too long.
+    pub long: bool,
+    /// Order among waiting requests.
+    pub waiting: Waiting,
+    /// Targets that failed this request already.
+    pub avoid: Vec<TargetId>,
+}
+
+/// A place that was given; the load of its targets counts the request already.
+#[derive(Clone, Debug)]
+pub struct Grant {
+    /// The place.
+    pub place: Place,
+    /// Number under which the load knows the request.
+    pub id: WorkId,
+    /// When it was given.
+    pub at: Instant,
+}
+
+impl Grant {
+    /// Returns the targets of the place, the answering one first.
+    pub fn targets(&self) -> Vec<TargetId> {
+        let helpers = self.place.helpers.iter().map(|h| TargetId::clone(&h.target.id));
+        std::iter::once(TargetId::clone(&self.place.target.id)).chain(helpers).collect()
+    }
+}
+
+/// Why a request that waits is refused.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Refusal {
+    /// No place can be had in time.
+    Late,
+    /// Engines have work of more worth; the pressure says how busy they are.
+    Pressure(f64),
+}
+
+/// An instance's view of targets and requests, and the requests that wait with it.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    /// Availability zone of the instance.
+    pub zone: ZoneId,
+    /// Targets.
+    pub fleet: Fleet,
+    /// Requests in flight, of all instances.
+    pub load: Load,
+    /// How attempts ended.
+    pub outcomes: Outcomes,
+    /// Zones that seem to be cut off.
+    pub reach: Reach,
+    /// Long prompts that wait with each peer, by service.
+    pub rivals: HashMap<InstanceId, Vec<(ServiceId, Waiting)>>,
+    /// Targets at which something changed since peers were told.
+    pub changed: BTreeSet<TargetId>,
+    /// Whether peers have to be told of the long prompts that wait.
+    pub news: bool,
+    queue: HashMap<WorkId, Need>,
+    pressure: HashMap<ServiceId, Pressure>,
+    last: Option<Instant>,
+}
+
+impl Scheduler {
+    /// Builds the view of an instance that knows nothing yet.
+    pub fn new(zone: ZoneId) -> Self {
+        Self {
+            zone,
+            fleet: Fleet::default(),
+            load: Load::default(),
+            outcomes: Outcomes::default(),
+            reach: Reach::default(),
+            rivals: HashMap::new(),
+            changed: BTreeSet::new(),
+            news: false,
+            queue: HashMap::new(),
+            pressure: HashMap::new(),
+            last: None,
+        }
+    }
+
+    /// Puts a request among those that wait; the next round is not put off.
+    pub fn join(&mut self, id: WorkId, need: Need) {
+        self.queue.insert(id, need);
+        self.last = None;
+    }
+
+    /// Takes a request out that waits no more.
+    pub fn leave(&mut self, id: WorkId) {
+        if let Some(need) = self.queue.remove(&id) {
+            self.news |= need.long;
+        }
+    }
+
+    /// Returns whether a request still waits.
+    pub fn waits(&self, id: WorkId) -> bool {
+        self.queue.contains_key(&id)
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the long prompts of which peers are told, with their services.
+    pub fn long(&self) -> impl Iterator<Item = (&ServiceId, &Waiting)> {
+        let long = self.queue.values().filter(|need| need.long);
+        long.map(|need| (&need.service, &need.waiting)).take(MOST_TOLD)
+    }
+
+    /// Returns why a request that waits is to be refused, if it is.
+    pub fn refusal(&self, need: &Need, now: Instant) -> Option<Refusal> {
+        if need.waiting.over(now) {
+            return Some(Refusal::Late);
+        }
+        let pressure = self.pressure(&need.service);
+        let hopeless = need.long && need.waiting.hopeless(pressure, now);
+        hopeless.then_some(Refusal::Pressure(pressure))
+    }
+
+    /// Gives places to requests that wait, in the order of their ranks.
+    pub fn dispatch(&mut self, plan: &Plan, now: Instant) -> Vec<Grant> {
+        self.observe(plan, now);
+        let calm = self.last.is_some_and(|last| now < last + CALM);
+        if self.queue.is_empty() || calm {
+            return Vec::new();
+        }
+        self.last = Some(now);
+        let mut grants = Vec::new();
+        let mut misses: HashMap<ServiceId, usize> = HashMap::new();
+        for id in self.ranked(now) {
+            let Some(need) = self.queue.get(&id) else { continue };
+            let count = misses.entry(ServiceId::clone(&need.service)).or_default();
+            if *count >= MOST_MISSES || need.long && self.yields(need, now) {
+                continue;
+            }
+            match self.place(need, now) {
+                Some(place) => grants.extend(self.give(id, place, now)),
+                None => *count += 1,
+            }
+        }
+        grants
+    }
+
+    fn ranked(&self, now: Instant) -> Vec<WorkId> {
+        let mut order: Vec<_> =
+            self.queue.iter().map(|(id, need)| (need.waiting.rank(now), *id)).collect();
+        order.sort_by(|(a, i), (b, j)| {
+            a.0.cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.total_cmp(&b.2)).then(i.cmp(j))
+        });
+        order.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Returns whether a long prompt of a peer goes before this one.
+    ///
+    /// Without this all instances would send the prompts that wait with them to
+    /// the same engine in the moment in which it gets free.
+    fn yields(&self, need: &Need, now: Instant) -> bool {
+        let mut rivals =
+            self.rivals.values().flatten().filter(|(service, _)| *service == need.service);
+        now < need.waiting.since + YIELD && rivals.any(|(_, w)| w.before(&need.waiting, false, now))
+    }
+
+    fn place(&self, need: &Need, now: Instant) -> Option<Place> {
+        let far = |zone: &ZoneId| if *zone == self.zone { Duration::ZERO } else { FAR };
+        let usable = |avoid: bool| {
+            self.fleet
+                .serving(&need.service)
+                .filter(|t| !avoid || !self.outcomes.avoided(&t.id, now))
+                .filter(|t| !avoid || !self.reach.cut(&t.zone, now))
+                .filter(|t| !need.avoid.contains(&t.id))
+                .map(|target| Candidate { target, pace: 1.0, far: far(&target.zone) })
+                .collect::<Vec<_>>()
+        };
+        let mut candidates = usable(true);
+        if candidates.is_empty() {
+            candidates = usable(false);
+        }
+        let pressure = if need.long { self.pressure(&need.service) } else { 0.0 };
+        let ask = Ask {
+            prompt: need.prompt,
+            answer: need.answer,
+            gap: need.gap,
+            worth: need.waiting.worth,
+            long: need.long,
+            left: need.waiting.promise.saturating_duration_since(now),
+        };
+        choose(&ask, need.engine.as_ref(), &candidates, &self.load, now)
+            .filter(|place| need.waiting.takes(place, pressure, now))
+    }
+
+    fn give(&mut self, id: WorkId, place: Place, now: Instant) -> Option<Grant> {
+        let need = self.queue.remove(&id)?;
+        self.news |= need.long;
+        let work = Work {
+            prompt: need.prompt,
+            parts: place.helpers.len() as u32 + 1,
+            first: true,
+            memory: place.memory,
+            answer: need.answer,
+            gap: need.gap,
+            worth: need.waiting.worth,
+            sent: now,
+            writing: None,
+        };
+        self.begin(&place, id, work, need.engine.as_ref());
+        Some(Grant { place, id, at: now })
+    }
+
+    /// Adds a request to the load of the targets of its place.
+    fn begin(&mut self, place: &Place, id: WorkId, work: Work, engine: Option<&Engine>) {
+        let mut add = |target: &TargetId, work| {
+            self.load.begin(target, id, work, engine);
+            self.changed.insert(TargetId::clone(target));
+        };
+        add(&place.target.id, work);
+        for helper in &place.helpers {
+            add(&helper.target.id, Work { first: false, memory: helper.keeps, ..work });
+        }
+    }
+
+    /// Notes the first event of a request, which ends the reading of its prompt.
+    pub fn first_event(&mut self, grant: &Grant, now: Instant) {
+        let (place, id) = (&grant.place, grant.id);
+        self.load.first_event(&place.target.id, id, now);
+        self.changed.insert(TargetId::clone(&place.target.id));
+        for helper in &place.helpers {
+            if helper.keeps > 0 {
+                self.load.first_event(&helper.target.id, id, now);
+            } else {
+                self.load.end(&helper.target.id, id);
+            }
+            self.changed.insert(TargetId::clone(&helper.target.id));
+        }
+    }
+
+    /// Notes that a request has ended at its targets.
+    pub fn finish(&mut self, grant: &Grant) {
+        for target in grant.targets() {
+            self.load.end(&target, grant.id);
+            self.changed.insert(target);
+        }
+    }
+
+    /// Notes how an attempt at a target ended; returns the pause for which the
+    /// target is avoided from now on, if it is.
+    pub fn note(&mut self, target: &TargetId, outcome: Outcome, now: Instant) -> Option<Duration> {
+        let peers = self.peer_failures(target);
+        self.outcomes.note(target, outcome, peers, now)
+    }
+
+    /// Returns the mean share of failures among the other targets of a service.
+    fn peer_failures(&self, target: &str) -> f64 {
+        let Some(own) = self.fleet.get(target) else { return 0.0 };
+        let others = self.fleet.serving(&own.service).filter(|t| t.id != own.id);
+        let (mut sum, mut count) = (0.0, 0.0);
+        for other in others {
+            sum += self.outcomes.failures(&other.id);
+            count += 1.0;
+        }
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
+    /// Takes in how many engines of each service have a backlog.
+    fn observe(&mut self, plan: &Plan, now: Instant) {
+        for (service, engine) in plan.services().filter_map(|s| s.engine.map(|e| (&s.name, e))) {
+            let known = self.pressure.get(service).and_then(Pressure::at);
+            if known.is_some_and(|at| now < at + OBSERVE) {
+                continue;
+            }
+            let (mut reading, mut count) = (0.0, 0.0);
+            for target in self.fleet.serving(service) {
+                let outlook = self.load.outlook(&target.id, Some(&engine), now);
+                count += 1.0;
+                reading += f64::from(u8::from(outlook.reading > BACKLOG));
+            }
+            let share = if count > 0.0 { reading / count } else { 0.0 };
+            self.pressure.entry(ServiceId::clone(service)).or_default().observe(share, now);
+        }
+    }
+
+    /// Returns the share of a service's engines with a backlog, as a running mean.
+    pub fn pressure(&self, service: &str) -> f64 {
+        self.pressure.get(service).map_or(0.0, Pressure::mean)
+    }
+}
--- a/crates/core/src/edge/wait.rs
+++ b/crates/core/src/edge/wait.rs
@@ -7,6 +7,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::edge::load::WorkId;
 use crate::edge::place::Place;
 
 /// Least time for which callers wait for an event before they give up.
@@ -29,6 +30,19 @@
 /// already, and what is lost for sure counts more than a prediction.
 const BEARABLE: f64 = 0.65;
 
+/// Least time after which a caller that was refused may come back, about the time
+/// over which pressure is taken.
+const COME_BACK: Duration = Duration::from_secs(2);
+/// Steps over which returning callers are spread.
+const SPREAD: u64 = 16;
+
+/// Returns when a caller may come back to engines that have work of more worth.
+///
+/// Bursts last for seconds; callers that were refused together come back apart.
+pub fn come_back(id: WorkId) -> Duration {
+    COME_BACK + COME_BACK.mul_f64((id % SPREAD) as f64 / SPREAD as f64)
+}
+
 /// Returns how long a caller of a stream waits for its first event.
 pub fn patience(goal: Duration, gap: Duration) -> Duration {
     LEAST_PATIENCE.max(goal * 4).max(gap * 8)
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -6,13 +6,13 @@
 use mimosapass_caller::head::Head;
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::place::Helper;
+use mimosapass_core::edge::schedule::Grant;
 use mimosapass_platform::header;
 use mimosapass_target::http::{Broken, Connection, Framing, Piece, Reply, Woken};
 
 use super::entry::Request;
 use super::state::Gateway;
 use super::tickets::Tickets;
-use super::turn::Grant;
 
 /// Time to connect. A zone is a millisecond away, and the first packet is sent
 /// again only after a second, so more than this means that nobody answers; the
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -7,13 +7,12 @@
 use mimosapass_caller::head::Head;
 use mimosapass_core::edge::place::{MOST_PARTS, long};
 use mimosapass_core::edge::plan::{Plan, Repeat, Route, ServiceId, Workspace};
+use mimosapass_core::edge::schedule::Need;
 use mimosapass_core::edge::wait::{Waiting, patience};
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_platform::header;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::turn::Need;
-
 /// Tokens of prompt that are worth as much as an answer of the least length.
 /// Worth is the caller's and not told; the work that it takes stands for it.
 const WORTH_TOKENS: f64 = 10_000.0;
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -6,6 +6,7 @@
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::plan::{Plan, ServiceId};
+use mimosapass_core::edge::schedule::Grant;
 use mimosapass_core::edge::wait::patience;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
@@ -18,7 +19,7 @@
 use super::relay::{self, End, Limits, Progress};
 use super::state::Gateway;
 use super::tickets::Tickets;
-use super::turn::{self, Grant};
+use super::turn;
 
 /// Sends that reached no target and are tried again elsewhere, at most.
 const MOST_UNSENT: u32 = 4;
@@ -147,7 +148,7 @@
             };
             self.placed(&grant);
             let ended = self.step(&grant);
-            self.gateway.finish(&grant.targets(), grant.id, Instant::now());
+            self.gateway.finish(&grant, Instant::now());
             if let Some(ended) = ended {
                 return ended;
             }
@@ -346,7 +347,7 @@
 /// Notes the first event of a stream.
 fn first_event(gateway: &Gateway, request: &Request, grant: &Grant) {
     let now = Instant::now();
-    gateway.first_event(&grant.place, grant.id, now);
+    gateway.first_event(grant, now);
     let since = request.need.waiting.since;
     let first = now.saturating_duration_since(since);
     let label = band(request.need.prompt);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -79,9 +79,9 @@
 pub fn expire(gateway: &Gateway) {
     let mut state = gateway.state();
     let away = state.store.failing.is_some();
-    for id in state.fleet.expire(away, Instant::now()) {
+    for id in state.scheduler.fleet.expire(away, Instant::now()) {
         log::info!(target_id = &*id; "target: gone, its entry did not come back.");
-        state.outcomes.forget(&id);
+        state.scheduler.outcomes.forget(&id);
     }
 }
 
@@ -105,13 +105,13 @@
     let mut state = gateway.state();
     let now = Instant::now();
     let outage = state.outage(now);
-    for id in state.fleet.relist(&named, outage, now) {
+    for id in state.scheduler.fleet.relist(&named, outage, now) {
         log::info!(target_id = &*id, revision = at; "target: gone, it is not listed.");
-        state.outcomes.forget(&id);
+        state.scheduler.outcomes.forget(&id);
     }
     state.store.at = at;
     state.store.listed = true;
-    gateway.metrics.targets.set(state.fleet.all().filter(|t| !t.draining).count() as i64);
+    gateway.metrics.targets.set(state.scheduler.fleet.all().filter(|t| !t.draining).count() as i64);
     Ok(())
 }
 
@@ -125,7 +125,7 @@
     }
     let mut state = gateway.state();
     state.store.at = state.store.at.max(page.at);
-    gateway.metrics.targets.set(state.fleet.all().filter(|t| !t.draining).count() as i64);
+    gateway.metrics.targets.set(state.scheduler.fleet.all().filter(|t| !t.draining).count() as i64);
     Ok(())
 }
 
@@ -154,11 +154,11 @@
     let outage = state.outage(now);
     let revision = entry.revision;
     let change = if entry.deleted {
-        state.fleet.remove(id, outage, now)
+        state.scheduler.fleet.remove(id, outage, now)
     } else {
         let value = entry.value.as_deref().unwrap_or_default();
         match runner::decode(id, value) {
-            Ok(target) => state.fleet.report(target),
+            Ok(target) => state.scheduler.fleet.report(target),
             Err(e) => {
                 log::warn!(target_id = id, revision; "target: its entry cannot be read: {e}.");
                 return;
@@ -171,6 +171,6 @@
         Change::Draining => log::info!(target_id = id, revision; "target: drains."),
         Change::Gone => log::info!(target_id = id, revision, outage; "target: gone."),
     }
-    state.outcomes.forget(id);
+    state.scheduler.outcomes.forget(id);
     state.dispatch(gateway, now);
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -34,7 +34,10 @@
     let mut whole_at = Instant::now();
     loop {
         let mut state = gateway.state();
-        while state.changed.is_empty() && !state.waiters.news && Instant::now() < whole_at {
+        while state.scheduler.changed.is_empty()
+            && !state.scheduler.news
+            && Instant::now() < whole_at
+        {
             let left = whole_at.saturating_duration_since(Instant::now());
             let waited = gateway.bell.wait_timeout(state, left);
             state = waited.map_or_else(|e| e.into_inner().0, |(state, _)| state);
@@ -70,7 +73,8 @@
     for name in silent {
         log::info!(peer = &*name; "peer: silent, its requests are forgotten.");
         state.peers.remove(&name);
-        state.load.forget_peer(&name);
+        state.scheduler.rivals.remove(&name);
+        state.scheduler.load.forget_peer(&name);
     }
 }
 
@@ -93,12 +97,12 @@
 }
 
 fn datagrams(gateway: &Gateway, state: &mut State, whole: bool, now: Instant) -> Vec<Datagram> {
-    let changed = std::mem::take(&mut state.changed);
-    state.waiters.news = false;
+    let changed = std::mem::take(&mut state.scheduler.changed);
+    state.scheduler.news = false;
     let waiting: Vec<datagram::Waiting> =
-        state.waiters.long().map(|(service, w)| wire_waiting(service, w, now)).collect();
+        state.scheduler.long().map(|(service, w)| wire_waiting(service, w, now)).collect();
     let targets: Vec<TargetId> = if whole {
-        let ids = state.load.own_targets();
+        let ids = state.scheduler.load.own_targets();
         ids.chain(changed.iter()).cloned().collect::<std::collections::BTreeSet<_>>()
     } else {
         changed
@@ -106,7 +110,8 @@
     .into_iter()
     .collect();
     let works = |target: &TargetId| {
-        let works = state.load.own(target).iter().map(|(id, w)| wire(*id, w, now)).collect();
+        let works =
+            state.scheduler.load.own(target).iter().map(|(id, w)| wire(*id, w, now)).collect();
         TargetWorks { target: target.to_string(), works }
     };
     let groups = groups(targets.iter().map(works).collect());
@@ -230,10 +235,10 @@
     }
     if datagram.whole {
         let named: Vec<&str> = datagram.targets.iter().map(|t| t.target.as_str()).collect();
-        state.load.forget_others(&name, &named);
+        state.scheduler.load.forget_others(&name, &named);
     }
     if restarted || datagram.leaving && datagram.targets.is_empty() {
-        state.load.forget_peer(&name);
+        state.scheduler.load.forget_peer(&name);
     }
     let peer = Peer {
         addr,
@@ -245,14 +250,15 @@
         cut_at: if datagram.cut { Some(now) } else { cut_at },
         seen: datagram.seen,
         zone: ZoneId::from(datagram.zone),
-        waiting: datagram.waiting.into_iter().map(|w| read_waiting(w, now)).collect(),
     };
-    state.reach.heard(&peer.zone, now);
+    let waiting = datagram.waiting.into_iter().map(|w| read_waiting(w, now)).collect();
+    state.scheduler.rivals.insert(InstanceId::clone(&name), waiting);
+    state.scheduler.reach.heard(&peer.zone, now);
     state.peers.insert(InstanceId::clone(&name), peer);
     for TargetWorks { target, works } in datagram.targets {
         let works = works.iter().map(|w| read(w, now)).collect();
         let engine = state.engine_at(&plan, &target);
-        state.load.replace(&name, &TargetId::from(target), works, engine.as_ref());
+        state.scheduler.load.replace(&name, &TargetId::from(target), works, engine.as_ref());
     }
     state.dispatch(gateway, now);
 }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -88,7 +88,8 @@
     let config = if newer { Bytes::copy_from_slice(&gateway.text()) } else { Bytes::new() };
     let state = gateway.state();
     let known = state.store.listed && state.store.at > ask.seen;
-    let targets = if known { state.fleet.all().map(|t| wire(t)).collect() } else { Vec::new() };
+    let targets =
+        if known { state.scheduler.fleet.all().map(|t| wire(t)).collect() } else { Vec::new() };
     StoreView { config, seen: if known { state.store.at } else { 0 }, targets }
 }
 
@@ -142,10 +143,10 @@
     let named: Vec<TargetId> = targets.iter().map(|t| TargetId::clone(&t.id)).collect();
     let mut changes = 0;
     for target in targets {
-        changes += usize::from(state.fleet.report(target) != Change::Same);
+        changes += usize::from(state.scheduler.fleet.report(target) != Change::Same);
     }
     // The peer has settled already which entries only lapsed.
-    let gone = state.fleet.relist(&named, false, now).len();
+    let gone = state.scheduler.fleet.relist(&named, false, now).len();
     state.store.at = view.seen;
     state.store.listed = true;
     log::info!(peer, revision = view.seen, changes, gone; "mirror: targets are taken over.");
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,29 +1,25 @@
 //! What the parts of one instance share.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use mimosapass_core::edge::cost::Engine;
-use mimosapass_core::edge::fleet::{Fleet, LAPSE_GRACE};
-use mimosapass_core::edge::load::{Load, Pressure, Work, WorkId};
-use mimosapass_core::edge::outcomes::{Outcome, Outcomes, Reach};
-use mimosapass_core::edge::place::{BACKLOG, Place};
+use mimosapass_core::edge::fleet::LAPSE_GRACE;
+use mimosapass_core::edge::load::WorkId;
+use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::plan::{Plan, ServiceId};
 use mimosapass_core::edge::retry::Repeats;
-use mimosapass_core::edge::wait::Waiting;
+use mimosapass_core::edge::schedule::{Grant, Scheduler};
 use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
 use mimosapass_platform::store::{Revision, Store};
 use mimosapass_target::idle::Idle;
 
 use super::metrics::Metrics;
 use super::settings::Settings;
-use super::turn::Waiters;
-
-/// Least time between two looks at how busy engines are: half a pass.
-const OBSERVE: Duration = Duration::from_millis(25);
+use super::turn::Slot;
 
 /// Time for which new connections are still served after the signal to stop:
 /// the balancer asks each second and takes an instance out after two misses.
@@ -69,27 +65,17 @@
     pub seen: u64,
     /// Availability zone.
     pub zone: ZoneId,
-    /// Long prompts that wait there, by service.
-    pub waiting: Vec<(ServiceId, Waiting)>,
 }
 
 /// Everything that changes while the instance runs.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct State {
-    /// Targets.
-    pub fleet: Fleet,
-    /// Requests in flight.
-    pub load: Load,
-    /// How attempts ended.
-    pub outcomes: Outcomes,
-    /// Zones that seem to be cut off.
-    pub reach: Reach,
+    /// Targets, requests in flight, and requests that wait for a place.
+    pub scheduler: Scheduler,
+    /// Threads that wait for a place, by request.
+    pub threads: HashMap<WorkId, Arc<Slot>>,
     /// Repeats by service.
     pub repeats: HashMap<ServiceId, Repeats>,
-    /// How busy engines are, by service.
-    pub pressure: HashMap<ServiceId, Pressure>,
-    /// Requests that wait for a place.
-    pub waiters: Waiters,
     /// Peers by name.
     pub peers: HashMap<InstanceId, Peer>,
     /// Addresses of peers from the store, by name.
@@ -100,8 +86,6 @@
     pub newer: Option<Instant>,
     /// When a peer was last asked for its view of the store.
     pub asked: Option<Instant>,
-    /// Targets at which something changed since the last datagram.
-    pub changed: BTreeSet<TargetId>,
 }
 
 /// One gateway, shared by its parts.
@@ -139,7 +123,7 @@
             idle: Idle::default(),
             metrics: Metrics::new(),
             bell: Condvar::new(),
-            state: Mutex::default(),
+            state: Mutex::new(State::new(settings.zone.as_str().into())),
             plan: RwLock::default(),
             text: Mutex::new(Arc::from(&b""[..])),
             stopping: OnceLock::new(),
@@ -230,29 +214,17 @@
     }
 
     /// Notes the first event of a request, which ends the reading of its prompt.
-    pub fn first_event(&self, place: &Place, id: WorkId, now: Instant) {
+    pub fn first_event(&self, grant: &Grant, now: Instant) {
         let mut state = self.state();
-        state.load.first_event(&place.target.id, id, now);
-        state.changed.insert(TargetId::clone(&place.target.id));
-        for helper in &place.helpers {
-            if helper.keeps > 0 {
-                state.load.first_event(&helper.target.id, id, now);
-            } else {
-                state.load.end(&helper.target.id, id);
-            }
-            state.changed.insert(TargetId::clone(&helper.target.id));
-        }
+        state.scheduler.first_event(grant, now);
         self.bell.notify_all();
         state.dispatch(self, now);
     }
 
     /// Notes that a request has ended at its targets.
-    pub fn finish(&self, targets: &[TargetId], id: WorkId, now: Instant) {
+    pub fn finish(&self, grant: &Grant, now: Instant) {
         let mut state = self.state();
-        for target in targets {
-            state.load.end(target, id);
-            state.changed.insert(TargetId::clone(target));
-        }
+        state.scheduler.finish(grant);
         self.bell.notify_all();
         state.dispatch(self, now);
     }
@@ -260,14 +232,14 @@
     /// Notes how an attempt at a target ended.
     pub fn note(&self, target: &TargetId, outcome: Outcome, now: Instant) {
         let mut state = self.state();
-        let peers = state.peer_failures(target);
-        let zone = state.fleet.get(target).map(|t| ZoneId::clone(&t.zone));
+        let scheduler = &mut state.scheduler;
+        let zone = scheduler.fleet.get(target).map(|t| ZoneId::clone(&t.zone));
         if let (Some(zone), Outcome::Silent) = (&zone, outcome)
-            && state.reach.silent(zone, now)
+            && scheduler.reach.silent(zone, now)
         {
             log::warn!(zone = &**zone; "zone: cut off, its targets are avoided.");
         }
-        if let Some(pause) = state.outcomes.note(target, outcome, peers, now) {
+        if let Some(pause) = scheduler.note(target, outcome, now) {
             let pause_ms = pause.as_millis() as u64;
             log::warn!(target_id = &**target, outcome:? = outcome, pause_ms; "target: avoided.");
         }
@@ -275,57 +247,22 @@
 }
 
 impl State {
-    /// Adds a request to the load of the targets of its place.
-    pub fn begin(&mut self, place: &Place, id: WorkId, work: Work, engine: Option<&Engine>) {
-        let mut add = |target: &TargetId, work| {
-            self.load.begin(target, id, work, engine);
-            self.changed.insert(TargetId::clone(target));
-        };
-        add(&place.target.id, work);
-        for helper in &place.helpers {
-            add(&helper.target.id, Work { first: false, memory: helper.keeps, ..work });
-        }
-    }
-
-    /// Returns the least share of failures among the other targets of a service.
-    fn peer_failures(&self, target: &str) -> f64 {
-        let Some(own) = self.fleet.get(target) else { return 0.0 };
-        let others = self.fleet.serving(&own.service).filter(|t| t.id != own.id);
-        let (mut sum, mut count) = (0.0, 0.0);
-        for other in others {
-            sum += self.outcomes.failures(&other.id);
-            count += 1.0;
-        }
-        if count > 0.0 { sum / count } else { 0.0 }
-    }
-
-    /// Takes in how many engines of each service have a backlog.
-    pub fn observe(&mut self, plan: &Plan, now: Instant) {
-        let engines = plan.services().filter_map(|s| s.engine.map(|e| (&s.name, e)));
-        for (service, engine) in engines {
-            let known = self.pressure.get(service).and_then(Pressure::at);
-            if known.is_some_and(|at| now < at + OBSERVE) {
-                continue;
-            }
-            let (mut reading, mut count) = (0.0, 0.0);
-            for target in self.fleet.serving(service) {
-                let outlook = self.load.outlook(&target.id, Some(&engine), now);
-                count += 1.0;
-                reading += f64::from(u8::from(outlook.reading > BACKLOG));
-            }
-            let share = if count > 0.0 { reading / count } else { 0.0 };
-            self.pressure.entry(ServiceId::clone(service)).or_default().observe(share, now);
+    fn new(zone: ZoneId) -> Self {
+        Self {
+            scheduler: Scheduler::new(zone),
+            threads: HashMap::new(),
+            repeats: HashMap::new(),
+            peers: HashMap::new(),
+            members: HashMap::new(),
+            store: StoreView::default(),
+            newer: None,
+            asked: None,
         }
     }
 
-    /// Returns the share of a service's engines with a backlog, as a running mean.
-    pub fn pressure(&self, service: &str) -> f64 {
-        self.pressure.get(service).map_or(0.0, Pressure::mean)
-    }
-
     /// Returns the cost model of a target, where it is an engine.
     pub fn engine_at(&self, plan: &Plan, target: &str) -> Option<Engine> {
-        self.fleet.get(target).and_then(|t| engine_of(plan, &t.service))
+        self.scheduler.fleet.get(target).and_then(|t| engine_of(plan, &t.service))
     }
 
     /// Returns whether entries may have lapsed because the store was away.
--- a/src/gateway/tickets.rs
+++ b/src/gateway/tickets.rs
@@ -9,11 +9,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use mimosapass_core::edge::schedule::Grant;
 use mimosapass_platform::order;
 use mimosapass_target::http::{Connection, post};
 
 use super::state::Gateway;
-use super::turn::Grant;
 
 /// Life of a reservation without renewal. Memory that no request uses any more
 /// has to be back within four seconds.
