--- a/crates/core/src/edge/plan.rs
+++ b/crates/core/src/edge/plan.rs
@@ -150,6 +150,11 @@
         self.services.get(name)
     }
 
+    /// Returns the cost model of a service, where its targets are engines.
+    pub fn engine(&self, service: &str) -> Option<Engine> {
+        self.service(service).and_then(|s| s.engine)
+    }
+
     /// Returns the strictest pause that any stream of the service allows.
     pub fn strictest_gap(&self, service: &str) -> Duration {
         self.gaps.get(service).copied().unwrap_or_default()
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -13,9 +13,9 @@
 use crate::edge::fleet::{Fleet, TargetId};
 use crate::edge::load::{Load, Pressure, Work, WorkId};
 use crate::edge::outcomes::{Outcome, Outcomes, Reach};
-use crate::edge::place::{Ask, BACKLOG, Candidate, Place, choose};
-use crate::edge::plan::{Plan, ServiceId};
-use crate::edge::wait::Waiting;
+use crate::edge::place::{Ask, BACKLOG, Candidate, MOST_PARTS, Place, choose, long};
+use crate::edge::plan::{Plan, Route, ServiceId};
+use crate::edge::wait::{Waiting, patience};
 use crate::ids::{InstanceId, ZoneId};
 
 /// Least time between two looks at how busy engines are: half a pass.
@@ -33,6 +33,14 @@
 /// Additional time on the way to a target of another availability zone.
 const FAR: Duration = Duration::from_millis(1);
 
+/// Tokens of prompt that are worth as much as an answer of the least length.
+/// Worth is the caller's and not told; the work that it takes stands for it.
+const WORTH_TOKENS: f64 = 10_000.0;
+/// Share of the most tokens of an answer that answers have, without a hint.
+const USUAL_ANSWER: f64 = 0.5;
+/// Time that a target of a service takes for a request, before it is measured.
+const SERVICE_WORK: Duration = Duration::from_millis(60);
+
 /// What a request needs of a place.
 #[derive(Clone, Debug)]
 pub struct Need {
@@ -54,6 +62,53 @@
     pub avoid: Vec<TargetId>,
 }
 
+/// Tokens that a caller states of a request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Size {
+    /// Tokens of the prompt; 0 at a service.
+    pub prompt: u64,
+    /// Most tokens of the answer.
+    pub most: u64,
+    /// The caller's estimate of the answer's tokens.
+    pub hint: Option<u64>,
+}
+
+impl Need {
+    /// Works out what a request of `route` needs that came at `arrived` and has to
+    /// be over at `end`.
+    pub fn new(
+        plan: &Plan,
+        route: &Route,
+        service: &ServiceId,
+        size: Size,
+        arrived: Instant,
+        end: Instant,
+    ) -> Self {
+        let engine = plan.engine(service);
+        let usual = (size.most as f64 * USUAL_ANSWER) as u64;
+        let patient = if route.streaming { arrived + patience(route.goal, route.gap) } else { end };
+        let prompt = size.prompt;
+        Self {
+            service: ServiceId::clone(service),
+            engine,
+            prompt,
+            answer: size.hint.unwrap_or(usual).min(size.most),
+            gap: route.gap,
+            long: engine.is_some_and(|e| long(&e, prompt, plan.strictest_gap(service))),
+            waiting: Waiting {
+                since: arrived,
+                promise: arrived + route.goal,
+                end: end.min(patient),
+                worth: 1.0 + prompt as f64 / WORTH_TOKENS,
+                work: engine.map_or(SERVICE_WORK, |e| e.read(prompt, 1)),
+                least: engine.map_or(SERVICE_WORK, |e| e.read(prompt, MOST_PARTS)),
+                priority: route.priority,
+            },
+            avoid: Vec::new(),
+        }
+    }
+}
+
 /// A place that was given; the load of its targets counts the request already.
 #[derive(Clone, Debug)]
 pub struct Grant {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -262,7 +262,7 @@
 
     /// Returns the cost model of a target, where it is an engine.
     pub fn engine_at(&self, plan: &Plan, target: &str) -> Option<Engine> {
-        self.scheduler.fleet.get(target).and_then(|t| engine_of(plan, &t.service))
+        self.scheduler.fleet.get(target).and_then(|t| plan.engine(&t.service))
     }
 
     /// Returns whether entries may have lapsed because the store was away.
@@ -292,8 +292,3 @@
         (self.peers.len() + 1).max(self.members.len())
     }
 }
-
-/// Returns the cost model of a service, where its targets are engines.
-pub fn engine_of(plan: &Plan, service: &str) -> Option<Engine> {
-    plan.service(service).and_then(|s| s.engine)
-}
