An emulator plays load patterns on the gateway's decisions

Found by it: the long prompts that peers are told of were four arbitrary ones. They are the first in rank now, and one seed gives one run (`same_seed_gives_the_same_run` failed first).

--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -6,7 +6,7 @@
 //! engine at the same moment do not all send to it, since a long prompt stands
 //! back behind those of peers that go before it.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 use crate::edge::cost::Engine;
@@ -156,7 +156,7 @@
     pub changed: BTreeSet<TargetId>,
     /// Whether peers have to be told of the long prompts that wait.
     pub news: bool,
-    queue: HashMap<WorkId, Need>,
+    queue: BTreeMap<WorkId, Need>,
     pressure: HashMap<ServiceId, Pressure>,
     last: Option<Instant>,
 }
@@ -173,7 +173,7 @@
             rivals: HashMap::new(),
             changed: BTreeSet::new(),
             news: false,
-            queue: HashMap::new(),
+            queue: BTreeMap::new(),
             pressure: HashMap::new(),
             last: None,
         }
@@ -203,9 +203,9 @@
     }
 
     /// Returns the long prompts of which peers are told, with their services.
-    pub fn long(&self) -> impl Iterator<Item = (&ServiceId, &Waiting)> {
-        let long = self.queue.values().filter(|need| need.long);
-        long.map(|need| (&need.service, &need.waiting)).take(MOST_TOLD)
+    pub fn long(&self, now: Instant) -> impl Iterator<Item = (&ServiceId, &Waiting)> {
+        let ranked = self.ranked(now).into_iter().filter_map(|id| self.queue.get(&id));
+        ranked.filter(|need| need.long).map(|n| (&n.service, &n.waiting)).take(MOST_TOLD)
     }
 
     /// Returns why a request that waits is to be refused, if it is.
--- /dev/null
+++ b/crates/emulator/examples/experiment.rs
@@ -0,0 +1,121 @@
+//! Plays load patterns on the decisions and prints a table; see docs/LOAD.md.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+use mimosapass_emulator::pattern::{Pattern, all};
+use mimosapass_emulator::policy::{ALL, Policy};
+use mimosapass_emulator::report::{Figures, figures, head, on_time, row, short};
+use mimosapass_emulator::world::{Fate, replay, run};
+use mimosapass_emulator::{load, plot};
+
+/// Plays load patterns on the gateway's decisions, in simulated time.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options)]
+struct Options {
+    /// Seeds that each pattern is played with; figures are means over their calls.
+    #[bpaf(fallback(3), display_fallback)]
+    seeds: u64,
+    /// First seed.
+    #[bpaf(fallback(1), display_fallback)]
+    first: u64,
+    /// Play the product's decision only.
+    own: bool,
+    /// Print each call that earned nothing or came late, as CSV, instead of tables.
+    calls: bool,
+    /// Draw worth over load to this file, as SVG.
+    #[bpaf(argument("FILE"))]
+    plot: Option<PathBuf>,
+    /// Play only patterns whose name has this text.
+    #[bpaf(positional("NAME"), fallback(String::new()))]
+    name: String,
+}
+
+fn play(pattern: &Pattern, policy: Policy, options: &Options) -> Vec<Fate> {
+    let seeds = options.first..options.first + options.seeds;
+    seeds.flat_map(|seed| run(pattern, policy, seed).fates).collect()
+}
+
+/// Returns the p95 of short prompts with long ones over that without them.
+fn slowdown(pattern: &Pattern, policy: Policy, options: &Options, with: &Figures) -> f64 {
+    let alone = |seed| {
+        let mut calls = load::calls(pattern, seed);
+        calls.retain(|call| call.kind == 0);
+        replay(pattern, policy, seed, calls).fates
+    };
+    let seeds = options.first..options.first + options.seeds;
+    let fates: Vec<Fate> = seeds.flat_map(alone).collect();
+    short(with) as f64 / short(&figures(&fates)).max(1) as f64
+}
+
+fn losses(fates: &[Fate]) {
+    for f in fates.iter().filter(|f| f.end.is_none() || !on_time(f)) {
+        println!(
+            "{},{},{},{},{:?},{},{},{},{},{}",
+            f.call.at.as_millis(),
+            load::KINDS[f.call.kind].name,
+            f.call.prompt,
+            f.call.events,
+            f.end,
+            f.first.map_or(-1, |t| t.as_millis() as i64),
+            f.pause.as_millis(),
+            f.granted.saturating_sub(f.call.at).as_millis(),
+            f.predicted.as_millis(),
+            f.parts
+        );
+    }
+}
+
+fn tables(patterns: &[Pattern], options: &Options) {
+    println!("{}", head().replacen('\n', " slowdown |\n|---", 1));
+    let mut sum = 0.0;
+    for pattern in patterns {
+        for policy in ALL.into_iter().filter(|p| !options.own || *p == Policy::Mimosapass) {
+            let found = figures(&play(pattern, policy, options));
+            let slower = slowdown(pattern, policy, options, &found);
+            println!("{} {slower:.2} |", row(pattern.name, policy.name(), &found));
+            if policy == Policy::Mimosapass {
+                sum += found.worth;
+            }
+        }
+    }
+    println!("\nmean worth of mimosapass: {:.4}", sum / patterns.len().max(1) as f64);
+}
+
+fn curve(path: &std::path::Path, options: &Options) -> Result<(), Box<dyn std::error::Error>> {
+    let calm = all().into_iter().find(|p| p.name == "usual").ok_or("no usual pattern")?;
+    let loads = [0.5, 0.75, 1.0, 1.25, 1.5, 1.75, 2.0, 2.5, 3.0];
+    let line = |policy| {
+        let point = |load| {
+            let pattern = Pattern { load, ..calm.clone() };
+            (load, figures(&play(&pattern, policy, options)).worth)
+        };
+        loads.map(point).to_vec()
+    };
+    plot::draw(path, "Worth by load: chats, summaries, reviews", &ALL.map(line))
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let patterns: Vec<Pattern> =
+        all().into_iter().filter(|p| p.name.contains(&options.name)).collect();
+    if patterns.is_empty() {
+        eprintln!("no pattern's name has {:?}; give none to play all", options.name);
+        return ExitCode::FAILURE;
+    }
+    if let Some(path) = &options.plot {
+        if let Err(e) = curve(path, &options) {
+            eprintln!("{}: {e}", path.display());
+            return ExitCode::FAILURE;
+        }
+    } else if options.calls {
+        println!("at_ms,kind,prompt,events,end,first_ms,pause_ms,waited_ms,predicted_ms,parts");
+        for pattern in &patterns {
+            losses(&play(pattern, Policy::Mimosapass, &options));
+        }
+    } else {
+        tables(&patterns, &options);
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/emulator/src/policy.rs
@@ -0,0 +1,92 @@
+//! The product's decision, and two that know no lengths.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use mimosapass_core::edge::fleet::Target;
+use mimosapass_core::edge::load::{Work, WorkId};
+use mimosapass_core::edge::place::Place;
+use mimosapass_core::edge::schedule::{Grant, Need, Scheduler};
+use mimosapass_core::ids::TargetId;
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+/// How an engine is chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Policy {
+    /// The engine with the fewest requests.
+    LeastInFlight,
+    /// The better one of two random engines.
+    TwoChoices,
+    /// The product's decision.
+    Mimosapass,
+}
+
+/// All policies, the product's last.
+pub const ALL: [Policy; 3] = [Policy::LeastInFlight, Policy::TwoChoices, Policy::Mimosapass];
+
+impl Policy {
+    /// Returns the name in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::LeastInFlight => "least in flight",
+            Self::TwoChoices => "two choices",
+            Self::Mimosapass => "mimosapass",
+        }
+    }
+}
+
+/// Places a request by a policy without lengths; `None` when no engine has room.
+///
+/// It knows what the product knows of requests in flight, and of engines that fail.
+pub fn baseline(
+    policy: Policy,
+    scheduler: &mut Scheduler,
+    need: &Need,
+    id: WorkId,
+    now: Instant,
+    rng: &mut StdRng,
+) -> Option<Grant> {
+    let engine = need.engine.as_ref();
+    let memory = need.prompt + need.answer;
+    let outlook = |t: &Target| scheduler.load.outlook(&t.id, engine, now);
+    let fits = |t: &&Arc<Target>| {
+        let known = outlook(t);
+        known.used < t.slots as usize && engine.is_none_or(|e| known.memory + memory <= e.memory)
+    };
+    let usable: Vec<&Arc<Target>> = scheduler
+        .fleet
+        .serving(&need.service)
+        .filter(|t| !scheduler.outcomes.avoided(&t.id, now) && !need.avoid.contains(&t.id))
+        .filter(fits)
+        .collect();
+    if usable.is_empty() {
+        return None;
+    }
+    let any = |rng: &mut StdRng| usable[rng.random_range(0..usable.len())];
+    let drawn = match policy {
+        Policy::TwoChoices => vec![any(rng), any(rng)],
+        Policy::LeastInFlight | Policy::Mimosapass => {
+            let start = rng.random_range(0..usable.len());
+            let (back, front) = usable.split_at(start);
+            front.iter().chain(back).copied().collect()
+        }
+    };
+    let target = Arc::clone(drawn.into_iter().min_by_key(|t| outlook(t).used)?);
+    let work = Work {
+        prompt: need.prompt,
+        parts: 1,
+        first: true,
+        memory,
+        answer: need.answer,
+        gap: need.gap,
+        worth: need.waiting.worth,
+        sent: now,
+        writing: None,
+    };
+    scheduler.load.begin(&target.id, id, work, engine);
+    scheduler.changed.insert(TargetId::clone(&target.id));
+    let first = need.waiting.work;
+    let place = Place { target, helpers: Vec::new(), memory, first, loss: 0.0, harm: 0.0 };
+    Some(Grant { place, id, at: now })
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -100,7 +100,7 @@
     let changed = std::mem::take(&mut state.scheduler.changed);
     state.scheduler.news = false;
     let waiting: Vec<datagram::Waiting> =
-        state.scheduler.long().map(|(service, w)| wire_waiting(service, w, now)).collect();
+        state.scheduler.long(now).map(|(service, w)| wire_waiting(service, w, now)).collect();
     let targets: Vec<TargetId> = if whole {
         let ids = state.scheduler.load.own_targets();
         ids.chain(changed.iter()).cloned().collect::<std::collections::BTreeSet<_>>()
