Three instances of a zone watch the store; the others are told in the zone

Ruled out: a slower pace of all watches; the allowed two seconds for a change leave little room beside the pace of 0.6 s.

Change: `edge::watch` decides by the same rule everywhere who watches: the first three of a zone, by name, that are heard and not cut off from the store. The others ask a peer in their zone that knows more (`mirror`); whoever watches tells its peers at once of a change. Datagrams state the newest change of targets instead of the place of the watch, so that nobody asks for nothing, and whether the sender watches: an outage counts as one of all by those that tried. Leases of instances last 24 s and are renewed each 6 s, since silence of datagrams tells of a loss long before.

Tests: `edge_watch.rs`; `instances_that_do_not_watch_learn_from_those_that_do` (it cannot pass without the rule: no instance ever stopped watching) and `loss_of_all_that_watch_is_made_up_for`.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -12,6 +12,7 @@
 //! - [`wait`]: the order in which waiting requests get a place.
 //! - [`schedule`]: an instance's view, and the rounds in which places are given.
 //! - [`retry`]: how many sends beyond the first an instance may make.
+//! - [`watch`]: which instances watch the store for their zone.
 //! - [`outcomes`]: targets that fail or stay silent are avoided for a while.
 
 pub mod cost;
@@ -23,3 +24,4 @@
 pub mod retry;
 pub mod schedule;
 pub mod wait;
+pub mod watch;
--- /dev/null
+++ b/crates/core/tests/edge_watch.rs
@@ -0,0 +1,49 @@
+//! Which instances watch the store.
+
+use std::time::Duration;
+
+use mimosapass_core::edge::watch::{Neighbour, WATCHERS, watches};
+
+/// Returns the instances that watch, of those that hear each other.
+fn watching(count: usize, change: impl Fn(usize, &mut Neighbour<'_>)) -> Vec<usize> {
+    let names: Vec<String> = (0..count).map(|i| format!("gate-{i:02}")).collect();
+    let neighbours: Vec<Neighbour<'_>> = names
+        .iter()
+        .enumerate()
+        .map(|(i, name)| {
+            let mut neighbour = Neighbour { name, silence: Duration::ZERO, cut: false };
+            change(i, &mut neighbour);
+            neighbour
+        })
+        .collect();
+    let watch = |i: &usize| {
+        let peers = neighbours.iter().enumerate().filter(|(j, _)| j != i).map(|(_, n)| *n);
+        watches(&names[*i], peers)
+    };
+    (0..count).filter(watch).collect()
+}
+
+#[test]
+fn few_watch_for_a_large_zone() {
+    assert_eq!(watching(26, |_, _| {}), vec![0, 1, 2]);
+}
+
+#[test]
+fn all_watch_in_a_small_zone() {
+    assert_eq!(watching(WATCHERS, |_, _| {}).len(), WATCHERS);
+}
+
+#[test]
+fn next_one_watches_when_one_is_cut_off_or_silent() {
+    let cut = watching(8, |i, n| n.cut = i == 1);
+    assert_eq!(cut, vec![0, 1, 2, 3], "the one that is cut off goes on trying");
+    let silent = watching(8, |i, n| {
+        n.silence = if i == 0 { Duration::from_secs(2) } else { Duration::ZERO };
+    });
+    assert_eq!(silent, vec![0, 1, 2, 3]);
+}
+
+#[test]
+fn all_watch_when_the_store_refuses_all() {
+    assert_eq!(watching(9, |_, n| n.cut = true).len(), 9);
+}
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -21,6 +21,7 @@
 
 /// What an instance tells its peers.
 #[derive(Clone, PartialEq, prost::Message)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a separate fact on the wire")]
 pub struct Datagram {
     /// Version of the datagrams.
     #[prost(uint32, tag = "1")]
@@ -55,9 +56,12 @@
     /// Long prompts that wait for a place.
     #[prost(message, repeated, tag = "11")]
     pub waiting: Vec<Waiting>,
-    /// Revision of the store up to which the sender knows the targets.
+    /// Revision of the newest change of targets that the sender knows.
     #[prost(uint64, tag = "10")]
     pub seen: u64,
+    /// Whether the sender watches the store for its zone.
+    #[prost(bool, tag = "13")]
+    pub watching: bool,
 }
 
 /// A long prompt that waits at the sender.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -2,7 +2,8 @@
 //!
 //! One watch covers all of them. It returns with the first change; its pace is
 //! bounded, so that changes in quick succession gather and come together. Views
-//! outlive outages of the store.
+//! outlive outages of the store. In a large zone a few instances watch, and the
+//! others are told by them (`mirror`).
 
 use std::sync::Arc;
 use std::thread;
@@ -24,6 +25,8 @@
 const WAIT: Duration = Duration::from_secs(2);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(250);
+/// Time between two looks at whether this instance is to watch the store.
+const LOOK: Duration = Duration::from_millis(100);
 /// Failed calls in a row after which the store counts as away.
 const AWAY_AFTER: u32 = 2;
 
@@ -31,8 +34,19 @@
 pub fn run(gateway: &Arc<Gateway>) {
     let mut failed = 0;
     let mut listed = false;
+    let mut watching = true;
     loop {
         let begun = Instant::now();
+        let watches = gateway.state().watches(&gateway.name, begun);
+        if watches != watching {
+            log::info!(watches; "store: whether it is watched from here has changed.");
+            watching = watches;
+        }
+        if listed && !watches {
+            failed = 0;
+            thread::sleep(LOOK);
+            continue;
+        }
         let result = if listed { watch(gateway) } else { list(gateway) };
         match result {
             Ok(()) => {
@@ -110,6 +124,7 @@
         state.scheduler.outcomes.forget(&id);
     }
     state.store.at = at;
+    state.store.seen = state.store.seen.max(at);
     state.store.listed = true;
     gateway.metrics.targets.set(state.scheduler.fleet.all().filter(|t| !t.draining).count() as i64);
     Ok(())
@@ -143,7 +158,12 @@
 fn configure(gateway: &Gateway, entry: &Entry) {
     let Some(text) = &entry.value else { return };
     match plan::decode(text) {
-        Ok(plan) => drop(gateway.install(plan, text)),
+        Ok(plan) => {
+            if gateway.install(plan, text) {
+                gateway.state().scheduler.news = true;
+                gateway.bell.notify_all();
+            }
+        }
         Err(e) => log::error!(revision = entry.revision; "config: it cannot be read: {e}."),
     }
 }
@@ -153,6 +173,7 @@
     let mut state = gateway.state();
     let outage = state.outage(now);
     let revision = entry.revision;
+    state.store.seen = state.store.seen.max(revision);
     let change = if entry.deleted {
         state.scheduler.fleet.remove(id, outage, now)
     } else {
@@ -172,5 +193,7 @@
         Change::Gone => log::info!(target_id = id, revision, outage; "target: gone."),
     }
     state.scheduler.outcomes.forget(id);
+    state.scheduler.news = true;
     state.dispatch(gateway, now);
+    gateway.bell.notify_all();
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -128,7 +128,8 @@
         whole: whole && single,
         targets,
         waiting: waiting.clone(),
-        seen: state.store.at,
+        seen: state.store.seen,
+        watching: state.watches(&gateway.name, now),
     };
     groups.into_iter().map(frame).collect()
 }
@@ -249,6 +250,7 @@
         cut: datagram.cut,
         cut_at: if datagram.cut { Some(now) } else { cut_at },
         seen: datagram.seen,
+        watching: datagram.watching,
         zone: ZoneId::from(datagram.zone),
     };
     let waiting = datagram.waiting.into_iter().map(|w| read_waiting(w, now)).collect();
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -17,9 +17,9 @@
 pub const PREFIX: &str = "mimosapass/instances/";
 /// Life of the entry without renewal. Peers that are gone are noticed by their
 /// silence long before; this only bounds how long their address is tried.
-const TTL: Duration = Duration::from_secs(12);
+const TTL: Duration = Duration::from_secs(24);
 /// Time between renewals: three may fail before the lease ends.
-const RENEWAL: Duration = Duration::from_secs(3);
+const RENEWAL: Duration = Duration::from_secs(6);
 
 /// Keeps the entry of this instance for as long as it runs.
 pub fn run(gateway: &Arc<Gateway>) {
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -1,7 +1,9 @@
 //! The store as peers see it, where this instance does not.
 //!
-//! The store may serve some instances and refuse others, and a connection to it
-//! may fall silent. An instance that sees from datagrams that it is behind asks
+//! In a large zone only a few instances watch the store; the others ask one that
+//! knows more than they do, in the same zone, where bytes are free. Besides, the
+//! store may serve some instances and refuse others, and a connection to it may
+//! fall silent. An instance that sees from datagrams that it is behind asks
 //! a peer for the configuration and the targets. One that has just started
 //! while the store is away gets its first view so.
 
@@ -23,7 +25,7 @@
 use super::state::{Gateway, State};
 
 /// Time between two looks at whether this instance is behind.
-const LOOK: Duration = Duration::from_millis(200);
+const LOOK: Duration = Duration::from_millis(100);
 /// Time for which a peer may have a newer configuration before it is asked: each
 /// instance hears of it from the store itself, unless something is wrong.
 const PATIENCE: Duration = Duration::from_secs(1);
@@ -32,6 +34,9 @@
 const SILENT: Duration = Duration::from_millis(2_600);
 /// Least time between two requests.
 const PAUSE: Duration = Duration::from_millis(600);
+/// The same for an instance that does not watch the store: with the pace of those
+/// that do, a change is known everywhere within about a second.
+const TOLD_PAUSE: Duration = Duration::from_millis(300);
 
 /// Asks a peer whenever this instance is behind, for as long as the process runs.
 pub fn ask(gateway: &Arc<Gateway>, links: &Links) {
@@ -41,7 +46,12 @@
         follow::expire(gateway);
         let mine = gateway.plan().version;
         let mut state = gateway.state();
-        if let Some((peer, ask)) = behind(&mut state, mine, now) {
+        let found = if state.store.listed && !state.watches(&gateway.name, now) {
+            told(&state, mine, now)
+        } else {
+            behind(&mut state, mine, now)
+        };
+        if let Some((peer, ask)) = found {
             state.asked = Some(now);
             drop(state);
             log::info!(peer:% = peer, version = mine, revision = ask.seen; "mirror: a peer is asked.");
@@ -50,7 +60,20 @@
     }
 }
 
-/// Returns whom to ask for what, if this instance is behind.
+/// Returns whom of its zone an instance that does not watch the store is to ask.
+fn told(state: &State, mine: u64, now: Instant) -> Option<(SocketAddr, ViewAsk)> {
+    if state.asked.is_some_and(|at| now < at + TOLD_PAUSE) {
+        return None;
+    }
+    let seen = state.store.seen;
+    let near = state.peers.values().filter(|p| p.zone == state.scheduler.zone);
+    let able: Vec<SocketAddr> =
+        near.filter(|p| p.config > mine || p.seen > seen).map(|p| p.addr).collect();
+    let peer = able.choose(&mut rand::rng()).copied()?;
+    Some((peer, ViewAsk { config: mine, seen }))
+}
+
+/// Returns whom to ask for what, if this instance is behind the store.
 fn behind(state: &mut State, mine: u64, now: Instant) -> Option<(SocketAddr, ViewAsk)> {
     let newest = state.peers.values().map(|p| p.config).max().unwrap_or_default();
     state.newer = if newest > mine { state.newer.or(Some(now)) } else { None };
@@ -59,7 +82,7 @@
     if !old && !silent || state.asked.is_some_and(|at| now < at + PAUSE) {
         return None;
     }
-    let seen = state.store.at;
+    let seen = state.store.seen;
     let knows = |config: u64, at: u64| config > mine || silent && at > seen;
     let able: Vec<(bool, SocketAddr)> =
         state.peers.values().filter(|p| knows(p.config, p.seen)).map(|p| (p.cut, p.addr)).collect();
@@ -87,10 +110,10 @@
     let newer = gateway.plan().version > ask.config;
     let config = if newer { Bytes::copy_from_slice(&gateway.text()) } else { Bytes::new() };
     let state = gateway.state();
-    let known = state.store.listed && state.store.at > ask.seen;
+    let known = state.store.listed && state.store.seen > ask.seen;
     let targets =
         if known { state.scheduler.fleet.all().map(|t| wire(t)).collect() } else { Vec::new() };
-    StoreView { config, seen: if known { state.store.at } else { 0 }, targets }
+    StoreView { config, seen: if known { state.store.seen } else { 0 }, targets }
 }
 
 fn wire(target: &Target) -> StoreTarget {
@@ -136,7 +159,7 @@
     }
     let now = Instant::now();
     let mut state = gateway.state();
-    if view.seen <= state.store.at {
+    if view.seen <= state.store.seen {
         return;
     }
     let targets: Vec<Target> = view.targets.iter().filter_map(read).collect();
@@ -147,7 +170,8 @@
     }
     // The peer has settled already which entries only lapsed.
     let gone = state.scheduler.fleet.relist(&named, false, now).len();
-    state.store.at = view.seen;
+    state.store.seen = view.seen;
+    state.store.at = state.store.at.max(view.seen);
     state.store.listed = true;
     log::info!(peer, revision = view.seen, changes, gone; "mirror: targets are taken over.");
     state.dispatch(gateway, now);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,6 +13,7 @@
 use mimosapass_core::edge::plan::{Plan, ServiceId};
 use mimosapass_core::edge::retry::Repeats;
 use mimosapass_core::edge::schedule::{Grant, Scheduler};
+use mimosapass_core::edge::watch::{Neighbour, watches};
 use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
 use mimosapass_platform::store::{Revision, Store};
 use mimosapass_target::idle::Idle;
@@ -38,6 +39,8 @@
     pub back: Option<Instant>,
     /// Revision up to which changes have been taken.
     pub at: Revision,
+    /// Revision of the newest change of targets that is known.
+    pub seen: Revision,
     /// Whether all targets have been listed once.
     pub listed: bool,
     /// When a call last succeeded.
@@ -61,8 +64,10 @@
     pub cut: bool,
     /// When it last could not.
     pub cut_at: Option<Instant>,
-    /// Revision of the store up to which it knows the targets.
-    pub seen: u64,
+    /// Revision of the newest change of targets that it knows.
+    pub seen: Revision,
+    /// Whether it watches the store for its zone.
+    pub watching: bool,
     /// Availability zone.
     pub zone: ZoneId,
 }
@@ -276,8 +281,10 @@
     /// Notes that the store answers again, if it did not.
     pub fn regained(&mut self, now: Instant) {
         let Some(since) = self.store.failing.take() else { return };
-        let cut = self.peers.values().filter(|p| p.cut_at.is_some_and(|at| at >= since)).count();
-        let whole = 2 * cut >= self.peers.len();
+        // Others did not try to reach it.
+        let tried = self.peers.values().filter(|p| p.watching);
+        let cut = tried.clone().filter(|p| p.cut_at.is_some_and(|at| at >= since)).count();
+        let whole = 2 * cut >= tried.count();
         if whole {
             self.store.back = Some(now);
         }
@@ -287,6 +294,17 @@
         }
     }
 
+    /// Returns whether this instance watches the store for its zone.
+    pub fn watches(&self, own: &str, now: Instant) -> bool {
+        let near = self.peers.iter().filter(|(_, p)| p.zone == self.scheduler.zone);
+        let neighbours = near.map(|(name, peer)| Neighbour {
+            name,
+            silence: now.saturating_duration_since(peer.heard),
+            cut: peer.cut,
+        });
+        watches(own, neighbours)
+    }
+
     /// Returns the count of instances that are alive, this one included.
     pub fn instances(&self) -> usize {
         (self.peers.len() + 1).max(self.members.len())
--- a/tests/suite/gateway/views.rs
+++ b/tests/suite/gateway/views.rs
@@ -152,3 +152,43 @@
     grid.ready(number);
     assert_eq!(status(&grid, number, "/book/1", KEY), 200);
 }
+
+/// In a large zone some instances do not watch the store. They still learn of a
+/// configuration and of a target that drains, and the store gets fewer calls.
+#[test]
+fn instances_that_do_not_watch_learn_from_those_that_do() {
+    let (grid, old) = served(5);
+    let new = runner("i-1", Act::Answer(200, "new"));
+    grid.register(&new, "desk");
+    for number in [3, 4] {
+        grid.logged(number, &["whether it is watched", "watches=false"]);
+    }
+    grid.configure(&config(9, &["key-two"], &["look", "new"]));
+    grid.store.set("servers/i-0", &old.entry("desk", "draining", 1, 2));
+    for number in 0..5 {
+        eventually("the new route", || status(&grid, number, "/new/1", "key-two") == 200);
+        eventually("only the new target is asked", || {
+            let before = old.asked().len();
+            let served = (0..4).all(|_| status(&grid, number, "/look/1", "key-two") == 200);
+            served && old.asked().len() == before
+        });
+    }
+    let log = grid.log(4);
+    assert!(log.contains("mirror: targets are taken over"), "it was told by a peer");
+}
+
+/// The instances that watch are lost: another one takes their place.
+#[test]
+fn loss_of_all_that_watch_is_made_up_for() {
+    let (grid, runner) = served(5);
+    grid.logged(4, &["whether it is watched", "watches=false"]);
+    for number in 0..3 {
+        grid.signal(number, "-KILL");
+    }
+    grid.configure(&config(9, &["key-two"], &["new"]));
+    for number in [3, 4] {
+        eventually("the new route", || status(&grid, number, "/new/1", "key-two") == 200);
+        grid.logged(number, &["whether it is watched", "watches=true"]);
+    }
+    assert!(!runner.asked().is_empty());
+}
