--- a/crates/emulator/tests/patterns.rs
+++ b/crates/emulator/tests/patterns.rs
@@ -1,14 +1,14 @@
 //! Each load pattern, replayed on the decisions with a fixed seed.
 //!
 //! Bounds are those that the users state: no kind is served a quarter as often as
-//! all; and the decision has to earn more than policies that know no lengths, on
-//! the same calls.
+//! all, no size band half as often as its kind; and the decision has to earn more
+//! than policies that know no lengths, on the same calls.
 
 use mimosapass_emulator::load;
 use mimosapass_emulator::load::KINDS;
 use mimosapass_emulator::pattern::{Pattern, all};
 use mimosapass_emulator::policy::{ALL, Policy};
-use mimosapass_emulator::report::{figures, short};
+use mimosapass_emulator::report::{figures, served_by_size, short};
 use mimosapass_emulator::world::{End, Fate, replay, run};
 
 const SEED: u64 = 1;
@@ -42,13 +42,37 @@
     }
 }
 
-/// Names the test of a pattern.
+/// Seeds whose calls are taken together, so that the largest tenth of a kind has
+/// dozens of calls.
+const SEEDS: u64 = 6;
+
+/// The users' bound on sizes: neither the largest tenth of a kind nor the fifth below
+/// it is served less than half as often as all of it.
+fn check_sizes(name: &str) {
+    let pattern = pattern(name);
+    let runs = (0..SEEDS).map(|i| run(&pattern, Policy::Mimosapass, SEED + i));
+    let fates: Vec<Fate> = runs.flat_map(|r| r.fates).collect();
+    for (kind, stated) in KINDS.iter().enumerate() {
+        let [tenth, fifth, whole] = served_by_size(&fates, kind);
+        let sizes = format!("{}: {tenth:.3}, {fifth:.3} of {whole:.3}", stated.name);
+        assert!(tenth * 2.0 >= whole && fifth * 2.0 >= whole, "a size starves, {sizes}");
+    }
+}
+
+/// Names the tests of a pattern.
 macro_rules! replays {
     ($($test:ident: $name:expr;)+) => {
         $(#[test]
         fn $test() {
             check($name);
         })+
+
+        mod sizes {
+            $(#[test]
+            fn $test() {
+                super::check_sizes($name);
+            })+
+        }
     };
 }
 
