Engines whose every pause is long count as slow

Cause: `pace` was always 1.

Ruled out: asking engines for their pace (each call is priced as a probe); times to the first event (one sample in two seconds for each engine and instance, and they depend on what else is read).

Change: `edge::pace`: the shortest of the last four pauses between events at an engine, against the middle of all engines. From a factor of 2 on, its reading, passes and pauses are predicted that much longer; after three seconds without news it is tried again.

--- a/crates/core/src/edge/place.rs
+++ b/crates/core/src/edge/place.rs
@@ -186,13 +186,14 @@
         .map(|(i, candidate)| {
             let outlook = load.outlook(&candidate.target.id, Some(engine), now);
             let residual = if outlook.writers > 0 {
-                engine.pass(outlook.writers, outlook.context) / 2
+                engine.pass(outlook.writers, outlook.context).mul_f64(candidate.pace) / 2
             } else {
                 Duration::ZERO
             };
+            let wait = outlook.reading.mul_f64(candidate.pace) + residual;
             let position = (i as f64 + 0.5) / count;
             let order = ORDER * if ask.long { 1.0 - position } else { position };
-            Prospect { candidate, outlook, order, wait: outlook.reading + residual, residual }
+            Prospect { candidate, outlook, order, wait, residual }
         })
         .collect();
     let mut best = alone(ask, engine, &options, load);
@@ -220,7 +221,7 @@
     let places = fitting.map(|option| {
         let read = engine.read(ask.prompt, 1).mul_f64(option.candidate.pace);
         let outlook = &option.outlook;
-        let pass = next_pass(engine, outlook, ask);
+        let pass = next_pass(engine, outlook, ask).mul_f64(option.candidate.pace);
         let first = option.wait + read + pass + option.candidate.far;
         let harm = harm(option, engine, load, read);
         let loss = missed(ask.worth, first, ask.left)
@@ -274,7 +275,7 @@
     let harm = rows.iter().map(|r| r.1).sum::<f64>() + answering_harm;
     let order = rows.iter().map(|r| r.2.order).sum::<f64>() + first.order;
     let order = order / f64::from(parts);
-    let pass = next_pass(engine, &first.outlook, ask);
+    let pass = next_pass(engine, &first.outlook, ask).mul_f64(first.candidate.pace);
     let time = slowest + read.mul_f64(pace) + pass + first.candidate.far;
     let busy = read.as_secs_f64() * 1000.0 * f64::from(parts) * BUSY_MS;
     Some(Place {
@@ -334,7 +335,7 @@
     if outlook.writers == 0 {
         return 0.0;
     }
-    let pass = engine.pass(outlook.writers, outlook.context);
+    let pass = engine.pass(outlook.writers, outlook.context).mul_f64(option.candidate.pace);
     let unread = if outlook.readers == 0 { Duration::ZERO } else { outlook.reading };
     let pause = pass + unread + read;
     let writers = load.works(&option.candidate.target.id).filter(|w| w.writing.is_some());
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -13,6 +13,7 @@
 use crate::edge::fleet::{Fleet, TargetId};
 use crate::edge::load::{Load, Pressure, Work, WorkId};
 use crate::edge::outcomes::{Outcome, Outcomes, Reach};
+use crate::edge::pace::Paces;
 use crate::edge::place::{Ask, BACKLOG, Candidate, MOST_PARTS, Place, choose, long};
 use crate::edge::plan::{Plan, Route, ServiceId};
 use crate::edge::wait::{Waiting, patience};
@@ -150,6 +151,8 @@
     pub load: Load,
     /// How attempts ended.
     pub outcomes: Outcomes,
+    /// How fast engines write.
+    pub paces: Paces,
     /// Zones that seem to be cut off.
     pub reach: Reach,
     /// Long prompts that wait with each peer, by service.
@@ -171,6 +174,7 @@
             fleet: Fleet::default(),
             load: Load::default(),
             outcomes: Outcomes::default(),
+            paces: Paces::default(),
             reach: Reach::default(),
             rivals: HashMap::new(),
             changed: BTreeSet::new(),
@@ -265,13 +269,15 @@
 
     fn place(&self, need: &Need, now: Instant) -> Option<Place> {
         let far = |zone: &ZoneId| if *zone == self.zone { Duration::ZERO } else { FAR };
+        let middle = self.paces.middle(now);
+        let pace = |id: &str| self.paces.factor(id, middle, now);
         let usable = |avoid: bool| {
             self.fleet
                 .serving(&need.service)
                 .filter(|t| !avoid || !self.outcomes.avoided(&t.id, now))
                 .filter(|t| !avoid || !self.reach.cut(&t.zone, now))
                 .filter(|t| !need.avoid.contains(&t.id))
-                .map(|target| Candidate { target, pace: 1.0, far: far(&target.zone) })
+                .map(|target| Candidate { target, pace: pace(&target.id), far: far(&target.zone) })
                 .collect::<Vec<_>>()
         };
         let mut candidates = usable(true);
@@ -336,6 +342,14 @@
         }
     }
 
+    /// Notes an event after the first, with the pause before it.
+    pub fn event(&mut self, grant: &Grant, engine: &Engine, pause: Duration, now: Instant) {
+        let target = &grant.place.target.id;
+        let outlook = self.load.outlook(target, None, now);
+        let predicted = engine.pass(outlook.writers.max(1), outlook.context);
+        self.paces.note(target, pause, predicted, now);
+    }
+
     /// Notes that a request has ended at its targets.
     pub fn finish(&mut self, grant: &Grant) {
         for target in grant.targets() {
@@ -351,6 +365,12 @@
         self.outcomes.note(target, outcome, peers, now)
     }
 
+    /// Forgets how a target did that is gone or has started again.
+    pub fn forget(&mut self, target: &str) {
+        self.outcomes.forget(target);
+        self.paces.forget(target);
+    }
+
     /// Returns the mean share of failures among the other targets of a service.
     fn peer_failures(&self, target: &str) -> f64 {
         let Some(own) = self.fleet.get(target) else { return 0.0 };
--- a/crates/emulator/src/world/engines.rs
+++ b/crates/emulator/src/world/engines.rs
@@ -206,6 +206,7 @@
         let fate = &mut self.fates[call];
         fate.left = fate.left.saturating_sub(1);
         let begun = fate.first.is_some();
+        let before = fate.last;
         if begun {
             fate.pause = fate.pause.max(at.saturating_sub(fate.last));
         } else {
@@ -213,6 +214,10 @@
         }
         fate.last = at;
         let node = &mut self.nodes[instance];
+        if begun {
+            let pause = at.saturating_sub(before);
+            node.scheduler.event(&grant, &COST, pause, moment);
+        }
         if last {
             fate.end = Some(End::Served);
             fate.sent = None;
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -248,9 +248,12 @@
     ) -> Option<Ended> {
         let limits = Limits { silence: self.silence(), end: self.request.end };
         let (gateway, request) = (self.gateway, &self.request);
-        let first = || first_event(gateway, request, grant);
+        let event = |pause: Option<Duration>| match pause {
+            None => first_event(gateway, request, grant),
+            Some(pause) => gateway.event(grant, request.need.engine.as_ref(), pause),
+        };
         let progress = &mut self.progress;
-        let end = relay::run(self.exchange, &mut connection, reply, progress, limits, first);
+        let end = relay::run(self.exchange, &mut connection, reply, progress, limits, event);
         let id = &grant.place.target.id;
         self.sends += 1;
         match end {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -95,7 +95,7 @@
     let away = state.store.failing.is_some();
     for id in state.scheduler.fleet.expire(away, Instant::now()) {
         log::info!(target_id = &*id; "target: gone, its entry did not come back.");
-        state.scheduler.outcomes.forget(&id);
+        state.scheduler.forget(&id);
     }
 }
 
@@ -121,7 +121,7 @@
     let outage = state.outage(now);
     for id in state.scheduler.fleet.relist(&named, outage, now) {
         log::info!(target_id = &*id, revision = at; "target: gone, it is not listed.");
-        state.scheduler.outcomes.forget(&id);
+        state.scheduler.forget(&id);
     }
     state.store.at = at;
     state.store.seen = state.store.seen.max(at);
@@ -192,7 +192,7 @@
         Change::Draining => log::info!(target_id = id, revision; "target: drains."),
         Change::Gone => log::info!(target_id = id, revision, outage; "target: gone."),
     }
-    state.scheduler.outcomes.forget(id);
+    state.scheduler.forget(id);
     state.scheduler.news = true;
     state.dispatch(gateway, now);
     gateway.bell.notify_all();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -47,8 +47,8 @@
     pub end: Instant,
 }
 
-/// Passes on what a target streams until it ends; `first` is called at its
-/// first event.
+/// Passes on what a target streams until it ends; `event` is called at each event
+/// with the pause since this target's last one, `None` at its first.
 ///
 /// Without `silence` the stream goes on until `end`, however long the target
 /// pauses: there is nobody else to ask.
@@ -58,22 +58,21 @@
     reply: &Reply,
     progress: &mut Progress,
     limits: Limits,
-    mut first: impl FnMut(),
+    mut event: impl FnMut(Option<Duration>),
 ) -> End {
     let Limits { silence, end } = limits;
     let mut framing = reply.framing;
     let mut partial: Vec<u8> = Vec::new();
-    let mut seen = false;
+    let mut last: Option<Instant> = None;
     loop {
         let until = silence.map_or(end, |silence| end.min(Instant::now() + silence));
         match attempt::next(exchange, connection, &mut framing, until) {
             Next::Data(data) => {
                 partial.extend(data);
                 let Some(whole) = boundary(&partial) else { continue };
-                if !seen {
-                    seen = true;
-                    first();
-                }
+                let now = Instant::now();
+                event(last.map(|at| now.saturating_duration_since(at)));
+                last = Some(now);
                 if !pass(exchange, reply, progress, &partial[..whole]) {
                     return End::CallerGone;
                 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -226,6 +226,13 @@
         state.dispatch(self, now);
     }
 
+    /// Notes an event after the first, with the pause before it.
+    pub fn event(&self, grant: &Grant, engine: Option<&Engine>, pause: Duration) {
+        if let Some(engine) = engine {
+            self.state().scheduler.event(grant, engine, pause, Instant::now());
+        }
+    }
+
     /// Notes that a request has ended at its targets.
     pub fn finish(&self, grant: &Grant, now: Instant) {
         let mut state = self.state();
