--- a/crates/core/src/edge/place.rs
+++ b/crates/core/src/edge/place.rs
@@ -51,8 +51,6 @@
     pub prompt: u64,
     /// Tokens that the answer is expected to have.
     pub answer: u64,
-    /// Longest pause between events that is on time.
-    pub gap: Duration,
     /// What an answer on time is worth, against that of a mean answer.
     pub worth: f64,
     /// Time from now in which the first event is on time.
@@ -120,6 +118,8 @@
 }
 
 /// Chooses the best place for a request, or `None` when no target has room.
+///
+/// `candidates` stand in the order of their identifiers, which all instances share.
 pub fn choose(
     ask: &Ask,
     engine: Option<&Engine>,
@@ -177,11 +177,9 @@
     load: &Load,
     now: Instant,
 ) -> Option<Place> {
-    let mut candidates: Vec<&Candidate<'_>> = candidates.iter().collect();
-    candidates.sort_by(|a, b| a.target.id.cmp(&b.target.id));
     let count = candidates.len() as f64;
     let options: Vec<Prospect<'_>> = candidates
-        .into_iter()
+        .iter()
         .enumerate()
         .map(|(i, candidate)| {
             let outlook = load.outlook(&candidate.target.id, Some(engine), now);
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -288,7 +288,6 @@
         let ask = Ask {
             prompt: need.prompt,
             answer: need.answer,
-            gap: need.gap,
             worth: need.waiting.worth,
             long: need.long,
             left: need.waiting.promise.saturating_duration_since(now),
--- a/crates/core/tests/edge_place.rs
+++ b/crates/core/tests/edge_place.rs
@@ -26,7 +26,9 @@
     }
 }
 
+/// Longest pauses of chats and of reviews.
 const STRICT: Duration = Duration::from_millis(200);
+const LOOSE: Duration = Duration::from_millis(800);
 
 fn targets(count: usize) -> Vec<Arc<Target>> {
     let target = |i: usize| Target {
@@ -43,11 +45,10 @@
     (0..count).map(|i| Arc::new(target(i))).collect()
 }
 
-fn ask(prompt: u64, goal_ms: u64, gap_ms: u64) -> Ask {
+fn ask(prompt: u64, goal_ms: u64) -> Ask {
     Ask {
         prompt,
         answer: 800,
-        gap: Duration::from_millis(gap_ms),
         worth: 1.0 + prompt as f64 / 10_000.0,
         left: Duration::from_millis(goal_ms),
         long: long(&engine(), prompt, STRICT),
@@ -85,7 +86,7 @@
             first: true,
             memory: place.memory,
             answer: ask.answer,
-            gap: ask.gap,
+            gap: if ask.long { LOOSE } else { STRICT },
             worth: ask.worth,
             sent: self.now,
             writing: writing.then_some(self.now),
@@ -108,7 +109,7 @@
 #[test]
 fn short_prompts_share_engines() {
     let mut replay = Replay::new(12);
-    let chat = ask(5_000, 300, 200);
+    let chat = ask(5_000, 300);
     for _ in 0..20 {
         let place = replay.choose(&chat).expect("room");
         assert!(place.first <= Duration::from_millis(300));
@@ -121,7 +122,7 @@
 #[test]
 fn burst_of_short_prompts_spreads_while_none_is_read() {
     let mut replay = Replay::new(12);
-    let chat = ask(5_000, 300, 200);
+    let chat = ask(5_000, 300);
     for _ in 0..30 {
         let place = replay.choose(&chat).expect("room");
         assert!(place.first <= Duration::from_millis(300), "predicted {:?}", place.first);
@@ -133,12 +134,12 @@
 #[test]
 fn long_prompt_keeps_off_strict_writers() {
     let mut replay = Replay::new(8);
-    let chat = ask(5_000, 300, 200);
+    let chat = ask(5_000, 300);
     for _ in 0..10 {
         let place = replay.choose(&chat).expect("room");
         replay.send(&chat, &place, true);
     }
-    let place = replay.choose(&ask(210_000, 3_000, 800)).expect("room");
+    let place = replay.choose(&ask(210_000, 3_000)).expect("room");
     assert!(place.harm < 0.01, "harm {}", place.harm);
     assert!(place.first <= Duration::from_millis(1_800), "predicted {:?}", place.first);
 }
@@ -147,7 +148,7 @@
 #[test]
 fn prompt_too_slow_for_one_engine_is_read_in_parts() {
     let replay = Replay::new(8);
-    let review = ask(300_000, 3_000, 800);
+    let review = ask(300_000, 3_000);
     assert!(engine().read(300_000, 1) > review.left);
     let place = replay.choose(&review).expect("room");
     assert!(!place.helpers.is_empty() && place.first < review.left);
@@ -159,21 +160,21 @@
 #[test]
 fn long_prompt_waits_while_all_engines_read() {
     let mut replay = Replay::new(4);
-    let review = ask(300_000, 3_000, 800);
+    let review = ask(300_000, 3_000);
     let mut placed = 0;
     while let Some(place) = replay.choose(&review) {
         replay.send(&review, &place, false);
         placed += 1;
         assert!(placed <= 4, "an engine got a second long prompt");
     }
-    assert!(replay.choose(&ask(3_000, 300, 200)).is_some(), "a short one still goes");
+    assert!(replay.choose(&ask(3_000, 300)).is_some(), "a short one still goes");
 }
 
 /// Prompts up to a million tokens: more than one engine's memory.
 #[test]
 fn prompt_larger_than_an_engine_is_kept_by_several() {
     let replay = Replay::new(16);
-    let place = replay.choose(&ask(1_000_000, 6_000, 800)).expect("room");
+    let place = replay.choose(&ask(1_000_000, 6_000)).expect("room");
     let kept: u64 = place.helpers.iter().map(|h| h.keeps).sum();
     assert_eq!(kept + place.memory, 1_000_800);
     assert!(place.memory <= 450_000);
@@ -183,7 +184,7 @@
 #[test]
 fn memory_that_is_taken_is_not_given_again() {
     let mut replay = Replay::new(1);
-    let review = ask(300_000, 20_000, 800);
+    let review = ask(300_000, 20_000);
     let place = replay.choose(&review).expect("room");
     replay.send(&review, &place, true);
     assert!(replay.choose(&review).is_none(), "300k and 300k do not fit into 450k");
@@ -208,7 +209,7 @@
 #[test]
 fn service_gets_the_least_used_target() {
     let mut replay = Replay::new(3);
-    let call = Ask { long: false, ..ask(0, 300, 0) };
+    let call = Ask { long: false, ..ask(0, 300) };
     for _ in 0..3 {
         let candidates: Vec<Candidate<'_>> = replay
             .targets
--- a/crates/emulator/examples/experiment.rs
+++ b/crates/emulator/examples/experiment.rs
@@ -8,7 +8,7 @@
 use mimosapass_emulator::policy::{ALL, Policy};
 use mimosapass_emulator::report::{Figures, figures, head, on_time, row, short};
 use mimosapass_emulator::world::{Fate, replay, run};
-use mimosapass_emulator::{load, plot};
+use mimosapass_emulator::{load, plot, speed};
 
 /// Plays load patterns on the gateway's decisions, in simulated time.
 #[derive(Bpaf, Clone, Debug)]
@@ -24,6 +24,8 @@
     own: bool,
     /// Print each call that earned nothing or came late, as CSV, instead of tables.
     calls: bool,
+    /// Time one decision over 18, 67 and 200 engines instead.
+    speed: bool,
     /// Draw worth over load to this file, as SVG.
     #[bpaf(argument("FILE"))]
     plot: Option<PathBuf>,
@@ -104,7 +106,13 @@
         eprintln!("no pattern's name has {:?}; give none to play all", options.name);
         return ExitCode::FAILURE;
     }
-    if let Some(path) = &options.plot {
+    if options.speed {
+        println!("| engines | prompt | one decision |\n|---|---|---|");
+        for (engines, prompt) in [18, 67, 200].into_iter().flat_map(|e| [(e, 5_000), (e, 300_000)])
+        {
+            println!("| {engines} | {prompt} | {:?} |", speed::decision(engines, prompt));
+        }
+    } else if let Some(path) = &options.plot {
         if let Err(e) = curve(path, &options) {
             eprintln!("{}: {e}", path.display());
             return ExitCode::FAILURE;
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`world`]: instances, engines and callers on one clock.
 //! - [`policy`]: the product's decision, and two that know no lengths.
 //! - [`report`]: shares of worth, quantiles and tables.
+//! - [`speed`]: the time of one decision.
 //! - [`plot`]: the same as a plot.
 
 pub mod engine;
@@ -19,4 +20,5 @@
 pub mod plot;
 pub mod policy;
 pub mod report;
+pub mod speed;
 pub mod world;
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -9,6 +9,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
 
+use mimosapass_core::edge::fleet::Target;
 use mimosapass_core::edge::load::WorkId;
 use mimosapass_core::edge::plan::Plan;
 use mimosapass_core::edge::schedule::{Grant, Need};
@@ -143,6 +144,11 @@
     pub leaked: usize,
 }
 
+/// Returns what the engine of a number says of itself when it starts.
+pub fn site(index: usize) -> Target {
+    Site::new(index).target()
+}
+
 /// Runs a pattern under a policy.
 pub fn run(pattern: &Pattern, policy: Policy, seed: u64) -> Run {
     replay(pattern, policy, seed, calls(pattern, seed))
