Sums over the requests at a target are kept instead of added up each time

Cause: one decision looked at each request at each engine twice. Change: `Load` keeps the sums; pauses are added up only where a writer would notice.

--- a/crates/core/src/edge/load.rs
+++ b/crates/core/src/edge/load.rs
@@ -54,6 +54,35 @@
     /// prompts that are still unread: those that came later and are done already
     /// took their time from them.
     free: Option<Instant>,
+    /// What the entries add up to; decisions read it many times for each change.
+    sum: Sum,
+}
+
+/// Sums over the requests at one target.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    used: usize,
+    writers: usize,
+    readers: usize,
+    context: u64,
+    memory: u64,
+    strictest: Option<Duration>,
+}
+
+impl Sum {
+    fn add(&mut self, work: &Work) {
+        self.used += 1;
+        self.memory += work.memory;
+        if work.writing.is_none() {
+            self.readers += 1;
+            return;
+        }
+        self.writers += 1;
+        self.context += work.prompt / u64::from(work.parts) + work.answer / 2;
+        if work.first {
+            self.strictest = Some(self.strictest.map_or(work.gap, |gap| gap.min(work.gap)));
+        }
+    }
 }
 
 impl AtTarget {
@@ -63,12 +92,15 @@
             let begin = self.free.map_or(sent, |free| free.max(sent));
             self.free = Some(begin + engine.read(entry.work.prompt, entry.work.parts));
         }
+        self.sum.add(&entry.work);
         self.entries.push(entry);
     }
 
-    /// Forgets the backlog once nothing is left to read.
+    /// Adds up anew, and forgets the backlog once nothing is left to read.
     fn settle(&mut self) {
-        if self.entries.iter().all(|e| e.work.writing.is_some()) {
+        self.sum = Sum::default();
+        self.entries.iter().for_each(|e| self.sum.add(&e.work));
+        if self.sum.readers == 0 {
             self.free = None;
         }
     }
@@ -95,6 +127,8 @@
     pub reading: Duration,
     /// Prompts or parts that are not read yet.
     pub readers: usize,
+    /// Longest pause that is on time for the strictest of its writers.
+    pub strictest: Option<Duration>,
 }
 
 impl Load {
@@ -198,18 +232,10 @@
 
     /// Predicts what `target` does at `now`.
     pub fn outlook(&self, target: &str, engine: Option<&Engine>, now: Instant) -> Outlook {
-        let mut outlook = Outlook::default();
-        let Some(at) = self.targets.get(target) else { return outlook };
-        for Entry { work, .. } in &at.entries {
-            outlook.used += 1;
-            outlook.memory += work.memory;
-            if work.writing.is_some() {
-                outlook.writers += 1;
-                outlook.context += work.prompt / u64::from(work.parts) + work.answer / 2;
-            } else {
-                outlook.readers += 1;
-            }
-        }
+        let Some(at) = self.targets.get(target) else { return Outlook::default() };
+        let Sum { used, writers, readers, context, memory, strictest } = at.sum;
+        let reading = Duration::ZERO;
+        let mut outlook = Outlook { used, writers, context, memory, reading, readers, strictest };
         if let (Some(engine), Some(free)) = (engine, at.free) {
             let least = engine.pass(outlook.writers, outlook.context);
             outlook.reading = free.saturating_duration_since(now).max(least);
--- a/crates/core/src/edge/place.rs
+++ b/crates/core/src/edge/place.rs
@@ -336,6 +336,10 @@
     let pass = engine.pass(outlook.writers, outlook.context).mul_f64(option.candidate.pace);
     let unread = if outlook.readers == 0 { Duration::ZERO } else { outlook.reading };
     let pause = pass + unread + read;
+    // Most targets have no writer that would notice.
+    if outlook.strictest.is_none_or(|gap| pause <= gap.mul_f64(SAFE)) {
+        return 0.0;
+    }
     let writers = load.works(&option.candidate.target.id).filter(|w| w.writing.is_some());
     HARM * writers.filter(|w| w.first).map(|w| missed(w.worth, pause, w.gap)).sum::<f64>()
 }
