--- a/crates/core/src/edge/watch.rs
+++ b/crates/core/src/edge/watch.rs
@@ -27,6 +27,15 @@
     pub cut: bool,
 }
 
+/// Returns whether an outage of the store was one of all instances.
+///
+/// Targets keep their entries as long as the store serves anybody, so that only
+/// then may an entry have lapsed although its target lives. Of the `tried` peers
+/// `cut` were without the store; some may have started anew since.
+pub fn whole(tried: usize, cut: usize) -> bool {
+    4 * cut >= 3 * tried
+}
+
 /// Returns whether the instance `own` is to watch the store itself.
 pub fn watches<'a>(own: &str, neighbours: impl Iterator<Item = Neighbour<'a>>) -> bool {
     let before = |n: &Neighbour<'_>| n.name < own && !n.cut && n.silence < FRESH;
--- a/crates/core/tests/edge_watch.rs
+++ b/crates/core/tests/edge_watch.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mimosapass_core::edge::watch::{Neighbour, WATCHERS, watches};
+use mimosapass_core::edge::watch::{Neighbour, WATCHERS, watches, whole};
 
 /// Returns the instances that watch, of those that hear each other.
 fn watching(count: usize, change: impl Fn(usize, &mut Neighbour<'_>)) -> Vec<usize> {
@@ -47,3 +47,24 @@
 fn all_watch_when_the_store_refuses_all() {
     assert_eq!(watching(9, |_, n| n.cut = true).len(), 9);
 }
+
+/// Names a case of peers that tried to reach the store and were cut off, and whether
+/// that was an outage of all.
+macro_rules! outages {
+    ($($name:ident: $cut:expr, of $tried:expr => $whole:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            assert_eq!(whole($tried, $cut), $whole);
+        })+
+    };
+}
+
+outages! {
+    // Day closed-store with seed 1038326299605 of atlas-loc: five of nine were turned
+    // away, and a target that had left got work for two more seconds.
+    half_of_the_fleet_turned_away: 4, of 8 => false;
+    five_of_eight_turned_away: 5, of 8 => false;
+    all_cut_off: 8, of 8 => true;
+    all_but_one_that_has_just_started: 7, of 8 => true;
+    single_instance: 0, of 0 => true;
+}
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -63,6 +63,8 @@
     tickets: BTreeMap<String, u64>,
     reserved: usize,
     released: usize,
+    /// Whether it takes no connection any more.
+    vanished: bool,
 }
 
 /// A target on loopback.
@@ -96,6 +98,9 @@
         let accepting = runner.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.lock().vanished {
+                    return;
+                }
                 let serving = accepting.clone();
                 thread::spawn(move || serving.serve(stream));
             }
@@ -121,6 +126,13 @@
         self.lock().asked.clone()
     }
 
+    /// Takes no connection from now on; what it has goes on.
+    pub fn vanish(&self) {
+        self.lock().vanished = true;
+        // The connection wakes the thread that accepts, which then ends.
+        drop(TcpStream::connect(self.addr));
+    }
+
     /// Returns the connections that it took.
     pub fn connections(&self) -> usize {
         self.lock().connections
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -47,8 +47,9 @@
         let mine = gateway.plan().version;
         let mut state = gateway.state();
         let found = if state.store.listed && !state.watches(&gateway.name, now) {
-            told(&state, mine, now)
+            told(&mut state, mine, now)
         } else {
+            state.behind = None;
             behind(&mut state, mine, now)
         };
         if let Some((peer, ask)) = found {
@@ -61,16 +62,17 @@
 }
 
 /// Returns whom of its zone an instance that does not watch the store is to ask.
-fn told(state: &State, mine: u64, now: Instant) -> Option<(SocketAddr, ViewAsk)> {
+fn told(state: &mut State, mine: u64, now: Instant) -> Option<(SocketAddr, ViewAsk)> {
+    let seen = state.store.seen;
+    let near = state.peers.values().filter(|p| p.zone == state.scheduler.zone);
+    let able = near.filter(|p| p.config > mine || p.seen > seen);
+    // The one that was heard last is the least likely to be gone.
+    let peer = able.max_by_key(|p| p.heard).map(|p| p.addr);
+    state.behind = peer.and(state.behind.or(Some(now)));
     if state.asked.is_some_and(|at| now < at + TOLD_PAUSE) {
         return None;
     }
-    let seen = state.store.seen;
-    let near = state.peers.values().filter(|p| p.zone == state.scheduler.zone);
-    let able: Vec<SocketAddr> =
-        near.filter(|p| p.config > mine || p.seen > seen).map(|p| p.addr).collect();
-    let peer = able.choose(&mut rand::rng()).copied()?;
-    Some((peer, ViewAsk { config: mine, seen }))
+    Some((peer?, ViewAsk { config: mine, seen }))
 }
 
 /// Returns whom to ask for what, if this instance is behind the store.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,7 +13,7 @@
 use mimosapass_core::edge::plan::{Plan, ServiceId};
 use mimosapass_core::edge::retry::Repeats;
 use mimosapass_core::edge::schedule::{Grant, Scheduler};
-use mimosapass_core::edge::watch::{Neighbour, watches};
+use mimosapass_core::edge::watch::{Neighbour, watches, whole};
 use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
 use mimosapass_platform::store::{Revision, Store};
 use mimosapass_target::idle::Idle;
@@ -22,6 +22,10 @@
 use super::settings::Settings;
 use super::turn::Slot;
 
+/// Time after which an instance that peers tell nothing watches the store itself:
+/// one question went unanswered, and the rest of two seconds is enough for a watch.
+const BEHIND: Duration = Duration::from_millis(500);
+
 /// Time for which new connections are still served after the signal to stop:
 /// the balancer asks each second and takes an instance out after two misses.
 pub const STOP_NOTICE: Duration = Duration::from_millis(2_500);
@@ -89,6 +93,9 @@
     pub store: StoreView,
     /// Since when a peer has a newer configuration.
     pub newer: Option<Instant>,
+    /// Since when a peer of the zone knows more of the store, while this instance
+    /// does not watch it.
+    pub behind: Option<Instant>,
     /// When a peer was last asked for its view of the store.
     pub asked: Option<Instant>,
 }
@@ -268,6 +275,7 @@
             members: HashMap::new(),
             store: StoreView::default(),
             newer: None,
+            behind: None,
             asked: None,
         }
     }
@@ -291,7 +299,7 @@
         // Others did not try to reach it.
         let tried = self.peers.values().filter(|p| p.watching);
         let cut = tried.clone().filter(|p| p.cut_at.is_some_and(|at| at >= since)).count();
-        let whole = 2 * cut >= tried.count();
+        let whole = whole(tried.count(), cut);
         if whole {
             self.store.back = Some(now);
         }
@@ -303,6 +311,9 @@
 
     /// Returns whether this instance watches the store for its zone.
     pub fn watches(&self, own: &str, now: Instant) -> bool {
+        if self.behind.is_some_and(|since| now >= since + BEHIND) {
+            return true;
+        }
         let near = self.peers.iter().filter(|(_, p)| p.zone == self.scheduler.zone);
         let neighbours = near.map(|(name, peer)| Neighbour {
             name,
--- a/src/gateway/tickets.rs
+++ b/src/gateway/tickets.rs
@@ -2,7 +2,8 @@
 //!
 //! Each reservation lapses soon unless it is renewed, so that one whose answer
 //! was lost, or whose instance died, holds memory for seconds only. While the
-//! request lives a thread renews; then it gives the memory back.
+//! request lives and its engine can be reached a thread renews; then it gives the
+//! memory back.
 
 use std::net::SocketAddr;
 use std::sync::mpsc::{RecvTimeoutError, Sender, channel};
@@ -65,8 +66,15 @@
         log::info!(ticket = name, engines = all.len(); "ticket: memory is set aside.");
         let (keeper, ended) = channel();
         let kept = name.clone();
+        let answering = grant.place.target.addr;
         let keep = move || {
             while let Err(RecvTimeoutError::Timeout) = ended.recv_timeout(RENEWAL) {
+                // The engines of the tickets see that the one that answers is gone, and
+                // this instance only once its patience is over.
+                if let Err(e) = Connection::open(answering, ORDER) {
+                    log::warn!(ticket = kept, addr:% = answering; "ticket: not renewed, the answering engine is gone: {e}.");
+                    continue;
+                }
                 renew(&kept, &all);
             }
             release(&kept, &all);
--- a/tests/suite/gateway/streams.rs
+++ b/tests/suite/gateway/streams.rs
@@ -101,6 +101,22 @@
     assert!(helped.filter_map(|a| a.head.header("x-helpers").map(str::to_owned)).count() == 1);
 }
 
+/// Day mix with seed 523732347347 of atlas-loc: the engine that answered went dark, and
+/// memory for it was kept on others for 4.9 seconds more.
+#[test]
+fn memory_is_not_kept_for_an_engine_that_is_gone() {
+    let runners: Vec<Runner> = (0..16).map(|i| runner(&format!("i-{i:02}"), Act::Silent)).collect();
+    let grid = grid(&runners.iter().collect::<Vec<_>>());
+    std::thread::scope(|scope| {
+        let more = "x-token-usage: 600000,50\r\n";
+        scope.spawn(|| grid.ask_with(0, "/chat/1", "id-1", more));
+        let asked = || runners.iter().find(|r| !r.asked().is_empty());
+        super::eventually("an engine is asked", || asked().is_some());
+        asked().expect("an engine").vanish();
+        grid.logged(0, &["ticket: not renewed, the answering engine is gone"]);
+    });
+}
+
 /// Day mix with seed 578758547734 of atlas-loc: a stream that came 3.4 s after the
 /// signal was taken on a kept connection and cut at the end of the stop.
 #[test]
