--- a/crates/emulator/src/world/caller.rs
+++ b/crates/emulator/src/world/caller.rs
@@ -25,7 +25,7 @@
     ///
     /// # Panics
     ///
-    /// Panics when a kind has no route, which is a bug in [`super::engines::plan`].
+    /// Panics when a kind has no route, which is a bug of the runs' plan.
     pub fn arrive(&mut self, call: usize) {
         if self.fates[call].end.is_some() {
             return;
