One piece of code where the change had two

Cause: a read of the whole change found twins and leftovers. - Metrics of the gateway declared and registered like those of the daemon again: `counters`, `gauge`, `times`, `register` stand once in `src/metrics.rs`. - The order of ranks stood in `Waiting::before` and in the scheduler's sort: `Rank::order`. The argument that settled equal ranks was always false. - The emulator's baselines built the load of a send themselves: `Scheduler::grant`, which the scheduler's own rounds use. - The middle of the engines' paces was sorted for each waiting request: once a round. - `Load::reads` served the emulator only, which knows it from its sends; `Connection::pending` served nobody. A zone was tested twice for each engine.

Ruled out: one plot for both emulators; their axes are of different types.

Two assertions of the order of requests lose the argument that is gone.

--- a/crates/core/src/edge/load.rs
+++ b/crates/core/src/edge/load.rs
@@ -224,12 +224,6 @@
         self.targets.get(target).into_iter().flat_map(|at| &at.entries).map(|e| &e.work)
     }
 
-    /// Returns whether a request of this instance has not had its first event.
-    pub fn reads(&self, target: &str, id: WorkId) -> bool {
-        let at = self.targets.get(target).into_iter().flat_map(|at| &at.entries);
-        at.filter(|e| e.owner.is_none() && e.id == id).any(|e| e.work.writing.is_none())
-    }
-
     /// Predicts what `target` does at `now`.
     pub fn outlook(&self, target: &str, engine: Option<&Engine>, now: Instant) -> Outlook {
         let Some(at) = self.targets.get(target) else { return Outlook::default() };
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -191,11 +191,11 @@
         self.last = None;
     }
 
-    /// Takes a request out that waits no more.
-    pub fn leave(&mut self, id: WorkId) {
-        if let Some(need) = self.queue.remove(&id) {
-            self.news |= need.long;
-        }
+    /// Takes a request out that waits no more, if it still waits.
+    pub fn leave(&mut self, id: WorkId) -> Option<Need> {
+        let need = self.queue.remove(&id)?;
+        self.news |= need.long;
+        Some(need)
     }
 
     /// Returns whether a request still waits.
@@ -232,6 +232,7 @@
             return Vec::new();
         }
         self.last = Some(now);
+        let middle = self.paces.middle(now);
         let mut grants = Vec::new();
         let mut misses: HashMap<ServiceId, usize> = HashMap::new();
         for id in self.ranked(now) {
@@ -240,8 +241,11 @@
             if *count >= MOST_MISSES || need.long && self.yields(need, now) {
                 continue;
             }
-            match self.place(need, now) {
-                Some(place) => grants.extend(self.give(id, place, now)),
+            match self.place(need, middle, now) {
+                Some(place) => {
+                    let need = self.leave(id);
+                    grants.extend(need.map(|need| self.grant(id, &need, place, now)));
+                }
                 None => *count += 1,
             }
         }
@@ -251,9 +255,7 @@
     fn ranked(&self, now: Instant) -> Vec<WorkId> {
         let mut order: Vec<_> =
             self.queue.iter().map(|(id, need)| (need.waiting.rank(now), *id)).collect();
-        order.sort_by(|(a, i), (b, j)| {
-            a.0.cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.total_cmp(&b.2)).then(i.cmp(j))
-        });
+        order.sort_by(|(a, i), (b, j)| a.order(b).then(i.cmp(j)));
         order.into_iter().map(|(_, id)| id).collect()
     }
 
@@ -264,12 +266,12 @@
     fn yields(&self, need: &Need, now: Instant) -> bool {
         let mut rivals =
             self.rivals.values().flatten().filter(|(service, _)| *service == need.service);
-        now < need.waiting.since + YIELD && rivals.any(|(_, w)| w.before(&need.waiting, false, now))
+        now < need.waiting.since + YIELD && rivals.any(|(_, w)| w.before(&need.waiting, now))
     }
 
-    fn place(&self, need: &Need, now: Instant) -> Option<Place> {
+    /// Looks for a place; `middle` is that of the engines' paces.
+    fn place(&self, need: &Need, middle: f64, now: Instant) -> Option<Place> {
         let far = |zone: &ZoneId| if *zone == self.zone { Duration::ZERO } else { FAR };
-        let middle = self.paces.middle(now);
         let pace = |id: &str| self.paces.factor(id, middle, now);
         let usable = |avoid: bool| {
             self.fleet
@@ -296,9 +298,8 @@
             .filter(|place| need.waiting.takes(place, pressure, now))
     }
 
-    fn give(&mut self, id: WorkId, place: Place, now: Instant) -> Option<Grant> {
-        let need = self.queue.remove(&id)?;
-        self.news |= need.long;
+    /// Gives a place to a request, whose load counts from now on.
+    pub fn grant(&mut self, id: WorkId, need: &Need, place: Place, now: Instant) -> Grant {
         let work = Work {
             prompt: need.prompt,
             parts: place.helpers.len() as u32 + 1,
@@ -310,20 +311,15 @@
             sent: now,
             writing: None,
         };
-        self.begin(&place, id, work, need.engine.as_ref());
-        Some(Grant { place, id, at: now })
-    }
-
-    /// Adds a request to the load of the targets of its place.
-    fn begin(&mut self, place: &Place, id: WorkId, work: Work, engine: Option<&Engine>) {
         let mut add = |target: &TargetId, work| {
-            self.load.begin(target, id, work, engine);
+            self.load.begin(target, id, work, need.engine.as_ref());
             self.changed.insert(TargetId::clone(target));
         };
         add(&place.target.id, work);
         for helper in &place.helpers {
             add(&helper.target.id, Work { first: false, memory: helper.keeps, ..work });
         }
+        Grant { place, id, at: now }
     }
 
     /// Notes the first event of a request, which ends the reading of its prompt.
--- a/crates/core/src/edge/wait.rs
+++ b/crates/core/src/edge/wait.rs
@@ -5,6 +5,7 @@
 //! takes; what is late already fills what is left. A request that cannot be
 //! served before its caller gives up is refused as soon as that is known.
 
+use std::cmp::Ordering;
 use std::time::{Duration, Instant};
 
 use crate::edge::load::WorkId;
@@ -72,19 +73,36 @@
     pub priority: u8,
 }
 
+/// What decides which of two waiting requests goes first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rank {
+    /// Whether its first event is late already.
+    late: bool,
+    /// Rank; 0 is the most urgent.
+    priority: u8,
+    /// Worth for each second that it takes.
+    density: f64,
+}
+
+impl Rank {
+    /// Compares two ranks; the lesser one goes first.
+    pub fn order(&self, other: &Self) -> Ordering {
+        let urgency = self.late.cmp(&other.late).then(self.priority.cmp(&other.priority));
+        urgency.then(other.density.total_cmp(&self.density))
+    }
+}
+
 impl Waiting {
-    /// Returns the key by which waiting requests are sorted; less goes first.
-    pub fn rank(&self, now: Instant) -> (bool, u8, f64) {
+    /// Returns the rank by which waiting requests are sorted; less goes first.
+    pub fn rank(&self, now: Instant) -> Rank {
         let late = now + self.work > self.promise;
         let density = self.worth / self.work.as_secs_f64().max(0.001);
-        (late, self.priority, -density)
+        Rank { late, priority: self.priority, density }
     }
 
-    /// Returns whether this request goes before `other`; `tie` settles equal ranks.
-    pub fn before(&self, other: &Self, tie: bool, now: Instant) -> bool {
-        let (a, b) = (self.rank(now), other.rank(now));
-        let order = a.0.cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.total_cmp(&b.2));
-        order.is_lt() || order.is_eq() && tie
+    /// Returns whether this request goes before `other`.
+    pub fn before(&self, other: &Self, now: Instant) -> bool {
+        self.rank(now).order(&other.rank(now)).is_lt()
     }
 
     /// Returns whether a place is good enough to take now.
--- a/crates/core/tests/edge_wait.rs
+++ b/crates/core/tests/edge_wait.rs
@@ -53,7 +53,7 @@
         fn $name() {
             let now = Instant::now();
             let (a, b) = (waiting(now, $($a),+), waiting(now, $($b),+));
-            assert!(a.before(&b, false, now) && !b.before(&a, false, now));
+            assert!(a.before(&b, now) && !b.before(&a, now));
         })+
     };
 }
@@ -68,7 +68,7 @@
 fn more_urgent_rank_goes_first() {
     let now = Instant::now();
     let urgent = Waiting { priority: 0, ..waiting(now, 100, 1.0, 300) };
-    assert!(urgent.before(&waiting(now, 1, 9.0, 300), false, now));
+    assert!(urgent.before(&waiting(now, 1, 9.0, 300), now));
 }
 
 #[test]
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -4,10 +4,9 @@
 use std::time::Instant;
 
 use mimosapass_core::edge::fleet::Target;
-use mimosapass_core::edge::load::{Work, WorkId};
+use mimosapass_core::edge::load::WorkId;
 use mimosapass_core::edge::place::Place;
 use mimosapass_core::edge::schedule::{Grant, Need, Scheduler};
-use mimosapass_core::ids::TargetId;
 use rand::RngExt;
 use rand::rngs::StdRng;
 
@@ -73,20 +72,7 @@
         }
     };
     let target = Arc::clone(drawn.into_iter().min_by_key(|t| outlook(t).used)?);
-    let work = Work {
-        prompt: need.prompt,
-        parts: 1,
-        first: true,
-        memory,
-        answer: need.answer,
-        gap: need.gap,
-        worth: need.waiting.worth,
-        sent: now,
-        writing: None,
-    };
-    scheduler.load.begin(&target.id, id, work, engine);
-    scheduler.changed.insert(TargetId::clone(&target.id));
     let first = need.waiting.work;
     let place = Place { target, helpers: Vec::new(), memory, first, loss: 0.0, harm: 0.0 };
-    Some(Grant { place, id, at: now })
+    Some(scheduler.grant(id, need, place, now))
 }
--- a/crates/emulator/src/world/engines.rs
+++ b/crates/emulator/src/world/engines.rs
@@ -199,8 +199,9 @@
     /// An event reaches its caller.
     fn event(&mut self, id: WorkId, last: bool) {
         let moment = self.moment();
-        let Some(send) = self.sends.get(&id) else { return };
+        let Some(send) = self.sends.get_mut(&id) else { return };
         let (instance, call) = (send.instance, send.call);
+        let first = !std::mem::replace(&mut send.begun, true);
         let grant = send.grant.clone();
         let at = self.now + TO_CALLER;
         let fate = &mut self.fates[call];
@@ -223,9 +224,7 @@
             fate.sent = None;
             self.nodes[instance].scheduler.note(&grant.place.target.id, Outcome::Answered, moment);
             self.close(id);
-        } else if self.sends[&id].unread == 0
-            && node.scheduler.load.reads(&grant.place.target.id, id)
-        {
+        } else if first {
             node.scheduler.first_event(&grant, moment);
             self.round(instance);
         }
--- a/crates/emulator/src/world/faults.rs
+++ b/crates/emulator/src/world/faults.rs
@@ -78,7 +78,7 @@
     }
 
     fn lose_zone(&mut self, zone: usize) {
-        for engine in (0..self.sites.len()).filter(|i| i % crate::load::ZONES == zone) {
+        for engine in 0..self.sites.len() {
             if self.sites[engine].zone == zone {
                 self.darken(engine);
             }
--- a/crates/emulator/src/world/instance.rs
+++ b/crates/emulator/src/world/instance.rs
@@ -106,7 +106,7 @@
         fate.parts = unread;
         fate.predicted = grant.place.first;
         fate.granted = now;
-        self.sends.insert(id, Send { call, instance, grant, unread });
+        self.sends.insert(id, Send { call, instance, grant, unread, begun: false });
         self.after(HOP, Event::Start(id));
         self.news(instance);
     }
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -96,6 +96,8 @@
     grant: Grant,
     /// Parts of the prompt that are not read yet.
     unread: usize,
+    /// Whether an event came.
+    begun: bool,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -234,11 +234,6 @@
         }
     }
 
-    /// Returns whether the target has sent anything that is not taken yet.
-    pub fn pending(&self) -> bool {
-        !self.kept.is_empty()
-    }
-
     /// Parses the head of an answer; `None` when more has to be read.
     ///
     /// # Errors
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -15,7 +15,7 @@
 use mimosapass_platform::{plan, runner};
 
 use super::member;
-use super::state::Gateway;
+use super::state::{Gateway, State};
 
 /// Least time between two watches, for changes that come in quick succession: each
 /// call of each instance is priced, and a change has two seconds to be in force.
@@ -126,7 +126,7 @@
     state.store.at = at;
     state.store.seen = state.store.seen.max(at);
     state.store.listed = true;
-    gateway.metrics.targets.set(state.scheduler.fleet.all().filter(|t| !t.draining).count() as i64);
+    count_targets(gateway, &state);
     Ok(())
 }
 
@@ -140,10 +140,15 @@
     }
     let mut state = gateway.state();
     state.store.at = state.store.at.max(page.at);
-    gateway.metrics.targets.set(state.scheduler.fleet.all().filter(|t| !t.draining).count() as i64);
+    count_targets(gateway, &state);
     Ok(())
 }
 
+fn count_targets(gateway: &Gateway, state: &State) {
+    let serving = state.scheduler.fleet.all().filter(|t| !t.draining).count();
+    gateway.metrics.targets.set(serving as i64);
+}
+
 /// Takes one entry of the store.
 pub fn take(gateway: &Gateway, entry: &Entry) {
     if entry.key == plan::KEY {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,6 +1,9 @@
 //! Metrics of a gateway.
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::core::Collector;
+use prometheus::{HistogramVec, IntCounterVec, IntGauge, Registry};
+
+use crate::metrics::{counters, gauge, register, times};
 
 /// Bounds of times, in seconds: the promises of chats, summaries and reviews,
 /// and fractions of them.
@@ -38,21 +41,9 @@
 
 impl Metrics {
     /// Builds and registers all metrics.
-    ///
-    /// # Panics
-    ///
-    /// Panics when a metric is declared wrongly, which is a bug here.
     pub fn new() -> Self {
         let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            IntCounterVec::new(Opts::new(name, help), labels).expect("metric is well formed")
-        };
-        let times = |name: &str, help: &str| {
-            let options = HistogramOpts::new(name, help).buckets(BOUNDS.to_vec());
-            HistogramVec::new(options, &["band"]).expect("metric is well formed")
-        };
-        let gauge =
-            |name: &str, help: &str| IntGauge::new(name, help).expect("metric is well formed");
+        let times = |name, help| times(name, help, "band", &BOUNDS);
         let metrics = Self {
             outcomes: counters("gateway_requests", "Ended requests.", &["band", "outcome"]),
             attempts: counters("gateway_attempts", "Sends to targets.", &["outcome"]),
@@ -70,7 +61,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn prometheus::core::Collector>; 9] = [
+        let all: [Box<dyn Collector>; 9] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.first.clone()),
@@ -81,9 +72,7 @@
             Box::new(self.peers.clone()),
             Box::new(self.store.clone()),
         ];
-        for metric in all {
-            self.registry.register(metric).expect("metric is declared once");
-        }
+        register(&self.registry, all);
     }
 }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use prometheus::core::Collector;
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
@@ -15,6 +16,39 @@
 /// Label of the longest band.
 const LONGEST: &str = "over";
 
+/// Builds counters by label.
+///
+/// # Panics
+///
+/// This and the functions below panic when a metric is declared wrongly, which is
+/// a bug where it is declared.
+pub fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), labels).expect("metric is well formed")
+}
+
+/// Builds a counter.
+pub fn counter(name: &str, help: &str) -> IntCounter {
+    IntCounter::new(name, help).expect("metric is well formed")
+}
+
+/// Builds a gauge.
+pub fn gauge(name: &str, help: &str) -> IntGauge {
+    IntGauge::new(name, help).expect("metric is well formed")
+}
+
+/// Builds histograms of times, in seconds, by a label.
+pub fn times(name: &str, help: &str, label: &str, bounds: &[f64]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+    HistogramVec::new(options, &[label]).expect("metric is well formed")
+}
+
+/// Registers metrics, none of which is registered yet.
+pub fn register<const N: usize>(registry: &Registry, all: [Box<dyn Collector>; N]) {
+    for collector in all {
+        registry.register(collector).expect("metric names differ");
+    }
+}
+
 /// All metrics.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -48,18 +82,8 @@
 
 impl Metrics {
     /// Builds and registers all metrics.
-    ///
-    /// # Panics
-    ///
-    /// Panics when a metric is declared wrongly, which is a bug here.
     pub fn new() -> Self {
         let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            IntCounterVec::new(Opts::new(name, help), labels).expect("metric is well formed")
-        };
-        let gauge =
-            |name: &str, help: &str| IntGauge::new(name, help).expect("metric is well formed");
-        let first = HistogramOpts::new("mimosapass_first_token_seconds", "Time to first token.");
         let metrics = Self {
             outcomes: counters(
                 "mimosapass_requests_total",
@@ -67,15 +91,17 @@
                 &["class", "outcome"],
             ),
             attempts: counters("mimosapass_attempts_total", "Attempts at targets.", &["outcome"]),
-            first: HistogramVec::new(first.buckets(BOUNDS.to_vec()), &["prompt"])
-                .expect("metric is well formed"),
+            first: times(
+                "mimosapass_first_token_seconds",
+                "Time to first token.",
+                "prompt",
+                &BOUNDS,
+            ),
             config: gauge("mimosapass_config_version", "Configuration in force."),
-            crossed: IntCounter::new("mimosapass_crossed_total", "Events of another attempt.")
-                .expect("metric is well formed"),
+            crossed: counter("mimosapass_crossed_total", "Events of another attempt."),
             unfreed: gauge("mimosapass_unfreed_attempts", "Attempts to be freed."),
             claims: gauge("mimosapass_claims", "Claims on the memory of engines."),
-            lost: IntCounter::new("mimosapass_lost_pieces_freed_total", "Lost pieces freed.")
-                .expect("metric is well formed"),
+            lost: counter("mimosapass_lost_pieces_freed_total", "Lost pieces freed."),
             peers: gauge("mimosapass_peers_alive", "Peers alive."),
             unsettled: gauge("mimosapass_unsettled_records", "Records to be settled."),
             waiting: gauge("mimosapass_waiting_requests", "Requests that wait for their turn."),
@@ -93,7 +119,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn prometheus::core::Collector>; 12] = [
+        let all: [Box<dyn Collector>; 12] = [
             Box::new(self.outcomes.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.first.clone()),
@@ -107,9 +133,7 @@
             Box::new(self.waiting.clone()),
             Box::new(self.memory.clone()),
         ];
-        for collector in all {
-            self.registry.register(collector).expect("metric names differ");
-        }
+        register(&self.registry, all);
     }
 }
 
