Silence of a zone is noted where outcomes are

Cause: the gateway noted a silent target twice, once for the zone and once for the target, and the emulator knew only of the second. docs/LOAD.md said that `zone_lost_at_peak` replays the decision on a zone that is cut off; no replay ever reached it.

Ruled out: a call more in the emulator; the two belong together.

Change: `Scheduler::note` judges both and says what is avoided from now on; the gateway logs it. What the gateway does stays as it was.

--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -140,6 +140,15 @@
     Pressure(f64),
 }
 
+/// What is avoided once an attempt has ended.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Avoided {
+    /// Zone that seems to be cut off, if it did not before.
+    pub zone: Option<ZoneId>,
+    /// Time for which the target is avoided.
+    pub pause: Option<Duration>,
+}
+
 /// An instance's view of targets and requests, and the requests that wait with it.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -353,11 +362,13 @@
         }
     }
 
-    /// Notes how an attempt at a target ended; returns the pause for which the
-    /// target is avoided from now on, if it is.
-    pub fn note(&mut self, target: &TargetId, outcome: Outcome, now: Instant) -> Option<Duration> {
+    /// Notes how an attempt at a target ended; returns what is avoided from now on.
+    pub fn note(&mut self, target: &TargetId, outcome: Outcome, now: Instant) -> Avoided {
+        let zone = self.fleet.get(target).map(|t| ZoneId::clone(&t.zone));
+        let silent = zone.filter(|_| outcome == Outcome::Silent);
+        let zone = silent.filter(|zone| self.reach.silent(zone, now));
         let peers = self.peer_failures(target);
-        self.outcomes.note(target, outcome, peers, now)
+        Avoided { zone, pause: self.outcomes.note(target, outcome, peers, now) }
     }
 
     /// Forgets how a target did that is gone or has started again.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::plan::{Plan, ServiceId};
 use mimosapass_core::edge::retry::Repeats;
-use mimosapass_core::edge::schedule::{Grant, Scheduler};
+use mimosapass_core::edge::schedule::{Avoided, Grant, Scheduler};
 use mimosapass_core::edge::watch::{Neighbour, watches, whole};
 use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
 use mimosapass_platform::store::{Revision, Store};
@@ -250,15 +250,11 @@
 
     /// Notes how an attempt at a target ended.
     pub fn note(&self, target: &TargetId, outcome: Outcome, now: Instant) {
-        let mut state = self.state();
-        let scheduler = &mut state.scheduler;
-        let zone = scheduler.fleet.get(target).map(|t| ZoneId::clone(&t.zone));
-        if let (Some(zone), Outcome::Silent) = (&zone, outcome)
-            && scheduler.reach.silent(zone, now)
-        {
-            log::warn!(zone = &**zone; "zone: cut off, its targets are avoided.");
+        let Avoided { zone, pause } = self.state().scheduler.note(target, outcome, now);
+        if let Some(zone) = zone {
+            log::warn!(zone = &*zone; "zone: cut off, its targets are avoided.");
         }
-        if let Some(pause) = scheduler.note(target, outcome, now) {
+        if let Some(pause) = pause {
             let pause_ms = pause.as_millis() as u64;
             log::warn!(target_id = &**target, outcome:? = outcome, pause_ms; "target: avoided.");
         }
