Key-value service: a back-off of its own for each part of an instance

Cause: the watcher of the configuration and the thread that holds the zone's lease shared one back-off. After a failed call the thread that asks more often takes the next call that the back-off allows, so the watcher may never learn that the service does not answer, and the status page does not say that the zone is cut off. Ruled out: the rate limit, which two calls in six seconds do not reach.

Change: ThrottledKv::sharing_rate gives each part its own back-off; the rate stays shared. The lease has its own client.

--- a/crates/keyvalue/src/throttle.rs
+++ b/crates/keyvalue/src/throttle.rs
@@ -1,6 +1,6 @@
 //! Limits the rate of one client's calls to the key-value service.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use mimosapass_core::pace::{Backoff, Bucket};
@@ -16,30 +16,34 @@
 /// Maximum burst of calls after an idle time.
 const BURST_CALLS: f64 = 6.0;
 
-#[derive(Debug)]
-struct Limits {
-    backoff: Backoff,
-    bucket: Bucket,
-}
-
 /// Client with a rate limit, and a back-off while the service fails.
+///
+/// Each part of an instance has a client of its own. The rate is shared by all of them.
+/// The back-off is not: a part that calls often would use every call that a shared one
+/// allows, and the others would never learn whether the service answers.
 #[derive(Debug)]
 pub struct ThrottledKv {
     kv: KvClient,
-    limits: Mutex<Limits>,
+    bucket: Arc<Mutex<Bucket>>,
+    backoff: Mutex<Backoff>,
 }
 
 impl ThrottledKv {
     /// Limits the calls of `kv`.
     pub fn new(kv: KvClient) -> Self {
-        let backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF);
         let bucket = Bucket::new(CALLS_PER_S, BURST_CALLS, Instant::now());
-        Self { kv, limits: Mutex::new(Limits { backoff, bucket }) }
+        Self { kv, bucket: Arc::new(Mutex::new(bucket)), backoff: new_backoff() }
+    }
+
+    /// Returns a client with the same rate limit and a back-off of its own.
+    #[must_use]
+    pub fn sharing_rate(&self) -> Self {
+        Self { kv: self.kv.clone(), bucket: Arc::clone(&self.bucket), backoff: new_backoff() }
     }
 
     /// Returns whether the back-off allows a call now.
     pub fn ready(&self) -> bool {
-        self.limits().backoff.ready(Instant::now())
+        lock(&self.backoff).ready(Instant::now())
     }
 
     /// Makes a call unless the rate limit or the back-off forbids it.
@@ -60,25 +64,28 @@
 
     /// Records for the back-off whether the result of a call was usable.
     pub fn record_result(&self, usable: bool) {
-        let mut limits = self.limits();
+        let mut backoff = lock(&self.backoff);
         if usable {
-            limits.backoff.succeeded();
+            backoff.succeeded();
         } else {
-            limits.backoff.failed(Instant::now(), rand::random());
+            backoff.failed(Instant::now(), rand::random());
         }
     }
 
     fn admit(&self) -> Result<(), KvError> {
         let now = Instant::now();
-        let mut limits = self.limits();
-        if limits.backoff.ready(now) && limits.bucket.take(now) {
+        if lock(&self.backoff).ready(now) && lock(&self.bucket).take(now) {
             Ok(())
         } else {
             Err(KvError::Unavailable("the call was throttled".to_owned()))
         }
     }
+}
 
-    fn limits(&self) -> MutexGuard<'_, Limits> {
-        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn new_backoff() -> Mutex<Backoff> {
+    Mutex::new(Backoff::new(MIN_BACKOFF, MAX_BACKOFF))
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/keyvalue/tests/membership.rs
+++ b/crates/keyvalue/tests/membership.rs
@@ -106,3 +106,18 @@
     assert!(made <= 20, "{made} of 200 calls at once");
     assert_eq!(platform.calls().reads, made as u64);
 }
+
+#[test]
+fn calls_of_one_part_do_not_hold_back_another() {
+    let (platform, kv) = platform();
+    let lease = ThrottledKv::new(kv);
+    let watcher = lease.sharing_rate();
+    platform.set(Faults { outage: true, ..Faults::default() });
+    lease.call(|kv| kv.get("x")).expect_err("an outage");
+    assert!(watcher.ready(), "it has made no call that failed");
+    watcher.call(|kv| kv.get("x")).expect_err("an outage");
+    assert_eq!(platform.calls().failed, 2, "each learns of the outage by its own call");
+    let made = (0..200).filter(|_| lease.sharing_rate().call(|kv| kv.get("x")).is_err()).count();
+    assert_eq!(made, 200);
+    assert!(platform.calls().failed <= 8, "the rate is that of one client");
+}
--- a/src/background/orders.rs
+++ b/src/background/orders.rs
@@ -141,11 +141,9 @@
         let now = Instant::now();
         let result = match &mut self.lease {
             Some((_, clock)) if clock.expired(now) => Err(KvError::LeaseExpired),
-            Some((held, clock)) if clock.needs_renewal(now) => self
-                .node
-                .throttled_kv
-                .call(|kv| leases::renew(kv, held))
-                .map(|at| clock.renewed(at)),
+            Some((held, clock)) if clock.needs_renewal(now) => {
+                self.node.lease_kv.call(|kv| leases::renew(kv, held)).map(|at| clock.renewed(at))
+            }
             Some(_) => Ok(()),
             None => self.acquire(),
         };
@@ -162,7 +160,7 @@
     fn acquire(&mut self) -> Result<(), KvError> {
         let holder = format!("{}-{:x}", self.node.name, self.node.boot);
         let call = |kv: &_| leases::acquire(kv, &self.key, &holder, LEASE_TTL);
-        if let Some(held) = self.node.throttled_kv.call(call)? {
+        if let Some(held) = self.node.lease_kv.call(call)? {
             log::info!(
                 "orders: leading zone {} with fencing token {}.",
                 self.node.zone,
@@ -178,8 +176,7 @@
     fn release(&mut self) {
         if let Some((held, _)) = self.lease.take() {
             self.node.state().fence = None;
-            if let Err(e) = self.node.throttled_kv.call(|kv| leases::release(kv, &self.key, &held))
-            {
+            if let Err(e) = self.node.lease_kv.call(|kv| leases::release(kv, &self.key, &held)) {
                 log::debug!("orders: cannot release the lease of the zone: {e}.");
             }
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -98,8 +98,10 @@
     pub links: Links,
     /// Client of the key-value service, not rate-limited.
     pub kv: KvClient,
-    /// Rate-limited client of the key-value service for background work.
+    /// Rate-limited client of the key-value service for the configuration.
     pub throttled_kv: ThrottledKv,
+    /// Rate-limited client of the key-value service for the zone's lease.
+    pub lease_kv: ThrottledKv,
     /// HTTP agent for idempotent calls; it reuses connections.
     pub pooled_agent: Agent,
     /// HTTP agents for engine streams.
@@ -160,13 +162,15 @@
             in_flight: BTreeMap::new(),
             claims: Claims::default(),
         };
+        let throttled_kv = ThrottledKv::new(kv.clone());
         Self {
             name,
             zone,
             boot,
             timer,
             links,
-            throttled_kv: ThrottledKv::new(kv.clone()),
+            lease_kv: throttled_kv.sharing_rate(),
+            throttled_kv,
             kv,
             pooled_agent: mimosapass_target::client::agent(MAX_IDLE),
             stream_agents: StreamAgents::default(),
