--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -9,20 +9,26 @@
 //! - [`load`]: requests in flight at each target, from all instances.
 //! - [`slowdown`]: how much slower an engine decodes than its peers.
 //! - [`placement`]: the choice of a target for one request.
+//! - [`order`]: the order in which schedulers fill engines.
 //! - [`wait`]: the order of waiting requests, and when they are refused.
 //! - [`schedule`]: the state of an instance, and the rounds that place waiting requests.
 //! - [`retry`]: how many retries an instance may send.
-//! - [`watch`]: which instances watch the store for their availability zone.
+//! - [`election`]: which instances of an availability zone act for the others.
+//! - [`remote`]: requests of this instance that a scheduler of its zone places.
+//! - [`clients`]: requests that a scheduler places for other instances.
 //! - [`outcomes`]: temporary exclusion of targets that fail or do not answer.
 
+pub mod clients;
 pub mod cost;
+pub mod election;
 pub mod fleet;
 pub mod load;
+pub mod order;
 pub mod outcomes;
 pub mod placement;
+pub mod remote;
 pub mod retry;
 pub mod route_table;
 pub mod schedule;
 pub mod slowdown;
 pub mod wait;
-pub mod watch;
--- /dev/null
+++ b/crates/core/src/edge/order.rs
@@ -0,0 +1,64 @@
+//! The order in which schedulers fill engines.
+//!
+//! Short prompts take engines from the front of an order that all schedulers share, so
+//! that engines at its back stay free for long prompts. In a large fleet, schedulers that
+//! fill one order choose the same engine at the same moment. The engines of a zone
+//! therefore form blocks with an order of their own once there are enough of them, and a
+//! scheduler fills its own block first.
+
+use std::collections::BTreeMap;
+
+use crate::ids::ZoneId;
+
+/// Fewest engines in a block: enough for short prompts in front of free engines.
+const MIN_BLOCK: usize = 10;
+
+/// Which of the zone's blocks a scheduler fills first.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Turn {
+    /// Position among the schedulers of the zone, from 0.
+    pub index: usize,
+    /// Number of schedulers in the zone, 1 or more.
+    pub count: usize,
+}
+
+impl Default for Turn {
+    fn default() -> Self {
+        Self { index: 0, count: 1 }
+    }
+}
+
+/// Place of an engine in the order of a scheduler.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Position {
+    /// Place in its block, above 0 and below 1.
+    pub in_block: f64,
+    /// Whether the block is filled by this scheduler first.
+    pub own: bool,
+}
+
+/// Returns the positions of engines that are in the given `zones`, in the common order.
+pub fn positions(zones: &[&ZoneId], own_zone: &str, turn: Turn) -> Vec<Position> {
+    let mut sizes: BTreeMap<&str, usize> = BTreeMap::new();
+    for zone in zones {
+        *sizes.entry(zone).or_default() += 1;
+    }
+    // All schedulers have to come to the same result, so the mean over zones decides.
+    if zones.len() < MIN_BLOCK * sizes.len() {
+        let place = |i: usize| (i as f64 + 0.5) / zones.len() as f64;
+        return (0..zones.len()).map(|i| Position { in_block: place(i), own: true }).collect();
+    }
+    let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
+    zones
+        .iter()
+        .map(|zone| {
+            let at = seen.entry(zone).or_default();
+            let (index, size) = (*at, sizes[&***zone]);
+            *at += 1;
+            let blocks = (size / MIN_BLOCK).clamp(1, turn.count);
+            let in_block = ((index / blocks) as f64 + 0.5) / size.div_ceil(blocks) as f64;
+            let own = ***zone == *own_zone && index % blocks == turn.index % blocks;
+            Position { in_block, own }
+        })
+        .collect()
+}
--- a/crates/core/src/edge/placement.rs
+++ b/crates/core/src/edge/placement.rs
@@ -15,6 +15,7 @@
 use crate::edge::cost::Engine;
 use crate::edge::fleet::Target;
 use crate::edge::load::{Load, Prediction};
+use crate::edge::order::Position;
 
 /// Share of the time limit from which on a prediction counts as uncertain. The rest
 /// covers the way back to the caller and the remainder of the current pass.
@@ -34,6 +35,9 @@
 /// Cost of the least preferred position in the order of targets, relative to the value
 /// of a mean answer. Short prompts prefer its front and long ones its back.
 const POSITION_COST: f64 = 0.4;
+/// Spread of positions in blocks of other schedulers, relative to that in the own block:
+/// their front engines are in use, so a place further back is hardly worse.
+const OTHER_BLOCK_SPREAD: f64 = 0.25;
 /// Weight of pauses in other answers against the lateness of this one. Long prompts on
 /// a target with strict streams push the next short prompts to other targets, where
 /// they interfere with the next long one.
@@ -67,6 +71,8 @@
     pub slowdown: f64,
     /// Additional network latency to it.
     pub extra_latency: Duration,
+    /// Place in the order in which engines are filled.
+    pub position: Position,
 }
 
 /// A target that processes a part of a prompt.
@@ -179,11 +185,9 @@
     load: &Load,
     now: Instant,
 ) -> Option<Placement> {
-    let count = candidates.len() as f64;
     let prospects: Vec<Prospect<'_>> = candidates
         .iter()
-        .enumerate()
-        .map(|(i, candidate)| {
+        .map(|candidate| {
             let prediction = load.predict(&candidate.target.id, Some(engine), now);
             let residual = if prediction.decoding > 0 {
                 engine
@@ -194,9 +198,7 @@
                 Duration::ZERO
             };
             let wait = prediction.prefill_time.mul_f64(candidate.slowdown) + residual;
-            let position = (i as f64 + 0.5) / count;
-            let position_cost =
-                POSITION_COST * if request.long { 1.0 - position } else { position };
+            let position_cost = position_cost(request, candidate.position);
             Prospect { candidate, prediction, position_cost, wait, residual }
         })
         .collect();
@@ -213,6 +215,17 @@
     best
 }
 
+/// Returns the cost of a position: long prompts start at the back of all blocks, short ones
+/// at the front of the own block.
+fn position_cost(request: &PlacementRequest, position: Position) -> f64 {
+    let Position { in_block, own } = position;
+    match (request.long, own) {
+        (true, _) => POSITION_COST * (1.0 - in_block),
+        (false, true) => POSITION_COST * in_block,
+        (false, false) => POSITION_COST * (1.0 + in_block * OTHER_BLOCK_SPREAD),
+    }
+}
+
 fn fits(request: &PlacementRequest, engine: &Engine, prospect: &Prospect<'_>) -> bool {
     let slots = prospect.candidate.target.slots.min(engine.slots.max(1)) as usize;
     prospect.prediction.requests < slots
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -11,10 +11,12 @@
 use crate::edge::cost::Engine;
 use crate::edge::fleet::{Fleet, TargetId};
 use crate::edge::load::{Assignment, Load, Pressure, RequestNumber};
+use crate::edge::order::{Turn, positions};
 use crate::edge::outcomes::{Outcome, Outcomes, ZoneReachability};
 use crate::edge::placement::{
     Candidate, MAX_PARTS, MIN_BACKLOG, Placement, PlacementRequest, choose, is_long,
 };
+use crate::edge::remote::Orphan;
 use crate::edge::route_table::{Route, RouteTable, ServiceId};
 use crate::edge::slowdown::Slowdowns;
 use crate::edge::wait::{QueueEntry, caller_timeout};
@@ -159,6 +161,8 @@
 pub struct Scheduler {
     /// Availability zone of the instance.
     pub zone: ZoneId,
+    /// Which engines it fills first.
+    pub turn: Turn,
     /// Known targets.
     pub fleet: Fleet,
     /// Requests in flight, from all instances.
@@ -185,6 +189,7 @@
     pub fn new(zone: ZoneId) -> Self {
         Self {
             zone,
+            turn: Turn::default(),
             fleet: Fleet::default(),
             load: Load::default(),
             outcomes: Outcomes::default(),
@@ -297,17 +302,22 @@
                 .filter(|t| !avoid || !self.outcomes.is_avoided(&t.id, now))
                 .filter(|t| !avoid || !self.reachability.is_cut_off(&t.zone, now))
                 .filter(|t| !requirements.avoid.contains(&t.id))
-                .map(|target| Candidate {
+                .collect::<Vec<_>>()
+        };
+        let mut targets = usable(true);
+        if targets.is_empty() {
+            targets = usable(false);
+        }
+        let zones: Vec<&ZoneId> = targets.iter().map(|t| &t.zone).collect();
+        let candidates: Vec<Candidate<'_>> =
+            std::iter::zip(targets, positions(&zones, &self.zone, self.turn))
+                .map(|(target, position)| Candidate {
                     target,
                     slowdown: slowdown(&target.id),
                     extra_latency: extra_latency(&target.zone),
+                    position,
                 })
-                .collect::<Vec<_>>()
-        };
-        let mut candidates = usable(true);
-        if candidates.is_empty() {
-            candidates = usable(false);
-        }
+                .collect();
         let pressure = if requirements.long { self.pressure(&requirements.service) } else { 0.0 };
         let request = PlacementRequest {
             prompt: requirements.prompt,
@@ -368,9 +378,17 @@
         }
     }
 
-    /// Records an event after the first, with the gap before it.
-    pub fn record_event(&mut self, grant: &Grant, engine: &Engine, gap: Duration, now: Instant) {
-        let target = &grant.placement.target.id;
+    /// Adds a request that was placed by a scheduler which has failed since.
+    pub fn adopt(&mut self, orphan: &Orphan) {
+        let Orphan { grant, requirements, first_event } = orphan;
+        let grant = self.grant(grant.id, requirements, grant.placement.clone(), grant.at);
+        if let Some(at) = first_event {
+            self.first_event(&grant, *at);
+        }
+    }
+
+    /// Records a gap between two events of a target.
+    pub fn record_gap(&mut self, target: &TargetId, engine: &Engine, gap: Duration, now: Instant) {
         let prediction = self.load.predict(target, None, now);
         let predicted = engine.pass_time(prediction.decoding.max(1), prediction.context_tokens);
         self.slowdowns.record(target, gap, predicted, now);
--- a/crates/core/tests/edge_placement.rs
+++ b/crates/core/tests/edge_placement.rs
@@ -6,6 +6,7 @@
 use mimosapass_core::edge::cost::Engine;
 use mimosapass_core::edge::fleet::Target;
 use mimosapass_core::edge::load::{Assignment, Load};
+use mimosapass_core::edge::order::{Turn, positions};
 use mimosapass_core::edge::placement::{Candidate, Placement, PlacementRequest, choose, is_long};
 
 /// An engine with typical costs: a pass takes 45 ms.
@@ -45,6 +46,19 @@
     (0..count).map(|i| Arc::new(target(i))).collect()
 }
 
+/// Returns the targets as one block, which all schedulers fill in the same order.
+fn candidates(targets: &[Arc<Target>]) -> Vec<Candidate<'_>> {
+    let zones: Vec<_> = targets.iter().map(|t| &t.zone).collect();
+    std::iter::zip(targets, positions(&zones, "a", Turn::default()))
+        .map(|(target, position)| Candidate {
+            target,
+            slowdown: 1.0,
+            extra_latency: Duration::ZERO,
+            position,
+        })
+        .collect()
+}
+
 fn request(prompt: u64, goal_ms: u64) -> PlacementRequest {
     PlacementRequest {
         prompt,
@@ -69,11 +83,7 @@
     }
 
     fn choose(&self, request: &PlacementRequest) -> Option<Placement> {
-        let candidates: Vec<Candidate<'_>> = self
-            .targets
-            .iter()
-            .map(|target| Candidate { target, slowdown: 1.0, extra_latency: Duration::ZERO })
-            .collect();
+        let candidates = candidates(&self.targets);
         choose(request, Some(&engine()), &candidates, &self.load, self.now)
     }
 
@@ -224,11 +234,7 @@
     let mut replay = Replay::new(3);
     let call = PlacementRequest { long: false, ..request(0, 300) };
     for _ in 0..3 {
-        let candidates: Vec<Candidate<'_>> = replay
-            .targets
-            .iter()
-            .map(|target| Candidate { target, slowdown: 1.0, extra_latency: Duration::ZERO })
-            .collect();
+        let candidates = candidates(&replay.targets);
         let placement = choose(&call, None, &candidates, &replay.load, replay.now).expect("room");
         replay.send(&call, &placement, false);
     }
--- a/crates/emulator/examples/experiment.rs
+++ b/crates/emulator/examples/experiment.rs
@@ -8,11 +8,12 @@
 use mimosapass_emulator::policy::{ALL_POLICIES, Policy};
 use mimosapass_emulator::report::{Metrics, metrics, on_time, short_p95_ms, table_head, table_row};
 use mimosapass_emulator::simulation::{CallRecord, replay, run};
-use mimosapass_emulator::{load, plot, timing};
+use mimosapass_emulator::{fleets, load, plot, timing};
 
 /// Runs load patterns on the gateway's scheduling decisions, in simulated time.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a flag of the command line")]
 struct Options {
     /// Number of seeds per pattern; metrics cover the calls of all seeds.
     #[bpaf(fallback(3), display_fallback)]
@@ -26,6 +27,8 @@
     calls: bool,
     /// Measure the time of one decision over 18, 67 and 200 engines instead.
     speed: bool,
+    /// Compare fleets of several sizes, and which instances are told of requests, instead.
+    sizes: bool,
     /// Plot worth over load to this file as SVG.
     #[bpaf(argument("FILE"))]
     plot: Option<PathBuf>,
@@ -112,6 +115,10 @@
         eprintln!("no pattern name contains {:?}; omit NAME to run all patterns", options.name);
         return ExitCode::FAILURE;
     }
+    if options.sizes {
+        print!("{}", fleets::table(options.seeds));
+        return ExitCode::SUCCESS;
+    }
     if options.speed {
         println!("| engines | prompt | one decision |\n|---|---|---|");
         for (engines, prompt) in [18, 67, 200].into_iter().flat_map(|e| [(e, 5_000), (e, 300_000)])
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -6,6 +6,7 @@
 //! a minute of load takes well under a second, and runs with the same seed are equal.
 //!
 //! - [`engine`]: model of an engine.
+//! - [`fleets`]: the same load on fleets of several sizes.
 //! - [`load`]: kinds of request and the generated calls.
 //! - [`pattern`]: load patterns with their faults.
 //! - [`simulation`]: instances, engines and callers on one clock.
@@ -15,6 +16,7 @@
 //! - [`plot`]: worth over load as a plot.
 
 pub mod engine;
+pub mod fleets;
 pub mod load;
 pub mod pattern;
 pub mod plot;
--- a/crates/emulator/src/pattern.rs
+++ b/crates/emulator/src/pattern.rs
@@ -42,6 +42,15 @@
     RestartInstances,
 }
 
+/// Which instances are told of requests in flight.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Exchange {
+    /// The schedulers of each zone, which place the requests of the other instances.
+    Schedulers,
+    /// All of them; each instance places its own requests.
+    All,
+}
+
 /// One load pattern.
 #[derive(Clone, Debug)]
 pub struct Pattern {
@@ -51,6 +60,10 @@
     pub engines: usize,
     /// Instances.
     pub instances: usize,
+    /// Which instances are told of requests in flight.
+    pub exchange: Exchange,
+    /// Bandwidth of each instance in Mbit/s; `None` for one that never delays anything.
+    pub link_mbps: Option<f64>,
     /// Request rate relative to the usual one.
     pub load: f64,
     /// Period in which calls arrive.
@@ -71,6 +84,8 @@
             name,
             engines: 18,
             instances: 9,
+            exchange: Exchange::Schedulers,
+            link_mbps: None,
             load,
             duration: Duration::from_secs(40),
             leave_share: 0.0,
@@ -109,6 +124,19 @@
     }
 }
 
+/// Returns a surge of three times the usual rate within two seconds, on instances with
+/// links of 20 Mbit/s.
+pub fn surge(instances: usize, engines: usize, exchange: Exchange) -> Pattern {
+    Pattern {
+        instances,
+        engines,
+        exchange,
+        link_mbps: Some(20.0),
+        duration: Duration::from_secs(10),
+        ..Pattern::steady("surge", 0.8).change_load((4.0, 6.0), None, 3.0)
+    }
+}
+
 /// Index of the kind with the longest prompts.
 const REVIEW: usize = 2;
 
--- a/crates/emulator/src/simulation/caller.rs
+++ b/crates/emulator/src/simulation/caller.rs
@@ -60,6 +60,7 @@
             Requirements::new(&self.routes, route, service, size, instant, instant + remaining);
         let timeout = caller_timeout(requirements.entry.due - instant, requirements.max_gap);
         record.requirements = Some(requirements);
+        record.entry = instance;
         record.instance = instance;
         record.attempts = 0;
         record.last_event = now;
--- a/crates/emulator/src/simulation/engines.rs
+++ b/crates/emulator/src/simulation/engines.rs
@@ -19,6 +19,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time without progress after which requests at an engine fail.
 pub const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Bytes of an event of an answer on the way to the caller, with its framing.
+const EVENT_BYTES: u64 = 150;
 /// Latency from an engine to the caller.
 const CALLER_LATENCY: Duration = Duration::from_millis(4);
 
@@ -212,7 +214,8 @@
         let (instance, call) = (dispatch.instance, dispatch.call);
         let first = !std::mem::replace(&mut dispatch.answering, true);
         let grant = dispatch.grant.clone();
-        let at = self.now + CALLER_LATENCY;
+        let sent = self.transmit(self.records[call].entry, EVENT_BYTES);
+        let at = self.now + CALLER_LATENCY + sent;
         let record = &mut self.records[call];
         record.remaining_events = record.remaining_events.saturating_sub(1);
         let started = record.first_event.is_some();
@@ -226,7 +229,7 @@
         let node = &mut self.instances[instance];
         if started {
             let gap = at.saturating_sub(previous);
-            node.scheduler.record_event(&grant, &COST, gap, instant);
+            node.scheduler.record_gap(&grant.placement.target.id, &COST, gap, instant);
         }
         if last {
             record.end = Some(CallEnd::Served);
--- a/crates/emulator/src/simulation/faults.rs
+++ b/crates/emulator/src/simulation/faults.rs
@@ -96,7 +96,7 @@
         for call in 0..self.records.len() {
             let record = &mut self.records[call];
             let busy = record.queue_id.is_some() || record.dispatch_id.is_some();
-            if record.instance != instance || record.end.is_some() || !busy {
+            if record.entry != instance || record.end.is_some() || !busy {
                 continue;
             }
             record.queue_id = None;
@@ -110,6 +110,7 @@
                 self.schedule_retry(call, DISCONNECT_DELAY, CallEnd::Failed);
             }
         }
+        self.reassign(instance);
         self.after(PEER_TIMEOUT, Event::ForgetPeer(instance));
     }
 }
--- a/crates/emulator/src/simulation/instance.rs
+++ b/crates/emulator/src/simulation/instance.rs
@@ -3,21 +3,39 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use mimosapass_core::edge::election::ELECTED;
 use mimosapass_core::edge::load::{Assignment, RequestNumber};
+use mimosapass_core::edge::order::Turn;
 use mimosapass_core::edge::route_table::ServiceId;
 use mimosapass_core::edge::schedule::{Grant, Refusal, Scheduler};
 use mimosapass_core::edge::wait::{QueueEntry, retry_after};
 use mimosapass_core::ids::{InstanceId, TargetId};
+use mimosapass_core::rendezvous;
 
 use super::engines::zone;
 use super::{Dispatch, Event, Simulation};
-use crate::load::COST;
+use crate::load::{COST, ZONES};
+use crate::pattern::Exchange;
 use crate::policy::{Policy, baseline};
 
 /// Time in which an instance collects changes before it sends an update.
 const UPDATE_DELAY: Duration = Duration::from_millis(1);
 /// Latency between two instances, or from an instance to an engine.
 const HOP_LATENCY: Duration = Duration::from_micros(500);
+/// Time until a request is at the scheduler that places it, or a grant at its instance.
+const ASK_LATENCY: Duration = Duration::from_micros(1_500);
+/// Time after which a request without an answer goes to the next scheduler.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+/// Messages about a request that another instance places: the request, its first event
+/// and its end. The grant is the scheduler's.
+const CLIENT_MESSAGES: u64 = 3;
+/// Prompt tokens in a byte of a request, which names most of its prompt by reference.
+const PROMPT_TOKENS_PER_BYTE: u64 = 4;
+/// Bytes of an update besides its targets.
+const UPDATE_BYTES: u64 = 120;
+/// Bytes of a target in an update, and of each of its requests.
+const TARGET_BYTES: u64 = 16;
+const REQUEST_BYTES: u64 = 36;
 /// Interval between checks of a waiting request.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -30,6 +48,10 @@
     pub scheduler: Scheduler,
     /// Whether an update to its peers is scheduled.
     pub update_pending: bool,
+    /// Messages sent to other instances.
+    pub messages: u64,
+    /// When its link has sent all that was given to it.
+    pub link_free: Duration,
 }
 
 /// An update from an instance to its peers.
@@ -49,7 +71,46 @@
             scheduler.fleet.report(node.target());
         }
         let name = format!("i{index:02}").as_str().into();
-        Instance { name, zone: zone.0, alive: true, scheduler, update_pending: false }
+        Instance {
+            name,
+            zone: zone.0,
+            alive: true,
+            scheduler,
+            update_pending: false,
+            messages: 0,
+            link_free: Duration::ZERO,
+        }
+    }
+
+    /// Returns the live instances that place the requests of a zone.
+    fn schedulers(&self, zone: usize) -> Vec<usize> {
+        let in_zone = |i: &usize| self.instances[*i].alive && self.instances[*i].zone == zone;
+        let live = (0..self.instances.len()).filter(in_zone);
+        match self.pattern.exchange {
+            Exchange::Schedulers => live.take(ELECTED).collect(),
+            Exchange::All => live.collect(),
+        }
+    }
+
+    /// Returns the instance that places the requests of `entry`.
+    fn placer(&self, entry: usize) -> usize {
+        let schedulers = self.schedulers(self.instances[entry].zone);
+        if schedulers.contains(&entry) {
+            return entry;
+        }
+        let names: Vec<&str> = schedulers.iter().map(|i| &*self.instances[*i].name).collect();
+        let chosen = rendezvous::holder(&self.instances[entry].name, names);
+        let is_chosen = |i: &usize| chosen == Some(&*self.instances[*i].name);
+        schedulers.iter().copied().find(is_chosen).unwrap_or(entry)
+    }
+
+    /// Returns the time until an instance's link has sent `bytes` more.
+    pub fn transmit(&mut self, instance: usize, bytes: u64) -> Duration {
+        let Some(mbps) = self.pattern.link_mbps else { return Duration::ZERO };
+        let node = &mut self.instances[instance];
+        let time = Duration::from_secs_f64(bytes as f64 * 8.0 / (mbps * 1e6));
+        node.link_free = node.link_free.max(self.now) + time;
+        node.link_free.saturating_sub(self.now)
     }
 
     /// Queues a request at its instance; baseline policies place it at once.
@@ -58,16 +119,20 @@
         let instant = self.instant();
         let record = &mut self.records[call];
         let Some(requirements) = record.requirements.clone() else { return };
-        let node = &mut self.instances[record.instance];
-        let instance = record.instance;
+        let instance = record.entry;
+        record.instance = instance;
         record.queue_id = Some(id);
         if self.policy == Policy::Mimosapass {
-            node.scheduler.enqueue(id, requirements);
-            self.queued.insert(id, call);
-            self.dispatch_waiting(instance);
-            self.after(CHECK_INTERVAL, Event::CheckWaiting(call, id));
-            return;
+            let placer = self.placer(instance);
+            self.records[call].instance = placer;
+            if placer == instance {
+                return self.receive_ask(call, id);
+            }
+            self.instances[instance].messages += CLIENT_MESSAGES;
+            let sent = self.transmit(instance, UPDATE_BYTES);
+            return self.after(ASK_LATENCY + sent, Event::ReceiveAsk(call, id));
         }
+        let node = &mut self.instances[instance];
         let grant =
             baseline(self.policy, &mut node.scheduler, &requirements, id, instant, &mut self.rng);
         record.queue_id = None;
@@ -77,9 +142,50 @@
         }
     }
 
+    /// Queues a request at the instance that places it.
+    pub fn receive_ask(&mut self, call: usize, id: RequestNumber) {
+        let record = &self.records[call];
+        let instance = record.instance;
+        if record.queue_id != Some(id) || !self.instances[instance].alive {
+            return;
+        }
+        let Some(requirements) = record.requirements.clone() else { return };
+        self.instances[instance].scheduler.enqueue(id, requirements);
+        self.queued.insert(id, call);
+        self.dispatch_waiting(instance);
+        self.after(CHECK_INTERVAL, Event::CheckWaiting(call, id));
+    }
+
+    /// Asks the next scheduler for a request whose scheduler has failed.
+    pub fn ask_again(&mut self, call: usize) {
+        let record = &self.records[call];
+        let idle = record.queue_id.is_none() && record.dispatch_id.is_none();
+        if record.end.is_none() && idle && self.instances[record.entry].alive {
+            self.enqueue(call);
+        }
+    }
+
+    /// Moves the requests that wait at a failed scheduler to another one.
+    pub fn reassign(&mut self, scheduler: usize) {
+        for call in 0..self.records.len() {
+            let record = &mut self.records[call];
+            let waits = record.queue_id.is_some() && record.end.is_none();
+            if waits && record.instance == scheduler && record.entry != scheduler {
+                record.queue_id = None;
+                self.after(ANSWER_TIMEOUT, Event::AskAgain(call));
+            }
+        }
+    }
+
     /// Dispatches waiting requests of an instance and schedules an update.
     pub fn dispatch_waiting(&mut self, instance: usize) {
         let instant = self.instant();
+        if self.pattern.exchange == Exchange::Schedulers {
+            let schedulers = self.schedulers(self.instances[instance].zone);
+            let index = schedulers.iter().position(|i| *i == instance).unwrap_or_default();
+            self.instances[instance].scheduler.turn =
+                Turn { index, count: schedulers.len().max(1) };
+        }
         let node = &mut self.instances[instance];
         for grant in node.scheduler.dispatch(&self.routes, instant) {
             if let Some(call) = self.queued.remove(&grant.id) {
@@ -109,9 +215,15 @@
         record.parts = unread_parts;
         record.predicted = grant.placement.first_event;
         record.granted_at = now;
+        let (entry, prompt) = (record.entry, record.call.prompt);
         self.dispatches
             .insert(id, Dispatch { call, instance, grant, unread_parts, answering: false });
-        self.after(HOP_LATENCY, Event::Deliver(id));
+        let mut latency = HOP_LATENCY + self.transmit(entry, prompt / PROMPT_TOKENS_PER_BYTE);
+        if entry != instance {
+            self.instances[instance].messages += 1;
+            latency += ASK_LATENCY + self.transmit(instance, UPDATE_BYTES);
+        }
+        self.after(latency, Event::Deliver(id));
         self.schedule_update(instance);
     }
 
@@ -156,13 +268,22 @@
         scheduler.long_changed = false;
         let changed: BTreeSet<TargetId> = std::mem::take(&mut scheduler.changed_targets);
         let own = |id: TargetId| (TargetId::clone(&id), scheduler.load.own_assignments(&id));
-        let targets = changed.into_iter().map(own).collect();
-        let waiting =
+        let targets: Vec<_> = changed.into_iter().map(own).collect();
+        let waiting: Vec<_> =
             scheduler.long_entries(instant).map(|(s, e)| (ServiceId::clone(s), *e)).collect();
+        let target_bytes =
+            |(_, requests): &(_, Vec<_>)| TARGET_BYTES + REQUEST_BYTES * requests.len() as u64;
+        let bytes = UPDATE_BYTES
+            + targets.iter().map(target_bytes).sum::<u64>()
+            + REQUEST_BYTES * waiting.len() as u64;
         self.messages.push(Message { from: instance, targets, waiting });
         let message = self.messages.len() - 1;
-        for peer in (0..self.instances.len()).filter(|i| *i != instance) {
-            self.after(HOP_LATENCY, Event::ReceiveUpdate(peer, message));
+        let mut peers: Vec<usize> = (0..ZONES).flat_map(|zone| self.schedulers(zone)).collect();
+        peers.sort_unstable();
+        for peer in peers.into_iter().filter(|i| *i != instance) {
+            self.instances[instance].messages += 1;
+            let sent = self.transmit(instance, bytes);
+            self.after(HOP_LATENCY + sent, Event::ReceiveUpdate(peer, message));
         }
     }
 
--- a/crates/emulator/src/simulation/mod.rs
+++ b/crates/emulator/src/simulation/mod.rs
@@ -56,6 +56,9 @@
     pub predicted: Duration,
     /// Time of the last grant, from the start of the run.
     pub granted_at: Duration,
+    /// Instance that the caller is connected to.
+    entry: usize,
+    /// Instance that places the request.
     instance: usize,
     requirements: Option<Requirements>,
     queue_id: Option<RequestNumber>,
@@ -76,6 +79,7 @@
             parts: 0,
             predicted: Duration::ZERO,
             granted_at: Duration::ZERO,
+            entry: 0,
             instance: 0,
             requirements: None,
             queue_id: None,
@@ -106,6 +110,8 @@
     CheckWaiting(usize, RequestNumber),
     CheckTimeout(usize),
     Leave(usize),
+    ReceiveAsk(usize, RequestNumber),
+    AskAgain(usize),
     Deliver(RequestNumber),
     Fail(RequestNumber, bool),
     EndPass(usize, u64),
@@ -144,6 +150,8 @@
     pub records: Vec<CallRecord>,
     /// Finished requests that their own instances still count at the end.
     pub leaked: usize,
+    /// Messages sent to other instances, by instance.
+    pub messages: Vec<u64>,
 }
 
 /// Returns the target entry of an engine that has just started.
@@ -165,7 +173,8 @@
     }
     let schedulers = simulation.instances.iter().filter(|i| i.alive).map(|i| &i.scheduler);
     let leaked = schedulers.map(|s| s.load.own_targets().count() + s.waiting_count()).sum();
-    Run { records: simulation.records, leaked }
+    let messages = simulation.instances.iter().map(|i| i.messages).collect();
+    Run { records: simulation.records, leaked, messages }
 }
 
 impl<'a> Simulation<'a> {
@@ -227,6 +236,8 @@
             Event::CheckWaiting(call, id) => self.check_waiting(call, id),
             Event::CheckTimeout(call) => self.check_timeout(call),
             Event::Leave(call) => self.leave(call, CallEnd::Left),
+            Event::ReceiveAsk(call, id) => self.receive_ask(call, id),
+            Event::AskAgain(call) => self.ask_again(call),
             Event::Deliver(id) => self.deliver(id),
             Event::Fail(id, ran) => self.fail(id, ran),
             Event::EndPass(engine, epoch) => self.end_pass(engine, epoch),
--- a/crates/emulator/src/timing.rs
+++ b/crates/emulator/src/timing.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_core::edge::load::{Assignment, Load, RequestNumber};
+use mimosapass_core::edge::order::{Turn, positions};
 use mimosapass_core::edge::placement::{Candidate, PlacementRequest, choose, is_long};
 
 use crate::load::COST;
@@ -42,10 +43,16 @@
             );
         }
     }
-    let candidates: Vec<Candidate<'_>> = targets
-        .iter()
-        .map(|target| Candidate { target, slowdown: 1.0, extra_latency: Duration::ZERO })
-        .collect();
+    let zones: Vec<_> = targets.iter().map(|t| &t.zone).collect();
+    let candidates: Vec<Candidate<'_>> =
+        std::iter::zip(&targets, positions(&zones, "z0", Turn::default()))
+            .map(|(target, position)| Candidate {
+                target,
+                slowdown: 1.0,
+                extra_latency: Duration::ZERO,
+                position,
+            })
+            .collect();
     let request = PlacementRequest {
         prompt,
         answer: 800,
--- a/crates/emulator/tests/patterns.rs
+++ b/crates/emulator/tests/patterns.rs
@@ -5,9 +5,10 @@
 //! its kind. The gateway's policy has to earn more than the baselines, which ignore
 //! lengths, on the same calls.
 
+use mimosapass_emulator::fleets;
 use mimosapass_emulator::load;
 use mimosapass_emulator::load::KINDS;
-use mimosapass_emulator::pattern::{Pattern, all_patterns};
+use mimosapass_emulator::pattern::{Exchange, Pattern, all_patterns};
 use mimosapass_emulator::policy::{ALL_POLICIES, Policy};
 use mimosapass_emulator::report::{metrics, served_by_size, short_p95_ms};
 use mimosapass_emulator::simulation::{CallEnd, CallRecord, replay, run};
@@ -139,3 +140,22 @@
         assert!(times[0] <= times[1] * 1.2, "{name}: {times:?} ms");
     }
 }
+
+/// A surge on fleets of several sizes; links of 20 Mbit/s, a factor of three within two
+/// seconds. Short prompts are late no more often than in the small twin, within what the
+/// seeds bring, and messages stay flat.
+#[test]
+fn surge_on_a_large_fleet_is_served_as_on_a_small_one() {
+    let twin = fleets::play(22, 17, Exchange::Schedulers, 4);
+    for (instances, engines, seeds) in [(59, 69, 4), (195, 150, 2)] {
+        let large = fleets::play(instances, engines, Exchange::Schedulers, seeds);
+        assert!(
+            large.late_chats <= twin.late_chats * 1.25,
+            "{instances} instances: {:.3} of the chats late, in the twin {:.3}",
+            large.late_chats,
+            twin.late_chats
+        );
+        assert!(large.worth >= twin.worth - 0.03, "{instances}: {large:?}, twin {twin:?}");
+        assert!(large.mean_messages <= twin.mean_messages * 1.5, "{large:?}, twin {twin:?}");
+    }
+}
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -9,6 +9,8 @@
 
 use prost::Message;
 
+use crate::delegation::{Ask, Held, Observation, Reply};
+
 /// Protocol version; a datagram of any other version is dropped.
 pub const VERSION: u32 = 1;
 /// Maximum length of a datagram, low enough to avoid IP fragmentation.
@@ -18,6 +20,14 @@
 /// Bytes of a datagram that are reserved for fields other than its targets.
 const RESERVED_BYTES: usize = 200;
 
+impl Datagram {
+    /// Returns whether it states the sender's requests in flight.
+    pub fn has_requests(&self) -> bool {
+        // Only former versions do not state how many instances they know.
+        self.exchange || self.instances == 0
+    }
+}
+
 /// State that an instance reports to its peers.
 #[derive(Clone, PartialEq, prost::Message)]
 #[expect(clippy::struct_excessive_bools, reason = "each is a separate field on the wire")]
@@ -61,6 +71,39 @@
     /// Whether the sender watches the store for its zone.
     #[prost(bool, tag = "13")]
     pub watching: bool,
+    /// Whether schedulers place the sender's requests, so that it need not be told of
+    /// requests in flight.
+    #[prost(bool, tag = "14")]
+    pub delegating: bool,
+    /// Processor share of the sender's machine, in thousandths of a core; 0 from versions
+    /// that do not place requests of others.
+    #[prost(uint32, tag = "15")]
+    pub capacity: u32,
+    /// Instances of the fleet that the sender knows.
+    #[prost(uint32, tag = "16")]
+    pub instances: u32,
+    /// Whether `targets` and `waiting` state the sender's requests; former versions always
+    /// state them.
+    #[prost(bool, tag = "23")]
+    pub exchange: bool,
+    /// Requests that the receiver is asked to place.
+    #[prost(message, repeated, tag = "17")]
+    pub asks: Vec<Ask>,
+    /// Requests placed by the receiver whose first event has arrived.
+    #[prost(uint64, repeated, tag = "18")]
+    pub started: Vec<u64>,
+    /// Requests placed by the receiver that have ended, or that it need not place.
+    #[prost(uint64, repeated, tag = "19")]
+    pub ended: Vec<u64>,
+    /// All requests that the sender has at the receiver; absent if not stated.
+    #[prost(message, optional, tag = "20")]
+    pub held: Option<Held>,
+    /// What the sender observed of targets.
+    #[prost(message, repeated, tag = "21")]
+    pub observations: Vec<Observation>,
+    /// Answers to the receiver's requests.
+    #[prost(message, repeated, tag = "22")]
+    pub replies: Vec<Reply>,
 }
 
 /// A long prompt that waits at the sender.
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod compact;
 pub mod compression;
 pub mod datagram;
+pub mod delegation;
 pub mod link;
 pub mod message;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -37,7 +37,7 @@
     let mut watching = true;
     loop {
         let begun = Instant::now();
-        let watches = gateway.state().watches_store(&gateway.name, begun);
+        let watches = gateway.state().watches_store(gateway, begun);
         if watches != watching {
             log::info!(watches; "store: started or stopped watching.");
             watching = watches;
@@ -171,7 +171,7 @@
     match config::decode(text) {
         Ok(table) => {
             if gateway.install(table, text) {
-                gateway.state().scheduler.long_changed = true;
+                gateway.state().announce = true;
                 gateway.load_changed.notify_all();
             }
         }
@@ -204,7 +204,7 @@
         Change::Gone => log::info!(target_id = id, revision, outage; "target: entry removed."),
     }
     state.scheduler.forget(id);
-    state.scheduler.long_changed = true;
+    state.announce = true;
     state.dispatch(gateway, now);
     gateway.load_changed.notify_all();
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,8 +1,9 @@
 //! Exchanges requests in flight with peers by datagram.
 //!
-//! Changes are sent within milliseconds, so that instances do not choose the same
+//! Changes are sent within milliseconds, so that schedulers do not choose the same
 //! target at the same time. The full state is sent at a regular interval, which
-//! corrects for lost datagrams and serves as a heartbeat.
+//! corrects for lost datagrams and serves as a heartbeat. Instances that delegate their
+//! placements are not told of requests in flight; see `peers`.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,48 +17,51 @@
     self, Datagram, DatagramSocket, TargetRequests, split_targets,
 };
 
-use super::state::{Gateway, Peer, State};
+use super::peers::{Peer, Recipients};
+use super::state::{Gateway, State};
 
 /// Time for which changes are collected into one datagram. It is short against a pass
 /// of an engine, which takes about 45 ms, so the delay does not affect decisions.
 const BATCH_DELAY: Duration = Duration::from_millis(1);
-/// Shortest interval between full states. Three missed ones show within about a second
-/// that a zone is unreachable.
+/// Interval between full states, and between heartbeats of schedulers. Three missed ones
+/// show within about a second that a zone is unreachable.
 const FULL_INTERVAL: Duration = Duration::from_millis(300);
-/// Interval between full states, per peer. It keeps the bytes that an instance receives
-/// from growing faster than the number of instances.
-const FULL_INTERVAL_PER_PEER: Duration = Duration::from_millis(15);
+/// Interval between heartbeats of other instances to their zone, per receiver. It keeps
+/// the datagrams that an instance receives from growing with the number of instances.
+const HEARTBEAT_PER_PEER: Duration = Duration::from_millis(30);
+/// Longest interval between heartbeats, so that two may be lost before a peer counts as
+/// failed.
+const MAX_HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Interval between looks at the waiting requests of clients.
+const CLIENTS_INTERVAL: Duration = Duration::from_millis(100);
 /// Silence after which a peer and its requests are removed.
 const PEER_TIMEOUT: Duration = Duration::from_millis(3_500);
 
+/// When the next datagrams are due that do not follow a change.
+#[derive(Clone, Debug)]
+struct Schedule {
+    full: Instant,
+    heartbeat: Instant,
+    clients: Instant,
+    /// Receivers as of the last full state.
+    recipients: Recipients,
+}
+
 /// Sends changes and full states to peers until the process ends.
 pub fn send_updates(gateway: &Arc<Gateway>, socket: &DatagramSocket) {
+    let now = Instant::now();
+    let recipients = Recipients::default();
+    let mut schedule = Schedule { full: now, heartbeat: now, clients: now, recipients };
     let mut seq = 0;
-    let mut next_full = Instant::now();
     loop {
-        let mut state = gateway.state();
-        while state.scheduler.changed_targets.is_empty()
-            && !state.scheduler.long_changed
-            && Instant::now() < next_full
-        {
-            let left = next_full.saturating_duration_since(Instant::now());
-            let waited = gateway.load_changed.wait_timeout(state, left);
-            state = waited.map_or_else(|e| e.into_inner().0, |(state, _)| state);
-        }
-        drop(state);
+        wait_for_updates(gateway, &schedule);
         std::thread::sleep(BATCH_DELAY);
         let now = Instant::now();
-        let full = now >= next_full;
         let mut state = gateway.state();
-        if full {
-            next_full = now + FULL_INTERVAL.max(FULL_INTERVAL_PER_PEER * state.peers.len() as u32);
-        }
-        remove_silent(&mut state, now);
-        let addrs = peer_addrs(gateway, &state);
-        let datagrams = build_datagrams(gateway, &mut state, full, now);
+        let outgoing = build_updates(gateway, &mut state, &mut schedule, now);
         gateway.metrics.peers.set(state.peers.len() as i64);
         drop(state);
-        for mut datagram in datagrams {
+        for (mut datagram, addrs) in outgoing {
             seq += 1;
             datagram.seq = seq;
             socket.send(&datagram, &addrs);
@@ -65,6 +69,74 @@
     }
 }
 
+/// Blocks until something has to be sent.
+fn wait_for_updates(gateway: &Gateway, schedule: &Schedule) {
+    let mut state = gateway.state();
+    loop {
+        let now = Instant::now();
+        let changed = !state.scheduler.changed_targets.is_empty()
+            || state.scheduler.long_changed
+            || state.announce
+            || state.clients.has_replies();
+        let mut due = schedule.full;
+        due = state.remote.next_due(now).map_or(due, |at| at.min(due));
+        if state.clients.any_waiting() {
+            due = due.min(schedule.clients);
+        }
+        if changed || now >= due {
+            return;
+        }
+        let waited = gateway.load_changed.wait_timeout(state, due - now);
+        state = waited.map_or_else(|e| e.into_inner().0, |(state, _)| state);
+    }
+}
+
+/// Builds the datagrams that are due, each with the addresses of its receivers.
+fn build_updates(
+    gateway: &Gateway,
+    state: &mut State,
+    schedule: &mut Schedule,
+    now: Instant,
+) -> Vec<(Datagram, Vec<SocketAddr>)> {
+    if now >= schedule.clients {
+        schedule.clients = now + CLIENTS_INTERVAL;
+        state.clients.refuse(&mut state.scheduler, now);
+        state.dispatch(gateway, now);
+    }
+    let full = now >= schedule.full || std::mem::take(&mut state.announce);
+    if full {
+        schedule.full = now + FULL_INTERVAL;
+        remove_silent(state, now);
+        state.scheduler.turn = state.turn(gateway, now);
+    }
+    state.reassign(gateway, now);
+    let places = state.places_own(gateway, now);
+    if full {
+        schedule.recipients = state.recipients(gateway, now);
+    }
+    let Recipients { exchange, heartbeat } = &schedule.recipients;
+    let base = base_datagram(gateway, state, places, now);
+    let mut outgoing = Vec::new();
+    let own_requests = state.scheduler.load.own_targets().next().is_some();
+    for datagram in exchange_datagrams(state, &base, full && (places || own_requests), now) {
+        outgoing.push((datagram, exchange.clone()));
+    }
+    if full && places {
+        outgoing.push((base.clone(), heartbeat.clone()));
+    } else if now >= schedule.heartbeat {
+        let receivers = [exchange.as_slice(), heartbeat].concat();
+        let interval = HEARTBEAT_PER_PEER * receivers.len() as u32;
+        schedule.heartbeat = now + interval.clamp(FULL_INTERVAL, MAX_HEARTBEAT);
+        outgoing.push((base.clone(), receivers));
+    }
+    for (name, datagram) in state.delegation_datagrams(gateway, &base, full, now) {
+        if let Some(peer) = state.peers.get(&name) {
+            outgoing.push((datagram, vec![peer.addr]));
+        }
+    }
+    outgoing
+}
+
 fn remove_silent(state: &mut State, now: Instant) {
     let silent: Vec<InstanceId> = state
         .peers
@@ -78,50 +150,51 @@
             "peer: no datagram for {PEER_TIMEOUT:?}, its requests are dropped."
         );
         state.peers.remove(&name);
-        state.scheduler.peer_queues.remove(&name);
-        state.scheduler.load.forget_peer(&name);
+        state.forget_peer(&name);
     }
 }
 
-/// Returns the addresses to which datagrams are sent.
-///
-/// They include the seeds while the store has listed no peer. All instances use the
-/// same port for datagrams.
-fn peer_addrs(gateway: &Gateway, state: &State) -> Vec<SocketAddr> {
-    let own = gateway.settings.listen.peers;
-    let mut addrs: Vec<SocketAddr> = state.members.values().copied().collect();
-    addrs.extend(state.peers.values().map(|p| p.addr));
-    if state.members.is_empty() {
-        let seeds = gateway.settings.seeds.iter();
-        addrs.extend(seeds.map(|seed| SocketAddr::new(seed.ip(), own.port())));
+/// Returns a datagram with what every receiver is told.
+fn base_datagram(gateway: &Gateway, state: &State, places: bool, now: Instant) -> Datagram {
+    Datagram {
+        version: datagram::VERSION,
+        from: gateway.name.to_string(),
+        zone: gateway.settings.zone.clone(),
+        boot: gateway.boot,
+        config_version: gateway.route_table().version,
+        store_unreachable: state.store.failing_since.is_some(),
+        leaving: gateway.is_stopping(),
+        revision: state.store.target_revision,
+        watching: state.watches_store(gateway, now),
+        delegating: !places,
+        // Peers do not rely on a scheduler that is about to exit.
+        capacity: if gateway.is_stopping() { 0 } else { gateway.settings.capacity },
+        instances: state.known_instances() as u32,
+        ..Datagram::default()
     }
-    addrs.sort_unstable();
-    addrs.dedup();
-    addrs.retain(|addr| *addr != own);
-    addrs
 }
 
-fn build_datagrams(
-    gateway: &Gateway,
+/// Returns the datagrams with requests in flight: the changes, or all if `full`.
+fn exchange_datagrams(
     state: &mut State,
+    base: &Datagram,
     full: bool,
     now: Instant,
 ) -> Vec<Datagram> {
     let changed = std::mem::take(&mut state.scheduler.changed_targets);
-    state.scheduler.long_changed = false;
+    let long_changed = std::mem::take(&mut state.scheduler.long_changed);
+    if !full && !long_changed && changed.is_empty() {
+        return Vec::new();
+    }
     let waiting: Vec<datagram::WaitingPrompt> = state
         .scheduler
         .long_entries(now)
         .map(|(service, w)| encode_waiting(service, w, now))
         .collect();
-    let targets: Vec<TargetId> = if full {
-        let ids = state.scheduler.load.own_targets();
-        ids.chain(changed.iter()).cloned().collect::<std::collections::BTreeSet<_>>()
-    } else {
-        changed
+    let mut targets = changed;
+    if full {
+        targets.extend(state.scheduler.load.own_targets().cloned());
     }
-    .into_iter()
-    .collect();
     let target_requests = |target: &TargetId| {
         let requests = state
             .scheduler
@@ -135,39 +208,44 @@
     let groups = split_targets(targets.iter().map(target_requests).collect());
     let single = groups.len() == 1;
     let datagram = |targets| Datagram {
-        version: datagram::VERSION,
-        from: gateway.name.to_string(),
-        zone: gateway.settings.zone.clone(),
-        boot: gateway.boot,
-        seq: 0,
-        config_version: gateway.route_table().version,
-        store_unreachable: state.store.failing_since.is_some(),
-        leaving: gateway.is_stopping(),
+        exchange: true,
         complete: full && single,
         targets,
         waiting: waiting.clone(),
-        revision: state.store.target_revision,
-        watching: state.watches_store(&gateway.name, now),
+        ..base.clone()
     };
     groups.into_iter().map(datagram).collect()
 }
 
 /// Returns a duration in whole milliseconds, the unit of datagrams.
-fn ms(time: Duration) -> u32 {
+pub fn ms(time: Duration) -> u32 {
     time.as_millis().min(u128::from(u32::MAX)) as u32
 }
 
 /// Returns the instant `ms` milliseconds before `now`.
-fn ago(ms: u32, now: Instant) -> Instant {
+pub fn ago(ms: u32, now: Instant) -> Instant {
     now.checked_sub(Duration::from_millis(u64::from(ms))).unwrap_or(now)
 }
 
+/// Returns the milliseconds from `now` until `due`, negative when overdue.
+pub fn to_due_ms(due: Instant, now: Instant) -> i32 {
+    let overdue_ms = ms(now.saturating_duration_since(due)) as i32;
+    ms(due.saturating_duration_since(now)) as i32 - overdue_ms
+}
+
+/// Reverses [`to_due_ms`].
+pub fn from_due_ms(due_in_ms: i32, now: Instant) -> Instant {
+    match u32::try_from(due_in_ms) {
+        Ok(left) => now + Duration::from_millis(u64::from(left)),
+        Err(_) => ago(due_in_ms.unsigned_abs(), now),
+    }
+}
+
 fn encode_waiting(service: &str, waiting: &QueueEntry, now: Instant) -> datagram::WaitingPrompt {
-    let overdue_ms = ms(now.saturating_duration_since(waiting.due)) as i32;
     datagram::WaitingPrompt {
         service: service.to_owned(),
         waited_ms: ms(now.saturating_duration_since(waiting.arrived)),
-        due_in_ms: ms(waiting.due.saturating_duration_since(now)) as i32 - overdue_ms,
+        due_in_ms: to_due_ms(waiting.due, now),
         work_ms: ms(waiting.work),
         worth: waiting.value as f32,
         priority: u32::from(waiting.priority),
@@ -175,10 +253,7 @@
 }
 
 fn decode_waiting(wire: datagram::WaitingPrompt, now: Instant) -> (ServiceId, QueueEntry) {
-    let due = match u32::try_from(wire.due_in_ms) {
-        Ok(left) => now + Duration::from_millis(u64::from(left)),
-        Err(_) => ago(wire.due_in_ms.unsigned_abs(), now),
-    };
+    let due = from_due_ms(wire.due_in_ms, now);
     let waiting = QueueEntry {
         arrived: ago(wire.waited_ms, now),
         due,
@@ -237,31 +312,42 @@
     }
 }
 
-fn apply(gateway: &Gateway, datagram: Datagram, addr: SocketAddr) {
+fn apply(gateway: &Gateway, mut datagram: Datagram, addr: SocketAddr) {
     if datagram.from == *gateway.name {
         return;
     }
     let now = Instant::now();
     let name = InstanceId::from(datagram.from.as_str());
-    let table = gateway.route_table();
     let mut state = gateway.state();
     let known = state.peers.get(&name).map(|p| (p.boot, p.seq));
-    let unreachable_at = state.peers.get(&name).and_then(|p| p.unreachable_at);
     if known.is_some_and(|known| (datagram.boot, datagram.seq) <= known) {
         return;
     }
-    let restarted = known.is_some_and(|(boot, _)| boot < datagram.boot);
     if known.is_none() {
         log::info!(peer = &*name, addr:% = addr; "peer: first datagram received.");
     }
-    if datagram.complete {
-        let listed: Vec<&str> = datagram.targets.iter().map(|t| t.target.as_str()).collect();
-        state.scheduler.load.retain_peer_targets(&name, &listed);
+    if known.is_some_and(|(boot, _)| boot < datagram.boot) {
+        state.forget_peer(&name);
+    }
+    let peer = decode_peer(&state, &datagram, addr, now);
+    state.scheduler.reachability.record_peer_datagram(&peer.zone, now);
+    state.peers.insert(InstanceId::clone(&name), peer);
+    if datagram.has_requests() {
+        apply_load(gateway, &mut state, &name, &mut datagram, now);
     }
-    if restarted || datagram.leaving && datagram.targets.is_empty() {
-        state.scheduler.load.forget_peer(&name);
+    state.apply_client(gateway, &mut datagram, now);
+    for reply in &datagram.replies {
+        state.apply_reply(&name, reply, now);
     }
-    let peer = Peer {
+    state.dispatch(gateway, now);
+    if state.clients.has_replies() || state.remote.next_due(now).is_some_and(|at| at <= now) {
+        gateway.load_changed.notify_all();
+    }
+}
+
+fn decode_peer(state: &State, datagram: &Datagram, addr: SocketAddr, now: Instant) -> Peer {
+    let unreachable_at = state.peers.get(&*datagram.from).and_then(|p| p.unreachable_at);
+    Peer {
         addr,
         boot: datagram.boot,
         seq: datagram.seq,
@@ -271,16 +357,35 @@
         unreachable_at: if datagram.store_unreachable { Some(now) } else { unreachable_at },
         target_revision: datagram.revision,
         watching: datagram.watching,
-        zone: ZoneId::from(datagram.zone),
-    };
-    let waiting = datagram.waiting.into_iter().map(|w| decode_waiting(w, now)).collect();
-    state.scheduler.peer_queues.insert(InstanceId::clone(&name), waiting);
-    state.scheduler.reachability.record_peer_datagram(&peer.zone, now);
-    state.peers.insert(InstanceId::clone(&name), peer);
-    for TargetRequests { target, requests } in datagram.targets {
+        delegating: datagram.delegating,
+        capacity: datagram.capacity,
+        instances: datagram.instances,
+        zone: ZoneId::from(datagram.zone.as_str()),
+    }
+}
+
+/// Applies the requests in flight of a peer.
+fn apply_load(
+    gateway: &Gateway,
+    state: &mut State,
+    name: &InstanceId,
+    datagram: &mut Datagram,
+    now: Instant,
+) {
+    let table = gateway.route_table();
+    if datagram.complete {
+        let listed: Vec<&str> = datagram.targets.iter().map(|t| t.target.as_str()).collect();
+        state.scheduler.load.retain_peer_targets(name, &listed);
+    }
+    if datagram.leaving && datagram.targets.is_empty() {
+        state.scheduler.load.forget_peer(name);
+    }
+    let waiting = std::mem::take(&mut datagram.waiting);
+    let waiting = waiting.into_iter().map(|w| decode_waiting(w, now)).collect();
+    state.scheduler.peer_queues.insert(InstanceId::clone(name), waiting);
+    for TargetRequests { target, requests } in std::mem::take(&mut datagram.targets) {
         let assignments = requests.iter().map(|r| decode_request(r, now)).collect();
         let engine = state.engine_at(&table, &target);
-        state.scheduler.load.replace(&name, &TargetId::from(target), assignments, engine.as_ref());
+        state.scheduler.load.replace(name, &TargetId::from(target), assignments, engine.as_ref());
     }
-    state.dispatch(gateway, now);
 }
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -8,12 +8,14 @@
 use std::thread;
 use std::time::Duration;
 
-use mimosapass_core::ids::InstanceId;
+use mimosapass_core::ids::{InstanceId, ZoneId};
 use mimosapass_platform::store::{LeaseId, StoreError};
 
+use super::peers::Member;
 use super::state::Gateway;
 
-/// Key prefix of instance entries; the rest of the key is the instance's name.
+/// Key prefix of instance entries; the rest of the key is the instance's availability
+/// zone, a slash and its name. Former versions wrote the name alone.
 pub const PREFIX: &str = "mimosapass/instances/";
 /// Bounds how long datagrams are sent to the address of a failed peer. The failure
 /// itself is detected much earlier, by missing datagrams.
@@ -52,21 +54,25 @@
         return Ok(lease);
     }
     let lease = gateway.store.grant_lease(LEASE_TTL)?;
-    let key = format!("{PREFIX}{}", gateway.name);
+    let key = format!("{PREFIX}{}/{}", gateway.settings.zone, gateway.name);
     let addr = gateway.settings.listen.peers.to_string();
     gateway.store.put(&key, addr.as_bytes(), lease)?;
     Ok(lease)
 }
 
 /// Applies a change of a peer's entry.
-pub fn apply_entry(gateway: &Gateway, name: &str, value: Option<&[u8]>) {
+pub fn apply_entry(gateway: &Gateway, path: &str, value: Option<&[u8]>) {
+    let (zone, name) = match path.split_once('/') {
+        Some((zone, name)) => (Some(ZoneId::from(zone)), name),
+        None => (None, path),
+    };
     if name == &*gateway.name {
         return;
     }
     let name = InstanceId::from(name);
     let text = value.and_then(|v| std::str::from_utf8(v).ok());
     match text.map(str::parse::<SocketAddr>) {
-        Some(Ok(addr)) => drop(gateway.state().members.insert(name, addr)),
+        Some(Ok(addr)) => drop(gateway.state().members.insert(name, Member { addr, zone })),
         Some(Err(e)) => log::warn!(peer = &*name; "member: invalid peer address: {e}."),
         None => drop(gateway.state().members.remove(&name)),
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,9 @@
 //! | `follow` | follows configuration, targets and peers in the store |
 //! | `member` | registers this instance in the store |
 //! | `snapshot` | fetches snapshots of the store's data from peers |
+//! | `peers` | what is known of other instances, and who gets which datagrams |
 //! | `gossip` | exchanges requests in flight with peers |
+//! | `delegate` | delegates placements to the schedulers of the zone |
 //! | `request` | resolves the route and workspace of a request |
 //! | `queue` | queues requests until they are granted a target |
 //! | `attempt` | sends a request to a target once |
@@ -23,11 +25,13 @@
 pub mod settings;
 
 mod attempt;
+mod delegate;
 mod flow;
 mod follow;
 mod gossip;
 mod member;
 mod metrics;
+mod peers;
 mod queue;
 mod relay;
 mod request;
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -20,21 +20,30 @@
 /// Hands a grant to the thread that waits for it.
 #[derive(Debug, Default)]
 pub struct GrantSlot {
-    grant: Mutex<Option<Grant>>,
-    granted: Condvar,
+    answer: Mutex<Option<Result<Grant, Refusal>>>,
+    answered: Condvar,
 }
 
 impl GrantSlot {
     /// Stores a grant and wakes the thread that waits for it.
-    fn put(&self, grant: Grant) {
-        *self.grant.lock().unwrap_or_else(PoisonError::into_inner) = Some(grant);
-        self.granted.notify_one();
+    pub fn put(&self, grant: Grant) {
+        self.answer(Ok(grant));
     }
 
-    /// Takes the grant; waits up to `timeout` for it.
-    fn take(&self, timeout: Duration) -> Option<Grant> {
-        let grant = self.grant.lock().unwrap_or_else(PoisonError::into_inner);
-        let waited = self.granted.wait_timeout_while(grant, timeout, |grant| grant.is_none());
+    /// Stores the refusal of a scheduler and wakes the thread.
+    pub fn refuse(&self, refusal: Refusal) {
+        self.answer(Err(refusal));
+    }
+
+    fn answer(&self, answer: Result<Grant, Refusal>) {
+        *self.answer.lock().unwrap_or_else(PoisonError::into_inner) = Some(answer);
+        self.answered.notify_one();
+    }
+
+    /// Takes the answer; waits up to `timeout` for it.
+    fn take(&self, timeout: Duration) -> Option<Result<Grant, Refusal>> {
+        let answer = self.answer.lock().unwrap_or_else(PoisonError::into_inner);
+        let waited = self.answered.wait_timeout_while(answer, timeout, |answer| answer.is_none());
         waited.unwrap_or_else(PoisonError::into_inner).0.take()
     }
 }
@@ -53,9 +62,11 @@
     let slot = Arc::new(GrantSlot::default());
     enqueue(gateway, id, requirements, &slot);
     let failure = loop {
-        if let Some(grant) = slot.take(POLL_INTERVAL) {
-            return Ok(grant);
-        }
+        let refused = match slot.take(POLL_INTERVAL) {
+            Some(Ok(grant)) => return Ok(grant),
+            Some(Err(refusal)) => Some(refusal),
+            None => None,
+        };
         let now = Instant::now();
         if caller_gone() {
             break Failure::new(Kind::CallerGone, "the caller disconnected while queued");
@@ -64,7 +75,7 @@
             break Failure::new(Kind::Stopping, "the instance is stopping");
         }
         let mut state = gateway.state();
-        match state.scheduler.refusal(requirements, now) {
+        match refused.or_else(|| state.scheduler.refusal(requirements, now)) {
             Some(Refusal::Late) => break no_target_in_time(&state, requirements, now),
             Some(Refusal::Pressure(pressure)) => {
                 let detail = format!(
@@ -79,26 +90,32 @@
     dequeue(gateway, id);
     // A grant may have arrived between the last check and the removal.
     match slot.take(Duration::ZERO) {
-        Some(grant) if failure.kind != Kind::CallerGone => Ok(grant),
-        Some(grant) => {
+        Some(Ok(grant)) if failure.kind != Kind::CallerGone => Ok(grant),
+        Some(Ok(grant)) => {
             gateway.finish(&grant, Instant::now());
             Err(failure)
         }
-        None => Err(failure),
+        Some(Err(_)) | None => Err(failure),
     }
 }
 
-/// Enqueues a request; it may be granted a target at once.
+/// Enqueues a request, here or at a scheduler; it may be granted a target at once.
 fn enqueue(
     gateway: &Gateway,
     id: RequestNumber,
     requirements: &Requirements,
     slot: &Arc<GrantSlot>,
 ) {
+    let now = Instant::now();
     let mut state = gateway.state();
     state.grant_slots.insert(id, Arc::clone(slot));
+    if let Some(scheduler) = state.scheduler_to_ask(gateway, now) {
+        state.remote.ask(id, requirements.clone(), scheduler, now);
+        gateway.load_changed.notify_all();
+        return;
+    }
     state.scheduler.enqueue(id, requirements.clone());
-    state.dispatch(gateway, Instant::now());
+    state.dispatch(gateway, now);
     if requirements.long && state.scheduler.is_waiting(id) {
         state.scheduler.long_changed = true;
         gateway.load_changed.notify_all();
@@ -110,7 +127,10 @@
 fn dequeue(gateway: &Gateway, id: RequestNumber) {
     let mut state = gateway.state();
     state.grant_slots.remove(&id);
-    state.scheduler.dequeue(id);
+    // A grant that the thread has not taken yet ends with `Gateway::finish`.
+    if !state.remote.withdraw(id) {
+        state.scheduler.dequeue(id);
+    }
     gateway.load_changed.notify_all();
     gateway.metrics.queued.set(state.scheduler.waiting_count() as i64);
 }
@@ -131,6 +151,10 @@
     /// Grants targets to queued requests and wakes their threads.
     pub fn dispatch(&mut self, gateway: &Gateway, now: Instant) {
         for grant in self.scheduler.dispatch(&gateway.route_table(), now) {
+            if self.clients.grant(&grant) {
+                gateway.load_changed.notify_all();
+                continue;
+            }
             let Some(slot) = self.grant_slots.remove(&grant.id) else {
                 log::error!(
                     request = grant.id;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -13,6 +13,9 @@
 const MAX_TIME_MS: u64 = 3_600_000;
 /// Smallest memory in which a gateway runs.
 const MIN_MEMORY_MB: usize = 64;
+/// Smallest and largest processor share of a machine, in cores.
+const MIN_CORES: f64 = 0.001;
+const MAX_CORES: f64 = 1024.0;
 
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -29,6 +32,8 @@
     repeats: Repeats,
     #[serde(default = "default_memory_mb")]
     memory_mb: usize,
+    #[serde(default = "default_cores")]
+    cores: f64,
 }
 
 /// Addresses on which a gateway listens.
@@ -75,6 +80,10 @@
     256
 }
 
+fn default_cores() -> f64 {
+    1.0
+}
+
 /// Checked settings of one gateway.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -94,6 +103,8 @@
     pub retry_limits: RetryLimits,
     /// Memory of the machine, in megabytes.
     pub memory_mb: usize,
+    /// Processor share of the machine, in thousandths of a core; 1 or more.
+    pub capacity: u32,
 }
 
 /// Reads and checks a settings file.
@@ -102,7 +113,7 @@
 ///
 /// Returns every fault found.
 pub fn load(path: &Path) -> Result<Settings, Faults> {
-    let File { name, zone, listen, store, seeds, stop, repeats, memory_mb } =
+    let File { name, zone, listen, store, seeds, stop, repeats, memory_mb, cores } =
         yaml::load(path, check)?;
     Ok(Settings {
         name,
@@ -117,6 +128,7 @@
             window: Duration::from_millis(repeats.window_ms),
         },
         memory_mb,
+        capacity: (cores * 1000.0) as u32,
     })
 }
 
@@ -146,5 +158,7 @@
     require((0.0..=10.0).contains(&file.repeats.ratio), "repeats.ratio", "write 0 to 10");
     require((0.0..=1e6).contains(&file.repeats.slack), "repeats.slack", "write 0 to 1000000");
     require(file.memory_mb >= MIN_MEMORY_MB, "memory_mb", "write megabytes, 64 or more");
+    let cores = MIN_CORES..=MAX_CORES;
+    require(cores.contains(&file.cores), "cores", "write processor cores, 0.001 to 1024");
     faults
 }
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -47,7 +47,7 @@
         follow::expire_targets(gateway);
         let own_version = gateway.route_table().version;
         let mut state = gateway.state();
-        let request = if state.store.listed && !state.watches_store(&gateway.name, now) {
+        let request = if state.store.listed && !state.watches_store(gateway, now) {
             request_unwatched(&mut state, own_version, now)
         } else {
             state.behind_since = None;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,32 +1,29 @@
 //! State shared by the threads of one gateway.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
+use mimosapass_core::edge::clients::ClientRequests;
 use mimosapass_core::edge::cost::Engine;
-use mimosapass_core::edge::fleet::LAPSE_GRACE;
+use mimosapass_core::edge::fleet::{LAPSE_GRACE, is_total_outage};
 use mimosapass_core::edge::load::RequestNumber;
 use mimosapass_core::edge::outcomes::Outcome;
+use mimosapass_core::edge::remote::RemoteRequests;
 use mimosapass_core::edge::retry::RetryWindow;
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
 use mimosapass_core::edge::schedule::{Exclusions, Grant, Scheduler};
-use mimosapass_core::edge::watch::{Neighbour, is_total_outage, should_watch};
 use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
 use mimosapass_platform::store::{Revision, Store};
 use mimosapass_target::pool::ConnectionPool;
 
+use super::delegate::Observations;
 use super::metrics::Metrics;
+use super::peers::{Member, Peer};
 use super::queue::GrantSlot;
 use super::settings::Settings;
 
-/// Time behind its peers after which an instance watches the store itself. By then
-/// one request for a snapshot went unanswered, and what remains of the two seconds
-/// in which a change must take effect is enough for a watch.
-const MAX_BEHIND: Duration = Duration::from_millis(500);
-
 /// Time after the stop signal in which new connections are still served. The load
 /// balancer checks every second and removes an instance after two failed checks.
 pub const STOP_NOTICE: Duration = Duration::from_millis(2_500);
@@ -52,31 +49,6 @@
     pub last_success: Option<Instant>,
 }
 
-/// What is known of a peer from its datagrams.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// Source address of its datagrams.
-    pub addr: SocketAddr,
-    /// Start time of its process, in Unix milliseconds.
-    pub boot: u64,
-    /// Sequence number of its last datagram.
-    pub seq: u64,
-    /// When its last datagram arrived.
-    pub last_heard: Instant,
-    /// Configuration version in force there.
-    pub config_version: u64,
-    /// Whether it cannot reach the store.
-    pub store_unreachable: bool,
-    /// When it last reported the store unreachable.
-    pub unreachable_at: Option<Instant>,
-    /// Revision of the latest change of targets known there.
-    pub target_revision: Revision,
-    /// Whether it watches the store for its zone.
-    pub watching: bool,
-    /// Availability zone.
-    pub zone: ZoneId,
-}
-
 /// Mutable state of the instance, behind one lock.
 #[derive(Debug)]
 pub struct State {
@@ -89,7 +61,15 @@
     /// Peers by name, from their datagrams.
     pub peers: HashMap<InstanceId, Peer>,
     /// Addresses of peers from the store, by name.
-    pub members: HashMap<InstanceId, SocketAddr>,
+    pub members: HashMap<InstanceId, Member>,
+    /// Requests of this instance that schedulers place.
+    pub remote: RemoteRequests,
+    /// Requests of other instances that this one places.
+    pub clients: ClientRequests,
+    /// Observations of targets that schedulers are not told of yet.
+    pub observations: Observations,
+    /// Whether peers are to be told of new data of the store at once.
+    pub announce: bool,
     /// Connection to the store.
     pub store: StoreStatus,
     /// Since when a peer has had a newer configuration.
@@ -231,36 +211,43 @@
     /// Records the first event of a request, which ends its prefill.
     pub fn record_first_event(&self, grant: &Grant, now: Instant) {
         let mut state = self.state();
-        state.scheduler.first_event(grant, now);
+        if !state.remote.first_event(grant.id, now) {
+            state.scheduler.first_event(grant, now);
+        }
         self.load_changed.notify_all();
         state.dispatch(self, now);
     }
 
     /// Records an event after the first, with the gap before it.
     pub fn record_event(&self, grant: &Grant, engine: Option<&Engine>, gap: Duration) {
-        if let Some(engine) = engine {
-            self.state().scheduler.record_event(grant, engine, gap, Instant::now());
+        let Some(engine) = engine else { return };
+        let target = &grant.placement.target.id;
+        let mut state = self.state();
+        // Only a scheduler knows how many requests the target decodes.
+        if state.remote.contains(grant.id) {
+            state.observations.add_gap(target, gap);
+        } else {
+            state.scheduler.record_gap(target, engine, gap, Instant::now());
         }
     }
 
     /// Releases the grant of a request that has ended at its targets.
     pub fn finish(&self, grant: &Grant, now: Instant) {
         let mut state = self.state();
-        state.scheduler.finish(grant);
+        if !state.remote.end(grant.id) {
+            state.scheduler.finish(grant);
+        }
         self.load_changed.notify_all();
         state.dispatch(self, now);
     }
 
     /// Records the outcome of an attempt at a target.
     pub fn record_outcome(&self, target: &TargetId, outcome: Outcome, now: Instant) {
-        let Exclusions { zone, pause } =
-            self.state().scheduler.record_outcome(target, outcome, now);
-        if let Some(zone) = zone {
-            log::warn!(zone = &*zone; "zone: unreachable, its targets are avoided.");
-        }
-        if let Some(pause) = pause {
-            let pause_ms = pause.as_millis() as u64;
-            log::warn!(target_id = &**target, outcome:? = outcome, pause_ms; "target: avoided.");
+        let mut state = self.state();
+        if state.places_own(self, now) {
+            state.record_outcome(target, outcome, now);
+        } else {
+            state.observations.add_outcome(target, outcome);
         }
     }
 }
@@ -273,6 +260,10 @@
             retry_windows: HashMap::new(),
             peers: HashMap::new(),
             members: HashMap::new(),
+            remote: RemoteRequests::default(),
+            clients: ClientRequests::default(),
+            observations: Observations::default(),
+            announce: false,
             store: StoreStatus::default(),
             outdated_since: None,
             behind_since: None,
@@ -280,6 +271,18 @@
         }
     }
 
+    /// Records the outcome of an attempt at a target, and logs what it excludes.
+    pub fn record_outcome(&mut self, target: &TargetId, outcome: Outcome, now: Instant) {
+        let Exclusions { zone, pause } = self.scheduler.record_outcome(target, outcome, now);
+        if let Some(zone) = zone {
+            log::warn!(zone = &*zone; "zone: unreachable, its targets are avoided.");
+        }
+        if let Some(pause) = pause {
+            let pause_ms = pause.as_millis() as u64;
+            log::warn!(target_id = &**target, outcome:? = outcome, pause_ms; "target: avoided.");
+        }
+    }
+
     /// Returns the cost model of a target that is an engine.
     pub fn engine_at(&self, table: &RouteTable, target: &str) -> Option<Engine> {
         self.scheduler.fleet.get(target).and_then(|t| table.engine(&t.service))
@@ -312,23 +315,4 @@
             );
         }
     }
-
-    /// Returns whether this instance watches the store for its zone.
-    pub fn watches_store(&self, own: &str, now: Instant) -> bool {
-        if self.behind_since.is_some_and(|since| now >= since + MAX_BEHIND) {
-            return true;
-        }
-        let in_zone = self.peers.iter().filter(|(_, p)| p.zone == self.scheduler.zone);
-        let neighbours = in_zone.map(|(name, peer)| Neighbour {
-            name,
-            silence: now.saturating_duration_since(peer.last_heard),
-            cut_off: peer.store_unreachable,
-        });
-        should_watch(own, neighbours)
-    }
-
-    /// Returns the number of live instances, including this one.
-    pub fn instance_count(&self) -> usize {
-        (self.peers.len() + 1).max(self.members.len())
-    }
 }
