Gateway: fewer calls to the store at start; smaller blocks of engines

Change: one listing of all keys; a lease of two minutes, renewed every 30 s, since now heartbeats alone go to registered addresses. The thread sees a stop within half a second. A block has six engines or more where zones have ten or more.

--- a/crates/core/src/edge/order.rs
+++ b/crates/core/src/edge/order.rs
@@ -10,8 +10,11 @@
 
 use crate::ids::ZoneId;
 
+/// Fewest engines of a zone, in the mean, for zones to have blocks of their own. With fewer
+/// the long prompts of one zone would find no free engines in its block.
+const MIN_ZONE: usize = 10;
 /// Fewest engines in a block: enough for short prompts in front of free engines.
-const MIN_BLOCK: usize = 10;
+const MIN_BLOCK: usize = 6;
 
 /// Which of the zone's blocks a scheduler fills first.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,7 +47,7 @@
         *sizes.entry(zone).or_default() += 1;
     }
     // All schedulers have to come to the same result, so the mean over zones decides.
-    if zones.len() < MIN_BLOCK * sizes.len() {
+    if zones.len() < MIN_ZONE * sizes.len() {
         let place = |i: usize| (i as f64 + 0.5) / zones.len() as f64;
         return (0..zones.len()).map(|i| Position { in_block: place(i), own: true }).collect();
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -107,19 +107,15 @@
 
 /// Lists and applies all entries.
 fn list(gateway: &Gateway) -> Result<(), StoreError> {
-    let targets = gateway.store.list(target::PREFIX)?;
-    if let Some(entry) = gateway.store.get(config::KEY)? {
-        apply(gateway, &entry);
-    }
-    let members = gateway.store.list(member::PREFIX)?;
+    // One call for all keys: when a large fleet starts, each call counts hundreds of times.
+    let Page { entries, revision } = gateway.store.list("")?;
     record_success(gateway);
-    let Page { entries, revision } = targets;
     let listed: Vec<TargetId> = entries
         .iter()
         .filter_map(|e| e.key.strip_prefix(target::PREFIX))
         .map(TargetId::from)
         .collect();
-    for entry in entries.iter().chain(&members.entries) {
+    for entry in &entries {
         apply(gateway, entry);
     }
     let mut state = gateway.state();
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mimosapass_core::ids::{InstanceId, ZoneId};
 use mimosapass_platform::store::{LeaseId, StoreError};
@@ -17,18 +17,23 @@
 /// Key prefix of instance entries; the rest of the key is the instance's availability
 /// zone, a slash and its name. Former versions wrote the name alone.
 pub const PREFIX: &str = "mimosapass/instances/";
-/// Bounds how long datagrams are sent to the address of a failed peer. The failure
+/// Bounds how long heartbeats are sent to the address of a failed peer. The failure
 /// itself is detected much earlier, by missing datagrams.
-const LEASE_TTL: Duration = Duration::from_secs(24);
-/// Allows three failed renewals before the lease expires.
-const RENEW_INTERVAL: Duration = Duration::from_secs(6);
+const LEASE_TTL: Duration = Duration::from_mins(2);
+/// Allows three failed renewals before the lease expires. The calls of the whole fleet
+/// are renewals most of the time, so they are as rare as the lease allows.
+const RENEW_INTERVAL: Duration = Duration::from_secs(30);
+/// Interval between attempts to register while the store does not answer.
+const RETRY_INTERVAL: Duration = Duration::from_secs(6);
+/// Interval between checks whether the instance stops.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Keeps this instance registered until it stops.
 pub fn run(gateway: &Arc<Gateway>) {
     let mut lease = None;
     while !gateway.is_stopping() {
-        lease = match register_or_renew(gateway, lease) {
-            Ok(lease) => Some(lease),
+        let (kept, interval) = match register_or_renew(gateway, lease) {
+            Ok(lease) => (Some(lease), RENEW_INTERVAL),
             Err(StoreError::NotFound) => {
                 log::info!("member: the lease has expired, registering again.");
                 lease = None;
@@ -36,10 +41,14 @@
             }
             Err(e) => {
                 log::debug!("member: registration or renewal failed: {e}.");
-                lease
+                (lease, RETRY_INTERVAL)
             }
         };
-        thread::sleep(RENEW_INTERVAL);
+        lease = kept;
+        let next = Instant::now() + interval;
+        while Instant::now() < next && !gateway.is_stopping() {
+            thread::sleep(POLL_INTERVAL);
+        }
     }
     if let Some(lease) = lease
         && let Err(e) = gateway.store.revoke_lease(lease)
