--- a/crates/core/src/edge/clients.rs
+++ b/crates/core/src/edge/clients.rs
@@ -66,15 +66,15 @@
         self.reply(client, id, reply);
     }
 
-    /// Records a grant; returns whether it is for a client.
-    pub fn grant(&mut self, grant: &Grant) -> bool {
-        let Some((client, id)) = self.origins.get(&grant.id).cloned() else { return false };
+    /// Records a grant; returns the client that it is for, if any, and its number there.
+    pub fn grant(&mut self, grant: &Grant) -> Option<(InstanceId, RequestNumber)> {
+        let (client, id) = self.origins.get(&grant.id).cloned()?;
         let request = self.requests.get_mut(&client).and_then(|r| r.get_mut(&id));
         if let Some(request) = request {
             request.grant = Some(grant.clone());
         }
         self.reply(&client, id, Reply::Granted(grant.clone()));
-        true
+        Some((client, id))
     }
 
     /// Records the first event of a request.
--- a/crates/core/src/edge/remote.rs
+++ b/crates/core/src/edge/remote.rs
@@ -255,6 +255,11 @@
         self.contacted.keys().cloned().collect()
     }
 
+    /// Returns the scheduler that places or has placed a request.
+    pub fn scheduler_of(&self, id: RequestNumber) -> Option<InstanceId> {
+        self.requests.get(&id).map(|r| InstanceId::clone(&r.scheduler))
+    }
+
     /// Returns whether a scheduler places or has placed a request.
     pub fn contains(&self, id: RequestNumber) -> bool {
         self.requests.contains_key(&id)
--- a/crates/core/tests/edge_delegation.rs
+++ b/crates/core/tests/edge_delegation.rs
@@ -96,7 +96,7 @@
     fn round(&mut self, now: Instant) -> Vec<(u64, Reply)> {
         self.clients.refuse(&mut self.scheduler, now);
         for grant in self.scheduler.dispatch(&table(), now) {
-            assert!(self.clients.grant(&grant), "all requests are those of the client");
+            assert!(self.clients.grant(&grant).is_some(), "all requests are those of the client");
         }
         let mut replies = self.clients.take_replies();
         replies.remove(CLIENT).unwrap_or_default().into_iter().collect()
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -172,8 +172,11 @@
         let histogram = self.gateway.metrics.wait_time.with_label_values(&[label]);
         histogram.observe(waited.as_secs_f64());
         self.target = Some(TargetId::clone(&grant.placement.target.id));
+        let scheduler = self.gateway.state().remote.scheduler_of(grant.id);
         log::debug!(
             id = self.request.attempt_id.as_str(),
+            request = grant.id,
+            placed_by = scheduler.as_deref().unwrap_or(&self.gateway.name),
             prompt = requirements.prompt,
             targets = grant.targets().join(","),
             waited_ms = waited.as_millis() as u64,
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -151,7 +151,11 @@
     /// Grants targets to queued requests and wakes their threads.
     pub fn dispatch(&mut self, gateway: &Gateway, now: Instant) {
         for grant in self.scheduler.dispatch(&gateway.route_table(), now) {
-            if self.clients.grant(&grant) {
+            if let Some((client, request)) = self.clients.grant(&grant) {
+                log::debug!(
+                    client = &*client, request, targets = grant.targets().join(",");
+                    "scheduler: placed the request of another instance."
+                );
                 gateway.load_changed.notify_all();
                 continue;
             }
