Placement: engines are looked at in the order of their positions' costs

Cause: one decision over 67 engines took 16 us for a chat and 113 us for a review, and grew with the engines, since each try predicted all of them for each number of parts.

Change: engines come in ascending order of what their position costs, and the search ends at the first that no later one can beat; the result is the same. Excluded engines leave the order, as before.

--- a/crates/core/src/edge/order.rs
+++ b/crates/core/src/edge/order.rs
@@ -6,11 +6,11 @@
 //! therefore form blocks with an order of their own once there are enough of them, and a
 //! scheduler fills its own block first.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use crate::edge::fleet::{Fleet, Target};
-use crate::ids::ZoneId;
+use crate::ids::{TargetId, ZoneId};
 
 /// Fewest engines of a zone, in the mean, for zones to have blocks of their own. With fewer
 /// the long prompts of one zone would find no free engines in its block.
@@ -77,37 +77,62 @@
     pub position: Position,
 }
 
-/// Targets of a service that accept requests, those that short prompts fill first in front.
+/// Targets that are excluded for a while.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Excluded {
+    /// Single targets.
+    pub targets: BTreeSet<TargetId>,
+    /// All targets of availability zones.
+    pub zones: BTreeSet<ZoneId>,
+}
+
+impl Excluded {
+    fn contains(&self, target: &Target) -> bool {
+        self.targets.contains(&target.id) || self.zones.contains(&target.zone)
+    }
+}
+
+/// Targets of a service that accept requests, in the order of a scheduler.
 ///
 /// It is kept between decisions, since targets change rarely.
 #[derive(Clone, Debug, Default)]
 pub struct Lineup {
-    members: Vec<Member>,
+    short: Vec<Member>,
+    long: Vec<Member>,
     generation: u64,
     turn: Turn,
+    excluded: Excluded,
 }
 
 impl Lineup {
     /// Sorts the targets of a service for a scheduler in `zone`.
-    pub fn new(fleet: &Fleet, service: &str, zone: &str, turn: Turn) -> Self {
-        let targets: Vec<&Arc<Target>> = fleet.serving(service).collect();
+    ///
+    /// Excluded targets are left out unless no other one is there.
+    pub fn new(fleet: &Fleet, service: &str, zone: &str, turn: Turn, excluded: &Excluded) -> Self {
+        let usable = fleet.serving(service).filter(|t| !excluded.contains(t));
+        let mut targets: Vec<&Arc<Target>> = usable.collect();
+        if targets.is_empty() {
+            targets = fleet.serving(service).collect();
+        }
         let zones: Vec<&ZoneId> = targets.iter().map(|t| &t.zone).collect();
         let positions = positions(&zones, zone, turn);
-        let mut members: Vec<Member> = std::iter::zip(targets, positions)
+        let mut short: Vec<Member> = std::iter::zip(targets, positions)
             .map(|(target, position)| Member { target: Arc::clone(target), position })
             .collect();
-        let key = |m: &Member| (!m.position.own, m.position.in_block);
-        members.sort_by(|a, b| key(a).partial_cmp(&key(b)).unwrap_or(std::cmp::Ordering::Equal));
-        Self { members, generation: fleet.generation(), turn }
+        let by_place = |a: &Member, b: &Member| a.position.in_block.total_cmp(&b.position.in_block);
+        let mut long = short.clone();
+        long.sort_by(|a, b| by_place(b, a));
+        short.sort_by(|a, b| b.position.own.cmp(&a.position.own).then(by_place(a, b)));
+        Self { short, long, generation: fleet.generation(), turn, excluded: excluded.clone() }
     }
 
-    /// Returns whether no target has changed since.
-    pub fn is_current(&self, fleet: &Fleet, turn: Turn) -> bool {
-        self.generation == fleet.generation() && self.turn == turn
+    /// Returns whether nothing that the order depends on has changed since.
+    pub fn is_current(&self, fleet: &Fleet, turn: Turn, excluded: &Excluded) -> bool {
+        self.generation == fleet.generation() && self.turn == turn && self.excluded == *excluded
     }
 
-    /// Returns the targets in their order.
-    pub fn members(&self) -> &[Member] {
-        &self.members
+    /// Returns the targets in the order in which prompts fill them.
+    pub fn members(&self, long: bool) -> &[Member] {
+        if long { &self.long } else { &self.short }
     }
 }
--- a/crates/core/src/edge/outcomes.rs
+++ b/crates/core/src/edge/outcomes.rs
@@ -88,6 +88,12 @@
         self.records.get(id).and_then(|r| r.until).is_some_and(|until| now < until)
     }
 
+    /// Returns the targets that are excluded at `now`, in no order.
+    pub fn avoided(&self, now: Instant) -> impl Iterator<Item = &TargetId> {
+        let is_avoided = move |r: &Record| r.until.is_some_and(|until| now < until);
+        self.records.iter().filter(move |(_, r)| is_avoided(r)).map(|(id, _)| id)
+    }
+
     /// Returns the failure rate of a target, 0 to 1.
     pub fn failure_rate(&self, id: &str) -> f64 {
         self.records.get(id).map_or(0.0, |r| r.failure_rate)
@@ -137,4 +143,9 @@
     pub fn is_cut_off(&self, zone: &str, now: Instant) -> bool {
         self.cut_off_at.get(zone).is_some_and(|at| now < *at + LONGEST_PAUSE)
     }
+
+    /// Returns the availability zones whose targets are excluded, in no order.
+    pub fn cut_off(&self, now: Instant) -> impl Iterator<Item = &ZoneId> {
+        self.cut_off_at.keys().filter(move |zone| self.is_cut_off(zone, now))
+    }
 }
--- a/crates/core/src/edge/placement.rs
+++ b/crates/core/src/edge/placement.rs
@@ -124,7 +124,8 @@
 
 /// Chooses the best placement for a request, or `None` when no target has room.
 ///
-/// `candidates` are in the order of a [`Lineup`](crate::edge::order::Lineup).
+/// `candidates` are in the order of a [`Lineup`](crate::edge::order::Lineup) for the length
+/// of the request.
 pub fn choose(
     request: &PlacementRequest,
     engine: Option<&Engine>,
@@ -185,48 +186,42 @@
     load: &Load,
     now: Instant,
 ) -> Option<Placement> {
-    let prospect = |candidate| predict(request, engine, candidate, load, now);
-    if !request.long {
-        return place_short(request, engine, candidates.iter().map(prospect), load);
-    }
+    let prospects = candidates.iter().map(|c| predict(request, engine, c, load, now));
     // A long prompt or a part of one goes only to targets without unread prompts.
-    let prospects: Vec<Prospect<'_>> = candidates
-        .iter()
-        .map(prospect)
-        .filter(|p| p.prediction.prefilling == 0)
-        .filter(|p| p.prediction.requests < p.candidate.target.slots as usize)
-        .collect();
-    let mut best = place_on_one(request, engine, prospects.iter(), load);
-    for parts in [2, 3, 4, 6, 8, 12, MAX_PARTS] {
-        if let Some(placement) = place_on_several(request, engine, &prospects, load, parts)
-            && best.as_ref().is_none_or(|b| placement.loss < b.loss)
-        {
-            best = Some(placement);
+    let is_open = |p: &Prospect<'_>| {
+        !request.long
+            || p.prediction.prefilling == 0
+                && p.prediction.requests < p.candidate.target.slots as usize
+    };
+    let mut prospects = Prospects { source: prospects.filter(is_open), seen: Vec::new() };
+    let mut best = place_on_one(request, engine, &mut prospects, load);
+    if request.long {
+        for parts in [2, 3, 4, 6, 8, 12, MAX_PARTS] {
+            if let Some(placement) = place_on_several(request, engine, &mut prospects, load, parts)
+                && best.as_ref().is_none_or(|b| placement.loss < b.loss)
+            {
+                best = Some(placement);
+            }
         }
     }
     best
 }
 
-/// Places a short prompt; `prospects` come in ascending order of their positions' costs.
-fn place_short<'a>(
-    request: &PlacementRequest,
-    engine: &Engine,
-    prospects: impl Iterator<Item = Prospect<'a>>,
-    load: &Load,
-) -> Option<Placement> {
-    let mut best: Option<Placement> = None;
-    for prospect in prospects {
-        // No later one can lose less than its position alone costs.
-        if best.as_ref().is_some_and(|b| b.loss <= prospect.position_cost) {
-            break;
-        }
-        if let Some(placement) = place_on_one(request, engine, [&prospect].into_iter(), load)
-            && best.as_ref().is_none_or(|b| placement.loss < b.loss)
-        {
-            best = Some(placement);
+/// Candidates in ascending order of their positions' costs, predicted when needed.
+///
+/// No candidate costs less than its position, so that most need not be looked at.
+struct Prospects<'a, I> {
+    source: I,
+    seen: Vec<Prospect<'a>>,
+}
+
+impl<'a, I: Iterator<Item = Prospect<'a>>> Prospects<'a, I> {
+    fn get(&mut self, index: usize) -> Option<&Prospect<'a>> {
+        while self.seen.len() <= index {
+            self.seen.push(self.source.next()?);
         }
+        self.seen.get(index)
     }
-    best
 }
 
 /// Predicts the state of a candidate.
@@ -271,64 +266,107 @@
 fn place_on_one<'a>(
     request: &PlacementRequest,
     engine: &Engine,
-    prospects: impl Iterator<Item = &'a Prospect<'a>>,
+    prospects: &mut Prospects<'a, impl Iterator<Item = Prospect<'a>>>,
     load: &Load,
 ) -> Option<Placement> {
-    let fitting = prospects.filter(|p| fits(request, engine, p));
-    let placements = fitting.map(|prospect| {
-        let prefill = engine.prefill_time(request.prompt, 1).mul_f64(prospect.candidate.slowdown);
-        let prediction = &prospect.prediction;
-        let pass = first_pass(engine, prediction, request).mul_f64(prospect.candidate.slowdown);
-        let first_event = prospect.wait + prefill + pass + prospect.candidate.extra_latency;
+    let mut best: Option<Placement> = None;
+    for index in 0.. {
+        let Some(prospect) = prospects.get(index) else { break };
+        if best.as_ref().is_some_and(|b| b.loss <= prospect.position_cost) {
+            break;
+        }
+        if fits(request, engine, prospect) {
+            let placement = place_at(request, engine, prospect, load);
+            if best.as_ref().is_none_or(|b| placement.loss < b.loss) {
+                best = Some(placement);
+            }
+        }
+    }
+    best
+}
+
+/// Returns the placement on the target of `prospect` alone.
+fn place_at(
+    request: &PlacementRequest,
+    engine: &Engine,
+    prospect: &Prospect<'_>,
+    load: &Load,
+) -> Placement {
+    let prefill = engine.prefill_time(request.prompt, 1).mul_f64(prospect.candidate.slowdown);
+    let prediction = &prospect.prediction;
+    let pass = first_pass(engine, prediction, request).mul_f64(prospect.candidate.slowdown);
+    let first_event = prospect.wait + prefill + pass + prospect.candidate.extra_latency;
+    let interference = interference(prospect, engine, load, prefill);
+    let loss = lateness_loss(request.value, first_event, request.time_left)
+        + interference
+        + prospect.position_cost
+        + time_cost(request, first_event)
+        + first_event.as_secs_f64() * 1000.0 * ENGINE_MS_COST;
+    Placement {
+        target: Arc::clone(prospect.candidate.target),
+        helpers: Vec::new(),
+        memory_tokens: request.prompt + request.answer,
+        first_event,
+        loss,
+        interference,
+    }
+}
+
+/// A target that may process a part of a prompt.
+struct Row {
+    cost: f64,
+    interference: f64,
+    /// Index of its prospect.
+    index: usize,
+}
+
+/// Returns the `parts` targets at which a part costs least, in that order; fewer if there
+/// are no more.
+fn cheapest_rows<'a>(
+    request: &PlacementRequest,
+    prefill: Duration,
+    engine: &Engine,
+    prospects: &mut Prospects<'a, impl Iterator<Item = Prospect<'a>>>,
+    load: &Load,
+    parts: usize,
+) -> Vec<Row> {
+    let mut rows: Vec<Row> = Vec::with_capacity(parts + 1);
+    for index in 0.. {
+        let Some(prospect) = prospects.get(index) else { break };
+        if rows.len() == parts && rows.last().is_some_and(|r| r.cost <= prospect.position_cost) {
+            break;
+        }
+        let prefill = prefill.mul_f64(prospect.candidate.slowdown);
         let interference = interference(prospect, engine, load, prefill);
-        let loss = lateness_loss(request.value, first_event, request.time_left)
+        let time = prospect.residual + prefill;
+        let cost = prospect.position_cost
             + interference
-            + prospect.position_cost
-            + time_cost(request, first_event)
-            + first_event.as_secs_f64() * 1000.0 * ENGINE_MS_COST;
-        Placement {
-            target: Arc::clone(prospect.candidate.target),
-            helpers: Vec::new(),
-            memory_tokens: request.prompt + request.answer,
-            first_event,
-            loss,
-            interference,
-        }
-    });
-    placements.min_by(|a, b| a.loss.total_cmp(&b.loss))
+            + time_cost(request, time)
+            + lateness_loss(request.value, time, request.time_left);
+        let at = rows.partition_point(|r| r.cost <= cost);
+        rows.insert(at, Row { cost, interference, index });
+        rows.truncate(parts);
+    }
+    rows
 }
 
 /// Returns the placement on the `parts` best targets, each with one part.
-fn place_on_several(
+fn place_on_several<'a>(
     request: &PlacementRequest,
     engine: &Engine,
-    prospects: &[Prospect<'_>],
+    prospects: &mut Prospects<'a, impl Iterator<Item = Prospect<'a>>>,
     load: &Load,
     parts: u32,
 ) -> Option<Placement> {
-    if prospects.len() < parts as usize {
+    let prefill = engine.prefill_time(request.prompt, parts);
+    let rows = cheapest_rows(request, prefill, engine, prospects, load, parts as usize);
+    if rows.len() < parts as usize {
         return None;
     }
-    let prefill = engine.prefill_time(request.prompt, parts);
-    let mut rows: Vec<(f64, f64, &Prospect<'_>)> = prospects
-        .iter()
-        .map(|p| {
-            let prefill = prefill.mul_f64(p.candidate.slowdown);
-            let interference = interference(p, engine, load, prefill);
-            let time = p.residual + prefill;
-            (
-                p.position_cost
-                    + interference
-                    + time_cost(request, time)
-                    + lateness_loss(request.value, time, request.time_left),
-                interference,
-                p,
-            )
-        })
+    let mut rows: Vec<(f64, f64, &Prospect<'_>)> = rows
+        .into_iter()
+        .map(|row| (row.cost, row.interference, &prospects.seen[row.index]))
         .collect();
-    rows.select_nth_unstable_by(parts as usize - 1, |a, b| a.0.total_cmp(&b.0));
-    rows.truncate(parts as usize);
-    rows.sort_by(|a, b| a.0.total_cmp(&b.0));
     let (answering, kept) = split_memory(request, engine, &rows)?;
     let (_, answering_interference, first) = rows.remove(answering);
     let kept_elsewhere: u64 = kept.iter().sum();
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -9,9 +9,9 @@
 use std::time::{Duration, Instant};
 
 use crate::edge::cost::Engine;
-use crate::edge::fleet::{Fleet, Target, TargetId};
+use crate::edge::fleet::{Fleet, TargetId};
 use crate::edge::load::{Assignment, Load, Pressure, RequestNumber};
-use crate::edge::order::{Lineup, Member, Turn};
+use crate::edge::order::{Excluded, Lineup, Member, Turn};
 use crate::edge::outcomes::{Outcome, Outcomes, ZoneReachability};
 use crate::edge::placement::{
     Candidate, MAX_PARTS, MIN_BACKLOG, Placement, PlacementRequest, choose, is_long,
@@ -253,10 +253,10 @@
             return Vec::new();
         }
         self.last_round = Some(now);
-        self.update_lineups();
+        self.update_lineups(now);
         let lineups = std::mem::take(&mut self.lineups);
         let median = self.slowdowns.median(now);
-        let mut candidates: HashMap<ServiceId, Vec<Candidate<'_>>> = HashMap::new();
+        let mut candidates: HashMap<(ServiceId, bool), Vec<Candidate<'_>>> = HashMap::new();
         let mut grants = Vec::new();
         let mut misses: HashMap<ServiceId, usize> = HashMap::new();
         for id in self.ranked(now) {
@@ -266,9 +266,10 @@
             if *count >= MAX_MISSES || requirements.long && self.yields(requirements, now) {
                 continue;
             }
-            let usable = candidates
-                .entry(ServiceId::clone(service))
-                .or_insert_with(|| self.candidates(&lineups[service], median, now));
+            let usable =
+                candidates.entry((ServiceId::clone(service), requirements.long)).or_insert_with(
+                    || self.candidates(lineups[service].members(requirements.long), median, now),
+                );
             match self.place(requirements, usable, now) {
                 Some(placement) => {
                     let requirements = self.dequeue(id);
@@ -302,27 +303,24 @@
             && peer_entries.any(|(_, entry)| entry.precedes(&requirements.entry, now))
     }
 
-    /// Returns the targets of a service that may be used now, in the order of a lineup.
-    fn candidates<'a>(&self, lineup: &'a Lineup, median: f64, now: Instant) -> Vec<Candidate<'a>> {
-        let usable = |target: &Target| {
-            !self.outcomes.is_avoided(&target.id, now)
-                && !self.reachability.is_cut_off(&target.zone, now)
-        };
+    /// Returns the candidates of a service in the order of its lineup.
+    fn candidates<'a>(
+        &self,
+        members: &'a [Member],
+        median: f64,
+        now: Instant,
+    ) -> Vec<Candidate<'a>> {
         let extra_latency =
             |zone: &ZoneId| if *zone == self.zone { Duration::ZERO } else { CROSS_ZONE_LATENCY };
-        let candidate = |member: &'a Member| Candidate {
-            target: &member.target,
-            slowdown: self.slowdowns.factor(&member.target.id, median, now),
-            extra_latency: extra_latency(&member.target.zone),
-            position: member.position,
-        };
-        let candidates: Vec<Candidate<'a>> =
-            lineup.members().iter().filter(|m| usable(&m.target)).map(candidate).collect();
-        // Better one that is avoided than none.
-        if candidates.is_empty() {
-            return lineup.members().iter().map(candidate).collect();
-        }
-        candidates
+        members
+            .iter()
+            .map(|Member { target, position }| Candidate {
+                target,
+                slowdown: self.slowdowns.factor(&target.id, median, now),
+                extra_latency: extra_latency(&target.zone),
+                position: *position,
+            })
+            .collect()
     }
 
     /// Chooses a placement among the candidates.
@@ -352,12 +350,16 @@
     }
 
     /// Updates the lineups of services after a change of targets.
-    fn update_lineups(&mut self) {
+    fn update_lineups(&mut self, now: Instant) {
+        let excluded = Excluded {
+            targets: self.outcomes.avoided(now).cloned().collect(),
+            zones: self.reachability.cut_off(now).cloned().collect(),
+        };
         let waiting: BTreeSet<&ServiceId> = self.queue.values().map(|r| &r.service).collect();
         for service in waiting {
             let lineup = self.lineups.entry(ServiceId::clone(service)).or_default();
-            if !lineup.is_current(&self.fleet, self.turn) {
-                *lineup = Lineup::new(&self.fleet, service, &self.zone, self.turn);
+            if !lineup.is_current(&self.fleet, self.turn, &excluded) {
+                *lineup = Lineup::new(&self.fleet, service, &self.zone, self.turn, &excluded);
             }
         }
     }
--- a/crates/core/tests/edge_placement.rs
+++ b/crates/core/tests/edge_placement.rs
@@ -47,16 +47,21 @@
 }
 
 /// Returns the targets as one block, which all schedulers fill in the same order.
-fn candidates(targets: &[Arc<Target>]) -> Vec<Candidate<'_>> {
+fn candidates(targets: &[Arc<Target>], long: bool) -> Vec<Candidate<'_>> {
     let zones: Vec<_> = targets.iter().map(|t| &t.zone).collect();
-    std::iter::zip(targets, positions(&zones, "a", Turn::default()))
-        .map(|(target, position)| Candidate {
-            target,
-            slowdown: 1.0,
-            extra_latency: Duration::ZERO,
-            position,
-        })
-        .collect()
+    let mut candidates: Vec<Candidate<'_>> =
+        std::iter::zip(targets, positions(&zones, "a", Turn::default()))
+            .map(|(target, position)| Candidate {
+                target,
+                slowdown: 1.0,
+                extra_latency: Duration::ZERO,
+                position,
+            })
+            .collect();
+    if long {
+        candidates.reverse();
+    }
+    candidates
 }
 
 fn request(prompt: u64, goal_ms: u64) -> PlacementRequest {
@@ -83,7 +88,7 @@
     }
 
     fn choose(&self, request: &PlacementRequest) -> Option<Placement> {
-        let candidates = candidates(&self.targets);
+        let candidates = candidates(&self.targets, request.long);
         choose(request, Some(&engine()), &candidates, &self.load, self.now)
     }
 
@@ -234,7 +239,7 @@
     let mut replay = Replay::new(3);
     let call = PlacementRequest { long: false, ..request(0, 300) };
     for _ in 0..3 {
-        let candidates = candidates(&replay.targets);
+        let candidates = candidates(&replay.targets, false);
         let placement = choose(&call, None, &candidates, &replay.load, replay.now).expect("room");
         replay.send(&call, &placement, false);
     }
--- a/crates/emulator/examples/experiment.rs
+++ b/crates/emulator/examples/experiment.rs
@@ -25,7 +25,7 @@
     own: bool,
     /// Print each late or unserved call as CSV instead of tables.
     calls: bool,
-    /// Measure the time of one decision over 18, 67 and 200 engines instead.
+    /// Measure the time of one decision over 18, 67, 200 and 600 engines instead.
     speed: bool,
     /// Compare fleets of several sizes, and which instances are told of requests, instead.
     sizes: bool,
@@ -121,7 +121,8 @@
     }
     if options.speed {
         println!("| engines | prompt | one decision |\n|---|---|---|");
-        for (engines, prompt) in [18, 67, 200].into_iter().flat_map(|e| [(e, 5_000), (e, 300_000)])
+        for (engines, prompt) in
+            [18, 67, 200, 600].into_iter().flat_map(|e| [(e, 5_000), (e, 300_000)])
         {
             println!(
                 "| {engines} | {prompt} | {:?} |",
--- a/crates/emulator/src/timing.rs
+++ b/crates/emulator/src/timing.rs
@@ -3,8 +3,9 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
+use mimosapass_core::edge::fleet::{Fleet, Target};
 use mimosapass_core::edge::load::{Assignment, Load, RequestNumber};
-use mimosapass_core::edge::order::{Turn, positions};
+use mimosapass_core::edge::order::{Excluded, Lineup, Member, Turn};
 use mimosapass_core::edge::placement::{Candidate, PlacementRequest, choose, is_long};
 
 use crate::load::COST;
@@ -43,16 +44,6 @@
             );
         }
     }
-    let zones: Vec<_> = targets.iter().map(|t| &t.zone).collect();
-    let candidates: Vec<Candidate<'_>> =
-        std::iter::zip(&targets, positions(&zones, "z0", Turn::default()))
-            .map(|(target, position)| Candidate {
-                target,
-                slowdown: 1.0,
-                extra_latency: Duration::ZERO,
-                position,
-            })
-            .collect();
     let request = PlacementRequest {
         prompt,
         answer: 800,
@@ -60,6 +51,22 @@
         time_left: Duration::from_millis(if prompt < 10_000 { 300 } else { 3_000 }),
         long: is_long(&COST, prompt, STRICTEST_GAP),
     };
+    let mut fleet = Fleet::default();
+    for target in &targets {
+        fleet.report(Target::clone(target));
+    }
+    let lineup =
+        Lineup::new(&fleet, &targets[0].service, "z0", Turn::default(), &Excluded::default());
+    let candidates: Vec<Candidate<'_>> = lineup
+        .members(request.long)
+        .iter()
+        .map(|Member { target, position }| Candidate {
+            target,
+            slowdown: 1.0,
+            extra_latency: Duration::ZERO,
+            position: *position,
+        })
+        .collect();
     let started = Instant::now();
     for _ in 0..DECISIONS {
         black_box(choose(&request, Some(&COST), &candidates, &load, now));
