--- a/crates/core/src/edge/fleet.rs
+++ b/crates/core/src/edge/fleet.rs
@@ -5,7 +5,7 @@
 //! start of the target, or with a higher sequence number of the same start. A draining
 //! target serves again only after a restart.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -133,6 +133,7 @@
     ///
     /// Returns the removed targets.
     pub fn reconcile(&mut self, named: &[TargetId], outage: bool, now: Instant) -> Vec<TargetId> {
+        let named: HashSet<&TargetId> = named.iter().collect();
         let missing: Vec<TargetId> =
             self.entries.keys().filter(|id| !named.contains(id)).cloned().collect();
         missing.into_iter().filter(|id| self.remove(id, outage, now) == Change::Gone).collect()
--- a/crates/core/src/edge/load.rs
+++ b/crates/core/src/edge/load.rs
@@ -233,6 +233,11 @@
         self.targets.get(target).into_iter().flat_map(|load| &load.entries).map(|e| &e.assignment)
     }
 
+    /// Returns whether no request is in flight.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
     /// Predicts the state of `target` at `now`.
     pub fn predict(&self, target: &str, engine: Option<&Engine>, now: Instant) -> Prediction {
         let Some(load) = self.targets.get(target) else { return Prediction::default() };
--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -4,6 +4,7 @@
 //! does no I/O and takes the current time as an argument.
 //!
 //! - [`route_table`]: the routes, services and workspaces of one configuration version.
+//! - [`changes`]: which targets changed since a revision of the store.
 //! - [`fleet`]: known targets, and which of them accept new requests.
 //! - [`cost`]: cost model of an engine's prefill and decoding.
 //! - [`load`]: requests in flight at each target, from all instances.
@@ -20,6 +21,7 @@
 //! - [`outcomes`]: temporary exclusion of targets that fail or do not answer.
 
 pub mod audience;
+pub mod changes;
 pub mod clients;
 pub mod cost;
 pub mod election;
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -470,6 +470,10 @@
 
     /// Samples the share of each service's engines that have a backlog.
     fn sample(&mut self, table: &RouteTable, now: Instant) {
+        // An instance that delegates its placements knows of no load.
+        if self.load.is_empty() && self.pressure.is_empty() {
+            return;
+        }
         for (service, engine) in table.services().filter_map(|s| s.engine.map(|e| (&s.name, e))) {
             let sampled = self.pressure.get(service).and_then(Pressure::at);
             if sampled.is_some_and(|at| now < at + SAMPLE_INTERVAL) {
--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -90,6 +90,9 @@
     /// Revision of the store up to which the requester knows the targets.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// Whether the requester understands a snapshot with the changed targets only.
+    #[prost(bool, tag = "3")]
+    pub accepts_changes: bool,
 }
 
 /// Snapshot of what a gateway knows from the store.
@@ -103,9 +106,15 @@
     /// Revision of the store that `targets` reflects; 0 when they are omitted.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
-    /// All targets; empty when `revision` is 0.
+    /// All targets, or the changed ones; empty when `revision` is 0.
     #[prost(message, repeated, tag = "3")]
     pub targets: Vec<StoreTarget>,
+    /// Whether `targets` are those that changed after the revision of the request.
+    #[prost(bool, tag = "4")]
+    pub changes_only: bool,
+    /// Targets that left after that revision.
+    #[prost(string, repeated, tag = "5")]
+    pub gone: Vec<String>,
 }
 
 /// Entry that a target wrote about itself into the store.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -96,7 +96,13 @@
 pub fn expire_targets(gateway: &Gateway) {
     let mut state = gateway.state();
     let unreachable = state.store.failing_since.is_some();
-    for id in state.scheduler.fleet.expire(unreachable, Instant::now()) {
+    let expired = state.scheduler.fleet.expire(unreachable, Instant::now());
+    if !expired.is_empty() {
+        // The store states no revision for these; peers get all targets next time.
+        let next = state.store.target_revision + 1;
+        state.target_changes.reset(next);
+    }
+    for id in expired {
         log::info!(
             target_id = &*id;
             "target: removed, its entry was not written again after an outage."
@@ -126,7 +132,9 @@
         state.scheduler.forget(&id);
     }
     state.store.revision = revision;
-    state.store.target_revision = state.store.target_revision.max(revision);
+    let target_revision = state.store.target_revision.max(revision);
+    state.store.target_revision = target_revision;
+    state.target_changes.reset(target_revision);
     state.store.listed = true;
     count_targets(gateway, &state);
     Ok(())
@@ -181,6 +189,7 @@
     let outage = state.after_outage(now);
     let revision = entry.revision;
     state.store.target_revision = state.store.target_revision.max(revision);
+    state.target_changes.record(revision, TargetId::from(id));
     let change = if entry.deleted {
         state.scheduler.fleet.remove(id, outage, now)
     } else {
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -80,7 +80,7 @@
     if state.snapshot_requested.is_some_and(|at| now < at + UNWATCHED_INTERVAL) {
         return None;
     }
-    Some((peer?, SnapshotRequest { config_version: own_version, revision }))
+    Some((peer?, request(own_version, revision)))
 }
 
 /// Returns the request of an instance that watches the store.
@@ -114,7 +114,11 @@
         newer.iter().filter(|(unreachable, _)| !unreachable).map(|(_, addr)| *addr).collect();
     let any = || newer.choose(&mut rand::rng()).map(|(_, addr)| *addr);
     let peer = reaching.choose(&mut rand::rng()).copied().or_else(any)?;
-    Some((peer, SnapshotRequest { config_version: own_version, revision }))
+    Some((peer, request(own_version, revision)))
+}
+
+fn request(config_version: u64, revision: u64) -> SnapshotRequest {
+    SnapshotRequest { config_version, revision, accepts_changes: true }
 }
 
 /// Serves requests of peers and applies their snapshots; runs until the process ends.
@@ -140,16 +144,30 @@
     let config_text =
         if newer { Bytes::copy_from_slice(&gateway.config_text()) } else { Bytes::new() };
     let state = gateway.state();
-    let newer_targets = state.store.listed && state.store.target_revision > request.revision;
-    let targets = if newer_targets {
-        state.scheduler.fleet.all().map(|t| encode(t)).collect()
-    } else {
-        Vec::new()
-    };
-    StoreSnapshot {
-        config_text,
-        revision: if newer_targets { state.store.target_revision } else { 0 },
-        targets,
+    let without_targets = StoreSnapshot { config_text, ..StoreSnapshot::default() };
+    if !state.store.listed || state.store.target_revision <= request.revision {
+        return without_targets;
+    }
+    let fleet = &state.scheduler.fleet;
+    let changed = state.target_changes.since(request.revision).filter(|_| request.accepts_changes);
+    let revision = state.store.target_revision;
+    match changed {
+        Some(ids) => StoreSnapshot {
+            revision,
+            targets: ids.iter().filter_map(|id| fleet.get(id)).map(|t| encode(t)).collect(),
+            changes_only: true,
+            gone: ids
+                .iter()
+                .filter(|id| fleet.get(id).is_none())
+                .map(ToString::to_string)
+                .collect(),
+            ..without_targets
+        },
+        None => StoreSnapshot {
+            revision,
+            targets: fleet.all().map(|t| encode(t)).collect(),
+            ..without_targets
+        },
     }
 }
 
@@ -209,12 +227,22 @@
         changes += usize::from(state.scheduler.fleet.report(target) != Change::Unchanged);
     }
     // The peer has already decided which entries only expired in an outage.
-    let gone = state.scheduler.fleet.reconcile(&listed, false, now).len();
+    let gone = if snapshot.changes_only {
+        let removed = snapshot.gone.iter().map(|id| TargetId::from(id.as_str()));
+        for id in listed.into_iter().chain(removed) {
+            state.target_changes.record(snapshot.revision, id);
+        }
+        let fleet = &mut state.scheduler.fleet;
+        snapshot.gone.iter().filter(|id| fleet.remove(id, false, now) == Change::Gone).count()
+    } else {
+        state.target_changes.reset(snapshot.revision);
+        state.scheduler.fleet.reconcile(&listed, false, now).len()
+    };
     state.store.target_revision = snapshot.revision;
     state.store.revision = state.store.revision.max(snapshot.revision);
     state.store.listed = true;
     log::info!(
-        peer, revision = snapshot.revision, changes, gone;
+        peer, revision = snapshot.revision, changes, gone, changes_only = snapshot.changes_only;
         "snapshot: applied the targets of a peer."
     );
     state.dispatch(gateway, now);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
+use mimosapass_core::edge::changes::ChangeLog;
 use mimosapass_core::edge::clients::ClientRequests;
 use mimosapass_core::edge::cost::Engine;
 use mimosapass_core::edge::fleet::{LAPSE_GRACE, is_total_outage};
@@ -72,6 +73,8 @@
     pub announce: bool,
     /// Connection to the store.
     pub store: StoreStatus,
+    /// Recent changes of targets, for peers that do not watch the store.
+    pub target_changes: ChangeLog,
     /// Since when a peer has had a newer configuration.
     pub outdated_since: Option<Instant>,
     /// Since when a peer in the zone has had newer data of the store, while this
@@ -265,6 +268,7 @@
             observations: Observations::default(),
             announce: false,
             store: StoreStatus::default(),
+            target_changes: ChangeLog::default(),
             outdated_since: None,
             behind_since: None,
             snapshot_requested: None,
