Logs: each 4xx, each lapse and the first failed call to the store have a line

What callers saw: refusals for which the log of the instance names no reason. A request that is rejected while it is read (400, 408, 413, 499) had no line, a target's 4xx only one at debug, and refused requests did not name their host and path. A target that was kept because its removal was taken for a lapse left no trace; neither did a call that hung before the second one failed.

Change::Unchanged of a removal within an outage is now Change::Lapsed, once; the tests of the fleet check it (stricter than before). Nothing else about decisions changes.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -248,7 +248,8 @@
                 }
             }
             Ok(None) => return,
-            Err(failure) => {
+            Err(Rejection { head, failure }) => {
+                log_rejection(stream, &head, &failure);
                 reject(stream, shared, &failure);
                 return;
             }
@@ -256,6 +257,28 @@
     }
 }
 
+/// A request that was not read completely; the head is empty unless that part was read.
+struct Rejection {
+    head: Head,
+    failure: Failure,
+}
+
+impl From<Failure> for Rejection {
+    fn from(failure: Failure) -> Self {
+        Self { head: Head::default(), failure }
+    }
+}
+
+fn log_rejection(stream: &TcpStream, head: &Head, failure: &Failure) {
+    let Head { method, path, .. } = head;
+    let caller = stream.peer_addr().map_or_else(|e| e.to_string(), |addr| addr.to_string());
+    let status = failure.kind.row().status;
+    log::info!(
+        caller, status, method, path;
+        "caller: rejected a request that was not read completely, {failure}."
+    );
+}
+
 fn handle(head: Head, body: Body, stream: &TcpStream, shared: &Shared) -> bool {
     let close = head.wants_close() || shared.keep_alive_disabled.load(Ordering::SeqCst);
     let Body { bytes, reservation } = body;
@@ -298,23 +321,28 @@
     stream: &TcpStream,
     buffered: &mut Vec<u8>,
     shared: &Shared,
-) -> Result<Option<(Head, Body)>, Failure> {
+) -> Result<Option<(Head, Body)>, Rejection> {
     if buffered.is_empty() && !wait_for_request(stream, buffered, shared) {
         return Ok(None);
     }
     shared.active_requests.fetch_add(1, Ordering::SeqCst);
-    let limits = &shared.limits;
-    let read = read_head(stream, buffered, shared).and_then(|head| {
-        let body =
-            body::read(&head, stream, buffered, limits, &shared.body_memory, &shared.abort_signal)?;
-        Ok((body, head))
-    });
-    match read {
-        Ok((body, head)) => Ok(Some((head, body))),
-        Err(failure) => {
-            shared.active_requests.fetch_sub(1, Ordering::SeqCst);
-            Err(failure)
-        }
+    let read = read_head_and_body(stream, buffered, shared);
+    if read.is_err() {
+        shared.active_requests.fetch_sub(1, Ordering::SeqCst);
+    }
+    read.map(Some)
+}
+
+fn read_head_and_body(
+    stream: &TcpStream,
+    buffered: &mut Vec<u8>,
+    shared: &Shared,
+) -> Result<(Head, Body), Rejection> {
+    let head = read_head(stream, buffered, shared)?;
+    let (memory, abort) = (&shared.body_memory, &shared.abort_signal);
+    match body::read(&head, stream, buffered, &shared.limits, memory, abort) {
+        Ok(body) => Ok((head, body)),
+        Err(failure) => Err(Rejection { head, failure }),
     }
 }
 
--- a/crates/core/src/edge/fleet.rs
+++ b/crates/core/src/edge/fleet.rs
@@ -58,6 +58,8 @@
     Joined,
     /// The target accepts no new requests.
     Draining,
+    /// The entry lapsed in an outage; the target serves until the end of a grace period.
+    Lapsed,
     /// The target is gone.
     Gone,
 }
@@ -122,8 +124,11 @@
     pub fn remove(&mut self, id: &str, outage: bool, now: Instant) -> Change {
         let Some(entry) = self.entries.get_mut(id) else { return Change::Unchanged };
         if outage && !entry.target.draining {
-            entry.lapsed_at.get_or_insert(now);
-            return Change::Unchanged;
+            if entry.lapsed_at.is_some() {
+                return Change::Unchanged;
+            }
+            entry.lapsed_at = Some(now);
+            return Change::Lapsed;
         }
         self.forget(id);
         Change::Gone
@@ -131,12 +136,26 @@
 
     /// Removes all targets that a complete listing does not name.
     ///
-    /// Returns the removed targets.
-    pub fn reconcile(&mut self, named: &[TargetId], outage: bool, now: Instant) -> Vec<TargetId> {
+    /// Returns the targets that are gone or lapsed by this.
+    pub fn reconcile(
+        &mut self,
+        named: &[TargetId],
+        outage: bool,
+        now: Instant,
+    ) -> Vec<(TargetId, Change)> {
         let named: HashSet<&TargetId> = named.iter().collect();
         let missing: Vec<TargetId> =
             self.entries.keys().filter(|id| !named.contains(id)).cloned().collect();
-        missing.into_iter().filter(|id| self.remove(id, outage, now) == Change::Gone).collect()
+        let removed = missing.into_iter().map(|id| {
+            let change = self.remove(&id, outage, now);
+            (id, change)
+        });
+        removed.filter(|(_, change)| *change != Change::Unchanged).collect()
+    }
+
+    /// Returns how many targets serve although their entry lapsed.
+    pub fn lapsed_count(&self) -> usize {
+        self.entries.values().filter(|e| e.lapsed_at.is_some()).count()
     }
 
     /// Removes targets whose entry lapsed in an outage and was not renewed in time.
--- a/crates/core/tests/edge_fleet.rs
+++ b/crates/core/tests/edge_fleet.rs
@@ -60,8 +60,9 @@
 fn entry_that_lapsed_in_an_outage_is_kept_for_a_while() {
     let (mut fleet, now) = (Fleet::default(), Instant::now());
     fleet.report(target("x", 1, 5, false));
-    assert_eq!(fleet.remove("x", true, now), Change::Unchanged);
-    assert_eq!(serving(&fleet), 1);
+    assert_eq!(fleet.remove("x", true, now), Change::Lapsed);
+    assert_eq!(fleet.remove("x", true, now), Change::Unchanged, "it has lapsed already");
+    assert_eq!((serving(&fleet), fleet.lapsed_count()), (1, 1));
     assert!(fleet.expire(true, now + LAPSE_GRACE * 5).is_empty(), "the store is still away");
     let back = now + LAPSE_GRACE * 5;
     assert!(fleet.expire(false, back + LAPSE_GRACE / 2).is_empty());
@@ -76,7 +77,7 @@
     fleet.remove("x", true, now);
     fleet.report(target("x", 1, 6, false));
     assert!(fleet.expire(false, now + LAPSE_GRACE * 2).is_empty());
-    assert_eq!(serving(&fleet), 1);
+    assert_eq!((serving(&fleet), fleet.lapsed_count()), (1, 0));
 }
 
 #[test]
@@ -93,6 +94,8 @@
         fleet.report(target(id, 1, 1, false));
     }
     let gone = fleet.reconcile(&["y".into()], false, now);
-    assert_eq!(gone, ["x".into()]);
+    assert_eq!(gone, [("x".into(), Change::Gone)]);
     assert_eq!(serving(&fleet), 1);
+    assert_eq!(fleet.reconcile(&[], true, now), [("y".into(), Change::Lapsed)]);
+    assert!(fleet.reconcile(&[], true, now).is_empty());
 }
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_caller::exchange::Exchange;
+use mimosapass_caller::head::Head;
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
 use mimosapass_core::edge::schedule::Grant;
@@ -32,6 +33,8 @@
 /// Time for which a request waits for the first configuration. A starting instance
 /// loads it within a few hundred milliseconds when the store is healthy.
 const CONFIG_WAIT: Duration = Duration::from_millis(500);
+/// Longest part of a host or path that is logged.
+const LOGGED_CHARS: usize = 80;
 /// Interval between checks for the first configuration.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -90,10 +93,7 @@
     let request = match resolved {
         Ok(request) => request,
         Err(failure) => {
-            let id = exchange.head.header(header::ATTEMPT_ID).unwrap_or_default();
-            let kind = failure.kind;
-            log::info!(id, version = table.version, kind:? = kind; "request: refused, {failure}.");
-            gateway.metrics.requests.with_label_values(&["none", kind.row().code]).inc();
+            log_refusal(gateway, &table, &exchange.head, &failure, arrived);
             return respond_failure(exchange, &failure);
         }
     };
@@ -115,6 +115,32 @@
     flow.report(&end, &table, arrived);
 }
 
+/// Records in metrics and the log that a request was refused on arrival.
+fn log_refusal(
+    gateway: &Gateway,
+    table: &RouteTable,
+    head: &Head,
+    failure: &Failure,
+    now: Instant,
+) {
+    let (host, path) = (head.header("host").unwrap_or_default(), head.path.as_str());
+    let shown = |text: &str| text.chars().take(LOGGED_CHARS).collect::<String>();
+    let last_success = gateway.state().store.last_success;
+    let age = last_success.map(|at| now.saturating_duration_since(at).as_millis().to_string());
+    let kind = failure.kind;
+    log::info!(
+        id = head.header(header::ATTEMPT_ID).unwrap_or_default(),
+        version = table.version,
+        kind:? = kind,
+        method = head.method.as_str(),
+        host = shown(host),
+        path = shown(path),
+        store_age_ms = age.as_deref().unwrap_or("never");
+        "request: refused, {failure}."
+    );
+    gateway.metrics.requests.with_label_values(&["none", kind.row().code]).inc();
+}
+
 impl Flow<'_, '_> {
     /// Records in metrics and the log how the request ended.
     fn report(&self, end: &RequestEnd, table: &RouteTable, arrived: Instant) {
@@ -337,7 +363,11 @@
     }
 
     fn relay_response(&mut self, response: &ResponseHead, body: &[u8]) -> RequestEnd {
-        let outcome = if response.status < 500 { "served" } else { "target_failed" };
+        let outcome = match response.status {
+            ..400 => "served",
+            400..500 => Kind::Rejected.row().code,
+            _ => Kind::TargetFailed.row().code,
+        };
         match self.exchange.relay(
             response.status,
             &attempt::end_to_end_headers(response),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -11,7 +11,7 @@
 
 use mimosapass_core::edge::fleet::Change;
 use mimosapass_core::ids::TargetId;
-use mimosapass_platform::store::{Entry, Page, StoreError};
+use mimosapass_platform::store::{Entry, Page, Revision, StoreError};
 use mimosapass_platform::{config, target};
 
 use super::member;
@@ -60,7 +60,7 @@
             }
             Err(e) => {
                 failures += 1;
-                gateway.state().store.failing_since.get_or_insert(begun);
+                record_failure(gateway, &e, begun);
                 if failures == MAX_FAILURES {
                     record_outage(gateway, &e);
                 }
@@ -70,6 +70,17 @@
     }
 }
 
+/// Records a failed call; the first one is logged, since the connection may have failed
+/// long before.
+fn record_failure(gateway: &Gateway, error: &StoreError, begun: Instant) {
+    let mut state = gateway.state();
+    if state.store.failing_since.is_none() {
+        state.store.failing_since = Some(begun);
+        let took_ms = begun.elapsed().as_millis() as u64;
+        log::info!(took_ms, revision = state.store.revision; "store: a call failed: {error}.");
+    }
+}
+
 fn record_outage(gateway: &Gateway, error: &StoreError) {
     let mut state = gateway.state();
     if state.store.down_since.is_none() {
@@ -127,7 +138,11 @@
     let mut state = gateway.state();
     let now = Instant::now();
     let outage = state.after_outage(now);
-    for id in state.scheduler.fleet.reconcile(&listed, outage, now) {
+    for (id, change) in state.scheduler.fleet.reconcile(&listed, outage, now) {
+        if change == Change::Lapsed {
+            log_lapse(&id, revision);
+            continue;
+        }
         log::info!(target_id = &*id, revision; "target: removed, the store does not list it.");
         state.scheduler.forget(&id);
     }
@@ -154,9 +169,15 @@
     Ok(())
 }
 
+fn log_lapse(id: &str, revision: Revision) {
+    log::info!(target_id = id, revision; "target: kept, its entry may have expired in an outage.");
+}
+
 fn count_targets(gateway: &Gateway, state: &State) {
-    let serving = state.scheduler.fleet.all().filter(|t| !t.draining).count();
+    let fleet = &state.scheduler.fleet;
+    let serving = fleet.all().filter(|t| !t.draining).count();
     gateway.metrics.targets.set(serving as i64);
+    gateway.metrics.lapsed_targets.set(fleet.lapsed_count() as i64);
 }
 
 /// Applies one entry of the store.
@@ -204,6 +225,7 @@
     };
     match change {
         Change::Unchanged => return,
+        Change::Lapsed => return log_lapse(id, revision),
         Change::Joined => log::info!(target_id = id, revision; "target: accepts requests."),
         Change::Draining => log::info!(target_id = id, revision; "target: draining."),
         Change::Gone => log::info!(target_id = id, revision, outage; "target: entry removed."),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -33,6 +33,8 @@
     pub queued: IntGauge,
     /// Targets that accept new requests.
     pub targets: IntGauge,
+    /// Targets that serve although their entry may have expired in an outage.
+    pub lapsed_targets: IntGauge,
     /// Live peers.
     pub peers: IntGauge,
     /// Whether the store responds.
@@ -52,6 +54,7 @@
             config_version: gauge("gateway_config_version", "Configuration version in force."),
             queued: gauge("gateway_waiting", "Requests that wait for a place."),
             targets: gauge("gateway_targets", "Targets that take new work."),
+            lapsed_targets: gauge("gateway_lapsed_targets", "Targets kept after an outage."),
             peers: gauge("gateway_peers", "Peers that were heard of lately."),
             store_up: gauge("gateway_store_up", "Whether the store answers."),
             registry,
@@ -61,7 +64,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 9] = [
+        let all: [Box<dyn Collector>; 10] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.first_event_time.clone()),
@@ -69,6 +72,7 @@
             Box::new(self.config_version.clone()),
             Box::new(self.queued.clone()),
             Box::new(self.targets.clone()),
+            Box::new(self.lapsed_targets.clone()),
             Box::new(self.peers.clone()),
             Box::new(self.store_up.clone()),
         ];
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -307,14 +307,15 @@
         let tried = self.peers.values().filter(|p| p.watching);
         let cut_off =
             tried.clone().filter(|p| p.unreachable_at.is_some_and(|at| at >= since)).count();
-        let total = is_total_outage(tried.count(), cut_off);
+        let tried = tried.count();
+        let total = is_total_outage(tried, cut_off);
         if total {
             self.store.outage_end = Some(now);
         }
         if self.store.down_since.take().is_some() {
             let away_ms = now.saturating_duration_since(since).as_millis() as u64;
             log::info!(
-                revision = self.store.revision, away_ms, whole = total;
+                revision = self.store.revision, away_ms, whole = total, peers = tried, cut_off;
                 "store: available again."
             );
         }
--- a/tests/suite/gateway/explain.rs
+++ b/tests/suite/gateway/explain.rs
@@ -4,7 +4,7 @@
 
 use mimosapass_standin::target::{Reply, ScriptedTarget};
 
-use super::{Cluster, events, start_target};
+use super::{Cluster, HOST, events, start_target};
 
 /// Returns the value of a key in a log line.
 fn value<'a>(line: &'a str, key: &str) -> &'a str {
@@ -60,6 +60,28 @@
     cluster.logged(0, &["target: avoided.", &format!("target_id={id}")]);
 }
 
+/// Each response of 400 to 499 has a line, whoever decided it.
+#[test]
+fn client_errors_lead_to_their_origin() {
+    let cluster = Cluster::start(1);
+    let strict = start_target("i-strict", Reply::Complete(422, "too early"));
+    cluster.register(&strict, "desk");
+    cluster.ready(0);
+    assert_eq!(cluster.ask(0, "/gone/1", "id-route").response.status, 404);
+    let refused = cluster.logged(0, &["id=id-route", "request: refused, not_found"]);
+    assert_eq!(
+        (value(&refused, "host"), value(&refused, "path"), value(&refused, "method")),
+        (HOST, "/gone/1", "POST")
+    );
+    assert_eq!(cluster.ask(0, "/book/1", "id-strict").response.status, 422);
+    let rejected = cluster.logged(0, &["id=id-strict", "request: rejected, status 422"]);
+    assert_eq!(value(&rejected, "target_id"), "i-strict");
+    let lengths = "content-length: 9\r\n";
+    assert_eq!(cluster.ask_with(0, "/book/2", "id-lengths", lengths).response.status, 400);
+    let unread = cluster.logged(0, &["caller: rejected a request", "ambiguous"]);
+    assert_eq!((value(&unread, "status"), value(&unread, "path")), ("400", "/book/2"));
+}
+
 /// When standard output is not read, log lines are dropped and no request fails.
 #[test]
 fn unread_output_costs_no_request() {
