--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -249,7 +249,7 @@
             }
             Ok(None) => return,
             Err(Rejection { head, failure }) => {
-                log_rejection(stream, &head, &failure);
+                log_rejection(stream, head.as_deref(), &failure);
                 reject(stream, shared, &failure);
                 return;
             }
@@ -257,20 +257,20 @@
     }
 }
 
-/// A request that was not read completely; the head is empty unless that part was read.
+/// A request that was not read completely, with its head if that was read.
 struct Rejection {
-    head: Head,
+    head: Option<Box<Head>>,
     failure: Failure,
 }
 
 impl From<Failure> for Rejection {
     fn from(failure: Failure) -> Self {
-        Self { head: Head::default(), failure }
+        Self { head: None, failure }
     }
 }
 
-fn log_rejection(stream: &TcpStream, head: &Head, failure: &Failure) {
-    let Head { method, path, .. } = head;
+fn log_rejection(stream: &TcpStream, head: Option<&Head>, failure: &Failure) {
+    let (method, path) = head.map_or(("none", "none"), |head| (&head.method, &head.path));
     let caller = stream.peer_addr().map_or_else(|e| e.to_string(), |addr| addr.to_string());
     let status = failure.kind.row().status;
     log::info!(
@@ -342,7 +342,7 @@
     let (memory, abort) = (&shared.body_memory, &shared.abort_signal);
     match body::read(&head, stream, buffered, &shared.limits, memory, abort) {
         Ok(body) => Ok((head, body)),
-        Err(failure) => Err(Rejection { head, failure }),
+        Err(failure) => Err(Rejection { head: Some(Box::new(head)), failure }),
     }
 }
 
