Tests that fail: views after a cut, and targets kept after an outage

The incident's two hypotheses, reproduced with real processes on loopback. The relay stand-in can fall silent.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -270,11 +270,12 @@
 }
 
 fn log_rejection(stream: &TcpStream, head: Option<&Head>, failure: &Failure) {
-    let (method, path) = head.map_or(("none", "none"), |head| (&head.method, &head.path));
+    let (method, path) =
+        head.map_or(("none", "none"), |head| (head.method.as_str(), head.path.as_str()));
     let caller = stream.peer_addr().map_or_else(|e| e.to_string(), |addr| addr.to_string());
     let status = failure.kind.row().status;
     log::info!(
-        caller, status, method, path;
+        caller = caller.as_str(), status, method, path;
         "caller: rejected a request that was not read completely, {failure}."
     );
 }
--- a/crates/instance/tests/link.rs
+++ b/crates/instance/tests/link.rs
@@ -4,12 +4,13 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mimosapass_instance::link::{Identity, Incoming, Links};
 use mimosapass_instance::message::{
     Body, Config, ConfigRequest, Envelope, Heartbeat, MAX_FRAME_BYTES, VERSION,
 };
+use mimosapass_standin::relay::Relay;
 use prost::Message;
 use rstest::rstest;
 
@@ -128,3 +129,52 @@
     });
     assert!(received.is_some());
 }
+
+/// Guards against snapshots that never arrived after a partition: messages were written to a
+/// connection that had fallen silent, as long as there were any.
+#[test]
+fn link_that_fell_silent_is_reopened() {
+    let (near, _) = start("near");
+    let (far, inbox) = start("far");
+    let path = Relay::start(far.addr()).expect("a port");
+    near.send(path.addr(), heartbeat(1));
+    inbox.recv_timeout(RECEIVE_TIMEOUT).expect("the link works");
+    path.silence_open();
+    let begin = Instant::now();
+    let arrived = (2..).find(|n| {
+        near.send(path.addr(), heartbeat(*n));
+        inbox.recv_timeout(Duration::from_millis(300)).is_ok() || *n > 20
+    });
+    let took = begin.elapsed();
+    assert!(took < Duration::from_secs(2), "message {arrived:?} arrived after {took:?}");
+}
+
+/// Former versions do not acknowledge messages.
+#[test]
+fn receiver_that_acknowledges_nothing_gets_all_messages() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+    let (near, _) = start("near");
+    let (sink, inbox) = channel();
+    let to = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let sink = sink.clone();
+            std::thread::spawn(move || {
+                let mut length = [0; 4];
+                while stream.read_exact(&mut length).is_ok() {
+                    let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+                    stream.read_exact(&mut frame).expect("a frame");
+                    let envelope = Envelope::decode(frame.as_slice()).expect("an envelope");
+                    if let Some(body) = envelope.body {
+                        sink.send(body).expect("the test runs");
+                    }
+                }
+            });
+        }
+    });
+    for n in 1..=5 {
+        near.send(to, heartbeat(n));
+        assert_eq!(inbox.recv_timeout(RECEIVE_TIMEOUT), Ok(heartbeat(n)));
+        std::thread::sleep(Duration::from_millis(500));
+    }
+}
--- a/crates/standin/src/metastore.rs
+++ b/crates/standin/src/metastore.rs
@@ -69,6 +69,12 @@
 }
 
 impl Endpoint {
+    /// Returns the same endpoint as reached at another address.
+    #[must_use]
+    pub fn via(&self, addr: SocketAddr) -> Self {
+        Self { addr, fault: Arc::clone(&self.fault) }
+    }
+
     /// Sets the fault.
     pub fn set_fault(&self, fault: Fault) {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -1,7 +1,8 @@
-//! Stand-in for a network path: forwards TCP connections until it is cut.
+//! Stand-in for a network path: forwards TCP connections until it is cut or silent.
 
-use std::io;
+use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 
@@ -15,7 +16,16 @@
 #[derive(Debug, Default)]
 struct State {
     cut: bool,
-    streams: Vec<TcpStream>,
+    silent: bool,
+    links: Vec<Link>,
+}
+
+/// Both ends of one connection.
+#[derive(Debug)]
+struct Link {
+    ends: [TcpStream; 2],
+    /// Whether bytes are discarded instead of being forwarded.
+    silent: Arc<AtomicBool>,
 }
 
 impl Relay {
@@ -45,10 +55,26 @@
     pub fn set_cut(&self, cut: bool) {
         let mut state = lock(&self.state);
         state.cut = cut;
-        for stream in state.streams.drain(..) {
-            stream.shutdown(Shutdown::Both).unwrap_or_default();
+        for end in state.links.drain(..).flat_map(|link| link.ends) {
+            end.shutdown(Shutdown::Both).unwrap_or_default();
+        }
+    }
+
+    /// Makes all open connections silent for good; they stay open, and new ones work.
+    pub fn silence_open(&self) {
+        for link in lock(&self.state).links.drain(..) {
+            link.silent.store(true, Ordering::SeqCst);
         }
     }
+
+    /// Begins or ends a partition without resets.
+    ///
+    /// Connections that were open at its begin, or opened before its end, stay silent
+    /// for good.
+    pub fn set_silent(&self, silent: bool) {
+        lock(&self.state).silent = silent;
+        self.silence_open();
+    }
 }
 
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
@@ -61,16 +87,30 @@
         return client.shutdown(Shutdown::Both);
     }
     let server = TcpStream::connect(target)?;
-    state.streams.extend([client.try_clone()?, server.try_clone()?]);
+    let silent = Arc::new(AtomicBool::new(state.silent));
+    let ends = [client.try_clone()?, server.try_clone()?];
+    state.links.push(Link { ends, silent: Arc::clone(&silent) });
     drop(state);
-    copy(client.try_clone()?, server.try_clone()?);
-    copy(server, client);
+    copy(client.try_clone()?, server.try_clone()?, Arc::clone(&silent));
+    copy(server, client, silent);
     Ok(())
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream) {
+/// Forwards what `from` sends, until either end closes.
+fn copy(mut from: TcpStream, mut to: TcpStream, silent: Arc<AtomicBool>) {
     thread::spawn(move || {
-        io::copy(&mut from, &mut to).unwrap_or_default();
+        let mut buffer = [0; 16 * 1024];
+        while let Ok(read @ 1..) = from.read(&mut buffer) {
+            if !silent.load(Ordering::SeqCst) && to.write_all(&buffer[..read]).is_err() {
+                break;
+            }
+        }
+        if silent.load(Ordering::SeqCst) {
+            // The other end never learns that this one closed.
+            loop {
+                thread::park();
+            }
+        }
         to.shutdown(Shutdown::Write).unwrap_or_default();
     });
 }
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod delegation;
 mod explain;
+mod silence;
 mod streams;
 mod views;
 mod wire;
--- a/tests/suite/gateway/views.rs
+++ b/tests/suite/gateway/views.rs
@@ -1,10 +1,15 @@
 //! Configuration and targets known to a gateway, also while the store fails.
 
+use std::time::Duration;
+
 use mimosapass_standin::metastore::Fault;
 use mimosapass_standin::target::{Reply, ScriptedTarget};
 
 use super::{Cluster, KEY, call, config, eventually, head, start_target};
 
+/// Time after the store acknowledged a leave from which a target gets no requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// Returns the status of a call with a key.
 fn status(cluster: &Cluster, number: usize, path: &str, key: &str) -> u16 {
     call(cluster.callers(number), &head(path, "id-1", key, ""), b"question").response.status
@@ -208,3 +213,90 @@
     }
     assert!(!target.requests().is_empty());
 }
+
+/// Guards against requests to a leaving target of atlas-loc: the other instances had had one
+/// failed call each, and the instance that was cut off took that for an outage of all.
+#[test]
+fn removal_after_an_instance_was_cut_off_alone_is_no_lapse() {
+    let (mut cluster, old) = start_with_target(2);
+    let new = start_target("i-1", Reply::Complete(200, "new"));
+    cluster.register(&new, "desk");
+    let apart = cluster.store.open_endpoint();
+    let number = cluster.add(&apart, &[]);
+    cluster.ready(number);
+    let others = [0, 1];
+    for peer in others {
+        cluster.logged(number, &["peer: first datagram received.", &format!("gate-{peer}")]);
+    }
+    apart.set_fault(Fault::Reject(503));
+    cluster.logged(number, &["store: unavailable"]);
+    cluster.endpoint.set_fault(Fault::Reject(503));
+    for peer in others {
+        cluster.logged(peer, &["store: a call failed"]);
+    }
+    cluster.endpoint.set_fault(Fault::None);
+    // The others have had the store for a while when the cut ends.
+    std::thread::sleep(Duration::from_secs(3));
+    apart.set_fault(Fault::None);
+    cluster.logged(number, &["store: available again"]);
+    cluster.store.delete("servers/i-0");
+    std::thread::sleep(DRAIN_TIME);
+    let before = old.requests().len();
+    for _ in 0..6 {
+        assert_eq!(status(&cluster, number, "/look/1", KEY), 200);
+    }
+    assert_eq!(old.requests().len(), before);
+}
+
+/// Guards against requests to a leaving target: a peer that kept it for a while sent it on
+/// as serving, and the watch of the receiver began after the removal.
+#[test]
+fn target_kept_by_a_peer_after_an_outage_is_gone_in_time() {
+    let (mut cluster, old) = start_with_target(1);
+    let new = start_target("i-1", Reply::Complete(200, "new"));
+    cluster.register(&new, "desk");
+    let apart = cluster.store.open_endpoint();
+    let number = cluster.add(&apart, &[]);
+    cluster.ready(number);
+    cluster.logged(0, &["peer: first datagram received."]);
+    for endpoint in [&apart, &cluster.endpoint] {
+        endpoint.set_fault(Fault::Reject(503));
+    }
+    for number in [0, number] {
+        cluster.logged(number, &["store: unavailable"]);
+    }
+    // Heartbeats tell each of the other's outage.
+    std::thread::sleep(Duration::from_secs(1));
+    cluster.store.delete("servers/i-0");
+    cluster.endpoint.set_fault(Fault::None);
+    cluster.logged(0, &["target: removed, its entry was not written again"]);
+    apart.set_fault(Fault::None);
+    cluster.logged(number, &["store: available again"]);
+    std::thread::sleep(DRAIN_TIME);
+    let before = old.requests().len();
+    for _ in 0..6 {
+        assert_eq!(status(&cluster, number, "/look/1", KEY), 200);
+    }
+    assert_eq!(old.requests().len(), before);
+}
+
+/// Guards against requests to a target that left shortly after an outage: it was kept for as
+/// long as if the store had returned at the moment of its removal.
+#[test]
+fn removal_after_the_end_of_an_outage_is_known_in_time() {
+    let (cluster, old) = start_with_target(1);
+    let new = start_target("i-1", Reply::Complete(200, "new"));
+    cluster.register(&new, "desk");
+    cluster.endpoint.set_fault(Fault::Reject(503));
+    cluster.logged(0, &["store: unavailable"]);
+    cluster.endpoint.set_fault(Fault::None);
+    cluster.logged(0, &["store: available again", "whole=true"]);
+    std::thread::sleep(Duration::from_millis(1_300));
+    cluster.store.delete("servers/i-0");
+    std::thread::sleep(DRAIN_TIME);
+    let before = old.requests().len();
+    for _ in 0..6 {
+        assert_eq!(status(&cluster, 0, "/look/1", KEY), 200);
+    }
+    assert_eq!(old.requests().len(), before);
+}
