Store: an outage is one of all instances only if it lasted and ended for them alike

What callers saw: a target that had left got requests for more than two seconds.

Cause: an instance that the store had been cut off from asked whether three quarters of its peers had had any failure since its own began. In a long cut each of them had one, a watch that the store closed. So the removal of a target within two seconds of the return was taken for an expired lease, and the target was kept. The evidence was made worse by the peers: after a failed call they counted as without the store until their next watch returned, up to two seconds later.

Class: failures at different times added up as if they were one state.

Change: peers' outages are intervals (core, edge/outage). One counts if it lasted for half a second and ended within the spread in which a return is noticed; the verdict is taken again for each removal, with what peers have said since. A failure or return is told at once, and the first call after a failure does not wait for changes.

--- a/crates/core/src/edge/fleet.rs
+++ b/crates/core/src/edge/fleet.rs
@@ -215,12 +215,3 @@
         self.entries.values().map(|e| &e.target)
     }
 }
-
-/// Returns whether an outage of the store affected all instances.
-///
-/// Targets keep their entries while the store serves anyone, so that only in a total
-/// outage may an entry have lapsed although its target runs. Of the `tried` peers,
-/// `cut_off` were without the store; the others may have restarted since.
-pub fn is_total_outage(tried: usize, cut_off: usize) -> bool {
-    4 * cut_off >= 3 * tried
-}
--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -18,6 +18,7 @@
 //! - [`audience`]: which instances get which datagrams.
 //! - [`remote`]: requests of this instance that a scheduler of its zone places.
 //! - [`clients`]: requests that a scheduler places for other instances.
+//! - [`outage`]: whether an outage of the store affected all instances.
 //! - [`outcomes`]: temporary exclusion of targets that fail or do not answer.
 
 pub mod audience;
@@ -28,6 +29,7 @@
 pub mod fleet;
 pub mod load;
 pub mod order;
+pub mod outage;
 pub mod outcomes;
 pub mod placement;
 pub mod remote;
--- a/crates/core/tests/edge_election.rs
+++ b/crates/core/tests/edge_election.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use mimosapass_core::edge::election::{ELECTED, Nominee, schedulers, should_watch};
-use mimosapass_core::edge::fleet::is_total_outage;
 
 fn nominee(name: &str, capacity: u32) -> Nominee<'_> {
     Nominee { name, capacity, silence: Duration::ZERO, cut_off: false }
@@ -53,27 +52,6 @@
     assert_eq!(watching(9, |_, n| n.cut_off = true).len(), 9);
 }
 
-/// Generates a test from the count of peers that were cut off, of those that tried, and
-/// whether that is a total outage.
-macro_rules! outages {
-    ($($name:ident: $cut:expr, of $tried:expr => $whole:expr;)+) => {
-        $(#[test]
-        fn $name() {
-            assert_eq!(is_total_outage($tried, $cut), $whole);
-        })+
-    };
-}
-
-outages! {
-    // In day closed-store of atlas-loc with seed 1038326299605 the store refused five of
-    // nine, and a target that had left got requests for two more seconds.
-    half_of_the_fleet_refused: 4, of 8 => false;
-    five_of_eight_refused: 5, of 8 => false;
-    all_cut_off: 8, of 8 => true;
-    all_but_one_that_has_just_started: 7, of 8 => true;
-    single_instance: 0, of 0 => true;
-}
-
 #[test]
 fn large_machines_place_requests_first() {
     let names = ["a", "b", "c", "d", "e"];
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -15,7 +15,7 @@
 use mimosapass_platform::{config, target};
 
 use super::member;
-use super::state::{Gateway, State};
+use super::state::{Gateway, State, StoreStatus};
 
 /// Shortest interval between watches. Every call of every instance is charged, and a
 /// change must take effect within two seconds.
@@ -23,6 +23,9 @@
 /// Time for which a watch waits for a change. A stalled connection is detected after
 /// this time and the timeout of a call, which the users' limits allow.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// As [`WATCH_TIMEOUT`], after a failed call: the store counts as unavailable until a watch
+/// returns.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Interval between checks whether this instance has to watch the store.
@@ -60,7 +63,7 @@
             }
             Err(e) => {
                 failures += 1;
-                record_failure(gateway, &e, begun);
+                record_failure(gateway, &e, begun.elapsed());
                 if failures == MAX_FAILURES {
                     record_outage(gateway, &e);
                 }
@@ -70,14 +73,16 @@
     }
 }
 
-/// Records a failed call; the first one is logged, since the connection may have failed
-/// long before.
-fn record_failure(gateway: &Gateway, error: &StoreError, begun: Instant) {
+/// Records a failed call. The first one is logged, since the connection may have failed long
+/// before, and peers are told of it.
+fn record_failure(gateway: &Gateway, error: &StoreError, took: Duration) {
     let mut state = gateway.state();
     if state.store.failing_since.is_none() {
-        state.store.failing_since = Some(begun);
-        let took_ms = begun.elapsed().as_millis() as u64;
+        state.store.failing_since = Some(Instant::now());
+        state.announce = true;
+        let took_ms = took.as_millis() as u64;
         log::info!(took_ms, revision = state.store.revision; "store: a call failed: {error}.");
+        gateway.load_changed.notify_all();
     }
 }
 
@@ -157,8 +162,9 @@
 
 /// Waits for changes and applies them.
 fn watch(gateway: &Gateway) -> Result<(), StoreError> {
-    let after = gateway.state().store.revision;
-    let page = gateway.store.watch("", after, WATCH_TIMEOUT)?;
+    let StoreStatus { revision, failing_since, .. } = gateway.state().store;
+    let timeout = if failing_since.is_some() { PROBE_TIMEOUT } else { WATCH_TIMEOUT };
+    let page = gateway.store.watch("", revision, timeout)?;
     record_success(gateway);
     for entry in &page.entries {
         apply(gateway, entry);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -11,6 +11,7 @@
 
 use mimosapass_core::edge::audience::Recipients;
 use mimosapass_core::edge::load::{Assignment, RequestNumber};
+use mimosapass_core::edge::outage::Outage;
 use mimosapass_core::edge::route_table::ServiceId;
 use mimosapass_core::edge::wait::QueueEntry;
 use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
@@ -354,7 +355,7 @@
 
 fn decode_peer(state: &State, datagram: &Datagram, addr: SocketAddr, now: Instant) -> Peer {
     let known = state.peers.get(&*datagram.from);
-    let unreachable_at = known.and_then(|p| p.unreachable_at);
+    let outage = known.and_then(|p| p.outage);
     let schedulers = match datagram.schedulers.as_slice() {
         [] => known.map(|p| p.schedulers.clone()).unwrap_or_default(),
         // An address that cannot be read names nobody.
@@ -367,7 +368,7 @@
         last_heard: now,
         config_version: datagram.config_version,
         store_unreachable: datagram.store_unreachable,
-        unreachable_at: if datagram.store_unreachable { Some(now) } else { unreachable_at },
+        outage: Outage::update(outage, datagram.store_unreachable, now),
         target_revision: datagram.revision,
         watching: datagram.watching,
         delegating: datagram.delegating,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,6 +11,7 @@
 use mimosapass_core::edge::audience::{self, Heard, Recipients, Registered, Sender};
 use mimosapass_core::edge::election::{self, Nominee};
 use mimosapass_core::edge::order::Turn;
+use mimosapass_core::edge::outage::Outage;
 use mimosapass_core::ids::{InstanceId, ZoneId};
 use mimosapass_platform::store::Revision;
 
@@ -39,8 +40,8 @@
     pub config_version: u64,
     /// Whether it cannot reach the store.
     pub store_unreachable: bool,
-    /// When it last reported the store unreachable.
-    pub unreachable_at: Option<Instant>,
+    /// When it was last without the store.
+    pub outage: Option<Outage>,
     /// Revision of the latest change of targets known there.
     pub target_revision: Revision,
     /// Whether it watches the store for its zone.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,8 +8,9 @@
 use mimosapass_core::edge::changes::ChangeLog;
 use mimosapass_core::edge::clients::ClientRequests;
 use mimosapass_core::edge::cost::Engine;
-use mimosapass_core::edge::fleet::{LAPSE_GRACE, is_total_outage};
+use mimosapass_core::edge::fleet::LAPSE_GRACE;
 use mimosapass_core::edge::load::RequestNumber;
+use mimosapass_core::edge::outage::{self, MIN_OUTAGE};
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::remote::RemoteRequests;
 use mimosapass_core::edge::retry::RetryWindow;
@@ -36,9 +37,9 @@
 pub struct StoreStatus {
     /// When the store was declared unavailable; `None` while it responds.
     pub down_since: Option<Instant>,
-    /// When calls began to fail; entries may have expired unnoticed since then.
+    /// When a call failed first since the last success.
     pub failing_since: Option<Instant>,
-    /// End of the last outage that most peers saw as well.
+    /// End of the last outage.
     pub outage_end: Option<Instant>,
     /// Revision up to which changes have been applied.
     pub revision: Revision,
@@ -297,25 +298,32 @@
     /// Leases expire only when the store was unavailable to all. When it refused this
     /// instance alone, a missing entry was removed by its owner.
     pub fn after_outage(&self, now: Instant) -> bool {
-        self.store.outage_end.is_some_and(|at| now < at + LAPSE_GRACE)
+        self.store.outage_end.is_some_and(|end| now < end + LAPSE_GRACE && self.was_total(end))
+    }
+
+    /// Returns whether the outage that ended at `end` affected all instances, as far as peers
+    /// have reported by now.
+    fn was_total(&self, end: Instant) -> bool {
+        // Peers that do not watch the store did not try to reach it.
+        let tried = self.peers.values().filter(|p| p.watching);
+        outage::is_total(tried.map(|p| p.outage), end)
     }
 
     /// Records that a call succeeded, which ends an outage.
     pub fn record_success(&mut self, now: Instant) {
         let Some(since) = self.store.failing_since.take() else { return };
-        // Peers that do not watch the store did not try to reach it.
-        let tried = self.peers.values().filter(|p| p.watching);
-        let cut_off =
-            tried.clone().filter(|p| p.unreachable_at.is_some_and(|at| at >= since)).count();
-        let tried = tried.count();
-        let total = is_total_outage(tried, cut_off);
-        if total {
+        self.announce = true;
+        let away = now.saturating_duration_since(since);
+        let lasted = away >= MIN_OUTAGE;
+        if lasted {
             self.store.outage_end = Some(now);
         }
         if self.store.down_since.take().is_some() {
-            let away_ms = now.saturating_duration_since(since).as_millis() as u64;
+            let whole = lasted && self.was_total(now);
+            let away_ms = away.as_millis() as u64;
+            let peers = self.peers.values().filter(|p| p.watching).count();
             log::info!(
-                revision = self.store.revision, away_ms, whole = total, peers = tried, cut_off;
+                revision = self.store.revision, away_ms, whole, peers;
                 "store: available again."
             );
         }
--- a/tests/suite/gateway/views.rs
+++ b/tests/suite/gateway/views.rs
@@ -289,6 +289,7 @@
     cluster.register(&new, "desk");
     cluster.endpoint.set_fault(Fault::Reject(503));
     cluster.logged(0, &["store: unavailable"]);
+    std::thread::sleep(Duration::from_secs(1));
     cluster.endpoint.set_fault(Fault::None);
     cluster.logged(0, &["store: available again", "whole=true"]);
     std::thread::sleep(Duration::from_millis(1_300));
