Fleet: targets that lapsed in an outage are kept until two seconds after the store's return

What callers saw: a target that left shortly after an outage got requests for up to two seconds longer than the users allow.

Cause: the grace period of a target began when its entry was removed, not when the store came back, although running targets renew their entries within that time of the return. An entry that was removed at the end of the period was kept for a second one.

Change: all of them end at the same moment, two seconds after the return; the fleet keeps no times.

--- a/crates/core/src/edge/fleet.rs
+++ b/crates/core/src/edge/fleet.rs
@@ -15,8 +15,8 @@
 
 pub use crate::ids::TargetId;
 
-/// Time for which a target whose entry lapsed in an outage is kept after the store
-/// returns. Running targets renew their entries within about that time.
+/// Time after the store's return for which a target whose entry lapsed in an outage is kept.
+/// Running targets renew their entries within about that time.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
 /// Registration of a target.
@@ -67,8 +67,8 @@
 #[derive(Clone, Debug)]
 struct Entry {
     target: Arc<Target>,
-    /// When the entry disappeared in an outage.
-    lapsed_at: Option<Instant>,
+    /// Whether the entry disappeared in an outage.
+    lapsed: bool,
 }
 
 /// All known targets.
@@ -113,22 +113,19 @@
         };
         self.removed.remove(&id);
         self.generation += 1;
-        self.entries.insert(id, Entry { target: Arc::new(target), lapsed_at: None });
+        self.entries.insert(id, Entry { target: Arc::new(target), lapsed: false });
         change
     }
 
     /// Removes a target whose entry is gone from the store.
     ///
     /// With `outage` the store was unavailable recently, so that the entry may have
-    /// lapsed although its target runs; the target is then kept for a grace period.
-    pub fn remove(&mut self, id: &str, outage: bool, now: Instant) -> Change {
+    /// lapsed although its target runs; the target is then kept until [`Self::expire`].
+    pub fn remove(&mut self, id: &str, outage: bool) -> Change {
         let Some(entry) = self.entries.get_mut(id) else { return Change::Unchanged };
         if outage && !entry.target.draining {
-            if entry.lapsed_at.is_some() {
-                return Change::Unchanged;
-            }
-            entry.lapsed_at = Some(now);
-            return Change::Lapsed;
+            let known = std::mem::replace(&mut entry.lapsed, true);
+            return if known { Change::Unchanged } else { Change::Lapsed };
         }
         self.forget(id);
         Change::Gone
@@ -137,17 +134,12 @@
     /// Removes all targets that a complete listing does not name.
     ///
     /// Returns the targets that are gone or lapsed by this.
-    pub fn reconcile(
-        &mut self,
-        named: &[TargetId],
-        outage: bool,
-        now: Instant,
-    ) -> Vec<(TargetId, Change)> {
+    pub fn reconcile(&mut self, named: &[TargetId], outage: bool) -> Vec<(TargetId, Change)> {
         let named: HashSet<&TargetId> = named.iter().collect();
         let missing: Vec<TargetId> =
             self.entries.keys().filter(|id| !named.contains(id)).cloned().collect();
         let removed = missing.into_iter().map(|id| {
-            let change = self.remove(&id, outage, now);
+            let change = self.remove(&id, outage);
             (id, change)
         });
         removed.filter(|(_, change)| *change != Change::Unchanged).collect()
@@ -155,27 +147,18 @@
 
     /// Returns how many targets serve although their entry lapsed.
     pub fn lapsed_count(&self) -> usize {
-        self.entries.values().filter(|e| e.lapsed_at.is_some()).count()
+        self.entries.values().filter(|e| e.lapsed).count()
     }
 
     /// Removes targets whose entry lapsed in an outage and was not renewed in time.
     ///
-    /// The grace period starts when the store returns: while `unavailable` holds, nothing is
-    /// removed.
-    pub fn expire(&mut self, unavailable: bool, now: Instant) -> Vec<TargetId> {
-        if unavailable {
-            for entry in self.entries.values_mut().filter(|e| e.lapsed_at.is_some()) {
-                entry.lapsed_at = Some(now);
-            }
+    /// `grace_end` is the end of the grace period; `None` while the store is away.
+    pub fn expire(&mut self, grace_end: Option<Instant>, now: Instant) -> Vec<TargetId> {
+        if grace_end.is_none_or(|end| now < end) {
             return Vec::new();
         }
-        let late = |e: &Entry| e.lapsed_at.is_some_and(|at| now >= at + LAPSE_GRACE);
-        let gone: Vec<TargetId> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| late(e))
-            .map(|(id, _)| TargetId::clone(id))
-            .collect();
+        let lapsed = self.entries.iter().filter(|(_, e)| e.lapsed);
+        let gone: Vec<TargetId> = lapsed.map(|(id, _)| TargetId::clone(id)).collect();
         for id in &gone {
             self.forget(id);
         }
--- a/crates/core/tests/edge_fleet.rs
+++ b/crates/core/tests/edge_fleet.rs
@@ -48,9 +48,9 @@
 
 #[test]
 fn late_report_does_not_bring_back_a_gone_target() {
-    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    let mut fleet = Fleet::default();
     fleet.report(target("x", 1, 5, false));
-    assert_eq!(fleet.remove("x", false, now), Change::Gone);
+    assert_eq!(fleet.remove("x", false), Change::Gone);
     assert_eq!(fleet.report(target("x", 1, 5, false)), Change::Unchanged);
     assert_eq!(serving(&fleet), 0);
     assert_eq!(fleet.report(target("x", 1, 6, false)), Change::Joined);
@@ -60,13 +60,13 @@
 fn entry_that_lapsed_in_an_outage_is_kept_for_a_while() {
     let (mut fleet, now) = (Fleet::default(), Instant::now());
     fleet.report(target("x", 1, 5, false));
-    assert_eq!(fleet.remove("x", true, now), Change::Lapsed);
-    assert_eq!(fleet.remove("x", true, now), Change::Unchanged, "it has lapsed already");
+    assert_eq!(fleet.remove("x", true), Change::Lapsed);
+    assert_eq!(fleet.remove("x", true), Change::Unchanged, "it has lapsed already");
     assert_eq!((serving(&fleet), fleet.lapsed_count()), (1, 1));
-    assert!(fleet.expire(true, now + LAPSE_GRACE * 5).is_empty(), "the store is still away");
-    let back = now + LAPSE_GRACE * 5;
-    assert!(fleet.expire(false, back + LAPSE_GRACE / 2).is_empty());
-    assert_eq!(fleet.expire(false, back + LAPSE_GRACE).len(), 1);
+    assert!(fleet.expire(None, now + LAPSE_GRACE * 5).is_empty(), "the store is still away");
+    let end = now + LAPSE_GRACE * 6;
+    assert!(fleet.expire(Some(end), now + LAPSE_GRACE * 5).is_empty());
+    assert_eq!(fleet.expire(Some(end), end).len(), 1);
     assert_eq!(serving(&fleet), 0);
 }
 
@@ -74,28 +74,28 @@
 fn entry_that_came_back_after_an_outage_stays() {
     let (mut fleet, now) = (Fleet::default(), Instant::now());
     fleet.report(target("x", 1, 5, false));
-    fleet.remove("x", true, now);
+    fleet.remove("x", true);
     fleet.report(target("x", 1, 6, false));
-    assert!(fleet.expire(false, now + LAPSE_GRACE * 2).is_empty());
+    assert!(fleet.expire(Some(now), now + LAPSE_GRACE).is_empty());
     assert_eq!((serving(&fleet), fleet.lapsed_count()), (1, 0));
 }
 
 #[test]
 fn draining_target_that_lapses_in_an_outage_is_gone() {
-    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    let mut fleet = Fleet::default();
     fleet.report(target("x", 1, 5, true));
-    assert_eq!(fleet.remove("x", true, now), Change::Gone);
+    assert_eq!(fleet.remove("x", true), Change::Gone);
 }
 
 #[test]
 fn listing_removes_what_it_does_not_name() {
-    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    let mut fleet = Fleet::default();
     for id in ["x", "y"] {
         fleet.report(target(id, 1, 1, false));
     }
-    let gone = fleet.reconcile(&["y".into()], false, now);
+    let gone = fleet.reconcile(&["y".into()], false);
     assert_eq!(gone, [("x".into(), Change::Gone)]);
     assert_eq!(serving(&fleet), 1);
-    assert_eq!(fleet.reconcile(&[], true, now), [("y".into(), Change::Lapsed)]);
-    assert!(fleet.reconcile(&[], true, now).is_empty());
+    assert_eq!(fleet.reconcile(&[], true), [("y".into(), Change::Lapsed)]);
+    assert!(fleet.reconcile(&[], true).is_empty());
 }
--- a/crates/core/tests/edge_outage.rs
+++ b/crates/core/tests/edge_outage.rs
@@ -4,10 +4,13 @@
 
 use mimosapass_core::edge::outage::{Outage, is_total};
 
+/// Time of the tests before the end of the own outage, in milliseconds.
+const BEFORE_MS: u64 = 60_000;
+
 /// Outage of an instance, from and until so many milliseconds before the end of the own one;
 /// it goes on if it has no end.
-fn outage(end: Instant, from_ms: u64, until_ms: Option<u64>) -> Option<Outage> {
-    let at = |ms| end - Duration::from_millis(ms);
+fn outage(start: Instant, from_ms: u64, until_ms: Option<u64>) -> Option<Outage> {
+    let at = |ms| start + Duration::from_millis(BEFORE_MS - ms);
     let begun = Outage::update(None, true, at(from_ms));
     let repeated = Outage::update(begun, true, at(from_ms - 1));
     match until_ms {
@@ -22,14 +25,13 @@
     ($($name:ident: [$($count:literal * $outage:expr),*] => $total:expr;)+) => {
         $(#[test]
         fn $name() {
-            let end = Instant::now() + Duration::from_mins(1);
-            let mut peers = Vec::new();
-            $(
-                let last: Option<(u64, Option<u64>)> = $outage;
-                let last = last.and_then(|(from_ms, until_ms)| outage(end, from_ms, until_ms));
-                peers.extend(std::iter::repeat_n(last, $count));
-            )*
-            assert_eq!(is_total(peers.into_iter(), end), $total);
+            let start = Instant::now();
+            let peer = |last: Option<(u64, Option<u64>)>| {
+                last.and_then(|(from_ms, until_ms)| outage(start, from_ms, until_ms))
+            };
+            let groups: Vec<Vec<Option<Outage>>> = vec![$(vec![peer($outage); $count]),*];
+            let end = start + Duration::from_millis(BEFORE_MS);
+            assert_eq!(is_total(groups.concat().into_iter(), end), $total);
         })+
     };
 }
@@ -42,7 +44,7 @@
     all_cut_off: [8 * Some((4_000, None))] => true;
     all_cut_off_and_back_sooner: [8 * Some((4_000, Some(1_500)))] => true;
     all_but_one_that_has_just_started: [7 * Some((4_000, Some(100))), 1 * None] => true;
-    single_instance: [] => true;
+    single_instance: [0 * None] => true;
     // In day scale-2 of atlas-loc three of nine were cut off for 12 seconds; the watches of
     // the others were cut once, four seconds before its end.
     others_had_one_failed_call_each: [2 * Some((12_000, None)), 6 * Some((4_600, Some(4_300)))]
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -111,8 +111,9 @@
 /// Removes targets whose entries expired in an outage and were not written again.
 pub fn expire_targets(gateway: &Gateway) {
     let mut state = gateway.state();
-    let unreachable = state.store.failing_since.is_some();
-    let expired = state.scheduler.fleet.expire(unreachable, Instant::now());
+    let now = Instant::now();
+    let grace_end = state.grace_end(now);
+    let expired = state.scheduler.fleet.expire(grace_end, now);
     if !expired.is_empty() {
         // The store states no revision for these; peers get all targets next time.
         let next = state.store.target_revision + 1;
@@ -143,7 +144,7 @@
     let mut state = gateway.state();
     let now = Instant::now();
     let outage = state.after_outage(now);
-    for (id, change) in state.scheduler.fleet.reconcile(&listed, outage, now) {
+    for (id, change) in state.scheduler.fleet.reconcile(&listed, outage) {
         if change == Change::Lapsed {
             log_lapse(&id, revision);
             continue;
@@ -218,7 +219,7 @@
     state.store.target_revision = state.store.target_revision.max(revision);
     state.target_changes.record(revision, TargetId::from(id));
     let change = if entry.deleted {
-        state.scheduler.fleet.remove(id, outage, now)
+        state.scheduler.fleet.remove(id, outage)
     } else {
         let value = entry.value.as_deref().unwrap_or_default();
         match target::decode(id, value) {
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -233,10 +233,10 @@
             state.target_changes.record(snapshot.revision, id);
         }
         let fleet = &mut state.scheduler.fleet;
-        snapshot.gone.iter().filter(|id| fleet.remove(id, false, now) == Change::Gone).count()
+        snapshot.gone.iter().filter(|id| fleet.remove(id, false) == Change::Gone).count()
     } else {
         state.target_changes.reset(snapshot.revision);
-        state.scheduler.fleet.reconcile(&listed, false, now).len()
+        state.scheduler.fleet.reconcile(&listed, false).len()
     };
     state.store.target_revision = snapshot.revision;
     state.store.revision = state.store.revision.max(snapshot.revision);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -298,7 +298,17 @@
     /// Leases expire only when the store was unavailable to all. When it refused this
     /// instance alone, a missing entry was removed by its owner.
     pub fn after_outage(&self, now: Instant) -> bool {
-        self.store.outage_end.is_some_and(|end| now < end + LAPSE_GRACE && self.was_total(end))
+        self.grace_end(now).is_some_and(|end| now < end)
+    }
+
+    /// Returns the end of the period in which targets whose entries may have expired in an
+    /// outage are kept; `None` while the store is away.
+    pub fn grace_end(&self, now: Instant) -> Option<Instant> {
+        if self.store.failing_since.is_some() {
+            return None;
+        }
+        let outage_end = self.store.outage_end.filter(|end| self.was_total(*end));
+        Some(outage_end.map_or(now, |end| end + LAPSE_GRACE))
     }
 
     /// Returns whether the outage that ended at `end` affected all instances, as far as peers
