--- a/crates/emulator/src/simulation/faults.rs
+++ b/crates/emulator/src/simulation/faults.rs
@@ -58,10 +58,9 @@
     }
 
     fn remove_engine(&mut self, engine: usize) {
-        let instant = self.instant();
         self.engines[engine].alive = false;
         for node in &mut self.instances {
-            node.scheduler.fleet.remove(&self.engines[engine].id, false, instant);
+            node.scheduler.fleet.remove(&self.engines[engine].id, false);
         }
         for id in self.engines[engine].model.restart() {
             self.fail(id, true);
