--- a/crates/core/src/edge/fleet.rs
+++ b/crates/core/src/edge/fleet.rs
@@ -67,8 +67,17 @@
 #[derive(Clone, Debug)]
 struct Entry {
     target: Arc<Target>,
-    /// Whether the entry disappeared in an outage.
-    lapsed: bool,
+    state: EntryState,
+}
+
+/// Whether the entry of a target is in the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum EntryState {
+    Registered,
+    /// It disappeared in an outage.
+    Lapsed,
+    /// A peer keeps it after an outage, until then.
+    KeptByPeer(Instant),
 }
 
 /// All known targets.
@@ -113,10 +122,42 @@
         };
         self.removed.remove(&id);
         self.generation += 1;
-        self.entries.insert(id, Entry { target: Arc::new(target), lapsed: false });
+        self.entries.insert(id, Entry { target: Arc::new(target), state: EntryState::Registered });
         change
     }
 
+    /// Applies the report of a peer that keeps the target after an outage, until `end`.
+    ///
+    /// This instance may get no other notice of the end: the removal of the entry can be
+    /// older than what it gets from the store next.
+    pub fn report_kept(&mut self, target: Target, end: Instant) -> Change {
+        let (id, revision) = (TargetId::clone(&target.id), target.revision());
+        let change = self.report(target);
+        // A newer report may be known here.
+        let entry = self.entries.get_mut(&id).filter(|e| e.target.revision() == revision);
+        if let Some(entry) = entry {
+            entry.state = EntryState::KeptByPeer(end);
+        }
+        change
+    }
+
+    /// Returns the time for which a target is kept whose entry is gone, `None` if its entry
+    /// is in the store. `grace_end` is that of [`Self::expire`].
+    pub fn time_kept(
+        &self,
+        id: &str,
+        grace_end: Option<Instant>,
+        now: Instant,
+    ) -> Option<Duration> {
+        match self.entries.get(id)?.state {
+            EntryState::Registered => None,
+            EntryState::Lapsed => {
+                Some(grace_end.map_or(LAPSE_GRACE, |end| end.saturating_duration_since(now)))
+            }
+            EntryState::KeptByPeer(end) => Some(end.saturating_duration_since(now)),
+        }
+    }
+
     /// Removes a target whose entry is gone from the store.
     ///
     /// With `outage` the store was unavailable recently, so that the entry may have
@@ -124,8 +165,8 @@
     pub fn remove(&mut self, id: &str, outage: bool) -> Change {
         let Some(entry) = self.entries.get_mut(id) else { return Change::Unchanged };
         if outage && !entry.target.draining {
-            let known = std::mem::replace(&mut entry.lapsed, true);
-            return if known { Change::Unchanged } else { Change::Lapsed };
+            let known = std::mem::replace(&mut entry.state, EntryState::Lapsed);
+            return if known == EntryState::Lapsed { Change::Unchanged } else { Change::Lapsed };
         }
         self.forget(id);
         Change::Gone
@@ -147,18 +188,20 @@
 
     /// Returns how many targets serve although their entry lapsed.
     pub fn lapsed_count(&self) -> usize {
-        self.entries.values().filter(|e| e.lapsed).count()
+        self.entries.values().filter(|e| e.state != EntryState::Registered).count()
     }
 
     /// Removes targets whose entry lapsed in an outage and was not renewed in time.
     ///
     /// `grace_end` is the end of the grace period; `None` while the store is away.
     pub fn expire(&mut self, grace_end: Option<Instant>, now: Instant) -> Vec<TargetId> {
-        if grace_end.is_none_or(|end| now < end) {
-            return Vec::new();
-        }
-        let lapsed = self.entries.iter().filter(|(_, e)| e.lapsed);
-        let gone: Vec<TargetId> = lapsed.map(|(id, _)| TargetId::clone(id)).collect();
+        let late = |e: &Entry| match e.state {
+            EntryState::Registered => false,
+            EntryState::Lapsed => grace_end.is_some_and(|end| now >= end),
+            EntryState::KeptByPeer(end) => now >= end,
+        };
+        let late = self.entries.iter().filter(|(_, e)| late(e));
+        let gone: Vec<TargetId> = late.map(|(id, _)| TargetId::clone(id)).collect();
         for id in &gone {
             self.forget(id);
         }
--- a/crates/core/tests/edge_fleet.rs
+++ b/crates/core/tests/edge_fleet.rs
@@ -99,3 +99,23 @@
     assert_eq!(fleet.reconcile(&[], true), [("y".into(), Change::Lapsed)]);
     assert!(fleet.reconcile(&[], true).is_empty());
 }
+
+#[test]
+fn target_kept_by_a_peer_is_gone_at_the_end_although_the_store_is_away() {
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    assert_eq!(fleet.report_kept(target("x", 1, 5, false), now + LAPSE_GRACE), Change::Joined);
+    assert_eq!(fleet.time_kept("x", None, now), Some(LAPSE_GRACE));
+    assert!(fleet.expire(None, now + LAPSE_GRACE / 2).is_empty());
+    assert_eq!(fleet.expire(None, now + LAPSE_GRACE).len(), 1);
+    assert_eq!(serving(&fleet), 0);
+}
+
+#[test]
+fn target_kept_by_a_peer_stays_when_its_entry_is_back() {
+    let (mut fleet, now) = (Fleet::default(), Instant::now());
+    fleet.report_kept(target("x", 1, 5, false), now);
+    fleet.report(target("x", 1, 6, false));
+    fleet.report_kept(target("x", 1, 5, false), now);
+    assert_eq!(fleet.time_kept("x", None, now), None);
+    assert!(fleet.expire(None, now + LAPSE_GRACE).is_empty());
+}
--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -144,6 +144,10 @@
     /// Sequence number of the entry since that start.
     #[prost(uint64, tag = "8")]
     pub seq: u64,
+    /// Time for which the sender keeps it although its entry is gone, in milliseconds;
+    /// absent if its entry is in the store.
+    #[prost(uint32, optional, tag = "9")]
+    pub kept_ms: Option<u32>,
 }
 
 /// Heartbeat with the sender's configuration version.
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -21,8 +21,8 @@
 use mimosapass_platform::config;
 use rand::seq::IndexedRandom;
 
-use super::follow;
 use super::state::{Gateway, State};
+use super::{follow, gossip};
 
 /// Interval between checks whether peers have newer data.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -149,6 +149,12 @@
         return without_targets;
     }
     let fleet = &state.scheduler.fleet;
+    let now = Instant::now();
+    let grace_end = state.grace_end(now);
+    let encode = |target: &Target| StoreTarget {
+        kept_ms: fleet.time_kept(&target.id, grace_end, now).map(gossip::ms),
+        ..encode(target)
+    };
     let changed = state.target_changes.since(request.revision).filter(|_| request.accepts_changes);
     let revision = state.store.target_revision;
     match changed {
@@ -181,6 +187,7 @@
         draining: target.draining,
         started_ms: target.started_ms,
         seq: target.seq,
+        kept_ms: None,
     }
 }
 
@@ -220,11 +227,18 @@
     if snapshot.revision <= state.store.target_revision {
         return;
     }
-    let targets: Vec<Target> = snapshot.targets.iter().filter_map(decode).collect();
-    let listed: Vec<TargetId> = targets.iter().map(|t| TargetId::clone(&t.id)).collect();
-    let mut changes = 0;
-    for target in targets {
-        changes += usize::from(state.scheduler.fleet.report(target) != Change::Unchanged);
+    let targets = snapshot.targets.iter().filter_map(|t| Some((decode(t)?, t.kept_ms)));
+    let targets: Vec<(Target, Option<u32>)> = targets.collect();
+    let listed: Vec<TargetId> = targets.iter().map(|(t, _)| TargetId::clone(&t.id)).collect();
+    let (mut changes, mut kept) = (0, 0);
+    for (target, kept_ms) in targets {
+        let fleet = &mut state.scheduler.fleet;
+        let change = match kept_ms {
+            Some(ms) => fleet.report_kept(target, now + Duration::from_millis(u64::from(ms))),
+            None => fleet.report(target),
+        };
+        changes += usize::from(change != Change::Unchanged);
+        kept += usize::from(kept_ms.is_some());
     }
     // The peer has already decided which entries only expired in an outage.
     let gone = if snapshot.changes_only {
@@ -242,7 +256,8 @@
     state.store.revision = state.store.revision.max(snapshot.revision);
     state.store.listed = true;
     log::info!(
-        peer, revision = snapshot.revision, changes, gone, changes_only = snapshot.changes_only;
+        peer, revision = snapshot.revision, changes, gone, kept,
+        changes_only = snapshot.changes_only;
         "snapshot: applied the targets of a peer."
     );
     state.dispatch(gateway, now);
