Store: a connection that fell silent is noticed within two seconds

What callers saw: proper requests refused with 404 or 401 by instances that had been cut off, more than three seconds after the cut; from then on the users count them.

Cause: a call that hung was given up after 3.5 s (2 s of waiting for changes and 1.5 s of time-out), and the next one could use another idle connection that had fallen silent too. Class: the time to notice a dead connection is longer than the time in which the views have to be renewed.

--- a/crates/instance/tests/link.rs
+++ b/crates/instance/tests/link.rs
@@ -141,11 +141,12 @@
     inbox.recv_timeout(RECEIVE_TIMEOUT).expect("the link works");
     path.silence_open();
     let begin = Instant::now();
-    let arrived = (2..).find(|n| {
+    let arrived = (2..20).find(|n| {
         near.send(path.addr(), heartbeat(*n));
-        inbox.recv_timeout(Duration::from_millis(300)).is_ok() || *n > 20
+        inbox.recv_timeout(Duration::from_millis(300)).is_ok()
     });
     let took = begin.elapsed();
+    assert!(arrived.is_some(), "no message arrived");
     assert!(took < Duration::from_secs(2), "message {arrived:?} arrived after {took:?}");
 }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -20,9 +20,9 @@
 /// Shortest interval between watches. Every call of every instance is charged, and a
 /// change must take effect within two seconds.
 const WATCH_INTERVAL: Duration = Duration::from_millis(600);
-/// Time for which a watch waits for a change. A stalled connection is detected after
-/// this time and the timeout of a call, which the users' limits allow.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which a watch waits for a change. A connection that fell silent is detected
+/// within two seconds; an instance has to know all changes three seconds after it was cut off.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// As [`WATCH_TIMEOUT`], after a failed call: the store counts as unavailable until a watch
 /// returns.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1);
