Links: messages are acknowledged, and a link that fell silent is reopened

Cause: a link was closed only when a write failed or after 30 s without a message.

Change: the receiver answers each message with an empty frame; without one within a second the link is closed and the next message opens another one. Former versions answer none and read none: links to them are reopened for later messages, and what they do not read is no longer written to them.

--- a/crates/core/tests/edge_outage.rs
+++ b/crates/core/tests/edge_outage.rs
@@ -29,7 +29,7 @@
             let peer = |last: Option<(u64, Option<u64>)>| {
                 last.and_then(|(from_ms, until_ms)| outage(start, from_ms, until_ms))
             };
-            let groups: Vec<Vec<Option<Outage>>> = vec![$(vec![peer($outage); $count]),*];
+            let groups: Vec<Vec<Option<Outage>>> = vec![$([peer($outage)].repeat($count)),*];
             let end = start + Duration::from_millis(BEFORE_MS);
             assert_eq!(is_total(groups.concat().into_iter(), end), $total);
         })+
--- a/crates/instance/src/link.rs
+++ b/crates/instance/src/link.rs
@@ -1,8 +1,9 @@
 //! TCP links to peers, served by one thread.
 //!
 //! There is one outgoing link per peer address. A link carries messages in one
-//! direction; the receiver responds on its own outgoing link. A broken link is
-//! reopened for the next message. Messages to a slow peer are dropped rather than
+//! direction; the receiver responds on its own outgoing link. It acknowledges each
+//! message with an empty frame. A link that is broken, or on which an acknowledgement is
+//! missing because it fell silent, is reopened for the next message. Messages to a slow peer are dropped rather than
 //! delaying other peers; senders repeat everything that they send here. The first
 //! message of a link names the sender, so that heartbeats stay small, and a message
 //! to many peers is encoded once.
@@ -19,7 +20,7 @@
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep_until, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::message::{Body, Envelope, MAX_FRAME_BYTES, VERSION};
@@ -30,6 +31,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout for writing one batch.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time within which a message is acknowledged. Former versions acknowledge none: to them a
+/// link is reopened for each message that comes later.
+const ACK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout for writing an acknowledgement. Former versions read none, and fill up.
+const ACK_WRITE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time without a message after which an incoming link is closed.
 const INCOMING_IDLE: Duration = Duration::from_secs(30);
 /// Time without a message after which an outgoing link is closed.
@@ -148,6 +154,7 @@
 async fn receive(stream: TcpStream, sink: Sender<Incoming>) {
     let mut framed = Framed::new(stream, codec());
     let (mut from, mut addr) = (Identity::default(), String::new());
+    let mut acknowledges = true;
     while let Ok(Some(Ok(frame))) = timeout(INCOMING_IDLE, framed.next()).await {
         let envelope = match Envelope::decode(frame.freeze()) {
             Ok(envelope) if envelope.version == VERSION => envelope,
@@ -177,6 +184,10 @@
         if sink.send(message).is_err() {
             return;
         }
+        if acknowledges {
+            let written = timeout(ACK_WRITE_TIMEOUT, framed.send(Bytes::new())).await;
+            acknowledges = matches!(written, Ok(Ok(())));
+        }
     }
 }
 
@@ -210,27 +221,73 @@
     }
 }
 
-/// Writes messages to one peer until the link breaks or is idle.
+/// Writes messages to one peer until a link breaks or there are no messages for a while.
 async fn write(to: SocketAddr, greeting: Bytes, mut batches: mpsc::Receiver<Vec<Bytes>>) {
+    while let Ok(Some(frames)) = timeout(OUTGOING_IDLE, batches.recv()).await {
+        if !write_link(to, &greeting, frames, &mut batches).await {
+            return;
+        }
+    }
+}
+
+/// Opens a link and writes messages; returns whether it ended as idle or silent, so that the
+/// next message may open another one.
+async fn write_link(
+    to: SocketAddr,
+    greeting: &Bytes,
+    frames: Vec<Bytes>,
+    batches: &mut mpsc::Receiver<Vec<Bytes>>,
+) -> bool {
     let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await else {
         log::debug!("links: cannot connect to {to}.");
-        return;
+        return false;
     };
     if stream.set_nodelay(true).is_err() {
-        return;
+        return false;
     }
-    let mut framed = Framed::new(stream, codec());
-    let mut pending = vec![greeting];
-    while let Ok(Some(frames)) = timeout(OUTGOING_IDLE, batches.recv()).await {
-        pending.extend(frames);
-        let batch = std::mem::take(&mut pending);
-        if !matches!(timeout(WRITE_TIMEOUT, write_batch(&mut framed, batch)).await, Ok(Ok(()))) {
-            log::debug!("links: writing to {to} failed or timed out.");
-            return;
+    let mut link = Framed::new(stream, codec());
+    let mut unacked = frames.len();
+    let mut end = Instant::now() + ACK_TIMEOUT;
+    let first = std::iter::once(greeting.clone()).chain(frames).collect();
+    if !write_in_time(&mut link, first, to).await {
+        return false;
+    }
+    loop {
+        tokio::select! {
+            batch = batches.recv() => {
+                let Some(frames) = batch else { return false };
+                if unacked == 0 {
+                    end = Instant::now() + ACK_TIMEOUT;
+                }
+                unacked += frames.len();
+                if !write_in_time(&mut link, frames, to).await {
+                    return false;
+                }
+            }
+            ack = link.next() => {
+                if !matches!(ack, Some(Ok(_))) {
+                    return false;
+                }
+                unacked = unacked.saturating_sub(1);
+                let wait = if unacked > 0 { ACK_TIMEOUT } else { OUTGOING_IDLE };
+                end = Instant::now() + wait;
+            }
+            () = sleep_until(end) => {
+                log::debug!("links: closing a link to {to}, {unacked} messages are not acknowledged.");
+                return true;
+            }
         }
     }
 }
 
+async fn write_in_time(link: &mut FramedStream, frames: Vec<Bytes>, to: SocketAddr) -> bool {
+    let written = matches!(timeout(WRITE_TIMEOUT, write_batch(link, frames)).await, Ok(Ok(())));
+    if !written {
+        log::debug!("links: writing to {to} failed or timed out.");
+    }
+    written
+}
+
 /// Writes messages with one flush, so that they share packets where they fit.
 async fn write_batch(link: &mut FramedStream, frames: Vec<Bytes>) -> io::Result<()> {
     for frame in frames {
