--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -29,9 +29,9 @@
 /// Time for which a peer may have a newer configuration before it is requested. When
 /// nothing fails, each watching instance gets it from the store.
 const MAX_OUTDATED: Duration = Duration::from_secs(1);
-/// Silence of the store after which peers are asked for targets. A healthy store
-/// answers a watch within two seconds.
-const STORE_SILENCE: Duration = Duration::from_millis(2_600);
+/// Silence of the store after which peers are asked for what they know. A healthy store
+/// answers a watch within 1.7 seconds of the one before.
+const STORE_SILENCE: Duration = Duration::from_millis(1_900);
 /// Shortest time between two requests of an instance that watches the store.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(600);
 /// Shortest time between two requests of an instance that does not watch the store.
@@ -93,7 +93,8 @@
     state.outdated_since =
         if newest > own_version { state.outdated_since.or(Some(now)) } else { None };
     let outdated = state.outdated_since.is_some_and(|since| now >= since + MAX_OUTDATED);
-    let store_silent = state.store.last_success.is_none_or(|at| now >= at + STORE_SILENCE);
+    let store_silent = state.store.failing_since.is_some()
+        || state.store.last_success.is_none_or(|at| now >= at + STORE_SILENCE);
     if !outdated && !store_silent
         || state.snapshot_requested.is_some_and(|at| now < at + REQUEST_INTERVAL)
     {
--- a/tests/suite/gateway/views.rs
+++ b/tests/suite/gateway/views.rs
@@ -1,6 +1,6 @@
 //! Configuration and targets known to a gateway, also while the store fails.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use mimosapass_standin::metastore::Fault;
 use mimosapass_standin::target::{Reply, ScriptedTarget};
@@ -10,6 +10,10 @@
 /// Time after the store acknowledged a leave from which a target gets no requests.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// Time in which an instance learns from its peers what the store does not tell it: half of
+/// the time in which a change has to be in force.
+const PEER_TIME: Duration = Duration::from_secs(1);
+
 /// Returns the status of a call with a key.
 fn status(cluster: &Cluster, number: usize, path: &str, key: &str) -> u16 {
     call(cluster.callers(number), &head(path, "id-1", key, ""), b"question").response.status
@@ -301,3 +305,29 @@
     }
     assert_eq!(old.requests().len(), before);
 }
+
+/// Guards against requests to a leaving target from an instance that the store has just begun
+/// to refuse: it asked its peers only after the store had been silent for a while.
+#[test]
+fn instance_that_the_store_refuses_learns_at_once_what_its_peers_know() {
+    let (mut cluster, old) = start_with_target(1);
+    let new = start_target("i-1", Reply::Complete(200, "new"));
+    cluster.register(&new, "desk");
+    let apart = cluster.store.open_endpoint();
+    let number = cluster.add(&apart, &[]);
+    cluster.ready(number);
+    cluster.logged(number, &["peer: first datagram received."]);
+    apart.set_fault(Fault::Reject(503));
+    cluster.logged(number, &["store: a call failed"]);
+    cluster.store.set("servers/i-0", &old.registration("desk", "draining", 1, 2));
+    cluster.configure(&config(9, &[KEY], &["look", "new"]));
+    let begin = Instant::now();
+    eventually("the new route is served", || status(&cluster, number, "/new/1", KEY) == 200);
+    eventually("only the new target gets requests", || {
+        let before = old.requests().len();
+        (0..4).all(|_| status(&cluster, number, "/look/1", KEY) == 200)
+            && old.requests().len() == before
+    });
+    let took = begin.elapsed();
+    assert!(took <= PEER_TIME, "took {took:?}");
+}
