Gateway: a request is called wrong only by a configuration that is known to be current

What callers saw: proper requests refused with 404 and 401 by instances that had been cut off; no caller repeats those.

Cause, beside the late renewal: an instance answers 404 and 401 by whatever configuration it has, also when a peer has told it of a newer one, or when nothing has confirmed its own for long. Class: a final refusal that rests on a view whose age is not looked at.

All other refusals are as before. Decided in core (edge/currency).

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`route_table`]: the routes, services and workspaces of one configuration version.
 //! - [`changes`]: which targets changed since a revision of the store.
+//! - [`currency`]: whether the known configuration is current.
 //! - [`fleet`]: known targets, and which of them accept new requests.
 //! - [`cost`]: cost model of an engine's prefill and decoding.
 //! - [`load`]: requests in flight at each target, from all instances.
@@ -25,6 +26,7 @@
 pub mod changes;
 pub mod clients;
 pub mod cost;
+pub mod currency;
 pub mod election;
 pub mod fleet;
 pub mod load;
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -79,7 +79,9 @@
         thread::sleep(POLL_INTERVAL);
     }
     let table = gateway.route_table();
-    let resolved = request::resolve(&table, exchange, arrived).and_then(|request| {
+    let resolved = request::resolve(&table, exchange, arrived);
+    let resolved = resolved.map_err(|f| request::doubt(gateway, f, table.version, arrived));
+    let resolved = resolved.and_then(|request| {
         let refused =
             gateway.too_late(request.deadline.saturating_duration_since(arrived), arrived);
         let stopping = || {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_core::edge::audience::{self, Heard, Recipients, Registered, Sender};
+use mimosapass_core::edge::currency::{self, PeerView};
 use mimosapass_core::edge::election::{self, Nominee};
 use mimosapass_core::edge::order::Turn;
 use mimosapass_core::edge::outage::Outage;
@@ -156,6 +157,17 @@
         }
     }
 
+    /// Returns whether `version` is the latest configuration, as far as known.
+    pub fn config_is_current(&self, version: u64, now: Instant) -> bool {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let peers = self.peers.values().map(|p| PeerView {
+            version: p.config_version,
+            age: age(p.last_heard),
+            cut_off: p.store_unreachable,
+        });
+        currency::is_current(version, self.store.last_success.map(age), peers)
+    }
+
     /// Returns the number of live instances, including this one.
     pub fn instance_count(&self) -> usize {
         let told = self.peers.values().map(|p| p.instances as usize).max().unwrap_or_default();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -5,12 +5,15 @@
 
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_caller::head::Head;
+use mimosapass_core::edge::currency;
 use mimosapass_core::edge::route_table::{RetryPolicy, Route, RouteTable, Workspace};
 use mimosapass_core::edge::schedule::{Requirements, TokenCounts};
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_platform::header;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::state::Gateway;
+
 /// A request that the configuration allows.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -81,6 +84,15 @@
     })
 }
 
+/// Replaces a failure that calls the request wrong, unless the configuration is current.
+pub fn doubt(gateway: &Gateway, failure: Failure, version: u64, now: Instant) -> Failure {
+    let wrong = matches!(failure.kind, Kind::NotFound | Kind::UnknownKey);
+    if !wrong || gateway.state().config_is_current(version, now) {
+        return failure;
+    }
+    Failure::new(Kind::NotReady, format!("{}, but the configuration may be old", failure.detail))
+}
+
 fn workspace(
     table: &RouteTable,
     route: &Route,
--- a/tests/suite/gateway/views.rs
+++ b/tests/suite/gateway/views.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_standin::metastore::Fault;
+use mimosapass_standin::relay::Relay;
 use mimosapass_standin::target::{Reply, ScriptedTarget};
 
 use super::{Cluster, KEY, call, config, eventually, head, start_target};
@@ -331,3 +332,26 @@
     let took = begin.elapsed();
     assert!(took <= PEER_TIME, "took {took:?}");
 }
+
+/// Guards against 404 and 401 for proper requests: an instance that was cut off refused them
+/// by a configuration that was not the latest.
+#[test]
+fn instance_that_may_be_outdated_does_not_call_requests_wrong() {
+    let mut cluster = Cluster::start(0);
+    let target = start_target("i-0", Reply::Complete(200, "yes"));
+    cluster.register(&target, "desk");
+    let path = Relay::start(cluster.endpoint.addr).expect("a port");
+    let endpoint = cluster.endpoint.via(path.addr());
+    cluster.add(&endpoint, &[]);
+    cluster.ready(0);
+    assert_eq!(status(&cluster, 0, "/gone/1", KEY), 404);
+    path.set_silent(true);
+    cluster.logged(0, &["store: unavailable"]);
+    cluster.configure(&config(9, &[KEY, "key-two"], &["book", "look", "new"]));
+    assert_eq!(status(&cluster, 0, "/new/1", KEY), 503, "the route may be new");
+    assert_eq!(status(&cluster, 0, "/book/1", "key-two"), 503, "the key may be new");
+    assert_eq!(status(&cluster, 0, "/book/1", KEY), 200);
+    path.set_silent(false);
+    eventually("the new route is served", || status(&cluster, 0, "/new/1", KEY) == 200);
+    assert_eq!(status(&cluster, 0, "/gone/1", KEY), 404);
+}
