--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -5,7 +5,6 @@
 
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_caller::head::Head;
-use mimosapass_core::edge::currency;
 use mimosapass_core::edge::route_table::{RetryPolicy, Route, RouteTable, Workspace};
 use mimosapass_core::edge::schedule::{Requirements, TokenCounts};
 use mimosapass_core::error::{Failure, Kind};
