Store: what was read is ordered by era and revision, and a restore from a copy loses nothing known

The users' store may come back from a copy some seconds old: writes and leases since are gone, revisions are given out again, and Store-Era rises by one in all its answers. Revisions were taken for a clock that only rises: an instance that saw no 410 missed what was written under a revision given out again, for good, and refused what its peers had learned.

An answer of an earlier era is dropped, a later one seen anywhere leads to a listing. Instances register again within three seconds, spread. Former versions state no era and are taken as of era 0.

The store stand-in can be copied and restored.

--- a/crates/core/src/edge/fleet.rs
+++ b/crates/core/src/edge/fleet.rs
@@ -172,13 +172,15 @@
         Change::Gone
     }
 
-    /// Removes all targets that a complete listing does not name.
+    /// Removes all targets that a complete listing does not name, but for those that a peer
+    /// keeps.
     ///
     /// Returns the targets that are gone or lapsed by this.
     pub fn reconcile(&mut self, named: &[TargetId], outage: bool) -> Vec<(TargetId, Change)> {
         let named: HashSet<&TargetId> = named.iter().collect();
-        let missing: Vec<TargetId> =
-            self.entries.keys().filter(|id| !named.contains(id)).cloned().collect();
+        let kept = |e: &Entry| matches!(e.state, EntryState::KeptByPeer(_));
+        let missing = self.entries.iter().filter(|(id, e)| !named.contains(id) && !kept(e));
+        let missing: Vec<TargetId> = missing.map(|(id, _)| TargetId::clone(id)).collect();
         let removed = missing.into_iter().map(|id| {
             let change = self.remove(&id, outage);
             (id, change)
--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -10,6 +10,7 @@
 //! - [`cost`]: cost model of an engine's prefill and decoding.
 //! - [`load`]: requests in flight at each target, from all instances.
 //! - [`slowdown`]: how much slower an engine decodes than its peers.
+//! - [`position`]: the order of what was read from the store.
 //! - [`placement`]: the choice of a target for one request.
 //! - [`order`]: the order in which schedulers fill engines.
 //! - [`wait`]: the order of waiting requests, and when they are refused.
@@ -34,6 +35,7 @@
 pub mod outage;
 pub mod outcomes;
 pub mod placement;
+pub mod position;
 pub mod remote;
 pub mod retry;
 pub mod route_table;
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -68,6 +68,9 @@
     /// Store revision of the newest change of targets that the sender knows.
     #[prost(uint64, tag = "10")]
     pub revision: u64,
+    /// Era of that revision: how often the store came back from a copy.
+    #[prost(uint64, tag = "25")]
+    pub era: u64,
     /// Whether the sender watches the store for its zone.
     #[prost(bool, tag = "13")]
     pub watching: bool,
--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -93,6 +93,9 @@
     /// Whether the requester understands a snapshot with the changed targets only.
     #[prost(bool, tag = "3")]
     pub accepts_changes: bool,
+    /// Era of `revision`.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 
 /// Snapshot of what a gateway knows from the store.
@@ -115,6 +118,9 @@
     /// Targets that left after that revision.
     #[prost(string, repeated, tag = "5")]
     pub gone: Vec<String>,
+    /// Era of `revision`.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 /// Entry that a target wrote about itself into the store.
--- a/crates/standin/src/metastore.rs
+++ b/crates/standin/src/metastore.rs
@@ -42,8 +42,12 @@
     lease: u64,
 }
 
+/// Name of the header that states how often the store came back from a copy.
+const ERA_HEADER: &str = "store-era";
+
 #[derive(Debug, Default)]
 struct State {
+    era: u64,
     revision: u64,
     items: BTreeMap<String, Item>,
     /// Changes since `compacted_revision`, each with its revision and JSON form.
@@ -60,6 +64,14 @@
     changed: Arc<Condvar>,
 }
 
+/// A copy of the store's items, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+}
+
 /// One endpoint of the store.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -128,6 +140,24 @@
         state.compacted_revision = state.revision;
     }
 
+    /// Returns a copy of the current state.
+    pub fn copy(&self) -> Copy {
+        let State { revision, items, leases, .. } = &*self.lock();
+        Copy { revision: *revision, items: items.clone(), leases: leases.clone() }
+    }
+
+    /// Comes back from a copy: what was written since is lost, leases too, and its revisions
+    /// are given out again.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.lock();
+        let era = state.era + 1;
+        let Copy { revision, items, leases } = copy;
+        *state = State { era, revision, items, leases, ..State::default() };
+        state.compacted_revision = revision;
+        drop(state);
+        self.changed.notify_all();
+    }
+
     /// Returns the number of calls that were carried out.
     pub fn calls(&self) -> usize {
         self.lock().calls
@@ -141,7 +171,7 @@
 
     fn serve(&self, exchange: &mut Exchange<'_>, fault: Fault) {
         match fault {
-            Fault::Reject(status) => return respond(exchange, status, &json!({})),
+            Fault::Reject(status) => return self.respond(exchange, status, &json!({})),
             Fault::Hang => {
                 thread::sleep(Duration::from_secs(4));
                 return;
@@ -155,7 +185,12 @@
             thread::sleep(Duration::from_secs(4));
             return;
         }
-        respond(exchange, status, &body);
+        self.respond(exchange, status, &body);
+    }
+
+    fn respond(&self, exchange: &mut Exchange<'_>, status: u16, body: &Value) {
+        let era = self.lock().era.to_string();
+        respond(exchange, status, body, era);
     }
 
     fn call(&self, exchange: &Exchange<'_>) -> (u16, Value) {
@@ -197,7 +232,7 @@
         let deadline = Instant::now() + wait;
         let mut state = self.lock();
         loop {
-            if after < state.compacted_revision {
+            if after < state.compacted_revision || after > state.revision {
                 return (410, json!({}));
             }
             let events: Vec<&Value> = state
@@ -328,8 +363,8 @@
     })
 }
 
-fn respond(exchange: &mut Exchange<'_>, status: u16, body: &Value) {
-    let headers = [("content-type", "application/json".to_owned())];
+fn respond(exchange: &mut Exchange<'_>, status: u16, body: &Value, era: String) {
+    let headers = [("content-type", "application/json".to_owned()), (ERA_HEADER, era)];
     if let Err(e) = exchange.respond(status, &headers, body.to_string().as_bytes()) {
         log::debug!("metastore stand-in: response not sent: {e}");
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_core::edge::fleet::Change;
+use mimosapass_core::edge::position::Position;
 use mimosapass_core::ids::TargetId;
 use mimosapass_platform::store::{Entry, Page, Revision, StoreError};
 use mimosapass_platform::{config, target};
@@ -50,6 +51,7 @@
             thread::sleep(POLL_INTERVAL);
             continue;
         }
+        listed &= !gateway.is_in_new_era();
         let result = if listed { watch(gateway) } else { list(gateway) };
         match result {
             Ok(()) => {
@@ -57,8 +59,8 @@
                 failures = 0;
                 thread::sleep(WATCH_INTERVAL.saturating_sub(begun.elapsed()));
             }
-            Err(StoreError::Compacted) => {
-                log::warn!("store: the history was compacted, listing all entries again.");
+            Err(e @ (StoreError::Compacted | StoreError::Outdated)) => {
+                log::warn!("store: listing all entries again, {e}.");
                 listed = false;
             }
             Err(e) => {
@@ -81,7 +83,8 @@
         state.store.failing_since = Some(Instant::now());
         state.announce = true;
         let took_ms = took.as_millis() as u64;
-        log::info!(took_ms, revision = state.store.revision; "store: a call failed: {error}.");
+        let revision = state.store.watched.revision;
+        log::info!(took_ms, revision; "store: a call failed: {error}.");
         gateway.load_changed.notify_all();
     }
 }
@@ -91,7 +94,7 @@
     if state.store.down_since.is_none() {
         state.store.down_since = Some(Instant::now());
         gateway.metrics.store_up.set(0);
-        let revision = state.store.revision;
+        let revision = state.store.watched.revision;
         log::warn!(
             revision;
             "store: unavailable, {MAX_FAILURES} calls failed, known data stays in use: {error}."
@@ -116,7 +119,8 @@
     let expired = state.scheduler.fleet.expire(grace_end, now);
     if !expired.is_empty() {
         // The store states no revision for these; peers get all targets next time.
-        let next = state.store.target_revision + 1;
+        let Position { revision, .. } = state.store.targets;
+        let next = state.store.targets.at(revision + 1);
         state.target_changes.reset(next);
     }
     for id in expired {
@@ -131,47 +135,76 @@
 /// Lists and applies all entries.
 fn list(gateway: &Gateway) -> Result<(), StoreError> {
     // One call for all keys: when a large fleet starts, each call counts hundreds of times.
-    let Page { entries, revision } = gateway.store.list("")?;
+    let Page { entries, position } = gateway.store.list("")?;
     record_success(gateway);
+    begin_era(gateway, position);
     let listed: Vec<TargetId> = entries
         .iter()
         .filter_map(|e| e.key.strip_prefix(target::PREFIX))
         .map(TargetId::from)
         .collect();
     for entry in &entries {
-        apply(gateway, entry);
+        apply(gateway, entry, position);
     }
     let mut state = gateway.state();
     let now = Instant::now();
     let outage = state.after_outage(now);
     for (id, change) in state.scheduler.fleet.reconcile(&listed, outage) {
         if change == Change::Lapsed {
-            log_lapse(&id, revision);
+            log_lapse(&id, position.revision);
             continue;
         }
-        log::info!(target_id = &*id, revision; "target: removed, the store does not list it.");
+        log::info!(target_id = &*id, revision = position.revision; "target: removed, the store does not list it.");
         state.scheduler.forget(&id);
     }
-    state.store.revision = revision;
-    let target_revision = state.store.target_revision.max(revision);
-    state.store.target_revision = target_revision;
-    state.target_changes.reset(target_revision);
+    state.store.watched = position;
+    let targets = state.store.targets.max(position);
+    state.store.targets = targets;
+    state.target_changes.reset(targets);
     state.store.listed = true;
     count_targets(gateway, &state);
     Ok(())
 }
 
+/// Notes that the store came back from a copy, if it has since the last listing.
+///
+/// The copy may lack targets that run, so for a while a missing entry is no removal; and it
+/// may have entries of targets that have left, which the fleet knows.
+fn begin_era(gateway: &Gateway, position: Position) {
+    let mut state = gateway.state();
+    let before = state.store.watched;
+    // A peer's snapshot of the new era says itself which targets are kept, and until when.
+    if before == Position::default() || position.era <= before.era.max(state.store.targets.era) {
+        return;
+    }
+    state.store.restored_at = Some(Instant::now());
+    state.announce = true;
+    let targets = state.scheduler.fleet.all().count();
+    log::warn!(
+        from = before.era, to = position.era, revision_before = before.revision,
+        revision = position.revision, targets;
+        "store: restored from a copy, known data stays in use until it is written again."
+    );
+}
+
 /// Waits for changes and applies them.
 fn watch(gateway: &Gateway) -> Result<(), StoreError> {
-    let StoreStatus { revision, failing_since, .. } = gateway.state().store;
+    let StoreStatus { watched, targets, failing_since, .. } = gateway.state().store;
     let timeout = if failing_since.is_some() { PROBE_TIMEOUT } else { WATCH_TIMEOUT };
-    let page = gateway.store.watch("", revision, timeout)?;
+    let page = gateway.store.watch("", watched.revision, timeout)?;
+    if page.position.era != watched.era {
+        // The revision that was asked for is one of another era.
+        return Err(StoreError::Outdated);
+    }
     record_success(gateway);
-    for entry in &page.entries {
-        apply(gateway, entry);
+    // What a peer has told of targets is applied already.
+    let is_known =
+        |e: &Entry| e.key.starts_with(target::PREFIX) && watched.at(e.revision) <= targets;
+    for entry in page.entries.iter().filter(|e| !is_known(e)) {
+        apply(gateway, entry, page.position);
     }
     let mut state = gateway.state();
-    state.store.revision = state.store.revision.max(page.revision);
+    state.store.watched = watched.max(page.position);
     count_targets(gateway, &state);
     Ok(())
 }
@@ -183,16 +216,17 @@
 fn count_targets(gateway: &Gateway, state: &State) {
     let fleet = &state.scheduler.fleet;
     let serving = fleet.all().filter(|t| !t.draining).count();
+    gateway.metrics.store_era.set(state.store.watched.era as i64);
     gateway.metrics.targets.set(serving as i64);
     gateway.metrics.lapsed_targets.set(fleet.lapsed_count() as i64);
 }
 
-/// Applies one entry of the store.
-pub fn apply(gateway: &Gateway, entry: &Entry) {
+/// Applies one entry of the store, read at `position`.
+fn apply(gateway: &Gateway, entry: &Entry, position: Position) {
     if entry.key == config::KEY {
         apply_config(gateway, entry);
     } else if let Some(id) = entry.key.strip_prefix(target::PREFIX) {
-        apply_target(gateway, id, entry);
+        apply_target(gateway, id, entry, position);
     } else if let Some(name) = entry.key.strip_prefix(member::PREFIX) {
         member::apply_entry(gateway, name, entry.value.as_deref());
     }
@@ -211,13 +245,14 @@
     }
 }
 
-fn apply_target(gateway: &Gateway, id: &str, entry: &Entry) {
+fn apply_target(gateway: &Gateway, id: &str, entry: &Entry, position: Position) {
     let now = Instant::now();
     let mut state = gateway.state();
     let outage = state.after_outage(now);
     let revision = entry.revision;
-    state.store.target_revision = state.store.target_revision.max(revision);
-    state.target_changes.record(revision, TargetId::from(id));
+    let changed_at = position.at(revision);
+    state.store.targets = state.store.targets.max(changed_at);
+    state.target_changes.record(changed_at, TargetId::from(id));
     let change = if entry.deleted {
         state.scheduler.fleet.remove(id, outage)
     } else {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -12,6 +12,7 @@
 use mimosapass_core::edge::audience::Recipients;
 use mimosapass_core::edge::load::{Assignment, RequestNumber};
 use mimosapass_core::edge::outage::Outage;
+use mimosapass_core::edge::position::Position;
 use mimosapass_core::edge::route_table::ServiceId;
 use mimosapass_core::edge::wait::QueueEntry;
 use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
@@ -172,7 +173,8 @@
         config_version: gateway.route_table().version,
         store_unreachable: state.store.failing_since.is_some(),
         leaving: gateway.is_stopping(),
-        revision: state.store.target_revision,
+        revision: state.store.targets.revision,
+        era: state.store.targets.era,
         watching: state.watches_store(gateway, now),
         delegating: !places,
         // Peers do not rely on a scheduler that is about to exit.
@@ -369,7 +371,7 @@
         config_version: datagram.config_version,
         store_unreachable: datagram.store_unreachable,
         outage: Outage::update(outage, datagram.store_unreachable, now),
-        target_revision: datagram.revision,
+        targets: Position { era: datagram.era, revision: datagram.revision },
         watching: datagram.watching,
         delegating: datagram.delegating,
         capacity: datagram.capacity,
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -25,6 +25,9 @@
 const RENEW_INTERVAL: Duration = Duration::from_secs(30);
 /// Interval between attempts to register while the store does not answer.
 const RETRY_INTERVAL: Duration = Duration::from_secs(6);
+/// Time over which the instances of a fleet register again after the store came back from a
+/// copy, so that their calls stay within its rate.
+const REGISTER_SPREAD: Duration = Duration::from_secs(3);
 /// Interval between checks whether the instance stops.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -32,6 +35,7 @@
 pub fn run(gateway: &Arc<Gateway>) {
     let mut lease = None;
     while !gateway.is_stopping() {
+        let era = gateway.known_era();
         let (kept, interval) = match register_or_renew(gateway, lease) {
             Ok(lease) => (Some(lease), RENEW_INTERVAL),
             Err(StoreError::NotFound) => {
@@ -48,6 +52,12 @@
         let next = Instant::now() + interval;
         while Instant::now() < next && !gateway.is_stopping() {
             thread::sleep(POLL_INTERVAL);
+            if gateway.known_era() > era {
+                log::info!("member: the store came back from a copy, registering again.");
+                lease = None;
+                thread::sleep(REGISTER_SPREAD.mul_f64(rand::random()));
+                break;
+            }
         }
     }
     if let Some(lease) = lease
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -37,6 +37,8 @@
     pub lapsed_targets: IntGauge,
     /// Live peers.
     pub peers: IntGauge,
+    /// Number of times that the store came back from a copy, as it states.
+    pub store_era: IntGauge,
     /// Whether the store responds.
     pub store_up: IntGauge,
 }
@@ -56,6 +58,7 @@
             targets: gauge("gateway_targets", "Targets that take new work."),
             lapsed_targets: gauge("gateway_lapsed_targets", "Targets kept after an outage."),
             peers: gauge("gateway_peers", "Peers that were heard of lately."),
+            store_era: gauge("gateway_store_era", "Era of the store, one more after a restore."),
             store_up: gauge("gateway_store_up", "Whether the store answers."),
             registry,
         };
@@ -64,7 +67,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 10] = [
+        let all: [Box<dyn Collector>; 11] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.first_event_time.clone()),
@@ -74,6 +77,7 @@
             Box::new(self.targets.clone()),
             Box::new(self.lapsed_targets.clone()),
             Box::new(self.peers.clone()),
+            Box::new(self.store_era.clone()),
             Box::new(self.store_up.clone()),
         ];
         register(&self.registry, all);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,8 +13,8 @@
 use mimosapass_core::edge::election::{self, Nominee};
 use mimosapass_core::edge::order::Turn;
 use mimosapass_core::edge::outage::Outage;
+use mimosapass_core::edge::position::Position;
 use mimosapass_core::ids::{InstanceId, ZoneId};
-use mimosapass_platform::store::Revision;
 
 use super::state::{Gateway, State};
 
@@ -43,8 +43,8 @@
     pub store_unreachable: bool,
     /// When it was last without the store.
     pub outage: Option<Outage>,
-    /// Revision of the latest change of targets known there.
-    pub target_revision: Revision,
+    /// Position of the latest change of targets known there.
+    pub targets: Position,
     /// Whether it watches the store for its zone.
     pub watching: bool,
     /// Whether schedulers place its requests.
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Returns the highest era of the store that a peer has reported.
+    pub fn reported_era(&self) -> u64 {
+        self.peers.values().map(|p| p.targets.era).max().unwrap_or_default()
+    }
+
     /// Returns whether `version` is the latest configuration, as far as known.
     pub fn config_is_current(&self, version: u64, now: Instant) -> bool {
         let age = |at: Instant| now.saturating_duration_since(at);
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -15,12 +15,14 @@
 
 use bytes::Bytes;
 use mimosapass_core::edge::fleet::{Change, Target};
+use mimosapass_core::edge::position::Position;
 use mimosapass_core::ids::TargetId;
 use mimosapass_instance::link::{Incoming, Links};
 use mimosapass_instance::message::{Body, SnapshotRequest, StoreSnapshot, StoreTarget};
 use mimosapass_platform::config;
 use rand::seq::IndexedRandom;
 
+use super::peers::Peer;
 use super::state::{Gateway, State};
 use super::{follow, gossip};
 
@@ -57,7 +59,7 @@
             state.snapshot_requested = Some(now);
             drop(state);
             log::info!(
-                peer:% = peer, version = own_version, revision = request.revision;
+                peer:% = peer, version = own_version, era = request.era, revision = request.revision;
                 "snapshot: requested from a peer."
             );
             links.send(peer, Body::SnapshotRequest(request));
@@ -71,16 +73,16 @@
     own_version: u64,
     now: Instant,
 ) -> Option<(SocketAddr, SnapshotRequest)> {
-    let revision = state.store.target_revision;
+    let known = state.store.targets;
     let in_zone = state.peers.values().filter(|p| p.zone == state.scheduler.zone);
-    let newer = in_zone.filter(|p| p.config_version > own_version || p.target_revision > revision);
+    let newer = in_zone.filter(|p| p.config_version > own_version || p.targets > known);
     // The peer whose datagram is the most recent is the least likely to have failed.
     let peer = newer.max_by_key(|p| p.last_heard).map(|p| p.addr);
     state.behind_since = peer.and(state.behind_since.or(Some(now)));
     if state.snapshot_requested.is_some_and(|at| now < at + UNWATCHED_INTERVAL) {
         return None;
     }
-    Some((peer?, request(own_version, revision)))
+    Some((peer?, request(own_version, known)))
 }
 
 /// Returns the request of an instance that watches the store.
@@ -100,14 +102,12 @@
     {
         return None;
     }
-    let revision = state.store.target_revision;
-    let has_newer = |config_version: u64, target_revision: u64| {
-        config_version > own_version || store_silent && target_revision > revision
-    };
+    let known = state.store.targets;
+    let has_newer = |p: &Peer| p.config_version > own_version || store_silent && p.targets > known;
     let newer: Vec<(bool, SocketAddr)> = state
         .peers
         .values()
-        .filter(|p| has_newer(p.config_version, p.target_revision))
+        .filter(|p| has_newer(p))
         .map(|p| (p.store_unreachable, p.addr))
         .collect();
     // Peers that reach the store themselves are preferred.
@@ -115,11 +115,12 @@
         newer.iter().filter(|(unreachable, _)| !unreachable).map(|(_, addr)| *addr).collect();
     let any = || newer.choose(&mut rand::rng()).map(|(_, addr)| *addr);
     let peer = reaching.choose(&mut rand::rng()).copied().or_else(any)?;
-    Some((peer, request(own_version, revision)))
+    Some((peer, request(own_version, known)))
 }
 
-fn request(config_version: u64, revision: u64) -> SnapshotRequest {
-    SnapshotRequest { config_version, revision, accepts_changes: true }
+fn request(config_version: u64, known: Position) -> SnapshotRequest {
+    let Position { era, revision } = known;
+    SnapshotRequest { config_version, revision, accepts_changes: true, era }
 }
 
 /// Serves requests of peers and applies their snapshots; runs until the process ends.
@@ -146,7 +147,9 @@
         if newer { Bytes::copy_from_slice(&gateway.config_text()) } else { Bytes::new() };
     let state = gateway.state();
     let without_targets = StoreSnapshot { config_text, ..StoreSnapshot::default() };
-    if !state.store.listed || state.store.target_revision <= request.revision {
+    let known = Position { era: request.era, revision: request.revision };
+    let targets = state.store.targets;
+    if !state.store.listed || targets <= known {
         return without_targets;
     }
     let fleet = &state.scheduler.fleet;
@@ -156,11 +159,12 @@
         kept_ms: fleet.time_kept(&target.id, grace_end, now).map(gossip::ms),
         ..encode(target)
     };
-    let changed = state.target_changes.since(request.revision).filter(|_| request.accepts_changes);
-    let revision = state.store.target_revision;
+    let changed = state.target_changes.since(known).filter(|_| request.accepts_changes);
+    let Position { era, revision } = targets;
     match changed {
         Some(ids) => StoreSnapshot {
             revision,
+            era,
             targets: ids.iter().filter_map(|id| fleet.get(id)).map(|t| encode(t)).collect(),
             changes_only: true,
             gone: ids
@@ -172,6 +176,7 @@
         },
         None => StoreSnapshot {
             revision,
+            era,
             targets: fleet.all().map(|t| encode(t)).collect(),
             ..without_targets
         },
@@ -225,7 +230,8 @@
     }
     let now = Instant::now();
     let mut state = gateway.state();
-    if snapshot.revision <= state.store.target_revision {
+    let position = Position { era: snapshot.era, revision: snapshot.revision };
+    if position <= state.store.targets {
         return;
     }
     let targets = snapshot.targets.iter().filter_map(|t| Some((decode(t)?, t.kept_ms)));
@@ -245,19 +251,19 @@
     let gone = if snapshot.changes_only {
         let removed = snapshot.gone.iter().map(|id| TargetId::from(id.as_str()));
         for id in listed.into_iter().chain(removed) {
-            state.target_changes.record(snapshot.revision, id);
+            state.target_changes.record(position, id);
         }
         let fleet = &mut state.scheduler.fleet;
         snapshot.gone.iter().filter(|id| fleet.remove(id, false) == Change::Gone).count()
     } else {
-        state.target_changes.reset(snapshot.revision);
+        state.target_changes.reset(position);
         state.scheduler.fleet.reconcile(&listed, false).len()
     };
-    state.store.target_revision = snapshot.revision;
-    state.store.revision = state.store.revision.max(snapshot.revision);
+    // The own watch goes on where it is: it has other entries to deliver than targets.
+    state.store.targets = position;
     state.store.listed = true;
     log::info!(
-        peer, revision = snapshot.revision, changes, gone, kept,
+        peer, era = position.era, revision = position.revision, changes, gone, kept,
         changes_only = snapshot.changes_only;
         "snapshot: applied the targets of a peer."
     );
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,12 +12,13 @@
 use mimosapass_core::edge::load::RequestNumber;
 use mimosapass_core::edge::outage::{self, MIN_OUTAGE};
 use mimosapass_core::edge::outcomes::Outcome;
+use mimosapass_core::edge::position::Position;
 use mimosapass_core::edge::remote::RemoteRequests;
 use mimosapass_core::edge::retry::RetryWindow;
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
 use mimosapass_core::edge::schedule::{Exclusions, Grant, Scheduler};
 use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
-use mimosapass_platform::store::{Revision, Store};
+use mimosapass_platform::store::Store;
 use mimosapass_target::pool::ConnectionPool;
 
 use super::delegate::Observations;
@@ -41,10 +42,12 @@
     pub failing_since: Option<Instant>,
     /// End of the last outage.
     pub outage_end: Option<Instant>,
-    /// Revision up to which changes have been applied.
-    pub revision: Revision,
-    /// Revision of the latest known change of targets.
-    pub target_revision: Revision,
+    /// Position up to which this instance has watched the store.
+    pub watched: Position,
+    /// Position of the latest known change of targets, from the store or a peer.
+    pub targets: Position,
+    /// When the store was last found to have come back from a copy.
+    pub restored_at: Option<Instant>,
     /// Whether all targets have been listed at least once.
     pub listed: bool,
     /// When a call last succeeded.
@@ -158,6 +161,16 @@
         Arc::clone(&self.config_text.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Returns the highest era that the store or a peer has stated.
+    pub fn known_era(&self) -> u64 {
+        self.store.era().max(self.state().reported_era())
+    }
+
+    /// Returns whether the store came back from a copy since this instance listed it.
+    pub fn is_in_new_era(&self) -> bool {
+        self.known_era() > self.state().store.watched.era
+    }
+
     /// Returns a request number that is unique within this process.
     pub fn next_number(&self) -> RequestNumber {
         self.next_number.fetch_add(1, Ordering::Relaxed)
@@ -293,7 +306,7 @@
         self.scheduler.fleet.get(target).and_then(|t| table.engine(&t.service))
     }
 
-    /// Returns whether entries may have expired because of a recent outage.
+    /// Returns whether entries may be missing because of a recent outage or restore.
     ///
     /// Leases expire only when the store was unavailable to all. When it refused this
     /// instance alone, a missing entry was removed by its owner.
@@ -308,7 +321,8 @@
             return None;
         }
         let outage_end = self.store.outage_end.filter(|end| self.was_total(*end));
-        Some(outage_end.map_or(now, |end| end + LAPSE_GRACE))
+        let last = outage_end.max(self.store.restored_at);
+        Some(last.map_or(now, |at| at + LAPSE_GRACE))
     }
 
     /// Returns whether the outage that ended at `end` affected all instances, as far as peers
@@ -333,7 +347,8 @@
             let away_ms = away.as_millis() as u64;
             let peers = self.peers.values().filter(|p| p.watching).count();
             log::info!(
-                revision = self.store.revision, away_ms, whole, peers;
+                era = self.store.watched.era, revision = self.store.watched.revision,
+                away_ms, whole, peers;
                 "store: available again."
             );
         }
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod delegation;
 mod explain;
+mod restore;
 mod silence;
 mod streams;
 mod views;
