Targets: one that states in an answer that it leaves gets no new requests

The users' targets that leave say so in all their answers, which can come before the store's entry, or without one. Such an answer was passed on and its statement ignored.

Change: the header is read from each answer, also to another attempt, of a failure, and to an order for memory. The target drains at this instance until a new start of it, its idle connections are closed, and peers are told (a field that former versions ignore). Right before a request is sent its targets are looked at again.

Tests: gateway::notices 5 of 5; with the header ignored four of them fail, 3 or 4 further requests reach the target. edge_fleet 17 of 17, gateway 69 of 69.

--- a/crates/core/src/edge/fleet.rs
+++ b/crates/core/src/edge/fleet.rs
@@ -88,6 +88,16 @@
     generation: u64,
     /// Revisions of removed targets, so that late reports of them are ignored.
     removed: HashMap<TargetId, (u64, u64)>,
+    /// Targets that stated in an answer that they leave.
+    leaving: HashMap<TargetId, Leaving>,
+}
+
+/// A start of a target that leaves.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    started_ms: u64,
+    /// Whether it told this instance, and not a peer.
+    told_here: bool,
 }
 
 /// Most removed targets that are remembered; late reports arrive within seconds.
@@ -110,6 +120,11 @@
                 target.draining |= old.draining;
             }
         }
+        match self.leaving.get(&id) {
+            Some(leaving) if leaving.started_ms == target.started_ms => target.draining = true,
+            Some(_) => drop(self.leaving.remove(&id)),
+            None => {}
+        }
         let change = match known {
             Some(e)
                 if e.target.draining == target.draining
@@ -126,6 +141,39 @@
         change
     }
 
+    /// Applies the statement of a target that it leaves.
+    ///
+    /// It holds for that start of the target, whatever its entry in the store says.
+    /// `told_here` is false if a peer passed it on.
+    pub fn leave(&mut self, id: &str, started_ms: u64, told_here: bool) -> Change {
+        let Some((id, entry)) = self.entries.get_key_value(id) else { return Change::Unchanged };
+        if entry.target.started_ms != started_ms {
+            return Change::Unchanged;
+        }
+        let (id, drains) = (TargetId::clone(id), entry.target.draining);
+        if self.leaving.len() >= MAX_REMOVED {
+            self.leaving.clear();
+        }
+        let leaving = Leaving { started_ms, told_here };
+        let known = self.leaving.entry(TargetId::clone(&id)).or_insert(leaving);
+        known.told_here |= told_here;
+        if drains {
+            return Change::Unchanged;
+        }
+        if let Some(entry) = self.entries.get_mut(&id) {
+            Arc::make_mut(&mut entry.target).draining = true;
+        }
+        self.generation += 1;
+        Change::Draining
+    }
+
+    /// Returns the known targets that told this instance that they leave, with their starts.
+    pub fn told_leaving(&self) -> impl Iterator<Item = (&TargetId, u64)> {
+        let told = self.leaving.iter().filter(|(_, leaving)| leaving.told_here);
+        let known = told.filter(|(id, _)| self.entries.contains_key(*id));
+        known.map(|(id, leaving)| (id, leaving.started_ms))
+    }
+
     /// Applies the report of a peer that keeps the target after an outage, until `end`.
     ///
     /// This instance may get no other notice of the end: the removal of the entry can be
--- a/crates/core/tests/edge_fleet.rs
+++ b/crates/core/tests/edge_fleet.rs
@@ -119,3 +119,40 @@
     assert_eq!(fleet.time_kept("x", None, now), None);
     assert!(fleet.expire(None, now + LAPSE_GRACE).is_empty());
 }
+
+#[test]
+fn target_that_states_that_it_leaves_takes_no_work_until_a_new_start() {
+    let mut fleet = Fleet::default();
+    fleet.report(target("x", 1, 5, false));
+    assert_eq!(fleet.leave("x", 1, true), Change::Draining);
+    assert_eq!(fleet.leave("x", 1, true), Change::Unchanged);
+    assert_eq!(fleet.report(target("x", 1, 6, false)), Change::Unchanged);
+    assert_eq!(serving(&fleet), 0);
+    // Its entry lapses and comes back.
+    fleet.remove("x", false);
+    assert_eq!(fleet.report(target("x", 1, 7, false)), Change::Draining);
+    assert_eq!(serving(&fleet), 0);
+    assert_eq!(fleet.report(target("x", 2, 1, false)), Change::Joined);
+    assert_eq!((serving(&fleet), fleet.told_leaving().count()), (1, 0));
+}
+
+#[test]
+fn statement_of_an_earlier_start_is_ignored() {
+    let mut fleet = Fleet::default();
+    fleet.report(target("x", 2, 1, false));
+    assert_eq!(fleet.leave("x", 1, false), Change::Unchanged);
+    assert_eq!(fleet.leave("y", 1, false), Change::Unchanged);
+    assert_eq!(serving(&fleet), 1);
+}
+
+#[test]
+fn only_what_a_target_told_here_is_passed_on() {
+    let mut fleet = Fleet::default();
+    fleet.report(target("x", 1, 1, false));
+    assert_eq!(fleet.leave("x", 1, false), Change::Draining);
+    assert_eq!(fleet.told_leaving().count(), 0);
+    fleet.leave("x", 1, true);
+    assert_eq!(fleet.told_leaving().collect::<Vec<_>>(), [(&"x".into(), 1)]);
+    fleet.remove("x", false);
+    assert_eq!(fleet.told_leaving().count(), 0);
+}
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -110,6 +110,20 @@
     /// Answers to the receiver's requests.
     #[prost(message, repeated, tag = "22")]
     pub replies: Vec<Reply>,
+    /// Targets that told the sender that they leave.
+    #[prost(message, repeated, tag = "26")]
+    pub leaving_targets: Vec<LeavingTarget>,
+}
+
+/// A target that stated in an answer that it leaves.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LeavingTarget {
+    /// Identifier of the target.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Start of its process, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
 }
 
 /// A long prompt that waits at the sender.
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -18,6 +18,8 @@
 pub enum Reply {
     /// A complete response with this status and body.
     Complete(u16, &'static str),
+    /// A complete response with this status and body, and an extra header line.
+    WithHeader(u16, &'static str, &'static str),
     /// A complete response without the target's signature.
     Unsigned(&'static str),
     /// A refusal with this status, marked as not executed.
@@ -194,6 +196,15 @@
         let id = head.header("x-attempt-id").unwrap_or_default();
         match reply {
             Reply::Complete(status, body) => write(stream, &complete_response(*status, id, body)),
+            Reply::WithHeader(status, body, line) => {
+                let response = complete_response(*status, id, body);
+                let text = String::from_utf8_lossy(&response).replacen(
+                    "\r\n",
+                    &format!("\r\n{line}\r\n"),
+                    1,
+                );
+                write(stream, text.as_bytes())
+            }
             Reply::Unsigned(body) => {
                 let text = format!(
                     "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\ncontent-length: {}\r\n\r\n{body}",
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -384,7 +384,7 @@
     Some(ResponseHead { status, headers, framing, close })
 }
 
-/// Posts a JSON body and returns the status of the response.
+/// Posts a JSON body and returns the head of the response.
 ///
 /// # Errors
 ///
@@ -394,7 +394,7 @@
     path: &str,
     body: &[u8],
     end: Instant,
-) -> Result<u16, ReadError> {
+) -> Result<ResponseHead, ReadError> {
     let head = format!(
         "POST {path} HTTP/1.1\r\nhost: {}\r\ncontent-type: application/json\r\n\
          connection: close\r\ncontent-length: {}\r\n\r\n",
@@ -407,7 +407,7 @@
     }
     loop {
         if let Some(head) = connection.parse_head("POST")? {
-            return Ok(head.status);
+            return Ok(head);
         }
         match connection.wait(None::<&TcpStream>, end) {
             Ok(WaitOutcome::Target) => drop(connection.fill()),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -139,8 +139,12 @@
     }
     let method = exchange.head.method.as_str();
     loop {
-        match read_head(gateway, exchange, &mut connection, method, request.deadline.min(silent_at))
-        {
+        let end = request.deadline.min(silent_at);
+        let read = read_head(gateway, exchange, &mut connection, method, end);
+        if let Ok(response) = &read {
+            gateway.read_notices(&grant.placement.target, response);
+        }
+        match read {
             Ok(response) if is_mismatched(&response, request) => {
                 // A response to an earlier request; the response to this one follows it.
                 let skipped = read_body(&mut connection, &response, exchange, silent_at);
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -1,5 +1,6 @@
 //! Serves one request: routing, queueing, attempts and response.
 
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -53,7 +54,7 @@
 
 /// A request being served.
 struct Flow<'a, 'e> {
-    gateway: &'a Gateway,
+    gateway: &'a Arc<Gateway>,
     exchange: &'a mut Exchange<'e>,
     request: Request,
     /// Attempts in which something was sent to a target.
@@ -73,7 +74,7 @@
 }
 
 /// Serves one request and responds on the exchange.
-pub fn handle(gateway: &Gateway, exchange: &mut Exchange<'_>) {
+pub fn handle(gateway: &Arc<Gateway>, exchange: &mut Exchange<'_>) {
     let arrived = Instant::now();
     while gateway.route_table().version == 0 && arrived.elapsed() < CONFIG_WAIT {
         thread::sleep(POLL_INTERVAL);
@@ -220,6 +221,9 @@
             Ok(reservations) => reservations,
             Err(error) => return self.record_not_sent(error),
         };
+        if !self.gateway.accepts(grant) {
+            return self.record_not_sent("the target has left since it was granted".to_owned());
+        }
         let silent_at =
             self.max_silence().map_or(self.request.deadline, |silence| Instant::now() + silence);
         let result = attempt::send(
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -180,6 +180,7 @@
         // Peers do not rely on a scheduler that is about to exit.
         capacity: if gateway.is_stopping() { 0 } else { gateway.settings.capacity },
         instances: state.known_instances() as u32,
+        leaving_targets: state.leaving_targets(),
         ..Datagram::default()
     }
 }
@@ -345,6 +346,7 @@
     if datagram.has_requests() {
         apply_load(gateway, &mut state, &name, &mut datagram, now);
     }
+    state.apply_leaving(&name, &datagram.leaving_targets);
     state.apply_client(gateway, &mut datagram, now);
     for reply in &datagram.replies {
         state.apply_reply(&name, reply, now);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 //! | `attempt` | sends a request to a target once |
 //! | `reservations` | reserves memory for a prompt that one engine cannot hold |
 //! | `relay` | relays event streams |
+//! | `notices` | what targets state about themselves in their answers |
 //! | `flow` | serves one request |
 //! | `serve` | starts and stops the threads and servers |
 
@@ -31,6 +32,7 @@
 mod gossip;
 mod member;
 mod metrics;
+mod notices;
 mod peers;
 mod queue;
 mod relay;
--- /dev/null
+++ b/src/gateway/notices.rs
@@ -0,0 +1,64 @@
+//! What targets state about themselves in their answers.
+
+use mimosapass_core::edge::fleet::{Change, Target};
+use mimosapass_core::edge::schedule::Grant;
+use mimosapass_instance::datagram::LeavingTarget;
+use mimosapass_platform::header;
+use mimosapass_target::http::ResponseHead;
+
+use super::state::{Gateway, State};
+
+/// Most leaving targets that one datagram names; the others are named when these are gone.
+const MAX_LEAVING: usize = 16;
+
+impl Gateway {
+    /// Applies what an answer of `target` states about it.
+    pub fn read_notices(&self, target: &Target, response: &ResponseHead) {
+        if header::states_leaving(|name| response.header(name)) {
+            let mut state = self.state();
+            if state.leave(&target.id, target.started_ms, "none") {
+                state.announce = true;
+                self.load_changed.notify_all();
+                drop(state);
+                self.connections.close_all(target.addr);
+            }
+        }
+    }
+
+    /// Returns whether all targets of a grant still accept requests.
+    ///
+    /// They may have left since, while memory was reserved or a connection was opened.
+    pub fn accepts(&self, grant: &Grant) -> bool {
+        let state = self.state();
+        let serves = |id: &str| state.scheduler.fleet.get(id).is_some_and(|t| !t.draining);
+        grant.targets().iter().all(|id| serves(id))
+    }
+}
+
+impl State {
+    /// Records that a target leaves; returns whether that was not known.
+    ///
+    /// `peer` is the instance that passed it on, or `none`.
+    fn leave(&mut self, id: &str, started_ms: u64, peer: &str) -> bool {
+        let change = self.scheduler.fleet.leave(id, started_ms, peer == "none");
+        if change != Change::Draining {
+            return false;
+        }
+        log::info!(target_id = id, peer; "target: draining, it states so in its answers.");
+        self.scheduler.forget(id);
+        true
+    }
+
+    /// Applies what a peer has learned of leaving targets.
+    pub fn apply_leaving(&mut self, peer: &str, targets: &[LeavingTarget]) {
+        for LeavingTarget { id, started_ms } in targets {
+            self.leave(id, *started_ms, peer);
+        }
+    }
+
+    /// Returns the leaving targets that peers are told of.
+    pub fn leaving_targets(&self) -> Vec<LeavingTarget> {
+        let told = self.scheduler.fleet.told_leaving().take(MAX_LEAVING);
+        told.map(|(id, started_ms)| LeavingTarget { id: id.to_string(), started_ms }).collect()
+    }
+}
--- a/src/gateway/reservations.rs
+++ b/src/gateway/reservations.rs
@@ -5,11 +5,12 @@
 //! reservations while the request runs and its engine accepts connections, and
 //! releases them at the end of the request.
 
-use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::mpsc::{RecvTimeoutError, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use mimosapass_core::edge::fleet::Target;
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_platform::reservation;
 use mimosapass_target::http::{Connection, post};
@@ -36,8 +37,8 @@
     stop_renewals: Option<Sender<()>>,
 }
 
-/// Address of an engine and number of tokens reserved there.
-type EngineTokens = (SocketAddr, u64);
+/// An engine and the number of tokens reserved there.
+type EngineTokens = (Arc<Target>, u64);
 
 impl Reservations {
     /// Reserves memory on the helpers of a granted placement.
@@ -45,22 +46,24 @@
     /// # Errors
     ///
     /// Fails when one engine refuses; the reservations made so far are released.
-    pub fn reserve(gateway: &Gateway, grant: &Grant) -> Result<Self, String> {
+    pub fn reserve(gateway: &Arc<Gateway>, grant: &Grant) -> Result<Self, String> {
         let helpers = grant.placement.helpers.iter().filter(|h| h.kept_tokens > 0);
-        let engines: Vec<EngineTokens> = helpers.map(|h| (h.target.addr, h.kept_tokens)).collect();
+        let engines: Vec<EngineTokens> =
+            helpers.map(|h| (Arc::clone(&h.target), h.kept_tokens)).collect();
         if engines.is_empty() {
             return Ok(Self::default());
         }
         let id = format!("{}-{:x}-{}", gateway.name, gateway.boot, grant.id);
-        for (done, (addr, tokens)) in engines.iter().enumerate() {
-            let result = call(*addr, &reservation::reserve_body(&id, *tokens, TTL));
+        for (done, (engine, tokens)) in engines.iter().enumerate() {
+            let addr = engine.addr;
+            let result = call(gateway, engine, &reservation::reserve_body(&id, *tokens, TTL));
             if result != Ok(200) {
                 log::info!(
                     ticket = id, addr:% = addr, tokens, result:? = result;
                     "reservation: refused by an engine."
                 );
                 // The engine may have reserved the memory although the call failed.
-                release(&id, &engines[..=done]);
+                release(gateway, &id, &engines[..=done]);
                 return Err(format!(
                     "{addr} did not reserve memory for {tokens} tokens: {result:?}"
                 ));
@@ -70,6 +73,7 @@
         let (stop_renewals, stopped) = channel();
         let renewed = id.clone();
         let answering = grant.placement.target.addr;
+        let gateway = Arc::clone(gateway);
         let renewal = move || {
             while let Err(RecvTimeoutError::Timeout) = stopped.recv_timeout(RENEW_INTERVAL) {
                 // Engines with reservations detect the failure of the answering engine at
@@ -82,9 +86,9 @@
                     );
                     continue;
                 }
-                renew(&renewed, &engines);
+                renew(&gateway, &renewed, &engines);
             }
-            release(&renewed, &engines);
+            release(&gateway, &renewed, &engines);
         };
         let builder = thread::Builder::new().name("ticket".to_owned()).stack_size(STACK_BYTES);
         builder.spawn(renewal).map_err(|e| format!("cannot start the renewal thread: {e}"))?;
@@ -92,25 +96,25 @@
     }
 }
 
-fn renew(id: &str, engines: &[EngineTokens]) {
-    for (addr, tokens) in engines {
-        let result = call(*addr, &reservation::reserve_body(id, *tokens, TTL));
+fn renew(gateway: &Gateway, id: &str, engines: &[EngineTokens]) {
+    for (engine, tokens) in engines {
+        let result = call(gateway, engine, &reservation::reserve_body(id, *tokens, TTL));
         if result != Ok(200) {
             log::warn!(
-                ticket = id, addr:% = addr, result:? = result;
+                ticket = id, addr:% = engine.addr, result:? = result;
                 "reservation: renewal failed."
             );
         }
     }
 }
 
-fn release(id: &str, engines: &[EngineTokens]) {
-    for (addr, _) in engines {
+fn release(gateway: &Gateway, id: &str, engines: &[EngineTokens]) {
+    for (engine, _) in engines {
         let body = reservation::release_body(id);
-        let released = (0..RELEASE_ATTEMPTS).any(|_| call(*addr, &body).is_ok());
+        let released = (0..RELEASE_ATTEMPTS).any(|_| call(gateway, engine, &body).is_ok());
         if !released {
             log::warn!(
-                ticket = id, addr:% = addr;
+                ticket = id, addr:% = engine.addr;
                 "reservation: release unanswered {RELEASE_ATTEMPTS} times, left to expire."
             );
         }
@@ -118,8 +122,11 @@
 }
 
 /// Sends a reservation request; returns the status of the response.
-fn call(addr: SocketAddr, body: &[u8]) -> Result<u16, String> {
+fn call(gateway: &Gateway, engine: &Target, body: &[u8]) -> Result<u16, String> {
     let end = Instant::now() + CALL_TIMEOUT;
-    let mut connection = Connection::open(addr, CALL_TIMEOUT).map_err(|e| e.to_string())?;
-    post(&mut connection, reservation::PATH, body, end).map_err(|e| format!("{e:?}"))
+    let mut connection = Connection::open(engine.addr, CALL_TIMEOUT).map_err(|e| e.to_string())?;
+    let response = post(&mut connection, reservation::PATH, body, end);
+    let response = response.map_err(|e| format!("{e:?}"))?;
+    gateway.read_notices(engine, &response);
+    Ok(response.status)
 }
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod delegation;
 mod explain;
+mod notices;
 mod restore;
 mod silence;
 mod streams;
