Targets: one that asks for a pause gets nothing from this instance until its end

The users' targets may add Retry-After to a 503: they want nothing from that machine for so long.

Change: pauses in core (edge/pauses), for this instance alone, excluded also when no other target is left. Callers that cannot bear the pause of all targets are told at once when to come back. Requirements moved to a file of their own.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -10,10 +10,12 @@
 //! - [`cost`]: cost model of an engine's prefill and decoding.
 //! - [`load`]: requests in flight at each target, from all instances.
 //! - [`slowdown`]: how much slower an engine decodes than its peers.
+//! - [`pauses`]: pauses that targets ask this instance for.
 //! - [`position`]: the order of what was read from the store.
 //! - [`placement`]: the choice of a target for one request.
 //! - [`order`]: the order in which schedulers fill engines.
 //! - [`wait`]: the order of waiting requests, and when they are refused.
+//! - [`requirements`]: what the placement of a request depends on.
 //! - [`schedule`]: the state of an instance, and the rounds that place waiting requests.
 //! - [`retry`]: how many retries an instance may send.
 //! - [`election`]: which instances of an availability zone act for the others.
@@ -34,9 +36,11 @@
 pub mod order;
 pub mod outage;
 pub mod outcomes;
+pub mod pauses;
 pub mod placement;
 pub mod position;
 pub mod remote;
+pub mod requirements;
 pub mod retry;
 pub mod route_table;
 pub mod schedule;
--- a/crates/core/src/edge/order.rs
+++ b/crates/core/src/edge/order.rs
@@ -84,6 +84,8 @@
     pub targets: BTreeSet<TargetId>,
     /// All targets of availability zones.
     pub zones: BTreeSet<ZoneId>,
+    /// Targets that asked for a pause; they get nothing, also if no other one is there.
+    pub paused: BTreeSet<TargetId>,
 }
 
 impl Excluded {
@@ -109,10 +111,10 @@
     ///
     /// Excluded targets are left out unless no other one is there.
     pub fn new(fleet: &Fleet, service: &str, zone: &str, turn: Turn, excluded: &Excluded) -> Self {
-        let usable = fleet.serving(service).filter(|t| !excluded.contains(t));
-        let mut targets: Vec<&Arc<Target>> = usable.collect();
+        let open = || fleet.serving(service).filter(|t| !excluded.paused.contains(&t.id));
+        let mut targets: Vec<&Arc<Target>> = open().filter(|t| !excluded.contains(t)).collect();
         if targets.is_empty() {
-            targets = fleet.serving(service).collect();
+            targets = open().collect();
         }
         let zones: Vec<&ZoneId> = targets.iter().map(|t| &t.zone).collect();
         let positions = positions(&zones, zone, turn);
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -13,15 +13,16 @@
 use crate::edge::load::{Assignment, Load, Pressure, RequestNumber};
 use crate::edge::order::{Excluded, Lineup, Member, Turn};
 use crate::edge::outcomes::{Outcome, Outcomes, ZoneReachability};
-use crate::edge::placement::{
-    Candidate, MAX_PARTS, MIN_BACKLOG, Placement, PlacementRequest, choose, is_long,
-};
+use crate::edge::pauses::Pauses;
+use crate::edge::placement::{Candidate, MIN_BACKLOG, Placement, PlacementRequest, choose};
 use crate::edge::remote::Orphan;
-use crate::edge::route_table::{Route, RouteTable, ServiceId};
+use crate::edge::route_table::{RouteTable, ServiceId};
 use crate::edge::slowdown::Slowdowns;
-use crate::edge::wait::{QueueEntry, caller_timeout};
+use crate::edge::wait::QueueEntry;
 use crate::ids::{InstanceId, ZoneId};
 
+pub use crate::edge::requirements::{Requirements, TokenCounts};
+
 /// Least time between two samples of the pressure: half a pass.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
 /// Least time between two rounds without a new request in the queue.
@@ -37,88 +38,6 @@
 /// Additional latency to a target in another availability zone.
 const CROSS_ZONE_LATENCY: Duration = Duration::from_millis(1);
 
-/// Prompt tokens with the same value as an answer of the least length. Callers do not
-/// state a value, so it is estimated from the work of the request.
-const VALUE_TOKENS: f64 = 10_000.0;
-/// Expected length of an answer without a hint, as a share of its largest length.
-const ANSWER_SHARE: f64 = 0.5;
-/// Assumed time of a request at a service that has no cost model.
-const SERVICE_WORK: Duration = Duration::from_millis(60);
-
-/// What the placement of a request depends on.
-#[derive(Clone, Debug)]
-pub struct Requirements {
-    /// Name of the service.
-    pub service: ServiceId,
-    /// Cost model, if the targets of the service are engines.
-    pub engine: Option<Engine>,
-    /// Tokens of the prompt.
-    pub prompt: u64,
-    /// Expected tokens of the answer.
-    pub answer: u64,
-    /// Longest pause between events of an answer that is on time.
-    pub max_gap: Duration,
-    /// Whether prefill of the whole prompt would exceed the smallest allowed gap.
-    pub long: bool,
-    /// Its entry in the queue.
-    pub entry: QueueEntry,
-    /// Targets that have already failed this request.
-    pub avoid: Vec<TargetId>,
-}
-
-/// Token counts stated by the caller of a request.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct TokenCounts {
-    /// Tokens of the prompt; 0 at a service.
-    pub prompt: u64,
-    /// Most tokens of the answer.
-    pub max_answer: u64,
-    /// The caller's estimate of the answer's tokens.
-    pub answer_hint: Option<u64>,
-}
-
-impl Requirements {
-    /// Derives the requirements of a request of `route` that arrived at `arrived` and
-    /// must end by `end`.
-    pub fn new(
-        table: &RouteTable,
-        route: &Route,
-        service: &ServiceId,
-        size: TokenCounts,
-        arrived: Instant,
-        end: Instant,
-    ) -> Self {
-        let engine = table.engine(service);
-        let expected = (size.max_answer as f64 * ANSWER_SHARE) as u64;
-        let gives_up = if route.streaming {
-            arrived + caller_timeout(route.latency_goal, route.max_gap)
-        } else {
-            end
-        };
-        let prompt = size.prompt;
-        let long = engine.is_some_and(|e| is_long(&e, prompt, table.strictest_gap(service)));
-        let parts = if long { MAX_PARTS } else { 1 };
-        Self {
-            service: ServiceId::clone(service),
-            engine,
-            prompt,
-            answer: size.answer_hint.unwrap_or(expected).min(size.max_answer),
-            max_gap: route.max_gap,
-            long,
-            entry: QueueEntry {
-                arrived,
-                due: arrived + route.latency_goal,
-                expires: end.min(gives_up),
-                value: 1.0 + prompt as f64 / VALUE_TOKENS,
-                work: engine.map_or(SERVICE_WORK, |e| e.prefill_time(prompt, 1)),
-                min_work: engine.map_or(SERVICE_WORK, |e| e.prefill_time(prompt, parts)),
-                priority: route.priority,
-            },
-            avoid: Vec::new(),
-        }
-    }
-}
-
 /// A placement that was assigned; the load of its targets includes the request.
 #[derive(Clone, Debug)]
 pub struct Grant {
@@ -145,6 +64,9 @@
     Late,
     /// Engines have requests of more value; carries the pressure, 0 to 1.
     Pressure(f64),
+    /// All targets asked for a pause that ends after its caller gives up; carries the time
+    /// until the first one ends.
+    Paused(Duration),
 }
 
 /// What an outcome newly excludes.
@@ -169,6 +91,8 @@
     pub load: Load,
     /// Outcomes of attempts.
     pub outcomes: Outcomes,
+    /// Pauses that targets asked this instance for.
+    pub pauses: Pauses,
     /// How much slower engines decode than their peers.
     pub slowdowns: Slowdowns,
     /// Availability zones that appear to be cut off.
@@ -194,6 +118,7 @@
             fleet: Fleet::default(),
             load: Load::default(),
             outcomes: Outcomes::default(),
+            pauses: Pauses::default(),
             slowdowns: Slowdowns::default(),
             reachability: ZoneReachability::default(),
             peer_queues: HashMap::new(),
@@ -240,11 +165,22 @@
         if requirements.entry.has_expired(now) {
             return Some(Refusal::Late);
         }
+        if let Some(end) = self.pause_end(&requirements.service, now)
+            && end >= requirements.entry.expires
+        {
+            return Some(Refusal::Paused(end.saturating_duration_since(now)));
+        }
         let pressure = self.pressure(&requirements.service);
         let shed = requirements.long && requirements.entry.should_shed(pressure, now);
         shed.then_some(Refusal::Pressure(pressure))
     }
 
+    /// Returns when the first pause ends, if all targets of a service asked for one.
+    fn pause_end(&self, service: &str, now: Instant) -> Option<Instant> {
+        let ends = self.fleet.serving(service).map(|t| self.pauses.end(&t.id, now));
+        ends.collect::<Option<Vec<Instant>>>()?.into_iter().min()
+    }
+
     /// Places waiting requests in the order of their ranks.
     pub fn dispatch(&mut self, table: &RouteTable, now: Instant) -> Vec<Grant> {
         self.sample(table, now);
@@ -273,6 +209,10 @@
             match self.place(requirements, usable, now) {
                 Some(placement) => {
                     let requirements = self.dequeue(id);
+                    let closed = self.record_requests(&placement, now);
+                    for usable in candidates.values_mut().filter(|_| !closed.is_empty()) {
+                        usable.retain(|c| !closed.contains(&c.target.id));
+                    }
                     grants.extend(requirements.map(|r| self.grant(id, &r, placement, now)));
                 }
                 None => *count += 1,
@@ -283,6 +223,14 @@
         grants
     }
 
+    /// Counts a request to the targets of a placement; returns those that get no other one
+    /// for now.
+    pub fn record_requests(&mut self, placement: &Placement, now: Instant) -> Vec<TargetId> {
+        let helpers = placement.helpers.iter().map(|h| &h.target.id);
+        let targets = std::iter::once(&placement.target.id).chain(helpers).cloned();
+        targets.filter(|id| !self.pauses.record_request(id, now)).collect()
+    }
+
     fn ranked(&self, now: Instant) -> Vec<RequestNumber> {
         let mut order: Vec<_> = self.queue.iter().map(|(id, r)| (r.entry.rank(now), *id)).collect();
         order.sort_by(|(a, i), (b, j)| a.order(b).then(i.cmp(j)));
@@ -354,6 +302,7 @@
         let excluded = Excluded {
             targets: self.outcomes.avoided(now).cloned().collect(),
             zones: self.reachability.cut_off(now).cloned().collect(),
+            paused: self.pauses.closed(now).cloned().collect(),
         };
         let waiting: BTreeSet<&ServiceId> = self.queue.values().map(|r| &r.service).collect();
         for service in waiting {
@@ -454,6 +403,7 @@
     pub fn forget(&mut self, target: &str) {
         self.outcomes.forget(target);
         self.slowdowns.forget(target);
+        self.pauses.forget(target);
     }
 
     /// Returns the mean failure rate of the other targets of the service.
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -85,7 +85,12 @@
     time.as_micros().min(u128::from(u64::MAX)) as u64
 }
 
-fn encode_ask(id: RequestNumber, requirements: &Requirements, now: Instant) -> wire::Ask {
+fn encode_ask(
+    id: RequestNumber,
+    requirements: &Requirements,
+    closed: &[String],
+    now: Instant,
+) -> wire::Ask {
     let entry = &requirements.entry;
     wire::Ask {
         id,
@@ -101,7 +106,7 @@
         work_us: us(entry.work),
         min_work_us: us(entry.min_work),
         priority: u32::from(entry.priority),
-        avoid: requirements.avoid.iter().map(ToString::to_string).collect(),
+        avoid: requirements.avoid.iter().map(ToString::to_string).chain(closed.to_vec()).collect(),
     }
 }
 
@@ -132,7 +137,8 @@
     let empty = wire::Reply { id, ..wire::Reply::default() };
     match reply {
         Reply::Queued => empty,
-        Reply::Refused(Refusal::Late) => wire::Reply { late: true, ..empty },
+        // A pause of a target for this instance says nothing of the client.
+        Reply::Refused(Refusal::Late | Refusal::Paused(_)) => wire::Reply { late: true, ..empty },
         Reply::Refused(Refusal::Pressure(pressure)) => {
             wire::Reply { shed: true, pressure, ..empty }
         }
@@ -158,6 +164,7 @@
     fn decode_grant(&self, reply: &wire::Reply, now: Instant) -> Result<Grant, TargetId> {
         let serving = |id: &str| {
             let known = self.scheduler.fleet.get(id).filter(|t| !t.draining);
+            let known = known.filter(|t| self.scheduler.pauses.admits(&t.id, now));
             known.cloned().ok_or_else(|| TargetId::from(id))
         };
         let mut targets = reply.targets.iter();
@@ -232,6 +239,7 @@
             match self.decode_grant(reply, now) {
                 Ok(grant) => {
                     self.remote.granted(&grant);
+                    self.scheduler.record_requests(&grant.placement, now);
                     if let Some(slot) = self.grant_slots.remove(&id) {
                         slot.put(grant);
                     }
@@ -279,6 +287,8 @@
             }
         }
         let observer = self.scheduler_to_ask(gateway, now);
+        let closed: Vec<String> =
+            self.scheduler.pauses.closed(now).map(ToString::to_string).collect();
         let mut datagrams = Vec::new();
         for (scheduler, changes) in outgoing {
             let held = confirm.then(|| wire::Held { ids: self.remote.held_by(&scheduler) });
@@ -287,7 +297,9 @@
             } else {
                 Vec::new()
             };
-            for datagram in split_outgoing(changes, held, &observations, base, now) {
+            for datagram in split_outgoing(changes, held, &observations, base, |id, r| {
+                encode_ask(id, r, &closed, now)
+            }) {
                 datagrams.push((InstanceId::clone(&scheduler), datagram));
             }
         }
@@ -301,10 +313,9 @@
     held: Option<wire::Held>,
     observations: &[Observation],
     base: &Datagram,
-    now: Instant,
+    encode: impl Fn(RequestNumber, &Requirements) -> wire::Ask,
 ) -> Vec<Datagram> {
-    let encode = |(id, requirements): &(_, _)| encode_ask(*id, requirements, now);
-    let asks: Vec<wire::Ask> = changes.asks.iter().map(encode).collect();
+    let asks: Vec<wire::Ask> = changes.asks.iter().map(|(id, r)| encode(*id, r)).collect();
     let first = Datagram { started: changes.started, ended: changes.ended, held, ..base.clone() };
     let parts = asks.len().max(observations.len()).div_ceil(MAX_MESSAGES).max(1);
     let (mut asks, mut observations) =
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -62,7 +62,10 @@
         let now = Instant::now();
         let mut state = gateway.state();
         let outgoing = build_updates(gateway, &mut state, &mut schedule, now);
-        gateway.metrics.peers.set(state.peers.len() as i64);
+        let (metrics, scheduler) = (&gateway.metrics, &state.scheduler);
+        metrics.peers.set(state.peers.len() as i64);
+        metrics.paused_targets.set(scheduler.pauses.closed(now).count() as i64);
+        metrics.leaving_targets.set(scheduler.fleet.told_leaving().count() as i64);
         drop(state);
         for (mut datagram, addrs) in outgoing {
             seq += 1;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -35,6 +35,10 @@
     pub targets: IntGauge,
     /// Targets that serve although their entry may have expired in an outage.
     pub lapsed_targets: IntGauge,
+    /// Targets that asked for a pause, or get few requests after one.
+    pub paused_targets: IntGauge,
+    /// Targets that told this instance that they leave.
+    pub leaving_targets: IntGauge,
     /// Live peers.
     pub peers: IntGauge,
     /// Number of times that the store came back from a copy, as it states.
@@ -57,6 +61,8 @@
             queued: gauge("gateway_waiting", "Requests that wait for a place."),
             targets: gauge("gateway_targets", "Targets that take new work."),
             lapsed_targets: gauge("gateway_lapsed_targets", "Targets kept after an outage."),
+            paused_targets: gauge("gateway_paused_targets", "Targets that asked for a pause."),
+            leaving_targets: gauge("gateway_leaving_targets", "Targets that said they leave."),
             peers: gauge("gateway_peers", "Peers that were heard of lately."),
             store_era: gauge("gateway_store_era", "Era of the store, one more after a restore."),
             store_up: gauge("gateway_store_up", "Whether the store answers."),
@@ -67,7 +73,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 11] = [
+        let all: [Box<dyn Collector>; 13] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.first_event_time.clone()),
@@ -76,6 +82,8 @@
             Box::new(self.queued.clone()),
             Box::new(self.targets.clone()),
             Box::new(self.lapsed_targets.clone()),
+            Box::new(self.paused_targets.clone()),
+            Box::new(self.leaving_targets.clone()),
             Box::new(self.peers.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.store_up.clone()),
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -1,6 +1,9 @@
 //! What targets state about themselves in their answers.
 
+use std::time::Instant;
+
 use mimosapass_core::edge::fleet::{Change, Target};
+use mimosapass_core::edge::pauses::DEFAULT_PAUSE;
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_instance::datagram::LeavingTarget;
 use mimosapass_platform::header;
@@ -23,15 +26,35 @@
                 self.connections.close_all(target.addr);
             }
         }
+        if response.status == 503 {
+            self.read_pause(target, response);
+        }
+    }
+
+    /// Begins the pause that a target asks for, which holds for this instance alone.
+    fn read_pause(&self, target: &Target, response: &ResponseHead) {
+        let asked = header::requested_pause(|name| response.header(name));
+        let pause = asked.unwrap_or_else(|value| {
+            let target_id = &*target.id;
+            log::warn!(target_id, value; "target: its pause cannot be read, the default is used.");
+            Some(DEFAULT_PAUSE)
+        });
+        let Some(pause) = pause else { return };
+        let begun = self.state().scheduler.pauses.begin(&target.id, pause, Instant::now());
+        if let Some(pause) = begun {
+            let pause_ms = pause.as_millis() as u64;
+            log::info!(target_id = &*target.id, pause_ms; "target: paused, it asks for that.");
+        }
     }
 
     /// Returns whether all targets of a grant still accept requests.
     ///
-    /// They may have left since, while memory was reserved or a connection was opened.
+    /// They may have left or asked for a pause since, while memory was reserved.
     pub fn accepts(&self, grant: &Grant) -> bool {
-        let state = self.state();
+        let (state, now) = (self.state(), Instant::now());
         let serves = |id: &str| state.scheduler.fleet.get(id).is_some_and(|t| !t.draining);
-        grant.targets().iter().all(|id| serves(id))
+        let paused = |id: &str| state.scheduler.pauses.end(id, now).is_some();
+        grant.targets().iter().all(|id| serves(id) && !paused(id))
     }
 }
 
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -76,6 +76,10 @@
         }
         let mut state = gateway.state();
         match refused.or_else(|| state.scheduler.refusal(requirements, now)) {
+            Some(Refusal::Paused(left)) => {
+                let detail = format!("all targets of {} asked for a pause", requirements.service);
+                break Failure::new(Kind::NoTarget, detail).after(left);
+            }
             Some(Refusal::Late) => break no_target_in_time(&state, requirements, now),
             Some(Refusal::Pressure(pressure)) => {
                 let detail = format!(
--- a/tests/suite/gateway/notices.rs
+++ b/tests/suite/gateway/notices.rs
@@ -1,6 +1,7 @@
 //! What targets state about themselves in their answers.
 
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use mimosapass_standin::target::{Reply, ScriptedTarget};
 
@@ -97,3 +98,83 @@
         target.requests().len() > before
     });
 }
+
+/// Generates a test from the line with a pause and whether the target gets another request
+/// within a second.
+macro_rules! pauses {
+    ($($name:ident: $line:literal => $used:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            let line = concat!($line, "\r\nx-not-executed: 1");
+            let (cluster, full) = start(1, Reply::WithHeader(503, "full", line));
+            meet(&cluster, &full);
+            let before = full.requests().len();
+            let end = Instant::now() + Duration::from_millis(900);
+            while Instant::now() < end {
+                assert_eq!(status(&cluster, 0, "/look/1"), 200);
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            assert_eq!(full.requests().len() > before, $used, "{} requests", full.requests().len());
+        })+
+    };
+}
+
+pauses! {
+    target_that_asks_for_a_pause_gets_nothing: "retry-after: 2" => false;
+    fraction_of_a_second_is_a_pause: "retry-after: 1.5" => false;
+    huge_pause_is_bounded: "retry-after: 1e300" => false;
+    date_is_taken_for_the_default_pause: "retry-after: Fri, 04 Dec 2026 07:00:00 GMT" => false;
+    broken_pause_is_taken_for_the_default: "retry-after: -nan" => false;
+    zero_is_no_pause: "retry-after: 0" => true;
+    refusal_without_a_pause_is_none: "x-other: 1" => true;
+}
+
+#[test]
+fn request_that_cannot_bear_the_pause_of_all_targets_is_refused_at_once() {
+    let cluster = Cluster::start(1);
+    let reply = Reply::WithHeader(503, "full", "retry-after: 20\r\nx-not-executed: 1");
+    let full = start_target("i-0", reply);
+    cluster.register(&full, "desk");
+    cluster.ready(0);
+    assert_eq!(cluster.ask(0, "/look/1", "id-first").response.status, 503);
+    let begin = Instant::now();
+    let answer = cluster.ask(0, "/look/1", "id-second");
+    assert!(begin.elapsed() < Duration::from_millis(500), "took {:?}", begin.elapsed());
+    assert_eq!(answer.response.status, 503);
+    let after: f64 = answer.response.header("retry-after").expect("a time").parse().expect("s");
+    assert!((15.0..=20.0).contains(&after), "come back after {after} s");
+    assert_eq!(full.requests().len(), 1);
+}
+
+#[test]
+fn pause_of_all_targets_ends_without_a_burst() {
+    let cluster = Cluster::start(1);
+    let began = Arc::new(Mutex::new(None::<Instant>));
+    let first = Arc::clone(&began);
+    let target = ScriptedTarget::start("i-0", move |_| {
+        let mut began = first.lock().expect("not poisoned");
+        match *began {
+            None => {
+                *began = Some(Instant::now());
+                Reply::WithHeader(503, "full", "retry-after: 1\r\nx-not-executed: 1")
+            }
+            Some(_) => Reply::Complete(200, "yes"),
+        }
+    });
+    cluster.register(&target, "desk");
+    cluster.ready(0);
+    assert_eq!(cluster.ask(0, "/book/1", "id-first").response.status, 503);
+    let addr = cluster.callers(0);
+    let callers: Vec<_> = (0..12)
+        .map(|n| {
+            let head = head("/look/1", &format!("id-{n}"), KEY, "");
+            std::thread::spawn(move || call(addr, &head, b"question").response.status)
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(1_300));
+    let at_first = target.requests().len() - 1;
+    assert!((1..=2).contains(&at_first), "{at_first} requests in the first step");
+    for caller in callers {
+        assert_eq!(caller.join().expect("no panic"), 200);
+    }
+}
