Soak: gateways under seeded faults that come in series and overlap

A run draws its schedule from SOAK_SEED: faults of the store for one instance or all, partitions, connections that fall silent, dropped history, restores from a copy, configurations, targets that drain, vanish, say that they leave or ask for a pause, processes that are killed, stopped and suspended. Callers keep using their connections until the process is gone. Checked are answers that are whole and their own, at most one run, true refusals, no 4xx for proper requests, the latest configuration, leaving and paused targets, planned stops and recovery.

The suite plays seed 1 for 40 s.

--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod notices;
 mod restore;
 mod silence;
+mod soak;
 mod streams;
 mod views;
 mod wire;
--- /dev/null
+++ b/tests/suite/gateway/soak/mod.rs
@@ -0,0 +1,64 @@
+//! A seeded soak: gateways as processes under faults that come in series and overlap, while
+//! callers and targets check the promises.
+//!
+//! `SOAK_SEED` and `SOAK_SECONDS` choose the schedule and its length; the same seed gives the
+//! same schedule. A failed run prints the seed, the schedule and what was broken, and keeps the
+//! logs of all gateways in one folder.
+
+mod callers;
+mod plan;
+mod promises;
+mod world;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use plan::{Event, schedule};
+use promises::Promises;
+use world::World;
+
+/// Instances of the fleet; three watch the store, and the others follow them.
+const INSTANCES: usize = 5;
+/// Callers of each instance.
+const CALLERS: usize = 2;
+/// Time without faults at the end, in which all instances have to recover.
+const CALM: Duration = Duration::from_secs(6);
+/// Seed and seconds of a run that sets none.
+const DEFAULTS: (u64, u64) = (1, 40);
+
+fn setting(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |v| v.parse().unwrap_or_else(|e| panic!("{name}: {e}")))
+}
+
+#[test]
+fn promises_hold_under_overlapping_faults() {
+    let seed = setting("SOAK_SEED", DEFAULTS.0);
+    let length = Duration::from_secs(setting("SOAK_SECONDS", DEFAULTS.1));
+    let events = schedule(seed, length.saturating_sub(CALM), INSTANCES);
+    let promises = Arc::new(Promises::new(INSTANCES));
+    let mut world = World::start(&promises, INSTANCES);
+    let callers = callers::start(&world, &promises, CALLERS);
+    let begin = Instant::now();
+    for (at, event) in &events {
+        std::thread::sleep((begin + *at).saturating_duration_since(Instant::now()));
+        world.apply(event);
+    }
+    std::thread::sleep((begin + length).saturating_duration_since(Instant::now()));
+    world.check_recovered();
+    promises.stopped.store(true, Ordering::SeqCst);
+    let answers: usize = callers.into_iter().map(|c| c.join().expect("no panic")).sum();
+    let broken = promises.broken();
+    let faults = events.iter().filter(|(_, e)| !matches!(e, Event::Renew)).count();
+    println!("soak: seed {seed}, {faults} events, {answers} answers, {} broken", broken.len());
+    if !broken.is_empty() || answers == 0 {
+        let folder = world.keep_logs(seed, &events, &broken);
+        panic!(
+            "seed {seed}: {} broken, logs in {}:\n{}",
+            broken.len(),
+            folder.display(),
+            broken.iter().take(20).cloned().collect::<Vec<_>>().join("\n")
+        );
+    }
+}
