Gateway: a fleet that starts at once lists the store once each, without copies between instances

Cause: each instance lists the store at its start, and asked its peers for the same list as soon as one of them had it, each 0.6 s, all of them the one whose datagram was the most recent. Ten requests for some 240 KB by one instance were seen; copies under way were asked for again, and links closed after two seconds of writing. And 3,005 log lines at the first listing.

Change: peers are asked only when the store is silent, also at the start, and for the whole list again only after two seconds (core, edge/catch_up). Time-outs of a link grow with what is written. The first listing has one log line.

Tests that waited for the line of a target in the first listing read gateway_targets instead.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -4,6 +4,7 @@
 //! does no I/O and takes the current time as an argument.
 //!
 //! - [`route_table`]: the routes, services and workspaces of one configuration version.
+//! - [`catch_up`]: when an instance asks its peers for what the store has not told it.
 //! - [`changes`]: which targets changed since a revision of the store.
 //! - [`currency`]: whether the known configuration is current.
 //! - [`fleet`]: known targets, and which of them accept new requests.
@@ -26,6 +27,7 @@
 //! - [`outcomes`]: temporary exclusion of targets that fail or do not answer.
 
 pub mod audience;
+pub mod catch_up;
 pub mod changes;
 pub mod clients;
 pub mod cost;
--- a/crates/instance/src/link.rs
+++ b/crates/instance/src/link.rs
@@ -29,9 +29,12 @@
 const QUEUE_LENGTH: usize = 64;
 /// Timeout for opening a link.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout for writing one batch.
+/// Timeout for writing one batch, besides the time for its bytes.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time within which a message is acknowledged. Former versions acknowledge none: to them a
+/// Least rate of a link in bytes a second: small machines send large messages to many peers
+/// at once.
+const MIN_RATE: usize = 32 * 1024;
+/// Time within which a message is acknowledged, besides the time for its bytes. Former versions acknowledge none: to them a
 /// link is reopened for each message that comes later.
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout for writing an acknowledgement. Former versions read none, and fill up.
@@ -247,7 +250,7 @@
     }
     let mut link = Framed::new(stream, codec());
     let mut unacked = frames.len();
-    let mut end = Instant::now() + ACK_TIMEOUT;
+    let mut end = Instant::now() + ACK_TIMEOUT + transfer_time(&frames);
     let first = std::iter::once(greeting.clone()).chain(frames).collect();
     if !write_in_time(&mut link, first, to).await {
         return false;
@@ -259,6 +262,7 @@
                 if unacked == 0 {
                     end = Instant::now() + ACK_TIMEOUT;
                 }
+                end += transfer_time(&frames);
                 unacked += frames.len();
                 if !write_in_time(&mut link, frames, to).await {
                     return false;
@@ -269,8 +273,9 @@
                     return false;
                 }
                 unacked = unacked.saturating_sub(1);
-                let wait = if unacked > 0 { ACK_TIMEOUT } else { OUTGOING_IDLE };
-                end = Instant::now() + wait;
+                let now = Instant::now();
+                // What was written before may need its time still.
+                end = if unacked > 0 { end.max(now + ACK_TIMEOUT) } else { now + OUTGOING_IDLE };
             }
             () = sleep_until(end) => {
                 log::debug!("links: closing a link to {to}, {unacked} messages are not acknowledged.");
@@ -280,8 +285,15 @@
     }
 }
 
+/// Returns the longest time in which frames are sent over a link that works.
+fn transfer_time(frames: &[Bytes]) -> Duration {
+    let bytes: usize = frames.iter().map(Bytes::len).sum();
+    Duration::from_secs(1).mul_f64(bytes as f64 / MIN_RATE as f64)
+}
+
 async fn write_in_time(link: &mut FramedStream, frames: Vec<Bytes>, to: SocketAddr) -> bool {
-    let written = matches!(timeout(WRITE_TIMEOUT, write_batch(link, frames)).await, Ok(Ok(())));
+    let limit = WRITE_TIMEOUT + transfer_time(&frames);
+    let written = matches!(timeout(limit, write_batch(link, frames)).await, Ok(Ok(())));
     if !written {
         log::debug!("links: writing to {to} failed or timed out.");
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -157,6 +157,10 @@
         log::info!(target_id = &*id, revision = position.revision; "target: removed, the store does not list it.");
         state.scheduler.forget(&id);
     }
+    if !state.store.listed {
+        let targets = state.scheduler.fleet.all().count();
+        log::info!(targets, revision = position.revision; "store: listed for the first time.");
+    }
     state.store.watched = position;
     let targets = state.store.targets.max(position);
     state.store.targets = targets;
@@ -268,6 +272,7 @@
     match change {
         Change::Unchanged => return,
         Change::Lapsed => return log_lapse(id, revision),
+        Change::Joined if !state.store.listed => {}
         Change::Joined => log::info!(target_id = id, revision; "target: accepts requests."),
         Change::Draining => log::info!(target_id = id, revision; "target: draining."),
         Change::Gone => log::info!(target_id = id, revision, outage; "target: entry removed."),
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use mimosapass_core::edge::catch_up;
 use mimosapass_core::edge::fleet::{Change, Target};
 use mimosapass_core::edge::position::Position;
 use mimosapass_core::ids::TargetId;
@@ -31,11 +32,6 @@
 /// Time for which a peer may have a newer configuration before it is requested. When
 /// nothing fails, each watching instance gets it from the store.
 const MAX_OUTDATED: Duration = Duration::from_secs(1);
-/// Silence of the store after which peers are asked for what they know. A healthy store
-/// answers a watch within 1.7 seconds of the one before.
-const STORE_SILENCE: Duration = Duration::from_millis(1_900);
-/// Shortest time between two requests of an instance that watches the store.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(600);
 /// Shortest time between two requests of an instance that does not watch the store.
 /// Together with the interval of watches, a change is known everywhere within about a
 /// second.
@@ -53,7 +49,7 @@
             request_unwatched(&mut state, own_version, now)
         } else {
             state.behind_since = None;
-            request_watched(&mut state, own_version, now)
+            request_watched(&mut state, own_version, gateway.started, now)
         };
         if let Some((peer, request)) = request {
             state.snapshot_requested = Some(now);
@@ -89,17 +85,21 @@
 fn request_watched(
     state: &mut State,
     own_version: u64,
+    started: Instant,
     now: Instant,
 ) -> Option<(SocketAddr, SnapshotRequest)> {
     let newest = state.peers.values().map(|p| p.config_version).max().unwrap_or_default();
     state.outdated_since =
         if newest > own_version { state.outdated_since.or(Some(now)) } else { None };
     let outdated = state.outdated_since.is_some_and(|since| now >= since + MAX_OUTDATED);
-    let store_silent = state.store.failing_since.is_some()
-        || state.store.last_success.is_none_or(|at| now >= at + STORE_SILENCE);
-    if !outdated && !store_silent
-        || state.snapshot_requested.is_some_and(|at| now < at + REQUEST_INTERVAL)
-    {
+    let store = state.store;
+    let age = |at: Instant| now.saturating_duration_since(at);
+    let last_answer = store.last_success.map(age);
+    let store_silent =
+        catch_up::is_store_silent(store.failing_since.is_some(), last_answer, age(started));
+    // The first listing brings the configuration too.
+    let needed = store_silent || outdated && store.listed;
+    if !needed || !catch_up::may_request(store.listed, state.snapshot_requested.map(age)) {
         return None;
     }
     let known = state.store.targets;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -97,6 +97,8 @@
     pub name: InstanceId,
     /// Start time of this process, in Unix milliseconds.
     pub boot: u64,
+    /// Start time on the steady clock.
+    pub started: Instant,
     /// Client of the store.
     pub store: Store,
     /// Idle connections to targets.
@@ -119,6 +121,7 @@
         Self {
             name: settings.name.as_str().into(),
             boot,
+            started: Instant::now(),
             store: Store::new(settings.store),
             connections: ConnectionPool::default(),
             metrics: Metrics::new(),
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -168,6 +168,16 @@
         self
     }
 
+    /// Waits until a gateway that watches the store knows `count` targets.
+    pub fn knows_targets(&self, number: usize, count: usize) {
+        let addr = SocketAddr::from((self.gateways[number].ip, 8083));
+        let line = format!("gateway_targets {count}");
+        eventually(&format!("{count} targets are known"), || {
+            let metrics = try_call(addr, "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n", b"");
+            metrics.is_some_and(|m| m.body.lines().any(|l| l == line))
+        });
+    }
+
     /// Returns the address of a gateway for callers.
     pub fn callers(&self, number: usize) -> SocketAddr {
         SocketAddr::from((self.gateways[number].ip, 8080))
