--- a/crates/core/src/edge/fleet.rs
+++ b/crates/core/src/edge/fleet.rs
@@ -10,6 +10,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use xxhash_rust::xxh3::Xxh3;
+
 use crate::edge::route_table::ServiceId;
 use crate::ids::ZoneId;
 
@@ -236,6 +238,24 @@
         removed.filter(|(_, change)| *change != Change::Unchanged).collect()
     }
 
+    /// Returns a digest of all targets and their reports, by which two instances see that
+    /// they know the same; `None` while a target is kept whose entry is gone.
+    pub fn digest(&self) -> Option<u64> {
+        let mut hash = Xxh3::new();
+        for (id, Entry { target, state }) in &self.entries {
+            if *state != EntryState::Registered {
+                return None;
+            }
+            // The length keeps identifiers apart.
+            hash.update(&id.len().to_le_bytes());
+            hash.update(id.as_bytes());
+            hash.update(&target.started_ms.to_le_bytes());
+            hash.update(&target.seq.to_le_bytes());
+            hash.update(&[u8::from(target.draining)]);
+        }
+        Some(hash.digest())
+    }
+
     /// Returns how many targets serve although their entry lapsed.
     pub fn lapsed_count(&self) -> usize {
         self.entries.values().filter(|e| e.state != EntryState::Registered).count()
--- a/crates/core/tests/edge_fleet.rs
+++ b/crates/core/tests/edge_fleet.rs
@@ -156,3 +156,30 @@
     fleet.remove("x", false);
     assert_eq!(fleet.told_leaving().count(), 0);
 }
+
+#[test]
+fn digest_tells_apart_what_is_known() {
+    let fleet = |reports: &[Target]| {
+        let mut fleet = Fleet::default();
+        for report in reports {
+            fleet.report(report.clone());
+        }
+        fleet
+    };
+    let (x, y) = (target("x", 1, 1, false), target("y", 1, 1, false));
+    let both = fleet(&[x.clone(), y.clone()]);
+    assert_eq!(both.digest(), fleet(&[y.clone(), x.clone()]).digest());
+    let others = [
+        vec![x.clone()],
+        vec![x.clone(), target("z", 1, 1, false)],
+        vec![x.clone(), target("y", 2, 1, false)],
+        vec![x.clone(), target("y", 1, 2, false)],
+        vec![x, target("y", 1, 1, true)],
+    ];
+    for other in others {
+        assert_ne!(both.digest(), fleet(&other).digest(), "{other:?}");
+    }
+    let mut lapsed = both;
+    lapsed.remove("y", true);
+    assert_eq!(lapsed.digest(), None);
+}
--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -96,6 +96,9 @@
     /// Era of `revision`.
     #[prost(uint64, tag = "4")]
     pub era: u64,
+    /// Digest of the targets known to the requester; absent if it is not to be compared.
+    #[prost(fixed64, optional, tag = "5")]
+    pub digest: Option<u64>,
 }
 
 /// Snapshot of what a gateway knows from the store.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -144,7 +144,7 @@
         .map(TargetId::from)
         .collect();
     for entry in &entries {
-        apply(gateway, entry, position);
+        apply(gateway, entry, None);
     }
     let mut state = gateway.state();
     let now = Instant::now();
@@ -205,7 +205,7 @@
     let is_known =
         |e: &Entry| e.key.starts_with(target::PREFIX) && watched.at(e.revision) <= targets;
     for entry in page.entries.iter().filter(|e| !is_known(e)) {
-        apply(gateway, entry, page.position);
+        apply(gateway, entry, Some(page.position.at(entry.revision)));
     }
     let mut state = gateway.state();
     state.store.watched = watched.max(page.position);
@@ -225,12 +225,12 @@
     gateway.metrics.lapsed_targets.set(fleet.lapsed_count() as i64);
 }
 
-/// Applies one entry of the store, read at `position`.
-fn apply(gateway: &Gateway, entry: &Entry, position: Position) {
+/// Applies one entry of the store, changed at `changed_at`; `None` for an entry of a listing.
+fn apply(gateway: &Gateway, entry: &Entry, changed_at: Option<Position>) {
     if entry.key == config::KEY {
         apply_config(gateway, entry);
     } else if let Some(id) = entry.key.strip_prefix(target::PREFIX) {
-        apply_target(gateway, id, entry, position);
+        apply_target(gateway, id, entry, changed_at);
     } else if let Some(name) = entry.key.strip_prefix(member::PREFIX) {
         member::apply_entry(gateway, name, entry.value.as_deref());
     }
@@ -249,14 +249,16 @@
     }
 }
 
-fn apply_target(gateway: &Gateway, id: &str, entry: &Entry, position: Position) {
+fn apply_target(gateway: &Gateway, id: &str, entry: &Entry, changed_at: Option<Position>) {
     let now = Instant::now();
     let mut state = gateway.state();
     let outage = state.after_outage(now);
     let revision = entry.revision;
-    let changed_at = position.at(revision);
-    state.store.targets = state.store.targets.max(changed_at);
-    state.target_changes.record(changed_at, TargetId::from(id));
+    // Within a listing the entries come by key: peers are told of no position before its end.
+    if let Some(at) = changed_at {
+        state.store.targets = state.store.targets.max(at);
+        state.target_changes.record(at, TargetId::from(id));
+    }
     let change = if entry.deleted {
         state.scheduler.fleet.remove(id, outage)
     } else {
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -78,7 +78,8 @@
     if state.snapshot_requested.is_some_and(|at| now < at + UNWATCHED_INTERVAL) {
         return None;
     }
-    Some((peer?, request(own_version, known)))
+    let digest = state.scheduler.fleet.digest();
+    Some((peer?, request(own_version, known, digest)))
 }
 
 /// Returns the request of an instance that watches the store.
@@ -115,12 +116,12 @@
         newer.iter().filter(|(unreachable, _)| !unreachable).map(|(_, addr)| *addr).collect();
     let any = || newer.choose(&mut rand::rng()).map(|(_, addr)| *addr);
     let peer = reaching.choose(&mut rand::rng()).copied().or_else(any)?;
-    Some((peer, request(own_version, known)))
+    Some((peer, request(own_version, known, state.scheduler.fleet.digest())))
 }
 
-fn request(config_version: u64, known: Position) -> SnapshotRequest {
+fn request(config_version: u64, known: Position, digest: Option<u64>) -> SnapshotRequest {
     let Position { era, revision } = known;
-    SnapshotRequest { config_version, revision, accepts_changes: true, era }
+    SnapshotRequest { config_version, revision, accepts_changes: true, era, digest }
 }
 
 /// Serves requests of peers and applies their snapshots; runs until the process ends.
@@ -161,7 +162,12 @@
     };
     let changed = state.target_changes.since(known).filter(|_| request.accepts_changes);
     let Position { era, revision } = targets;
+    // After listings at different moments most instances know the same.
+    let same = || request.digest.is_some() && request.digest == fleet.digest();
     match changed {
+        None if request.accepts_changes && same() => {
+            StoreSnapshot { revision, era, changes_only: true, ..without_targets }
+        }
         Some(ids) => StoreSnapshot {
             revision,
             era,
