Tests: five rules' tests that passed without their mechanism

Found by taking the mechanisms out in a scratch copy. An unsigned stream, a second attempt of what may have run, a 421 without a mark and two reservations under one name were not tested; the test of a caller that leaves waited for 30 s and passed by the deadline of 6 s, and has the users' half second now. Nothing in the product changes.

--- a/tests/suite/gateway/answers.rs
+++ b/tests/suite/gateway/answers.rs
@@ -5,7 +5,7 @@
 use mimosapass_standin::target::{Reply, ScriptedTarget};
 use mimosapass_target::http::Connection;
 
-use super::{Cluster, KEY, call, eventually, head, start_target};
+use super::{Cluster, KEY, call, config, eventually, head, start_target};
 
 /// Starts a gateway and one target for each reply, all of the service `desk`.
 fn cluster(replies: &[Reply]) -> (Cluster, Vec<ScriptedTarget>) {
@@ -56,6 +56,8 @@
     truncated_body_is_rejected: "/book/1", [Reply::Truncated("half")] => 502, None, 1;
     response_to_another_request_is_skipped: "/book/1", [Reply::WrongAttemptFirst("mine")]
         => 200, Some("mine"), 1;
+    misdirected_request_without_a_mark_goes_elsewhere: "/look/1",
+        [Reply::Complete(421, "another"), Reply::Complete(200, "yes")] => 200, Some("yes"), 2;
     misdirected_request_is_refused: "/look/1", [Reply::NotExecuted(421), Reply::NotExecuted(421)]
         => 503, None, 2;
 }
@@ -130,9 +132,24 @@
     connection.send(&request, Instant::now() + Duration::from_secs(2)).expect("sent");
     eventually("the target gets the request", || request_count(&targets) == 1);
     drop(connection);
+    let left = Instant::now();
     eventually("the connection to the target is closed", || {
         targets[0].requests()[0].disconnected_at.is_some()
     });
+    // Targets must not work on it half a second later; the stand-in looks each 20 ms.
+    assert!(left.elapsed() < Duration::from_millis(550), "took {:?}", left.elapsed());
+}
+
+/// The route allows two attempts, but the request may have run.
+#[test]
+fn non_idempotent_call_that_may_have_run_is_not_sent_again() {
+    let (cluster, targets) = cluster(&[Reply::Disconnect, Reply::Disconnect]);
+    let mut twice = config(9, &[KEY], &["book"]);
+    twice["routes"][0]["attempts"] = 2.into();
+    cluster.configure(&twice);
+    cluster.logged(0, &["config: now in force.", "version=9"]);
+    assert_eq!(cluster.ask(0, "/book/1", "id-1").response.status, 502);
+    assert_eq!(request_count(&targets), 1);
 }
 
 #[test]
--- a/tests/suite/gateway/streams.rs
+++ b/tests/suite/gateway/streams.rs
@@ -94,6 +94,35 @@
 }
 
 /// A prompt larger than the memory of one engine reserves memory on several.
+#[test]
+fn unsigned_stream_is_rejected() {
+    let forged = Reply::Unsigned("id: 1\ndata: forged\n\n");
+    let target = start_target("i-0", forged);
+    let answer = cluster(&[&target]).ask_with(0, "/chat/1", "id-1", SHORT_PROMPT);
+    assert_eq!(answer.response.status, 502);
+    assert!(!answer.body.contains("forged"), "{answer:?}");
+}
+
+#[test]
+fn no_two_requests_share_a_reservation() {
+    let targets: Vec<ScriptedTarget> =
+        (0..16).map(|i| start_target(&format!("i-{i:02}"), stream(3, None))).collect();
+    let cluster = cluster(&targets.iter().collect::<Vec<_>>());
+    for id in ["id-1", "id-2"] {
+        let answer = cluster.ask_with(0, "/chat/1", id, "x-token-usage: 600000,50\r\n");
+        assert_eq!(answer.response.status, 200);
+    }
+    let requests = targets.iter().flat_map(ScriptedTarget::requests);
+    let helpers = requests.filter_map(|r| r.head.header("x-helpers").map(str::to_owned));
+    let reservations: Vec<String> = helpers
+        .filter_map(|list| {
+            list.split(',').find_map(|h| h.split_once('/').map(|(_, r)| r.to_owned()))
+        })
+        .collect();
+    assert_eq!(reservations.len(), 2, "{reservations:?}");
+    assert_ne!(reservations[0], reservations[1]);
+}
+
 #[test]
 fn memory_for_a_large_prompt_is_reserved_and_released() {
     let targets: Vec<ScriptedTarget> =
