Gateway: a silent target is given up only for a retry that the limits allow

The target's silence ended the stream before it was asked whether a retry is allowed. Class: giving up what one has before the replacement is sure.

Change: the retry is taken from the limits first; without one the target is waited for until the deadline, for streams and for calls. A stream whose events have no identifiers cannot be resumed and is not given up either.

Open: resumed streams that meet an engine without room.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -70,7 +70,8 @@
 /// Sends a request to its granted target and reads the response.
 ///
 /// Of a streamed response only the head is read. A target that is silent until
-/// `silent_at` counts as failed.
+/// `silent_at` counts as failed if `give_up` then returns that the request may be retried;
+/// otherwise it is waited for until the deadline.
 pub fn send(
     gateway: &Gateway,
     exchange: &Exchange<'_>,
@@ -78,9 +79,10 @@
     grant: &Grant,
     reservations: &Reservations,
     silent_at: Instant,
+    give_up: impl FnMut() -> bool,
 ) -> AttemptResult {
     let target = &grant.placement.target;
-    let result = send_once(gateway, exchange, request, grant, reservations, silent_at);
+    let result = send_once(gateway, exchange, request, grant, reservations, silent_at, give_up);
     let outcome = match &result {
         AttemptResult::Complete(response, _) if response.status >= 500 => Some(Outcome::Failed),
         AttemptResult::Complete(..) => Some(Outcome::Answered),
@@ -116,7 +118,8 @@
     request: &Request,
     grant: &Grant,
     reservations: &Reservations,
-    silent_at: Instant,
+    mut silent_at: Instant,
+    mut give_up: impl FnMut() -> bool,
 ) -> AttemptResult {
     let addr = grant.placement.target.addr;
     // An idle connection may be closed while a request is being sent, which leaves
@@ -158,6 +161,9 @@
             Ok(response) => {
                 return classify(gateway, exchange, request, connection, response, silent_at);
             }
+            Err(Stop::Silent) if Instant::now() < request.deadline && !give_up() => {
+                silent_at = request.deadline;
+            }
             Err(stop) => return stop.into_result(request.deadline),
         }
     }
@@ -316,8 +322,10 @@
     Data(Vec<u8>),
     /// The body is complete.
     End,
-    /// The target failed or fell silent; the text says how.
+    /// The target failed; the text says how.
     Failed(&'static str),
+    /// The target was silent until the end of the wait.
+    Silent,
     /// The caller disconnected.
     CallerGone,
 }
@@ -344,7 +352,7 @@
         match wait(exchange, connection, end) {
             Ok(()) => {}
             Err(Stop::CallerGone) => return StreamPart::CallerGone,
-            Err(Stop::Silent) => return StreamPart::Failed("the target did not respond in time"),
+            Err(Stop::Silent) => return StreamPart::Silent,
             Err(_) => return StreamPart::Failed("waiting on the sockets failed"),
         }
     }
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -61,6 +61,8 @@
     sends: u32,
     /// Attempts that failed before anything was sent.
     not_sent: u32,
+    /// Whether a retry was taken from the limits before a silent target was given up.
+    retry_reserved: bool,
     /// Whether the request may have run.
     may_have_run: bool,
     /// Last complete response, which reported a failure.
@@ -108,6 +110,7 @@
         request,
         sends: 0,
         not_sent: 0,
+        retry_reserved: false,
         may_have_run: false,
         last_response: None,
         progress: Progress::default(),
@@ -226,13 +229,20 @@
         }
         let silent_at =
             self.max_silence().map_or(self.request.deadline, |silence| Instant::now() + silence);
+        let (gateway, service) = (self.gateway, &self.request.requirements.service);
+        let reserved = &mut self.retry_reserved;
+        let give_up = || {
+            *reserved = gateway.try_retry(service, Instant::now());
+            *reserved
+        };
         let result = attempt::send(
-            self.gateway,
+            gateway,
             self.exchange,
             &self.request,
             grant,
             &reservations,
             silent_at,
+            give_up,
         );
         match result {
             AttemptResult::Complete(response, body) => {
@@ -302,9 +312,21 @@
             None => record_first_event(gateway, request, grant),
             Some(gap) => gateway.record_event(grant, request.requirements.engine.as_ref(), gap),
         };
+        let reserved = &mut self.retry_reserved;
+        let give_up = || {
+            *reserved = gateway.try_retry(&request.requirements.service, Instant::now());
+            *reserved
+        };
         let progress = &mut self.progress;
-        let end =
-            relay::relay(self.exchange, &mut connection, response, progress, limits, on_event);
+        let end = relay::relay(
+            self.exchange,
+            &mut connection,
+            response,
+            progress,
+            limits,
+            on_event,
+            give_up,
+        );
         let id = &grant.placement.target.id;
         self.sends += 1;
         match end {
@@ -357,10 +379,11 @@
         if self.may_have_run && !request.is_idempotent() {
             return false;
         }
-        if self.progress.begun && self.progress.last_event.is_none() {
+        if !self.progress.is_resumable() {
             return false;
         }
         let allowed = self.sends == 0
+            || std::mem::take(&mut self.retry_reserved)
             || self.gateway.try_retry(&request.requirements.service, Instant::now());
         if !allowed {
             self.last_error = format!("{}; the retry budget is used up", self.last_error);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,6 +25,13 @@
     pub max_gap: Duration,
 }
 
+impl Progress {
+    /// Returns whether the rest of the stream can come from another target.
+    pub fn is_resumable(&self) -> bool {
+        !self.begun || self.last_event.is_some()
+    }
+}
+
 /// How the relay of a stream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RelayEnd {
@@ -50,8 +57,8 @@
 /// Relays a stream until it ends.
 ///
 /// `on_event` is called for each received part that completes an event, with the time
-/// since the previous one, `None` at the first. Without a limit on silence the relay
-/// waits for the target until the deadline, since no retry is possible.
+/// since the previous one, `None` at the first. Without a limit on silence, or if `give_up`
+/// returns that no retry is allowed, the relay waits for the target until the deadline.
 pub fn relay(
     exchange: &mut Exchange<'_>,
     connection: &mut Connection,
@@ -59,8 +66,9 @@
     progress: &mut Progress,
     limits: RelayLimits,
     mut on_event: impl FnMut(Option<Duration>),
+    mut give_up: impl FnMut() -> bool,
 ) -> RelayEnd {
-    let RelayLimits { silence, deadline } = limits;
+    let RelayLimits { mut silence, deadline } = limits;
     let mut framing = response.framing;
     let mut partial: Vec<u8> = Vec::new();
     let mut last_event: Option<Instant> = None;
@@ -87,7 +95,13 @@
                 return if sent { RelayEnd::Complete } else { RelayEnd::CallerGone };
             }
             StreamPart::CallerGone => return RelayEnd::CallerGone,
-            StreamPart::Failed(_) if Instant::now() >= deadline => return RelayEnd::Expired,
+            StreamPart::Failed(_) | StreamPart::Silent if Instant::now() >= deadline => {
+                return RelayEnd::Expired;
+            }
+            StreamPart::Silent if progress.is_resumable() && give_up() => {
+                return RelayEnd::Failed("the target did not respond in time");
+            }
+            StreamPart::Silent => silence = None,
             StreamPart::Failed(error) => return RelayEnd::Failed(error),
         }
     }
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -102,12 +102,17 @@
 
     /// Starts a gateway that reaches the store at `endpoint`; returns its number.
     pub fn add(&mut self, endpoint: &Endpoint, seeds: &[SocketAddr]) -> usize {
+        self.add_with(endpoint, seeds, "")
+    }
+
+    /// As [`Self::add`], with more lines of settings.
+    pub fn add_with(&mut self, endpoint: &Endpoint, seeds: &[SocketAddr], more: &str) -> usize {
         let number = self.gateways.len();
         let ip = unique_ip();
         let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let text = format!(
             "name: gate-{number}\nzone: a\nlisten:\n  callers: {ip}:8080\n  ready: {ip}:8081\n  \
-             peers: {ip}:8082\n  metrics: {ip}:8083\nstore: {}\nseeds: [{}]\n",
+             peers: {ip}:8082\n  metrics: {ip}:8083\nstore: {}\nseeds: [{}]\n{more}",
             endpoint.addr,
             seeds.join(", ")
         );
--- a/tests/suite/gateway/streams.rs
+++ b/tests/suite/gateway/streams.rs
@@ -185,3 +185,30 @@
     assert!(answer.complete);
     assert_eq!(answer.body, events(1, 30));
 }
+
+/// Starts a gateway that may not retry, and a target that is silent for longer than a stream
+/// or call that may be retried elsewhere waits.
+fn cluster_without_retries(reply: Reply, service: &str) -> (Cluster, ScriptedTarget) {
+    let mut cluster = Cluster::start(0);
+    let target = start_target("i-0", reply);
+    cluster.register(&target, service);
+    let other = start_target("i-1", stream(3, None));
+    cluster.register(&other, service);
+    let endpoint = cluster.endpoint.clone();
+    let none = "repeats: {ratio: 0, slack: 0, window_ms: 10000}\n";
+    cluster.add_with(&endpoint, &[], none);
+    cluster.ready(0);
+    (cluster, target)
+}
+
+/// Guards against a fault seen on day mix, seed 994564832115, of large: a silent stream was
+/// given up for a retry that the limits did not allow.
+#[test]
+fn silent_stream_is_not_cut_when_it_may_not_be_retried() {
+    let slow = Reply::Stream { last: 3, pause: Duration::from_secs(2), cut_at: None };
+    let (cluster, target) = cluster_without_retries(slow, "pool");
+    let answer = cluster.ask_with(0, "/chat/1", "id-1", SHORT_PROMPT);
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(answer.body, events(1, 3));
+    assert_eq!(target.requests().len(), 1, "the slow target was used");
+}
