Tests that fail: streams whose target falls silent and goes on

The stand-in of a target takes steps: silence within a head, an event or between events, bytes without end.

--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -43,6 +43,29 @@
     Disconnect,
     /// No response until the caller disconnects.
     Hang,
+    /// These steps, one after the other.
+    Steps(Vec<Step>),
+}
+
+/// A part of a reply.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// The signed head of a chunked response with status 200.
+    Head,
+    /// The event with this identifier, as one chunk.
+    Event(u64),
+    /// The end of a chunked response.
+    End,
+    /// A complete response with this status and body.
+    Whole(u16, &'static str),
+    /// Bytes as they are.
+    Bytes(&'static [u8]),
+    /// Nothing for this time.
+    Silence(Duration),
+    /// These bytes again and again until the caller disconnects.
+    Endless(&'static [u8]),
+    /// The end of the connection.
+    Close,
 }
 
 /// A request that a target received.
@@ -248,9 +271,44 @@
                 self.wait_for_disconnect(stream, number);
                 false
             }
+            Reply::Steps(steps) => {
+                steps.iter().all(|step| self.take_step(stream, id, step, number))
+            }
+        }
+    }
+
+    /// Takes one step of a reply; returns whether the connection stays open.
+    fn take_step(&self, stream: &mut TcpStream, id: &str, step: &Step, number: usize) -> bool {
+        match step {
+            Step::Head => write(stream, self.stream_head(id).as_bytes()),
+            Step::Event(event) => {
+                let text = format!("id: {event}\ndata: e{event}\n\n");
+                write(stream, format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+            }
+            Step::End => write(stream, b"0\r\n\r\n"),
+            Step::Whole(status, body) => write(stream, &complete_response(*status, id, body)),
+            Step::Bytes(bytes) => write(stream, bytes),
+            Step::Silence(time) => {
+                thread::sleep(*time);
+                true
+            }
+            Step::Endless(bytes) => {
+                while write(stream, bytes) {}
+                self.lock().requests[number].disconnected_at = Some(Instant::now());
+                false
+            }
+            Step::Close => false,
         }
     }
 
+    fn stream_head(&self, id: &str) -> String {
+        format!(
+            "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-seal: {}\r\n\
+             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+            self.id
+        )
+    }
+
     fn stream(
         &self,
         stream: &mut TcpStream,
@@ -261,12 +319,7 @@
     ) -> bool {
         let id = head.header("x-attempt-id").unwrap_or_default();
         let from = head.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
-        let start = format!(
-            "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-seal: {}\r\n\
-             content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
-            self.id
-        );
-        write(stream, start.as_bytes());
+        write(stream, self.stream_head(id).as_bytes());
         for event in from + 1..=last {
             thread::sleep(pause);
             let text = format!("id: {event}\ndata: e{event}\n\n");
--- a/tests/suite/gateway/streams.rs
+++ b/tests/suite/gateway/streams.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mimosapass_standin::target::{Reply, ScriptedTarget};
+use mimosapass_standin::target::{Reply, ScriptedTarget, Step};
 
 use super::{Cluster, events, start_target};
 
@@ -212,3 +212,108 @@
     assert_eq!(answer.body, events(1, 2));
     assert_eq!(target.requests().len(), 1, "the slow target was used");
 }
+
+/// Silence after which a stream with a latency goal of 500 ms is retried elsewhere: the first
+/// target is silent for longer, and goes on before its caller gives up.
+const SILENCE: Duration = Duration::from_millis(1_700);
+
+/// Serves a stream whose first target falls silent for [`SILENCE`] within it, while the second
+/// one gives `reply`.
+fn silent_beside(silent: Vec<Step>, reply: Reply) -> (super::Answer, usize) {
+    let (one, other) = (start_target("i-0", Reply::Steps(silent)), start_target("i-1", reply));
+    let cluster = cluster(&[&one]);
+    let answer = std::thread::scope(|scope| {
+        let asking = scope.spawn(|| cluster.ask_with(0, "/chat/1", "id-1", SHORT_PROMPT));
+        super::eventually("the first target has it", || !one.requests().is_empty());
+        cluster.register(&other, "pool");
+        asking.join().expect("an answer")
+    });
+    (answer, other.requests().len())
+}
+
+/// Steps of a stream of three events with a silence after the second one, in its midst.
+fn silent_within_an_event() -> Vec<Step> {
+    let text = b"10\r\nid: 3\n";
+    vec![
+        Step::Head,
+        Step::Event(1),
+        Step::Event(2),
+        Step::Bytes(text),
+        Step::Silence(SILENCE),
+        Step::Bytes(b"data: e3\n\n\r\n"),
+        Step::End,
+    ]
+}
+
+fn silent_between_events() -> Vec<Step> {
+    let (head, silence) = (Step::Head, Step::Silence(SILENCE));
+    vec![head, Step::Event(1), silence, Step::Event(2), Step::Event(3), Step::End]
+}
+
+fn silent_before_the_first_event() -> Vec<Step> {
+    let (head, silence) = (Step::Head, Step::Silence(SILENCE));
+    vec![head, silence, Step::Event(1), Step::Event(2), Step::Event(3), Step::End]
+}
+
+fn silent_within_the_head() -> Vec<Step> {
+    let mut steps = vec![Step::Bytes(b"HTTP/1.1 100 Continue\r\n"), Step::Silence(SILENCE)];
+    steps.extend([Step::Bytes(b"\r\n"), Step::Head]);
+    steps.extend([Step::Event(1), Step::Event(2), Step::Event(3), Step::End]);
+    steps
+}
+
+/// Generates tests of streams whose target falls silent for a while and goes on, beside a second
+/// target that cannot take over.
+macro_rules! silent_targets {
+    ($($name:ident: $steps:expr, $reply:expr;)+) => {
+        $(
+            /// Guards against LOST on dokaz-zapad-grown: a silent run was ended before another
+            /// target had taken over.
+            #[test]
+            fn $name() {
+                let (answer, asked) = silent_beside($steps, $reply);
+                assert!(answer.complete, "{answer:?}");
+                assert_eq!((answer.response.status, answer.body), (200, events(1, 3)));
+                assert_eq!(asked, 1, "the second target was asked");
+            }
+        )+
+    };
+}
+
+silent_targets! {
+    run_silent_between_events_is_not_lost_to_a_refusal:
+        silent_between_events(), Reply::NotExecuted(503);
+    run_silent_within_an_event_is_not_lost_to_a_refusal:
+        silent_within_an_event(), Reply::NotExecuted(503);
+    run_silent_before_its_first_event_is_not_lost_to_a_refusal:
+        silent_before_the_first_event(), Reply::NotExecuted(503);
+    run_silent_within_the_head_is_not_lost_to_a_refusal:
+        silent_within_the_head(), Reply::NotExecuted(503);
+    silent_run_is_not_lost_to_a_target_that_is_silent_too:
+        silent_between_events(), Reply::Hang;
+    silent_run_is_not_lost_to_a_target_that_disconnects:
+        silent_between_events(), Reply::Disconnect;
+    silent_run_is_not_lost_to_an_answer_without_a_signature:
+        silent_between_events(), Reply::Unsigned("id: 2\ndata: forged\n\n");
+    silent_run_is_not_lost_to_a_failure:
+        silent_between_events(), Reply::Complete(500, "no");
+}
+
+/// Guards against LOST on dokaz-zapad-grown, with no other target at all.
+#[test]
+fn silent_run_is_not_lost_for_want_of_another_target() {
+    let target = start_target("i-0", Reply::Steps(silent_between_events()));
+    let answer = cluster(&[&target]).ask_with(0, "/chat/1", "id-1", SHORT_PROMPT);
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(answer.body, events(1, 3));
+}
+
+/// What a silent target has not sent comes from another one as soon as that has it.
+#[test]
+fn silent_run_is_taken_over_by_a_target_that_answers() {
+    let silent = vec![Step::Head, Step::Event(1), Step::Silence(SILENCE * 4), Step::End];
+    let other = Reply::Stream { last: 3, pause: PAUSE, cut_at: None };
+    let (answer, asked) = silent_beside(silent, other);
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!((answer.body, asked), (events(1, 3), 1));
+}
