Logs: a caller that left, one that reads too slowly and a broken idle connection differ

A request whose connection the gateway closes on a caller that is still there now ends as caller_slow, at info, and caller_gone says why. A connection that ends before a request is read has a line of its own.

--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One request and the methods to respond to it.
 
 use std::cell::Cell;
+use std::fmt;
 use std::io::{self, Write};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -44,6 +45,24 @@
     }
 }
 
+/// Why a caller counts as disconnected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Departure {
+    /// The caller closed its side.
+    Closed,
+    /// The connection broke.
+    Broken(io::ErrorKind),
+}
+
+impl fmt::Display for Departure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Closed => write!(f, "the caller closed its side"),
+            Self::Broken(kind) => write!(f, "the caller's connection broke: {kind}"),
+        }
+    }
+}
+
 /// State of the response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum State {
@@ -86,10 +105,17 @@
 
     /// Returns whether the caller closed its side or the connection broke.
     pub fn caller_gone(&self) -> bool {
+        self.departure().is_some()
+    }
+
+    /// Returns why the caller counts as disconnected; `None` while it is connected.
+    pub fn departure(&self) -> Option<Departure> {
         let mut byte = [MaybeUninit::uninit()];
         match SockRef::from(self.writer.stream).recv_with_flags(&mut byte, PEEK_NOWAIT) {
-            Ok(read) => read == 0,
-            Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+            Ok(0) => Some(Departure::Closed),
+            Ok(_) => None,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => None,
+            Err(e) => Some(Departure::Broken(e.kind())),
         }
     }
 
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -349,8 +349,17 @@
 
 fn wait_for_request(stream: &TcpStream, buffered: &mut Vec<u8>, shared: &Shared) -> bool {
     let idle_end = Instant::now() + shared.limits.idle_timeout;
-    let readable = shared.wait_readable(stream, Some(idle_end)).unwrap_or(false);
-    readable && matches!(read_some(stream, buffered), Ok(read) if read > 0)
+    let read = match shared.wait_readable(stream, Some(idle_end)) {
+        Ok(true) => read_some(stream, buffered),
+        Ok(false) => return false,
+        Err(e) => Err(e),
+    };
+    if let Err(e) = &read {
+        let reset = e.kind() == io::ErrorKind::ConnectionReset;
+        let level = if reset { log::Level::Debug } else { log::Level::Info };
+        log::log!(level, "caller: closing an idle connection, it cannot be read: {e}.");
+    }
+    matches!(read, Ok(read) if read > 0)
 }
 
 fn read_some(mut source: impl Read, buffered: &mut Vec<u8>) -> io::Result<usize> {
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -36,6 +36,8 @@
 const CONFIG_WAIT: Duration = Duration::from_millis(500);
 /// Longest part of a host or path that is logged.
 const LOGGED_CHARS: usize = 80;
+/// Outcome of a request whose caller disconnected.
+const CALLER_GONE: &str = "caller_gone";
 /// Interval between checks for the first configuration.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -47,8 +49,15 @@
 }
 
 impl RequestEnd {
-    fn caller_gone() -> Self {
-        Self { outcome: "caller_gone", detail: "the caller disconnected".to_owned() }
+    /// Ends a request whose caller disconnected, or did not take what was sent in time.
+    fn caller_gone(exchange: &Exchange<'_>) -> Self {
+        match exchange.departure() {
+            Some(departure) => Self { outcome: CALLER_GONE, detail: departure.to_string() },
+            None => Self {
+                outcome: "caller_slow",
+                detail: "the caller did not take the response in time".to_owned(),
+            },
+        }
     }
 }
 
@@ -153,7 +162,7 @@
         let label = band(self.request.requirements.prompt);
         self.gateway.metrics.requests.with_label_values(&[label, end.outcome]).inc();
         let level = match end.outcome {
-            "served" | "caller_gone" => log::Level::Debug,
+            "served" | CALLER_GONE => log::Level::Debug,
             _ => log::Level::Info,
         };
         log::log!(
@@ -265,7 +274,7 @@
             }
             AttemptResult::NotRun(error) => self.record_failure(error, false),
             AttemptResult::Lost(error) => self.record_failure(error, true),
-            AttemptResult::CallerGone => Some(RequestEnd::caller_gone()),
+            AttemptResult::CallerGone => Some(RequestEnd::caller_gone(self.exchange)),
             AttemptResult::Expired => {
                 self.may_have_run = true;
                 "the deadline passed before the target responded".clone_into(&mut self.last_error);
@@ -339,7 +348,7 @@
                     detail: format!("{} chunks", self.progress.chunks),
                 })
             }
-            RelayEnd::CallerGone => Some(RequestEnd::caller_gone()),
+            RelayEnd::CallerGone => Some(RequestEnd::caller_gone(self.exchange)),
             RelayEnd::Expired => {
                 "the deadline passed during the stream".clone_into(&mut self.last_error);
                 Some(self.expire())
@@ -404,7 +413,7 @@
             body,
         ) {
             Ok(()) => RequestEnd { outcome, detail: format!("status {}", response.status) },
-            Err(_) => RequestEnd::caller_gone(),
+            Err(_) => RequestEnd::caller_gone(self.exchange),
         }
     }
 
@@ -431,7 +440,7 @@
 
     fn refuse(&mut self, failure: &Failure) -> RequestEnd {
         if failure.kind == Kind::CallerGone {
-            return RequestEnd::caller_gone();
+            return RequestEnd::caller_gone(self.exchange);
         }
         respond_failure(self.exchange, failure);
         RequestEnd { outcome: failure.kind.row().code, detail: failure.to_string() }
