Gateway: a silent run is kept until another target has sent an event or a whole answer

Callers saw streams that ended in mid-stream, or a 502, although their engine was sound: it fell silent for 1.4 s and more and would have gone on. The gateway closed its connection first and looked for another target then.

A silent target cannot be told from a dead one, so that neither is given up: a second run is started beside the first, within the attempts of the route and the limits on retries, and the first of them that sends the next event or a whole answer goes on. The other one is cancelled. Without a second target the first one is waited for until the deadline. When to back up is decided in core (edge::backup); the reading of a response no longer blocks, so that one thread waits for both targets and the caller, also while a request is being written. Events, skipped responses and bodies of a response are bounded.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -23,10 +23,12 @@
 //! - [`audience`]: which instances get which datagrams.
 //! - [`remote`]: requests of this instance that a scheduler of its zone places.
 //! - [`clients`]: requests that a scheduler places for other instances.
+//! - [`backup`]: when a silent run of a request is backed up at another target.
 //! - [`outage`]: whether an outage of the store affected all instances.
 //! - [`outcomes`]: temporary exclusion of targets that fail or do not answer.
 
 pub mod audience;
+pub mod backup;
 pub mod catch_up;
 pub mod changes;
 pub mod clients;
--- a/crates/core/src/edge/retry.rs
+++ b/crates/core/src/edge/retry.rs
@@ -51,4 +51,9 @@
         }
         allowed
     }
+
+    /// Gives back the retry that was consumed last: it was not sent.
+    pub fn give_back(&mut self) {
+        self.retries.pop_back();
+    }
 }
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -160,35 +160,55 @@
         fresh && self.buffered.is_empty() && !self.ended && { no_data }()
     }
 
+    /// Begins a request: forgets what the connection knows of the one before.
+    pub fn begin(&mut self) {
+        self.idle = None;
+        self.chunk = ChunkState::Size;
+    }
+
     /// Writes a complete request before `end`.
     ///
     /// # Errors
     ///
     /// The error is the number of bytes that the kernel accepted.
-    pub fn send(&mut self, mut bytes: &[u8], end: Instant) -> Result<(), usize> {
-        self.idle = None;
-        self.chunk = ChunkState::Size;
-        let total = bytes.len();
-        while !bytes.is_empty() {
-            match self.stream.write(bytes) {
-                Ok(0) => return Err(total - bytes.len()),
-                Ok(written) => bytes = &bytes[written..],
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock && Instant::now() < end => {
+    pub fn send(&mut self, bytes: &[u8], end: Instant) -> Result<(), usize> {
+        self.begin();
+        let mut written = 0;
+        while written < bytes.len() {
+            match self.write(&bytes[written..]) {
+                Ok(0) if Instant::now() < end => {
                     if let Err(e) = self.wait_writable(end) {
                         log::debug!(
                             "target: cannot write the rest of a request to {}: {e}.",
                             self.addr
                         );
-                        return Err(total - bytes.len());
+                        return Err(written);
                     }
                 }
-                Err(_) => return Err(total - bytes.len()),
+                Ok(0) | Err(_) => return Err(written),
+                Ok(count) => written += count,
             }
         }
         Ok(())
     }
 
+    /// Writes what the kernel takes without waiting; returns the number of bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection is broken.
+    pub fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        loop {
+            match self.stream.write(bytes) {
+                Ok(0) if !bytes.is_empty() => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(written) => return Ok(written),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(0),
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
     fn wait_writable(&self, end: Instant) -> io::Result<()> {
         let mut fds = [PollFd::new(&self.stream, PollFlags::OUT)];
         match poll(&mut fds, time_left(end).as_ref()) {
@@ -204,20 +224,7 @@
     ///
     /// Fails when `poll` fails.
     pub fn wait(&self, caller: Option<&impl AsFd>, end: Instant) -> io::Result<WaitOutcome> {
-        let target = PollFd::new(&self.stream, PollFlags::IN);
-        let mut fds = match caller {
-            Some(caller) => vec![target, PollFd::new(caller, PollFlags::IN)],
-            None => vec![target],
-        };
-        loop {
-            match poll(&mut fds, time_left(end).as_ref()) {
-                Ok(0) => return Ok(WaitOutcome::TimedOut),
-                Ok(_) if !fds[0].revents().is_empty() => return Ok(WaitOutcome::Target),
-                Ok(_) => return Ok(WaitOutcome::Caller),
-                Err(rustix::io::Errno::INTR) => {}
-                Err(e) => return Err(e.into()),
-            }
-        }
+        wait_any(&[Awaited { connection: self, writing: false }], caller, end)
     }
 
     /// Reads received data without waiting; returns whether there was any.
@@ -355,6 +362,45 @@
     }
 }
 
+/// A connection to wait for.
+#[derive(Clone, Copy, Debug)]
+pub struct Awaited<'a> {
+    /// The connection.
+    pub connection: &'a Connection,
+    /// Whether a part of the request is still to be written.
+    pub writing: bool,
+}
+
+/// Waits until one of the targets or the caller can go on, or `end` has passed.
+///
+/// # Errors
+///
+/// Fails when `poll` fails.
+pub fn wait_any(
+    awaited: &[Awaited<'_>],
+    caller: Option<&impl AsFd>,
+    end: Instant,
+) -> io::Result<WaitOutcome> {
+    let flags = |a: &Awaited<'_>| {
+        if a.writing { PollFlags::IN | PollFlags::OUT } else { PollFlags::IN }
+    };
+    let mut fds: Vec<PollFd<'_>> =
+        awaited.iter().map(|a| PollFd::new(&a.connection.stream, flags(a))).collect();
+    fds.extend(caller.map(|caller| PollFd::new(caller, PollFlags::IN)));
+    loop {
+        match poll(&mut fds, time_left(end).as_ref()) {
+            Ok(0) => return Ok(WaitOutcome::TimedOut),
+            Ok(_) => {
+                let targets = &fds[..awaited.len()];
+                let ready = targets.iter().any(|fd| !fd.revents().is_empty());
+                return Ok(if ready { WaitOutcome::Target } else { WaitOutcome::Caller });
+            }
+            Err(rustix::io::Errno::INTR) => {}
+            Err(e) => return Err(e.into()),
+        }
+    }
+}
+
 fn time_left(end: Instant) -> Option<Timespec> {
     Timespec::try_from(end.saturating_duration_since(Instant::now())).ok()
 }
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -4,33 +4,27 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use mimosapass_caller::exchange::Exchange;
+use mimosapass_caller::exchange::{Departure, Exchange};
 use mimosapass_caller::head::Head;
-use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_core::edge::wait::caller_timeout;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
 use mimosapass_platform::header;
-use mimosapass_target::http::{Connection, ResponseHead};
+use mimosapass_target::http::ResponseHead;
 
-use super::attempt::{self, AttemptResult};
+use super::attempt;
 use super::metrics::band;
 use super::queue;
-use super::relay::{self, Progress, RelayEnd, RelayLimits};
+use super::relay::{self, Progress};
 use super::request::{self, Request};
-use super::reservations::Reservations;
+use super::run::{Run, Step};
+use super::runs::Runs;
 use super::state::Gateway;
 
 /// Most attempts of a request that may fail before anything was sent.
 const MAX_NOT_SENT: u32 = 4;
-/// Share of the caller's timeout after which a silent stream is retried. The rest lets
-/// another target answer before the caller disconnects.
-const STREAM_SILENCE: f64 = 0.7;
-/// Silence after which a call without a stream is retried. The unit is the time limit
-/// of the route.
-const CALL_SILENCE_GOALS: u32 = 2;
 /// Time for which a request waits for the first configuration. A starting instance
 /// loads it within a few hundred milliseconds when the store is healthy.
 const CONFIG_WAIT: Duration = Duration::from_millis(500);
@@ -49,10 +43,14 @@
 }
 
 impl RequestEnd {
+    fn gone(departure: Departure) -> Self {
+        Self { outcome: CALLER_GONE, detail: departure.to_string() }
+    }
+
     /// Ends a request whose caller disconnected, or did not take what was sent in time.
     fn caller_gone(exchange: &Exchange<'_>) -> Self {
         match exchange.departure() {
-            Some(departure) => Self { outcome: CALLER_GONE, detail: departure.to_string() },
+            Some(departure) => Self::gone(departure),
             None => Self {
                 outcome: "caller_slow",
                 detail: "the caller did not take the response in time".to_owned(),
@@ -66,21 +64,20 @@
     gateway: &'a Arc<Gateway>,
     exchange: &'a mut Exchange<'e>,
     request: Request,
-    /// Attempts in which something was sent to a target.
+    runs: Runs<'a>,
+    /// Targets to which something was sent.
     sends: u32,
-    /// Attempts that failed before anything was sent.
+    /// Targets to which nothing could be sent.
     not_sent: u32,
-    /// Whether a retry was taken from the limits before a silent target was given up.
-    retry_reserved: bool,
     /// Whether the request may have run.
     may_have_run: bool,
     /// Last complete response, which reported a failure.
     last_response: Option<(ResponseHead, Vec<u8>)>,
     /// Part of the stream that was sent to the caller.
     progress: Progress,
-    /// Why the last attempt failed.
+    /// Why the last run failed.
     last_error: String,
-    /// Target of the last attempt.
+    /// Target of the last grant, or the one whose response is relayed.
     target: Option<TargetId>,
 }
 
@@ -113,13 +110,14 @@
     };
     exchange.set_deadline(request.deadline);
     gateway.record_request(&request.requirements.service, arrived);
+    let runs = Runs::new(gateway, &request.route);
     let mut flow = Flow {
         gateway,
         exchange,
         request,
+        runs,
         sends: 0,
         not_sent: 0,
-        retry_reserved: false,
         may_have_run: false,
         last_response: None,
         progress: Progress::default(),
@@ -156,7 +154,7 @@
     gateway.metrics.requests.with_label_values(&["none", kind.row().code]).inc();
 }
 
-impl Flow<'_, '_> {
+impl<'a> Flow<'a, '_> {
     /// Records in metrics and the log how the request ended.
     fn report(&self, end: &RequestEnd, table: &RouteTable, arrived: Instant) {
         let label = band(self.request.requirements.prompt);
@@ -181,27 +179,48 @@
 
     fn serve(&mut self) -> RequestEnd {
         loop {
-            if self.sends + self.not_sent > 0 && !self.may_retry() {
-                return self.respond_last_failure();
-            }
-            let exchange = &*self.exchange;
-            let granted =
-                queue::wait(self.gateway, &self.request.requirements, || exchange.caller_gone());
-            let grant = match granted {
-                Ok(grant) => grant,
-                Err(failure) if self.sends > 0 && failure.kind != Kind::CallerGone => {
-                    self.last_error = format!("{}; then {failure}", self.last_error);
-                    return self.respond_last_failure();
-                }
-                Err(failure) => return self.refuse(&failure),
-            };
-            self.record_grant(&grant);
-            let end = self.attempt(&grant);
-            self.gateway.finish(&grant, Instant::now());
+            let end = if self.runs.is_empty() { self.start_next() } else { self.follow() };
             if let Some(end) = end {
+                self.runs.cancel();
                 return end;
             }
-            self.request.requirements.avoid.push(TargetId::clone(&grant.placement.target.id));
+        }
+    }
+
+    /// Waits for a target and starts a run there, while none is under way.
+    fn start_next(&mut self) -> Option<RequestEnd> {
+        if self.sends + self.not_sent > 0 && !self.may_retry() {
+            return Some(self.respond_last_failure());
+        }
+        let exchange = &*self.exchange;
+        let granted =
+            queue::wait(self.gateway, &self.request.requirements, || exchange.caller_gone());
+        match granted {
+            Ok(grant) => {
+                self.start(grant);
+                None
+            }
+            Err(failure) if self.sends > 0 && failure.kind != Kind::CallerGone => {
+                self.last_error = format!("{}; then {failure}", self.last_error);
+                Some(self.respond_last_failure())
+            }
+            Err(failure) => Some(self.refuse(&failure)),
+        }
+    }
+
+    /// Starts a run at the granted target.
+    fn start(&mut self, grant: Grant) {
+        self.record_grant(&grant);
+        self.request.requirements.avoid.push(TargetId::clone(&grant.placement.target.id));
+        match Run::start(self.gateway, self.exchange, &self.request, grant) {
+            Ok(run) => {
+                self.sends += 1;
+                self.runs.add(run);
+            }
+            Err(error) => {
+                self.not_sent += 1;
+                self.last_error = error;
+            }
         }
     }
 
@@ -227,140 +246,142 @@
         );
     }
 
-    /// Attempts the request once; `None` when it may be retried.
-    fn attempt(&mut self, grant: &Grant) -> Option<RequestEnd> {
-        let reservations = match Reservations::reserve(self.gateway, grant) {
-            Ok(reservations) => reservations,
-            Err(error) => return self.record_not_sent(error),
-        };
-        if !self.gateway.accepts(grant) {
-            return self.record_not_sent("the target has left since it was granted".to_owned());
+    /// Takes what the runs have come to, or waits for them; `None` while the request goes on.
+    fn follow(&mut self) -> Option<RequestEnd> {
+        let method = &self.exchange.head.method;
+        if let Some((index, step)) = self.runs.advance(method, &self.request) {
+            return self.take(index, step);
         }
-        let silent_at =
-            self.max_silence().map_or(self.request.deadline, |silence| Instant::now() + silence);
-        let (gateway, service) = (self.gateway, &self.request.requirements.service);
-        let reserved = &mut self.retry_reserved;
-        let give_up = || {
-            *reserved = gateway.try_retry(service, Instant::now());
-            *reserved
-        };
-        let result = attempt::send(
-            gateway,
-            self.exchange,
-            &self.request,
-            grant,
-            &reservations,
-            silent_at,
-            give_up,
-        );
-        match result {
-            AttemptResult::Complete(response, body) => {
-                self.sends += 1;
+        let now = Instant::now();
+        if now >= self.request.deadline {
+            self.runs.count_unfinished("late");
+            return Some(self.expire());
+        }
+        if self.gateway.is_aborting() && !self.progress.begun {
+            self.may_have_run = true;
+            "the instance is stopping".clone_into(&mut self.last_error);
+            return Some(self.respond_last_failure());
+        }
+        self.runs.record_silence(&self.request, now);
+        self.back_up(now);
+        match self.runs.wait(self.exchange, &self.request, self.sends, now) {
+            Ok(None) => None,
+            Ok(Some(departure)) => {
+                self.runs.count_unfinished("caller_gone");
+                Some(RequestEnd::gone(departure))
+            }
+            Err(e) => {
+                log::error!("request: waiting on the sockets failed: {e}.");
+                self.may_have_run = true;
+                "waiting on the sockets failed".clone_into(&mut self.last_error);
+                Some(self.respond_last_failure())
+            }
+        }
+    }
+
+    /// Starts a run at another target when the only one has been silent for too long.
+    fn back_up(&mut self, now: Instant) {
+        if self.progress.is_resumable() && self.runs.is_backup_due(self.sends, now) {
+            self.prepare_resume();
+            self.runs.ask_backup(&self.request, now);
+        }
+        let Some(grant) = self.runs.take_backup(&self.request, now) else { return };
+        self.start(grant);
+        if self.not_sent >= MAX_NOT_SENT {
+            self.runs.deny("too many targets cannot be reached", &self.request, now);
+        }
+    }
+
+    /// Takes a step of a run; `None` while the request goes on.
+    fn take(&mut self, index: usize, step: Step) -> Option<RequestEnd> {
+        self.record_step(index, &step);
+        match step {
+            Step::Pending => None,
+            Step::Events(events) => self.relay_events(index, &events),
+            Step::End(events) => Some(self.relay_end(index, &events)),
+            Step::Response(response, body) => {
                 self.may_have_run = true;
                 if response.status < 500 || !self.request.is_idempotent() {
+                    self.keep(index);
                     return Some(self.relay_response(&response, &body));
                 }
-                self.last_error = format!("status {}", response.status);
+                let error = format!("status {}", response.status);
                 self.last_response = Some((response, body));
-                None
-            }
-            AttemptResult::Stream(connection, response) => {
-                self.may_have_run = true;
-                self.relay_stream(grant, connection, &response)
+                self.end_run(index, error)
             }
-            AttemptResult::NotSent(error) => {
-                self.gateway.connections.close_all(grant.placement.target.addr);
-                self.record_not_sent(error)
+            Step::NotSent(error) => {
+                self.gateway
+                    .connections
+                    .close_all(self.runs.get(index).grant().placement.target.addr);
+                self.sends -= 1;
+                self.not_sent += 1;
+                self.end_run(index, error)
             }
-            AttemptResult::NotRun(error) => self.record_failure(error, false),
-            AttemptResult::Lost(error) => self.record_failure(error, true),
-            AttemptResult::CallerGone => Some(RequestEnd::caller_gone(self.exchange)),
-            AttemptResult::Expired => {
+            Step::NotRun(error) => self.end_run(index, error),
+            Step::Failed(error) => {
                 self.may_have_run = true;
-                "the deadline passed before the target responded".clone_into(&mut self.last_error);
-                Some(self.expire())
+                self.end_run(index, error)
             }
         }
     }
 
-    fn record_not_sent(&mut self, error: String) -> Option<RequestEnd> {
-        self.not_sent += 1;
-        self.last_error = error;
-        None
+    /// Records in metrics and for placement what a step says of the target.
+    fn record_step(&self, index: usize, step: &Step) {
+        let run = self.runs.get(index);
+        if run.last_event.is_none() {
+            self.gateway.metrics.attempts.with_label_values(&[step.label()]).inc();
+        }
+        if let Some(outcome) = step.outcome() {
+            let target = &run.grant().placement.target.id;
+            self.gateway.record_outcome(target, outcome, Instant::now());
+        }
     }
 
-    fn record_failure(&mut self, error: String, may_have_run: bool) -> Option<RequestEnd> {
-        self.sends += 1;
-        self.may_have_run |= may_have_run;
+    /// Keeps one run and cancels the others.
+    fn keep(&mut self, index: usize) -> &mut Run<'a> {
+        let run = self.runs.keep(index, &self.request);
+        self.target = Some(TargetId::clone(&run.grant().placement.target.id));
+        run
+    }
+
+    /// Ends a run that has failed; the other ones or the next one go on.
+    fn end_run(&mut self, index: usize, error: String) -> Option<RequestEnd> {
         self.last_error = error;
+        self.runs.end(index, &self.request);
+        if self.runs.is_empty() {
+            self.prepare_resume();
+        }
         None
     }
 
-    /// Returns how long the target may be silent, if the request may be retried.
-    fn max_silence(&self) -> Option<Duration> {
-        let route = &self.request.route;
-        let can_retry = self.request.is_idempotent() && self.sends + 1 < route.attempts;
-        let silence = if route.streaming {
-            caller_timeout(route.latency_goal, route.max_gap).mul_f64(STREAM_SILENCE)
-        } else {
-            route.latency_goal * CALL_SILENCE_GOALS
-        };
-        can_retry.then_some(silence)
+    /// Relays events of a run, which is kept.
+    fn relay_events(&mut self, index: usize, events: &[u8]) -> Option<RequestEnd> {
+        self.may_have_run = true;
+        let gap = self.keep(index).record_event(Instant::now());
+        let run = self.runs.get(0);
+        match gap {
+            None => record_first_event(self.gateway, &self.request, run.grant()),
+            Some(gap) => {
+                let engine = self.request.requirements.engine.as_ref();
+                self.gateway.record_event(run.grant(), engine, gap);
+            }
+        }
+        let response = run.response()?;
+        let sent = relay::send_events(self.exchange, response, &mut self.progress, events);
+        (!sent).then(|| RequestEnd::caller_gone(self.exchange))
     }
 
-    /// Relays a stream; `None` when it failed and may be resumed at another target.
-    fn relay_stream(
-        &mut self,
-        grant: &Grant,
-        mut connection: Connection,
-        response: &ResponseHead,
-    ) -> Option<RequestEnd> {
-        let limits = RelayLimits { silence: self.max_silence(), deadline: self.request.deadline };
-        let (gateway, request) = (self.gateway, &self.request);
-        let on_event = |gap: Option<Duration>| match gap {
-            None => record_first_event(gateway, request, grant),
-            Some(gap) => gateway.record_event(grant, request.requirements.engine.as_ref(), gap),
-        };
-        let reserved = &mut self.retry_reserved;
-        let give_up = || {
-            *reserved = gateway.try_retry(&request.requirements.service, Instant::now());
-            *reserved
-        };
-        let progress = &mut self.progress;
-        let end = relay::relay(
-            self.exchange,
-            &mut connection,
-            response,
-            progress,
-            limits,
-            on_event,
-            give_up,
-        );
-        let id = &grant.placement.target.id;
-        self.sends += 1;
-        match end {
-            RelayEnd::Complete => {
-                self.exchange.finish();
-                self.gateway.record_outcome(id, Outcome::Answered, Instant::now());
-                attempt::reuse(self.gateway, connection, response);
-                Some(RequestEnd {
-                    outcome: "served",
-                    detail: format!("{} chunks", self.progress.chunks),
-                })
-            }
-            RelayEnd::CallerGone => Some(RequestEnd::caller_gone(self.exchange)),
-            RelayEnd::Expired => {
-                "the deadline passed during the stream".clone_into(&mut self.last_error);
-                Some(self.expire())
-            }
-            RelayEnd::Failed(error) => {
-                connection.abort();
-                self.gateway.record_outcome(id, Outcome::Silent, Instant::now());
-                error.clone_into(&mut self.last_error);
-                self.prepare_resume();
-                None
-            }
+    /// Relays the end of a stream.
+    fn relay_end(&mut self, index: usize, events: &[u8]) -> RequestEnd {
+        self.keep(index);
+        let response = self.runs.get(0).response();
+        let sent = response
+            .is_some_and(|r| relay::send_events(self.exchange, r, &mut self.progress, events));
+        if !sent {
+            return RequestEnd::caller_gone(self.exchange);
         }
+        self.exchange.finish();
+        RequestEnd { outcome: "served", detail: format!("{} chunks", self.progress.chunks) }
     }
 
     /// Prepares a failed stream for resumption after its last event.
@@ -392,7 +413,6 @@
             return false;
         }
         let allowed = self.sends == 0
-            || std::mem::take(&mut self.retry_reserved)
             || self.gateway.try_retry(&request.requirements.service, Instant::now());
         if !allowed {
             self.last_error = format!("{}; the retry budget is used up", self.last_error);
@@ -431,10 +451,14 @@
         self.refuse(&Failure::new(kind, self.last_error.clone()))
     }
 
+    /// Ends the request at its deadline.
     fn expire(&mut self) -> RequestEnd {
+        self.may_have_run = true;
         if self.progress.begun {
+            "the deadline passed during the stream".clone_into(&mut self.last_error);
             return RequestEnd { outcome: "cut", detail: self.last_error.clone() };
         }
+        "the deadline passed before the target responded".clone_into(&mut self.last_error);
         self.refuse(&Failure::new(Kind::RunTimeout, self.last_error.clone()))
     }
 
@@ -488,12 +512,4 @@
             .or_default()
             .record_request(now);
     }
-
-    /// Uses one retry; returns whether the limits allow it.
-    fn try_retry(&self, service: &ServiceId, now: Instant) -> bool {
-        let mut state = self.state();
-        let instances = state.instance_count();
-        let window = state.retry_windows.entry(ServiceId::clone(service)).or_default();
-        window.try_retry(&self.settings.retry_limits, instances, now)
-    }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -23,6 +23,8 @@
     pub requests: IntCounterVec,
     /// Attempts at targets by outcome.
     pub attempts: IntCounterVec,
+    /// Runs at silent targets by what became of them.
+    pub silent_runs: IntCounterVec,
     /// Time to the first event of a stream, in seconds, by band.
     pub first_event_time: HistogramVec,
     /// Time that requests were queued, in seconds, by band.
@@ -55,6 +57,7 @@
         let metrics = Self {
             requests: counters("gateway_requests", "Ended requests.", &["band", "outcome"]),
             attempts: counters("gateway_attempts", "Sends to targets.", &["outcome"]),
+            silent_runs: counters("gateway_silent_runs", "Silent targets.", &["outcome"]),
             first_event_time: times("gateway_first_seconds", "Time to the first byte."),
             wait_time: times("gateway_wait_seconds", "Time until a place was found."),
             config_version: gauge("gateway_config_version", "Configuration version in force."),
@@ -73,9 +76,10 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 13] = [
+        let all: [Box<dyn Collector>; 14] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
+            Box::new(self.silent_runs.clone()),
             Box::new(self.first_event_time.clone()),
             Box::new(self.wait_time.clone()),
             Box::new(self.config_version.clone()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,7 +15,9 @@
 //! | `delegate` | delegates placements to the schedulers of the zone |
 //! | `request` | resolves the route and workspace of a request |
 //! | `queue` | queues requests until they are granted a target |
-//! | `attempt` | sends a request to a target once |
+//! | `attempt` | connects to a target and encodes a request for it |
+//! | `run` | one run of a request at a target |
+//! | `runs` | the runs of one request: waits for them, and backs up a silent one |
 //! | `reservations` | reserves memory for a prompt that one engine cannot hold |
 //! | `relay` | relays event streams |
 //! | `notices` | what targets state about themselves in their answers |
@@ -38,5 +40,7 @@
 mod relay;
 mod request;
 mod reservations;
+mod run;
+mod runs;
 mod snapshot;
 mod state;
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -48,95 +48,135 @@
     }
 }
 
-/// Waits until the request is granted a target.
-///
-/// # Errors
-///
-/// Fails when the caller disconnected or no target can be granted in time.
-pub fn wait(
-    gateway: &Gateway,
-    requirements: &Requirements,
-    caller_gone: impl Fn() -> bool,
-) -> Result<Grant, Failure> {
-    let id = gateway.next_number();
-    let slot = Arc::new(GrantSlot::default());
-    enqueue(gateway, id, requirements, &slot);
-    let failure = loop {
-        let refused = match slot.take(POLL_INTERVAL) {
-            Some(Ok(grant)) => return Ok(grant),
+/// A request in the queue; dropping it takes the request out.
+#[derive(Debug)]
+pub struct Queued<'g> {
+    gateway: &'g Gateway,
+    requirements: Requirements,
+    id: RequestNumber,
+    slot: Arc<GrantSlot>,
+    left: bool,
+}
+
+impl<'g> Queued<'g> {
+    /// Enqueues a request, here or at a scheduler; it may be granted a target at once.
+    pub fn enqueue(gateway: &'g Gateway, requirements: Requirements) -> Self {
+        let (id, slot) = (gateway.next_number(), Arc::new(GrantSlot::default()));
+        let now = Instant::now();
+        let mut state = gateway.state();
+        state.grant_slots.insert(id, Arc::clone(&slot));
+        if let Some(scheduler) = state.scheduler_to_ask(gateway, now) {
+            state.remote.ask(id, requirements.clone(), scheduler, now);
+            gateway.load_changed.notify_all();
+        } else {
+            state.scheduler.enqueue(id, requirements.clone());
+            state.dispatch(gateway, now);
+            if requirements.long && state.scheduler.is_waiting(id) {
+                state.scheduler.long_changed = true;
+                gateway.load_changed.notify_all();
+            }
+            gateway.metrics.queued.set(state.scheduler.waiting_count() as i64);
+        }
+        Self { gateway, requirements, id, slot, left: false }
+    }
+
+    /// Waits up to `timeout` for a grant or a refusal; `None` while the request is queued.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no target can be granted in time.
+    pub fn poll(&mut self, timeout: Duration) -> Option<Result<Grant, Failure>> {
+        let refused = match self.slot.take(timeout) {
+            Some(Ok(grant)) => {
+                self.left = true;
+                return Some(Ok(grant));
+            }
             Some(Err(refusal)) => Some(refusal),
             None => None,
         };
         let now = Instant::now();
-        if caller_gone() {
-            break Failure::new(Kind::CallerGone, "the caller disconnected while queued");
+        if self.gateway.is_aborting() {
+            return Some(Err(Failure::new(Kind::Stopping, "the instance is stopping")));
         }
-        if gateway.is_aborting() {
-            break Failure::new(Kind::Stopping, "the instance is stopping");
+        let mut state = self.gateway.state();
+        let refusal = refused.or_else(|| state.scheduler.refusal(&self.requirements, now));
+        if let Some(refusal) = refusal {
+            return Some(Err(self.failure(&state, refusal, now)));
         }
-        let mut state = gateway.state();
-        match refused.or_else(|| state.scheduler.refusal(requirements, now)) {
-            Some(Refusal::Paused(left)) => {
+        state.dispatch(self.gateway, now);
+        None
+    }
+
+    fn failure(&self, state: &State, refusal: Refusal, now: Instant) -> Failure {
+        let requirements = &self.requirements;
+        match refusal {
+            Refusal::Paused(left) => {
                 let detail = format!("all targets of {} asked for a pause", requirements.service);
-                break Failure::new(Kind::NoTarget, detail).after(left);
+                Failure::new(Kind::NoTarget, detail).after(left)
             }
-            Some(Refusal::Late) => break no_target_in_time(&state, requirements, now),
-            Some(Refusal::Pressure(pressure)) => {
+            Refusal::Late => no_target_in_time(state, requirements, now),
+            Refusal::Pressure(pressure) => {
                 let detail = format!(
                     "engines are busy with work of higher value, pressure is {pressure:.2}"
                 );
-                break Failure::new(Kind::TooLate, detail).after(retry_after(id));
+                Failure::new(Kind::TooLate, detail).after(retry_after(self.id))
             }
-            None => {}
-        }
-        state.dispatch(gateway, now);
-    };
-    dequeue(gateway, id);
-    // A grant may have arrived between the last check and the removal.
-    match slot.take(Duration::ZERO) {
-        Some(Ok(grant)) if failure.kind != Kind::CallerGone => Ok(grant),
-        Some(Ok(grant)) => {
-            gateway.finish(&grant, Instant::now());
-            Err(failure)
         }
-        Some(Err(_)) | None => Err(failure),
     }
-}
 
-/// Enqueues a request, here or at a scheduler; it may be granted a target at once.
-fn enqueue(
-    gateway: &Gateway,
-    id: RequestNumber,
-    requirements: &Requirements,
-    slot: &Arc<GrantSlot>,
-) {
-    let now = Instant::now();
-    let mut state = gateway.state();
-    state.grant_slots.insert(id, Arc::clone(slot));
-    if let Some(scheduler) = state.scheduler_to_ask(gateway, now) {
-        state.remote.ask(id, requirements.clone(), scheduler, now);
-        gateway.load_changed.notify_all();
-        return;
+    /// Takes the request out of the queue; returns a grant that arrived meanwhile.
+    pub fn leave(mut self) -> Option<Grant> {
+        self.dequeue()
     }
-    state.scheduler.enqueue(id, requirements.clone());
-    state.dispatch(gateway, now);
-    if requirements.long && state.scheduler.is_waiting(id) {
-        state.scheduler.long_changed = true;
+
+    fn dequeue(&mut self) -> Option<Grant> {
+        if std::mem::replace(&mut self.left, true) {
+            return None;
+        }
+        let gateway = self.gateway;
+        let mut state = gateway.state();
+        state.grant_slots.remove(&self.id);
+        // A grant that the thread has not taken yet ends with `Gateway::finish`.
+        if !state.remote.withdraw(self.id) {
+            state.scheduler.dequeue(self.id);
+        }
         gateway.load_changed.notify_all();
+        gateway.metrics.queued.set(state.scheduler.waiting_count() as i64);
+        drop(state);
+        self.slot.take(Duration::ZERO).and_then(Result::ok)
     }
-    gateway.metrics.queued.set(state.scheduler.waiting_count() as i64);
 }
 
-/// Removes a request that no longer waits.
-fn dequeue(gateway: &Gateway, id: RequestNumber) {
-    let mut state = gateway.state();
-    state.grant_slots.remove(&id);
-    // A grant that the thread has not taken yet ends with `Gateway::finish`.
-    if !state.remote.withdraw(id) {
-        state.scheduler.dequeue(id);
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        if let Some(grant) = self.dequeue() {
+            self.gateway.finish(&grant, Instant::now());
+        }
+    }
+}
+
+/// Waits until the request is granted a target.
+///
+/// # Errors
+///
+/// Fails when the caller disconnected or no target can be granted in time.
+pub fn wait(
+    gateway: &Gateway,
+    requirements: &Requirements,
+    caller_gone: impl Fn() -> bool,
+) -> Result<Grant, Failure> {
+    let mut queued = Queued::enqueue(gateway, requirements.clone());
+    loop {
+        match queued.poll(POLL_INTERVAL) {
+            Some(Ok(grant)) => return Ok(grant),
+            _ if caller_gone() => {
+                return Err(Failure::new(Kind::CallerGone, "the caller disconnected while queued"));
+            }
+            // A grant may have arrived between the last check and the removal.
+            Some(Err(failure)) => return queued.leave().ok_or(failure),
+            None => {}
+        }
     }
-    gateway.load_changed.notify_all();
-    gateway.metrics.queued.set(state.scheduler.waiting_count() as i64);
 }
 
 fn no_target_in_time(state: &State, requirements: &Requirements, now: Instant) -> Failure {
--- /dev/null
+++ b/src/gateway/run.rs
@@ -0,0 +1,356 @@
+//! One run of a request at a target: sends it and reads the response without waiting.
+//!
+//! The thread of a request waits for all its runs and its caller at once, and lets each run
+//! take what has arrived.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_core::edge::outcomes::Outcome;
+use mimosapass_core::edge::schedule::Grant;
+use mimosapass_platform::header;
+use mimosapass_target::http::{Awaited, BodyPart, Connection, Framing, ReadError, ResponseHead};
+
+use super::attempt;
+use super::relay::complete_length;
+use super::request::Request;
+use super::reservations::Reservations;
+use super::state::Gateway;
+
+/// Largest accepted body of a response that is not streamed; a larger one is malformed.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Largest accepted event of a stream.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Responses to earlier requests that are skipped. A connection is used by one request at a
+/// time, so that more of them than one are rare.
+const MAX_SKIPPED: u32 = 4;
+
+/// What a run has come to.
+#[derive(Debug)]
+pub enum Step {
+    /// More has to be received.
+    Pending,
+    /// Complete events of a stream.
+    Events(Vec<u8>),
+    /// The stream is complete; these are its last bytes.
+    End(Vec<u8>),
+    /// A complete response, successful or not.
+    Response(ResponseHead, Vec<u8>),
+    /// No byte of the request was sent.
+    NotSent(String),
+    /// The target stated that it did not run the request.
+    NotRun(String),
+    /// The run failed after the request may have run.
+    Failed(String),
+}
+
+/// What is read next.
+#[derive(Debug)]
+enum Reading {
+    Head,
+    /// The body of a response to an earlier request, and the bytes read so far.
+    Skipped(Framing, usize),
+    Body(ResponseHead, Vec<u8>),
+    Stream(ResponseHead, Vec<u8>),
+}
+
+/// A granted placement; its targets are released when it is dropped.
+#[derive(Debug)]
+struct Placed<'g> {
+    gateway: &'g Arc<Gateway>,
+    grant: Grant,
+}
+
+impl Drop for Placed<'_> {
+    fn drop(&mut self) {
+        self.gateway.finish(&self.grant, Instant::now());
+    }
+}
+
+/// A run of a request at a target.
+#[derive(Debug)]
+pub struct Run<'g> {
+    /// When the target last sent something; before that, when the run started.
+    pub heard: Instant,
+    /// When the last event was complete.
+    pub last_event: Option<Instant>,
+    /// Whether the target was recorded as silent since it was last heard.
+    pub silent: bool,
+    connection: Connection,
+    request: Vec<u8>,
+    written: usize,
+    reading: Reading,
+    skipped: u32,
+    /// The response, once it is complete.
+    complete: Option<ResponseHead>,
+    // Memory is released before the targets are.
+    #[expect(dead_code, reason = "dropping it releases the memory")]
+    reservations: Reservations,
+    placed: Placed<'g>,
+}
+
+impl<'g> Run<'g> {
+    /// Reserves memory, connects to the target and begins to send.
+    ///
+    /// # Errors
+    ///
+    /// Fails when nothing was sent.
+    pub fn start(
+        gateway: &'g Arc<Gateway>,
+        exchange: &Exchange<'_>,
+        request: &Request,
+        grant: Grant,
+    ) -> Result<Self, String> {
+        let placed = Placed { gateway, grant };
+        let grant = &placed.grant;
+        let reservations = Reservations::reserve(gateway, grant)?;
+        if !gateway.accepts(grant) {
+            return Err("the target has left since it was granted".to_owned());
+        }
+        let mut connection = attempt::connect(gateway, request, grant)?;
+        connection.begin();
+        let now = Instant::now();
+        let bytes = attempt::encode(exchange, request, grant, &reservations, now);
+        Ok(Self {
+            heard: now,
+            last_event: None,
+            silent: false,
+            connection,
+            request: bytes,
+            written: 0,
+            reading: Reading::Head,
+            skipped: 0,
+            complete: None,
+            reservations,
+            placed,
+        })
+    }
+
+    /// Returns the grant of the run.
+    pub fn grant(&self) -> &Grant {
+        &self.placed.grant
+    }
+
+    /// Returns what to wait for.
+    pub fn awaited(&self) -> Awaited<'_> {
+        Awaited { connection: &self.connection, writing: self.written < self.request.len() }
+    }
+
+    /// Receives what has arrived.
+    pub fn receive(&mut self) {
+        if self.connection.fill() {
+            self.heard = Instant::now();
+        }
+    }
+
+    /// Sends and reads as far as possible.
+    pub fn advance(&mut self, method: &str, request: &Request) -> Step {
+        if let Some(failed) = self.write() {
+            return failed;
+        }
+        loop {
+            let step = match &mut self.reading {
+                Reading::Head => self.read_head(method, request),
+                Reading::Skipped(..) => self.skip_body(),
+                Reading::Body(..) => self.read_body(),
+                Reading::Stream(..) => self.read_events(),
+            };
+            if let Some(step) = step {
+                return step;
+            }
+        }
+    }
+
+    /// Writes the rest of the request as far as the target takes it.
+    fn write(&mut self) -> Option<Step> {
+        let rest = &self.request[self.written..];
+        if rest.is_empty() {
+            return None;
+        }
+        match self.connection.write(rest) {
+            Ok(count) => {
+                self.written += count;
+                None
+            }
+            Err(e) => {
+                let (written, addr) = (self.written, self.connection.addr());
+                let error = format!("only {written} bytes of the request were sent to {addr}: {e}");
+                Some(if written == 0 { Step::NotSent(error) } else { Step::Failed(error) })
+            }
+        }
+    }
+
+    /// Reads the head of a response; `None` when its body is to be read.
+    fn read_head(&mut self, method: &str, request: &Request) -> Option<Step> {
+        let response = match self.connection.parse_head(method) {
+            Ok(Some(response)) => response,
+            Ok(None) => return Some(Step::Pending),
+            Err(e) => return Some(read_failure(e)),
+        };
+        self.placed.gateway.read_notices(&self.grant().placement.target, &response);
+        let echoed = response.header(header::ATTEMPT_ID);
+        if echoed.is_some_and(|id| id != request.attempt_id) {
+            self.skipped += 1;
+            if self.skipped > MAX_SKIPPED {
+                let error = "the target responds to earlier requests only";
+                return Some(Step::Failed(error.to_owned()));
+            }
+            self.reading = Reading::Skipped(response.framing, 0);
+            return None;
+        }
+        let success = (200..300).contains(&response.status);
+        let signed = response.header(header::SIGNATURE).is_some()
+            && echoed.is_some()
+            && response.header("content-encoding").is_none();
+        if !signed && !states_not_run(&response) {
+            let error = if success {
+                "the response has no signature of the target".to_owned()
+            } else {
+                format!("status {} without a signature", response.status)
+            };
+            return Some(Step::Failed(error));
+        }
+        self.reading = if success && request.route.streaming {
+            Reading::Stream(response, Vec::new())
+        } else {
+            Reading::Body(response, Vec::new())
+        };
+        None
+    }
+    /// Reads the body of a response to an earlier request; `None` when it is complete.
+    fn skip_body(&mut self) -> Option<Step> {
+        let Reading::Skipped(framing, read) = &mut self.reading else { return None };
+        loop {
+            match self.connection.next_part(framing) {
+                Ok(BodyPart::Data(data)) if *read + data.len() <= MAX_BODY_BYTES => {
+                    *read += data.len();
+                }
+                Ok(BodyPart::NeedMore) => return Some(Step::Pending),
+                Ok(BodyPart::End) => {
+                    self.reading = Reading::Head;
+                    return None;
+                }
+                Ok(BodyPart::Data(_)) | Err(_) => {
+                    let error = "the connection failed within the response to an earlier request";
+                    return Some(Step::Failed(error.to_owned()));
+                }
+            }
+        }
+    }
+
+    fn read_body(&mut self) -> Option<Step> {
+        let Reading::Body(response, body) = &mut self.reading else { return None };
+        loop {
+            let part = self.connection.next_part(&mut response.framing);
+            let not_run = states_not_run(response);
+            match part {
+                Ok(BodyPart::Data(data)) if body.len() + data.len() <= MAX_BODY_BYTES => {
+                    body.extend(data);
+                }
+                Ok(BodyPart::End) => {
+                    let (response, body) = (response.clone(), std::mem::take(body));
+                    self.complete = Some(response.clone());
+                    return Some(if not_run {
+                        Step::NotRun(format!("status {}", response.status))
+                    } else {
+                        Step::Response(response, body)
+                    });
+                }
+                // What a target sends after it stated that it did not run is not waited for.
+                _ if not_run => return Some(Step::NotRun(format!("status {}", response.status))),
+                Ok(BodyPart::NeedMore) => return Some(Step::Pending),
+                Ok(BodyPart::Data(_)) => return Some(read_failure(ReadError::Malformed)),
+                Err(e) => return Some(read_failure(e)),
+            }
+        }
+    }
+
+    fn read_events(&mut self) -> Option<Step> {
+        let Reading::Stream(response, partial) = &mut self.reading else { return None };
+        loop {
+            match self.connection.next_part(&mut response.framing) {
+                Ok(BodyPart::Data(data)) => {
+                    partial.extend(data);
+                    if let Some(length) = complete_length(partial) {
+                        return Some(Step::Events(partial.drain(..length).collect()));
+                    }
+                    if partial.len() > MAX_EVENT_BYTES {
+                        return Some(Step::Failed("an event of the stream has no end".to_owned()));
+                    }
+                }
+                Ok(BodyPart::NeedMore) => return Some(Step::Pending),
+                Ok(BodyPart::End)
+                    if !partial.is_empty() && response.framing == Framing::UntilClose =>
+                {
+                    return Some(Step::Failed("the stream ended within an event".to_owned()));
+                }
+                Ok(BodyPart::End) => {
+                    self.complete = Some(response.clone());
+                    return Some(Step::End(std::mem::take(partial)));
+                }
+                Err(e) => return Some(read_failure(e)),
+            }
+        }
+    }
+
+    /// Returns the head of the response that is streamed, or was complete.
+    pub fn response(&self) -> Option<&ResponseHead> {
+        match &self.reading {
+            Reading::Body(response, _) | Reading::Stream(response, _) => Some(response),
+            Reading::Head | Reading::Skipped(..) => None,
+        }
+    }
+
+    /// Returns the time between the last event and one at `now`; `None` for the first one.
+    pub fn record_event(&mut self, now: Instant) -> Option<Duration> {
+        let last = self.last_event.replace(now);
+        last.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Ends the run: keeps its connection if that can be used again, else cancels the work.
+    pub fn release(self) {
+        let sent = self.written == self.request.len();
+        match self.complete.filter(|_| sent) {
+            Some(response) => attempt::reuse(self.placed.gateway, self.connection, &response),
+            None => self.connection.abort(),
+        }
+    }
+}
+
+impl Step {
+    /// Returns what the end of a run says of its target, if anything.
+    pub fn outcome(&self) -> Option<Outcome> {
+        match self {
+            Self::Pending | Self::Events(_) => None,
+            Self::Response(response, _) if response.status >= 500 => Some(Outcome::Failed),
+            Self::End(_) | Self::Response(..) => Some(Outcome::Answered),
+            Self::NotRun(_) => Some(Outcome::Refused),
+            Self::NotSent(_) | Self::Failed(_) => Some(Outcome::Silent),
+        }
+    }
+
+    /// Returns the value of the metrics label `outcome`.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Pending | Self::Events(_) => "streaming",
+            Self::End(_) | Self::Response(..) => "answered",
+            Self::NotSent(_) => "unsent",
+            Self::NotRun(_) => "not_run",
+            Self::Failed(_) => "lost",
+        }
+    }
+}
+
+/// Returns whether a target states in a response that it did not run the request.
+fn states_not_run(response: &ResponseHead) -> bool {
+    let success = (200..300).contains(&response.status);
+    !success && (response.status == 421 || response.header(header::NOT_RUN).is_some())
+}
+
+fn read_failure(error: ReadError) -> Step {
+    Step::Failed(match error {
+        ReadError::Truncated => "the connection ended within the response".to_owned(),
+        ReadError::Malformed => "the response is malformed".to_owned(),
+    })
+}
