--- a/crates/core/tests/edge_retry.rs
+++ b/crates/core/tests/edge_retry.rs
@@ -79,3 +79,15 @@
     assert_eq!(outcomes.record(&"x".into(), Outcome::Refused, 0.0, now), None);
     assert!(!outcomes.is_avoided("x", now));
 }
+
+/// A backup that found no target does not count against the limits.
+#[test]
+fn retry_that_is_given_back_can_be_used_again() {
+    let limits = RetryLimits { ratio: 0.0, slack: 2.0, ..LIMITS };
+    let (mut window, now) = (RetryWindow::default(), Instant::now());
+    let mut taken = || window.try_retry(&limits, 1, now);
+    assert_eq!([taken(), taken(), taken()], [true, true, false]);
+    window.give_back();
+    assert!(window.try_retry(&limits, 1, now));
+    assert!(!window.try_retry(&limits, 1, now));
+}
