Reservations: silent engines do not delay the renewals of others

With four silent engines the memory on a sound one was renewed after 2.5 s of the 3 s in which it expires; one lost renewal, and the request is cut off. Renewals are now sent to all engines at once, in rounds 0.9 s apart. The test failed before (2.50 s between two renewals, bound 1.5 s) and passes now.

--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -88,6 +88,10 @@
     reservations: BTreeMap<String, u64>,
     reserved: usize,
     released: usize,
+    /// When memory was reserved, or a reservation renewed.
+    reserved_at: Vec<Instant>,
+    /// Silence before an order is carried out.
+    order_delay: Duration,
     /// Whether new connections are refused.
     closed: bool,
 }
@@ -169,6 +173,16 @@
         (state.reservations.values().sum(), state.reserved, state.released)
     }
 
+    /// Returns when memory was reserved, or a reservation renewed.
+    pub fn reserved_at(&self) -> Vec<Instant> {
+        self.lock().reserved_at.clone()
+    }
+
+    /// Makes the target silent for this time before it carries out an order.
+    pub fn delay_orders(&self, delay: Duration) {
+        self.lock().order_delay = delay;
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         self.lock().connections += 1;
         let mut buffer = Vec::new();
@@ -196,9 +210,12 @@
     fn handle_order(&self, stream: &mut TcpStream, body: &[u8]) {
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
         let id = body["id"].as_str().unwrap_or_default().to_owned();
+        let delay = self.lock().order_delay;
+        thread::sleep(delay);
         let mut state = self.lock();
         if body["op"] == "reserve" {
             state.reserved += 1;
+            state.reserved_at.push(Instant::now());
             state.reservations.insert(id, body["token_count"].as_u64().unwrap_or_default());
         } else {
             state.released += 1;
--- a/src/gateway/reservations.rs
+++ b/src/gateway/reservations.rs
@@ -75,7 +75,10 @@
         let answering = grant.placement.target.addr;
         let gateway = Arc::clone(gateway);
         let renewal = move || {
-            while let Err(RecvTimeoutError::Timeout) = stopped.recv_timeout(RENEW_INTERVAL) {
+            let mut next = Instant::now() + RENEW_INTERVAL;
+            let left = |next: Instant| next.saturating_duration_since(Instant::now());
+            while let Err(RecvTimeoutError::Timeout) = stopped.recv_timeout(left(next)) {
+                next += RENEW_INTERVAL;
                 // Engines with reservations detect the failure of the answering engine at
                 // once, this instance only after the limit on its silence. Without this
                 // check it would renew until then.
@@ -96,15 +99,26 @@
     }
 }
 
+/// Renews the reservations on all engines at once: one that is silent must not delay the others.
 fn renew(gateway: &Gateway, id: &str, engines: &[EngineTokens]) {
-    for (engine, tokens) in engines {
-        let result = call(gateway, engine, &reservation::reserve_body(id, *tokens, TTL));
-        if result != Ok(200) {
-            log::warn!(
-                ticket = id, addr:% = engine.addr, result:? = result;
-                "reservation: renewal failed."
-            );
+    thread::scope(|scope| {
+        for engine in engines {
+            let builder = thread::Builder::new().name("renew".to_owned()).stack_size(STACK_BYTES);
+            let renewal = move || renew_one(gateway, id, engine);
+            if let Err(e) = builder.spawn_scoped(scope, renewal) {
+                log::error!(ticket = id; "reservation: cannot start a thread for a renewal: {e}.");
+            }
         }
+    });
+}
+
+fn renew_one(gateway: &Gateway, id: &str, (engine, tokens): &EngineTokens) {
+    let result = call(gateway, engine, &reservation::reserve_body(id, *tokens, TTL));
+    if result != Ok(200) {
+        log::warn!(
+            ticket = id, addr:% = engine.addr, result:? = result;
+            "reservation: renewal failed."
+        );
     }
 }
 
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod delegation;
 mod explain;
 mod notices;
+mod reservations;
 mod restore;
 mod silence;
 mod soak;
--- /dev/null
+++ b/tests/suite/gateway/reservations.rs
@@ -0,0 +1,48 @@
+//! Reservations of memory for a prompt that one engine cannot hold.
+
+use std::time::{Duration, Instant};
+
+use mimosapass_standin::target::{Reply, ScriptedTarget};
+
+use super::{Cluster, KEY, config, start_target};
+
+/// Time after which a reservation expires that is not renewed.
+const TTL: Duration = Duration::from_secs(3);
+/// Silence of an engine, longer than the timeout of an order.
+const SILENCE: Duration = Duration::from_secs(1);
+
+/// Guards against a request that is cut off since its memory expired on sound engines: renewals
+/// were sent one after the other, and waited for each silent engine.
+#[test]
+fn silent_engines_do_not_delay_the_renewals_of_others() {
+    let slow = Reply::Stream { last: 10, pause: Duration::from_millis(500), cut_at: None };
+    let targets: Vec<ScriptedTarget> =
+        (0..16).map(|i| start_target(&format!("i-{i:02}"), slow.clone())).collect();
+    let cluster = Cluster::start(1);
+    let mut small_engines = config(4, &[KEY], &["chat"]);
+    small_engines["services"][1]["engine"]["kv_capacity"] = 120_000.into();
+    cluster.configure(&small_engines);
+    for target in &targets {
+        cluster.register(target, "pool");
+    }
+    cluster.ready(0);
+    cluster.logged(0, &["config: now in force.", "version=4"]);
+    let renewals = std::thread::scope(|scope| {
+        let headers = "x-token-usage: 600000,50\r\n";
+        let asking = scope.spawn(|| cluster.ask_with(0, "/chat/1", "id-1", headers));
+        cluster.logged(0, &["reservation: made on all engines."]);
+        let holders: Vec<&ScriptedTarget> = targets.iter().filter(|t| t.memory().1 > 0).collect();
+        let (sound, silent) = holders.split_last().expect("engines that hold memory");
+        assert!(silent.len() >= 3, "{} engines hold memory", holders.len());
+        for target in silent {
+            target.delay_orders(SILENCE);
+        }
+        let answer = asking.join().expect("an answer");
+        assert!(answer.complete, "{answer:?}");
+        [sound.reserved_at(), vec![Instant::now()]].concat()
+    });
+    for pair in renewals.windows(2) {
+        let gap = pair[1] - pair[0];
+        assert!(gap <= TTL / 2, "a renewal may fail, and two were {gap:?} apart");
+    }
+}
