Reservations: an engine that does not answer is not chosen again, nor waited for in a release

A prompt larger than an engine was refused although other engines had room: one engine was silent for longer than the timeout of an order, the reservations made so far were released one by one, up to 1.2 s for the silent engine, and the next placement could choose it again, until the time or the four tries were used up. Now the engine is avoided by the request, by others for a while as well if it did not answer, and the release runs on a thread of its own. The test, with three of the engines silent, was answered 503 before and passes now.

--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -19,7 +19,7 @@
 use super::queue;
 use super::relay::{self, Progress};
 use super::request::{self, Request};
-use super::run::{Run, Step};
+use super::run::{NotStarted, Run, Step};
 use super::runs::Runs;
 use super::state::Gateway;
 
@@ -217,9 +217,10 @@
                 self.sends += 1;
                 self.runs.add(run);
             }
-            Err(error) => {
+            Err(NotStarted { engine, error }) => {
                 self.not_sent += 1;
                 self.last_error = error;
+                self.request.requirements.avoid.extend(engine);
             }
         }
     }
--- a/src/gateway/reservations.rs
+++ b/src/gateway/reservations.rs
@@ -11,10 +11,13 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_core::edge::fleet::Target;
+use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::schedule::Grant;
+use mimosapass_core::ids::TargetId;
 use mimosapass_platform::reservation;
 use mimosapass_target::http::{Connection, post};
 
+use super::run::NotStarted;
 use super::state::Gateway;
 
 /// Unused memory has to be free again within four seconds.
@@ -45,8 +48,9 @@
     ///
     /// # Errors
     ///
-    /// Fails when one engine refuses; the reservations made so far are released.
-    pub fn reserve(gateway: &Arc<Gateway>, grant: &Grant) -> Result<Self, String> {
+    /// Fails when one engine refuses or does not answer; the reservations made so far are
+    /// released.
+    pub fn reserve(gateway: &Arc<Gateway>, grant: &Grant) -> Result<Self, NotStarted> {
         let helpers = grant.placement.helpers.iter().filter(|h| h.kept_tokens > 0);
         let engines: Vec<EngineTokens> =
             helpers.map(|h| (Arc::clone(&h.target), h.kept_tokens)).collect();
@@ -63,10 +67,14 @@
                     "reservation: refused by an engine."
                 );
                 // The engine may have reserved the memory although the call failed.
-                release(gateway, &id, &engines[..=done]);
-                return Err(format!(
-                    "{addr} did not reserve memory for {tokens} tokens: {result:?}"
-                ));
+                release_later(gateway, &id, &engines[..=done]);
+                if result.is_err() {
+                    gateway.record_outcome(&engine.id, Outcome::Silent, Instant::now());
+                }
+                return Err(NotStarted {
+                    engine: Some(TargetId::clone(&engine.id)),
+                    error: format!("{addr} did not reserve memory for {tokens} tokens: {result:?}"),
+                });
             }
         }
         log::info!(ticket = id, engines = engines.len(); "reservation: made on all engines.");
@@ -122,6 +130,15 @@
     }
 }
 
+/// Releases reservations on a thread of their own: silent engines must not delay the request.
+fn release_later(gateway: &Arc<Gateway>, id: &str, engines: &[EngineTokens]) {
+    let (gateway, ticket, engines) = (Arc::clone(gateway), id.to_owned(), engines.to_vec());
+    let builder = thread::Builder::new().name("ticket".to_owned()).stack_size(STACK_BYTES);
+    if let Err(e) = builder.spawn(move || release(&gateway, &ticket, &engines)) {
+        log::error!(ticket = id; "reservation: left to expire, cannot start a thread: {e}.");
+    }
+}
+
 fn release(gateway: &Gateway, id: &str, engines: &[EngineTokens]) {
     for (engine, _) in engines {
         let body = reservation::release_body(id);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -9,6 +9,7 @@
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::schedule::Grant;
+use mimosapass_core::ids::TargetId;
 use mimosapass_platform::header;
 use mimosapass_target::http::{Awaited, BodyPart, Connection, Framing, ReadError, ResponseHead};
 
@@ -68,6 +69,21 @@
     }
 }
 
+/// Why a run was not started.
+#[derive(Clone, Debug)]
+pub struct NotStarted {
+    /// The engine that refused a reservation or did not answer.
+    pub engine: Option<TargetId>,
+    /// What happened.
+    pub error: String,
+}
+
+impl From<String> for NotStarted {
+    fn from(error: String) -> Self {
+        Self { engine: None, error }
+    }
+}
+
 /// A run of a request at a target.
 #[derive(Debug)]
 pub struct Run<'g> {
@@ -101,12 +117,12 @@
         exchange: &Exchange<'_>,
         request: &Request,
         grant: Grant,
-    ) -> Result<Self, String> {
+    ) -> Result<Self, NotStarted> {
         let placed = Placed { gateway, grant };
         let grant = &placed.grant;
         let reservations = Reservations::reserve(gateway, grant)?;
         if !gateway.accepts(grant) {
-            return Err("the target has left since it was granted".to_owned());
+            return Err("the target has left since it was granted".to_owned().into());
         }
         let mut connection = attempt::connect(gateway, request, grant)?;
         connection.begin();
