--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -4,17 +4,16 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use mimosapass_caller::exchange::{Departure, Exchange};
-use mimosapass_caller::head::Head;
-use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_core::edge::route_table::RouteTable;
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_core::edge::wait::caller_timeout;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
-use mimosapass_platform::header;
 use mimosapass_target::http::ResponseHead;
 
 use super::attempt;
+use super::ending::{CALLER_GONE, RequestEnd, log_refusal, respond_failure};
 use super::metrics::band;
 use super::queue;
 use super::relay::{self, Progress};
@@ -28,37 +27,9 @@
 /// Time for which a request waits for the first configuration. A starting instance
 /// loads it within a few hundred milliseconds when the store is healthy.
 const CONFIG_WAIT: Duration = Duration::from_millis(500);
-/// Longest part of a host or path that is logged.
-const LOGGED_CHARS: usize = 80;
-/// Outcome of a request whose caller disconnected.
-const CALLER_GONE: &str = "caller_gone";
 /// Interval between checks for the first configuration.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// How a request ended, for its log line and metrics.
-#[derive(Debug)]
-struct RequestEnd {
-    outcome: &'static str,
-    detail: String,
-}
-
-impl RequestEnd {
-    fn gone(departure: Departure) -> Self {
-        Self { outcome: CALLER_GONE, detail: departure.to_string() }
-    }
-
-    /// Ends a request whose caller disconnected, or did not take what was sent in time.
-    fn caller_gone(exchange: &Exchange<'_>) -> Self {
-        match exchange.departure() {
-            Some(departure) => Self::gone(departure),
-            None => Self {
-                outcome: "caller_slow",
-                detail: "the caller did not take the response in time".to_owned(),
-            },
-        }
-    }
-}
-
 /// A request being served.
 struct Flow<'a, 'e> {
     gateway: &'a Arc<Gateway>,
@@ -128,32 +99,6 @@
     flow.report(&end, &table, arrived);
 }
 
-/// Records in metrics and the log that a request was refused on arrival.
-fn log_refusal(
-    gateway: &Gateway,
-    table: &RouteTable,
-    head: &Head,
-    failure: &Failure,
-    now: Instant,
-) {
-    let (host, path) = (head.header("host").unwrap_or_default(), head.path.as_str());
-    let shown = |text: &str| text.chars().take(LOGGED_CHARS).collect::<String>();
-    let last_success = gateway.state().store.last_success;
-    let age = last_success.map(|at| now.saturating_duration_since(at).as_millis().to_string());
-    let kind = failure.kind;
-    log::info!(
-        id = head.header(header::ATTEMPT_ID).unwrap_or_default(),
-        version = table.version,
-        kind:? = kind,
-        method = head.method.as_str(),
-        host = shown(host),
-        path = shown(path),
-        store_age_ms = age.as_deref().unwrap_or("never");
-        "request: refused, {failure}."
-    );
-    gateway.metrics.requests.with_label_values(&["none", kind.row().code]).inc();
-}
-
 impl<'a> Flow<'a, '_> {
     /// Records in metrics and the log how the request ended.
     fn report(&self, end: &RequestEnd, table: &RouteTable, arrived: Instant) {
@@ -491,26 +436,3 @@
         "request: first event."
     );
 }
-
-/// Responds with a failure of the gateway itself.
-fn respond_failure(exchange: &mut Exchange<'_>, failure: &Failure) {
-    let row = failure.kind.row();
-    let mut headers = vec![("content-type", "text/plain".to_owned())];
-    if let (true, Some(after)) = (row.not_run, failure.retry_after()) {
-        headers.push((header::RETRY_AFTER, header::retry_after(after)));
-    }
-    if let Err(e) = exchange.respond(row.status, &headers, failure.detail.as_bytes()) {
-        log::debug!("request: the response could not be sent to the caller: {e}.");
-    }
-}
-
-impl Gateway {
-    /// Counts a caller's request, which raises the retry limit of its service.
-    fn record_request(&self, service: &ServiceId, now: Instant) {
-        self.state()
-            .retry_windows
-            .entry(ServiceId::clone(service))
-            .or_default()
-            .record_request(now);
-    }
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 //! | `reservations` | reserves memory for a prompt that one engine cannot hold |
 //! | `relay` | relays event streams |
 //! | `notices` | what targets state about themselves in their answers |
+//! | `ending` | how a request ends: log line, metrics, responses of the gateway itself |
 //! | `flow` | serves one request |
 //! | `serve` | starts and stops the threads and servers |
 
@@ -29,6 +30,7 @@
 
 mod attempt;
 mod delegate;
+mod ending;
 mod flow;
 mod follow;
 mod gossip;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -91,8 +91,8 @@
     pub heard: Instant,
     /// When the last event was complete.
     pub last_event: Option<Instant>,
-    /// Whether the target was recorded as silent since it was last heard.
-    pub silent: bool,
+    /// Since when the target has sent no event, if it was recorded as silent.
+    pub silent_since: Option<Instant>,
     connection: Connection,
     request: Vec<u8>,
     written: usize,
@@ -131,7 +131,7 @@
         Ok(Self {
             heard: now,
             last_event: None,
-            silent: false,
+            silent_since: None,
             connection,
             request: bytes,
             written: 0,
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -72,16 +72,16 @@
         self.cancel_backup(request);
         let run = self.active.swap_remove(index);
         for other in std::mem::replace(&mut self.active, vec![run]) {
-            if other.silent {
+            if let Some(since) = other.silent_since {
                 self.count("replaced");
-                log_silence(request, &other, "request: another target took over.");
+                log_silence(request, &other, since, "request: another target took over.");
             }
             other.release();
         }
         let run = &mut self.active[0];
-        if std::mem::take(&mut run.silent) {
+        if let Some(since) = run.silent_since.take() {
             self.gateway.metrics.silent_runs.with_label_values(&["went_on"]).inc();
-            log_silence(request, run, "request: the silent target went on.");
+            log_silence(request, run, since, "request: the silent target went on.");
         }
         run
     }
@@ -108,10 +108,11 @@
     /// Records targets that have become silent.
     pub fn record_silence(&mut self, request: &Request, now: Instant) {
         let Some(backup) = &self.backup else { return };
-        let silent = |run: &&mut Run<'_>| !run.silent && backup.is_silent(run.heard, now);
+        let silent =
+            |run: &&mut Run<'_>| run.silent_since.is_none() && backup.is_silent(run.heard, now);
         for run in self.active.iter_mut().filter(silent) {
-            run.silent = true;
-            log_silence(request, run, "request: the target is silent.");
+            run.silent_since = Some(run.heard);
+            log_silence(request, run, run.heard, "request: the target is silent.");
             let id = &run.grant().placement.target.id;
             self.gateway.record_outcome(id, Outcome::Silent, now);
         }
@@ -211,8 +212,8 @@
     }
 }
 
-fn log_silence(request: &Request, run: &Run<'_>, text: &str) {
-    let silent_ms = run.heard.elapsed().as_millis() as u64;
+fn log_silence(request: &Request, run: &Run<'_>, since: Instant, text: &str) {
+    let silent_ms = since.elapsed().as_millis() as u64;
     log::info!(
         id = request.attempt_id.as_str(),
         target_id = &*run.grant().placement.target.id,
@@ -222,6 +223,15 @@
 }
 
 impl Gateway {
+    /// Counts a caller's request, which raises the retry limit of its service.
+    pub fn record_request(&self, service: &ServiceId, now: Instant) {
+        self.state()
+            .retry_windows
+            .entry(ServiceId::clone(service))
+            .or_default()
+            .record_request(now);
+    }
+
     /// Uses one retry; returns whether the limits allow it.
     pub fn try_retry(&self, service: &ServiceId, now: Instant) -> bool {
         let mut state = self.state();
