Caller: an interrupted system call is no disconnect

By reading, not seen: a peek or a read that a signal interrupts counted as a caller that left, and the request or its connection ended without an answer. Both are tried again. No test interrupts them.

--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::fmt;
-use std::io::{self, Write};
+use std::io::{self, ErrorKind, Write};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
@@ -51,7 +51,7 @@
     /// The caller closed its side.
     Closed,
     /// The connection broke.
-    Broken(io::ErrorKind),
+    Broken(ErrorKind),
 }
 
 impl fmt::Display for Departure {
@@ -114,7 +114,8 @@
         match SockRef::from(self.writer.stream).recv_with_flags(&mut byte, PEEK_NOWAIT) {
             Ok(0) => Some(Departure::Closed),
             Ok(_) => None,
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => None,
+            // An interrupted call says nothing of the connection.
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => None,
             Err(e) => Some(Departure::Broken(e.kind())),
         }
     }
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -364,9 +364,16 @@
 
 fn read_some(mut source: impl Read, buffered: &mut Vec<u8>) -> io::Result<usize> {
     let mut buffer = [0; READ_BYTES];
-    let read = source.read(&mut buffer)?;
-    buffered.extend_from_slice(&buffer[..read]);
-    Ok(read)
+    loop {
+        match source.read(&mut buffer) {
+            Ok(read) => {
+                buffered.extend_from_slice(&buffer[..read]);
+                return Ok(read);
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
 }
 
 fn read_head(stream: &TcpStream, buffered: &mut Vec<u8>, shared: &Shared) -> Result<Head, Failure> {
