Targets: any keep-alive time is accepted, and a panic leaves no request without an answer

Callers got neither an answer nor a refusal: a target that states a keep-alive time of 2^64-1 s made the sum of two times overflow in the thread of the next request to it. The times are compared without a sum. A handler that panics is now answered with 500, and its connection and request no longer count, so that a stop does not wait for them. Both tests failed before.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -3,6 +3,7 @@
 use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::thread;
@@ -216,24 +217,41 @@
         log::warn!("caller: too many connections; one was closed without a response.");
         return;
     }
-    let serving = Arc::clone(shared);
+    let counted = OpenConnection(Arc::clone(shared));
     let work = move || {
+        let serving = &*counted.0;
         if open < limit {
-            serve_connection(&stream, &serving);
+            serve_connection(&stream, serving);
         } else {
             let text = format!("all {limit} connections of this instance are in use");
-            reject(&stream, &serving, &Failure::new(Kind::QueueFull, text));
+            reject(&stream, serving, &Failure::new(Kind::QueueFull, text));
         }
-        serving.connections.fetch_sub(1, Ordering::SeqCst);
     };
     let spawned =
         thread::Builder::new().name("caller".to_owned()).stack_size(STACK_BYTES).spawn(work);
     if let Err(e) = spawned {
-        shared.connections.fetch_sub(1, Ordering::SeqCst);
         log::error!("caller: cannot start a thread for a connection: {e}.");
     }
 }
 
+/// An open connection; it no longer counts when this is dropped, also by a panic.
+struct OpenConnection(Arc<Shared>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// A request that is being handled; it no longer counts when this is dropped.
+struct ActiveRequest<'a>(&'a Shared);
+
+impl Drop for ActiveRequest<'_> {
+    fn drop(&mut self) {
+        self.0.active_requests.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 fn serve_connection(stream: &TcpStream, shared: &Shared) {
     if stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true)).is_err() {
         return;
@@ -281,11 +299,15 @@
 }
 
 fn handle(head: Head, body: Body, stream: &TcpStream, shared: &Shared) -> bool {
+    let active = ActiveRequest(shared);
     let close = head.wants_close() || shared.keep_alive_disabled.load(Ordering::SeqCst);
     let Body { bytes, reservation } = body;
     let writer = TimedWriter { stream, timeout: shared.limits.write_timeout, deadline: None };
     let mut exchange = Exchange::new(head, bytes, writer, close);
-    (shared.handler)(&mut exchange);
+    let handled = catch_unwind(AssertUnwindSafe(|| (shared.handler)(&mut exchange)));
+    if handled.is_err() {
+        log::error!("caller: the handler of a request panicked.");
+    }
     if exchange.unanswered() {
         let failure = Failure::new(Kind::Internal, "the request handler sent no response");
         error_response::send(&mut exchange, &failure, None).unwrap_or_default();
@@ -293,7 +315,7 @@
     let reusable = exchange.reusable();
     drop(exchange);
     drop(reservation);
-    shared.active_requests.fetch_sub(1, Ordering::SeqCst);
+    drop(active);
     reusable
 }
 
--- a/crates/caller/tests/stop.rs
+++ b/crates/caller/tests/stop.rs
@@ -86,3 +86,19 @@
     assert!(text.ends_with("done"), "{text}");
     wait_drained(&server);
 }
+
+/// Guards against callers without any answer, and a stop that waits for their connections.
+#[test]
+fn request_whose_handler_panics_is_answered_and_its_connection_no_longer_counts() {
+    let local: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let server = Server::start(local, Limits::default(), Arc::new(|_| panic!("a bug")));
+    let server = server.expect("it starts");
+    let mut stream = connect(&server);
+    stream.write_all(b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").expect("sent");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("readable");
+    assert!(text.starts_with("HTTP/1.1 500"), "{text:?}");
+    server.stop(Duration::ZERO);
+    wait_drained(&server);
+    assert_eq!(server.active_requests(), 0);
+}
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -151,7 +151,9 @@
     /// Unrequested bytes belong to no request, so a connection that has received
     /// any is not reused.
     pub fn reusable(&self, now: Instant) -> bool {
-        let fresh = self.idle.is_none_or(|(since, keep_alive)| now < since + keep_alive);
+        let fresh = self
+            .idle
+            .is_none_or(|(since, keep_alive)| now.saturating_duration_since(since) < keep_alive);
         let mut byte = [MaybeUninit::uninit()];
         let no_data = || {
             let peeked = SockRef::from(&self.stream).recv_with_flags(&mut byte, PEEK_NOWAIT);
--- a/tests/suite/gateway/answers.rs
+++ b/tests/suite/gateway/answers.rs
@@ -160,3 +160,19 @@
     }
     assert!(targets[0].requests().len() <= 2, "the target is avoided after it was silent");
 }
+
+/// Guards against requests without any answer: a target's keep-alive time ended the thread of
+/// the next request to it.
+#[test]
+fn largest_keep_alive_time_ends_no_request() {
+    let reply = Reply::WithHeader(200, "ok", "keep-alive: timeout=18446744073709551615");
+    let target = start_target("i-0", reply);
+    let cluster = Cluster::start(1);
+    cluster.register(&target, "desk");
+    cluster.ready(0);
+    for i in 0..3 {
+        let head = super::head("/look/1", &format!("id-{i}"), super::KEY, "");
+        let answer = super::try_call(cluster.callers(0), &head, b"question");
+        assert!(answer.is_some_and(|a| a.body == "ok"), "request {i}");
+    }
+}
