Retries: the one that is given back is the one that was not sent

Reviewed, not seen in a run of callers: a backup that found no target took the newest retry out of the window, which may be one that another request has sent since, so that more retries than the limits allow could follow. The test, four retries in a window for three, failed before.

--- a/crates/core/src/edge/retry.rs
+++ b/crates/core/src/edge/retry.rs
@@ -52,8 +52,10 @@
         allowed
     }
 
-    /// Gives back the retry that was consumed last: it was not sent.
-    pub fn give_back(&mut self) {
-        self.retries.pop_back();
+    /// Gives back the retry that was consumed at `at`: it was not sent.
+    pub fn give_back(&mut self, at: Instant) {
+        if let Some(index) = self.retries.iter().rposition(|retry| *retry == at) {
+            self.retries.remove(index);
+        }
     }
 }
--- a/crates/core/tests/edge_retry.rs
+++ b/crates/core/tests/edge_retry.rs
@@ -87,7 +87,22 @@
     let (mut window, now) = (RetryWindow::default(), Instant::now());
     let mut taken = || window.try_retry(&limits, 1, now);
     assert_eq!([taken(), taken(), taken()], [true, true, false]);
-    window.give_back();
+    window.give_back(now);
     assert!(window.try_retry(&limits, 1, now));
     assert!(!window.try_retry(&limits, 1, now));
 }
+
+/// Guards against more retries than the limits allow: a later retry of another request was
+/// taken out in place of the one given back.
+#[test]
+fn retry_that_is_given_back_is_not_that_of_another_request() {
+    let limits = RetryLimits { ratio: 0.0, slack: 3.0, window: Duration::from_secs(10) };
+    let (mut window, start) = (RetryWindow::default(), Instant::now());
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    assert!(window.try_retry(&limits, 1, at(0)));
+    assert!(window.try_retry(&limits, 1, at(1_000)));
+    window.give_back(at(0));
+    let later = (1_100..=11_000).step_by(100);
+    let sent = later.filter(|ms| window.try_retry(&limits, 1, at(*ms))).count();
+    assert!(sent < 3, "{sent} besides the one at a second");
+}
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -33,7 +33,8 @@
     active: Vec<Run<'g>>,
     /// When a silent run is backed up, if the request may be repeated.
     backup: Option<Backup>,
-    queued: Option<Queued<'g>>,
+    /// The request for a second target, and when its retry was consumed.
+    queued: Option<(Queued<'g>, Instant)>,
 }
 
 impl<'g> Runs<'g> {
@@ -134,7 +135,7 @@
     pub fn ask_backup(&mut self, request: &Request, now: Instant) {
         if self.gateway.try_retry(&request.requirements.service, now) {
             let requirements = request.requirements.clone();
-            self.queued = Some(Queued::enqueue(self.gateway, requirements));
+            self.queued = Some((Queued::enqueue(self.gateway, requirements), now));
         } else {
             self.deny("the limits on retries are reached", request, now);
         }
@@ -142,15 +143,15 @@
 
     /// Returns the grant of a second target, once there is one.
     pub fn take_backup(&mut self, request: &Request, now: Instant) -> Option<Grant> {
-        let granted = self.queued.as_mut()?.poll(Duration::ZERO)?;
-        let queued = self.queued.take()?;
+        let granted = self.queued.as_mut()?.0.poll(Duration::ZERO)?;
+        let (queued, retried) = self.queued.take()?;
         let failure = match granted {
             Ok(grant) => return Some(grant),
             Err(failure) => failure,
         };
         let late = queued.leave();
         if late.is_none() {
-            self.gateway.give_back_retry(&request.requirements.service);
+            self.gateway.give_back_retry(&request.requirements.service, retried);
             self.deny(&failure.to_string(), request, now);
         }
         late
@@ -169,8 +170,8 @@
     }
 
     fn cancel_backup(&mut self, request: &Request) {
-        if self.queued.take().is_some() {
-            self.gateway.give_back_retry(&request.requirements.service);
+        if let Some((_, retried)) = self.queued.take() {
+            self.gateway.give_back_retry(&request.requirements.service, retried);
         }
     }
 
@@ -240,10 +241,10 @@
         window.try_retry(&self.settings.retry_limits, instances, now)
     }
 
-    /// Gives back a retry that was not sent.
-    fn give_back_retry(&self, service: &ServiceId) {
+    /// Gives back the retry that was consumed at `at`: it was not sent.
+    fn give_back_retry(&self, service: &ServiceId, at: Instant) {
         if let Some(window) = self.state().retry_windows.get_mut(service) {
-            window.give_back();
+            window.give_back(at);
         }
     }
 }
