Targets: one silence counts once, and ends with the first event after it

A sound target that had been silent was avoided for up to four seconds after it went on: each run that the silence met doubled the pause, and an answer did not end it. The test in core failed before.

--- a/crates/core/src/edge/outcomes.rs
+++ b/crates/core/src/edge/outcomes.rs
@@ -68,14 +68,20 @@
             Outcome::Failed | Outcome::Silent => 1.0,
             Outcome::Refused => return None,
         };
+        // One silence or failure of a target may meet many requests at once.
+        let excluded = record.until.is_some_and(|until| now < until);
+        if excluded && outcome == Outcome::Silent {
+            return None;
+        }
         record.failure_rate += NEWEST_WEIGHT * (failed - record.failure_rate);
         record.count += 1;
+        let failing = record.count >= MIN_OUTCOMES && record.failure_rate > peers + EXCESS_FAILURES;
         if outcome == Outcome::Answered {
             record.pause = Duration::ZERO;
+            record.until = record.until.filter(|_| failing);
             return None;
         }
-        let failing = record.count >= MIN_OUTCOMES && record.failure_rate > peers + EXCESS_FAILURES;
-        if outcome != Outcome::Silent && !failing {
+        if excluded || outcome != Outcome::Silent && !failing {
             return None;
         }
         record.pause = (record.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
--- a/crates/core/tests/edge_retry.rs
+++ b/crates/core/tests/edge_retry.rs
@@ -106,3 +106,26 @@
     let sent = later.filter(|ms| window.try_retry(&limits, 1, at(*ms))).count();
     assert!(sent < 3, "{sent} besides the one at a second");
 }
+
+/// Guards against a sound target that is avoided after it went on: each run that its silence
+/// met doubled the pause, and its answers did not end it.
+#[test]
+fn silence_counts_once_and_ends_with_an_answer() {
+    let (mut outcomes, now) = (Outcomes::default(), Instant::now());
+    let pauses = [0; 4].map(|_| outcomes.record(&"x".into(), Outcome::Silent, 0.0, now));
+    assert!(pauses[0].is_some_and(|pause| outcomes.is_avoided("x", now + pause / 2)));
+    assert_eq!(pauses[1..], [None; 3]);
+    outcomes.record(&"x".into(), Outcome::Answered, 0.0, now + Duration::from_millis(100));
+    assert!(!outcomes.is_avoided("x", now + Duration::from_millis(100)));
+}
+
+/// A target that fails much more than its peers is not used again after one answer.
+#[test]
+fn answer_does_not_end_the_pause_of_a_failing_target() {
+    let (mut outcomes, now) = (Outcomes::default(), Instant::now());
+    for _ in 0..10 {
+        outcomes.record(&"x".into(), Outcome::Failed, 0.0, now);
+    }
+    outcomes.record(&"x".into(), Outcome::Answered, 0.0, now);
+    assert!(outcomes.is_avoided("x", now));
+}
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -83,6 +83,8 @@
         if let Some(since) = run.silent_since.take() {
             self.gateway.metrics.silent_runs.with_label_values(&["went_on"]).inc();
             log_silence(request, run, since, "request: the silent target went on.");
+            let target = &run.grant().placement.target.id;
+            self.gateway.record_outcome(target, Outcome::Answered, Instant::now());
         }
         run
     }
