Gateway: no second response within a stream, and no busy wait without a backup

A rejection by a backup, or by the target at which a stream is resumed, was written as a second head into the caller's stream, and ended a silent run that would have gone on; before the first event it ended that run as well. A response of 400 and above now ends only its own run while another one is under way, and once a stream has begun. A stream whose events have no identifiers can't be resumed; while it was silent, the time of its backup lay in the past and the thread polled without pause (228 ticks of 10 ms in 4 s).

--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -210,7 +210,8 @@
         }
         self.runs.record_silence(&self.request, now);
         self.back_up(now);
-        match self.runs.wait(self.exchange, &self.request, self.sends, now) {
+        let backup_due = self.backup_due();
+        match self.runs.wait(self.exchange, &self.request, backup_due, now) {
             Ok(None) => None,
             Ok(Some(departure)) => {
                 self.runs.count_unfinished("caller_gone");
@@ -227,7 +228,7 @@
 
     /// Starts a run at another target when the only one has been silent for too long.
     fn back_up(&mut self, now: Instant) {
-        if self.progress.is_resumable() && self.runs.is_backup_due(self.sends, now) {
+        if self.backup_due().is_some_and(|due| now >= due) {
             self.prepare_resume();
             self.runs.ask_backup(&self.request, now);
         }
@@ -238,6 +239,10 @@
         }
     }
 
+    fn backup_due(&self) -> Option<Instant> {
+        self.progress.is_resumable().then(|| self.runs.backup_due(self.sends)).flatten()
+    }
+
     /// Takes a step of a run; `None` while the request goes on.
     fn take(&mut self, index: usize, step: Step) -> Option<RequestEnd> {
         self.record_step(index, &step);
@@ -245,16 +250,7 @@
             Step::Pending => None,
             Step::Events(events) => self.relay_events(index, &events),
             Step::End(events) => Some(self.relay_end(index, &events)),
-            Step::Response(response, body) => {
-                self.may_have_run = true;
-                if response.status < 500 || !self.request.is_idempotent() {
-                    self.keep(index);
-                    return Some(self.relay_response(&response, &body));
-                }
-                let error = format!("status {}", response.status);
-                self.last_response = Some((response, body));
-                self.end_run(index, error)
-            }
+            Step::Response(response, body) => self.take_response(index, response, body),
             Step::NotSent(error) => {
                 self.gateway
                     .connections
@@ -271,6 +267,26 @@
         }
     }
 
+    /// Takes a complete response; `None` while the request goes on without it.
+    fn take_response(
+        &mut self,
+        index: usize,
+        response: ResponseHead,
+        body: Vec<u8>,
+    ) -> Option<RequestEnd> {
+        self.may_have_run = true;
+        let retried = response.status >= 500 && self.request.is_idempotent();
+        let other_run = response.status >= 400 && self.runs.is_backed_up();
+        let error = format!("status {}", response.status);
+        // Within a stream no other response can follow.
+        if !self.progress.begun && !retried && !other_run {
+            self.keep(index);
+            return Some(self.relay_response(&response, &body));
+        }
+        self.last_response = Some((response, body));
+        self.end_run(index, error)
+    }
+
     /// Records in metrics and for placement what a step says of the target.
     fn record_step(&self, index: usize, step: &Step) {
         let run = self.runs.get(index);
@@ -404,6 +420,9 @@
             "the deadline passed during the stream".clone_into(&mut self.last_error);
             return RequestEnd { outcome: "cut", detail: self.last_error.clone() };
         }
+        if let Some((response, body)) = self.last_response.take() {
+            return self.relay_response(&response, &body);
+        }
         "the deadline passed before the target responded".clone_into(&mut self.last_error);
         self.refuse(&Failure::new(Kind::RunTimeout, self.last_error.clone()))
     }
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -53,6 +53,11 @@
         self.active.push(run);
     }
 
+    /// Returns whether another run is under way beside one.
+    pub fn is_backed_up(&self) -> bool {
+        self.active.len() > 1
+    }
+
     /// Returns a run.
     pub fn get(&self, index: usize) -> &Run<'g> {
         &self.active[index]
@@ -121,12 +126,9 @@
         }
     }
 
-    /// Returns whether a backup is to be asked for now.
-    pub fn is_backup_due(&self, sends: u32, now: Instant) -> bool {
-        self.backup_due(sends).is_some_and(|due| now >= due)
-    }
-
-    fn backup_due(&self, sends: u32) -> Option<Instant> {
+    /// Returns when a second target is to be asked for; `None` while there is one, or if no
+    /// other target may get the request, which `sends` targets have got.
+    pub fn backup_due(&self, sends: u32) -> Option<Instant> {
         match (&self.backup, &*self.active, &self.queued) {
             (Some(backup), [run], None) => backup.due(run.heard, sends),
             _ => None,
@@ -183,7 +185,7 @@
 
     /// Waits until a run or the caller can go on, or something has to be checked.
     ///
-    /// Returns why the caller is gone, if it is.
+    /// A second target is asked for at `backup_due`. Returns why the caller is gone, if it is.
     ///
     /// # Errors
     ///
@@ -192,11 +194,11 @@
         &mut self,
         exchange: &Exchange<'_>,
         request: &Request,
-        sends: u32,
+        backup_due: Option<Instant>,
         now: Instant,
     ) -> io::Result<Option<Departure>> {
         let interval = if self.queued.is_some() { GRANT_POLL_INTERVAL } else { POLL_INTERVAL };
-        let checks = [Some(request.deadline), Some(now + interval), self.backup_due(sends)];
+        let checks = [Some(request.deadline), Some(now + interval), backup_due];
         let end = checks.into_iter().flatten().min().unwrap_or(now);
         let awaited: Vec<Awaited<'_>> = self.active.iter().map(Run::awaited).collect();
         let mut ready = wait_any(&awaited, Some(exchange.socket()), end)?;
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway binary against stand-ins of the platform.
 
 mod answers;
+mod backups;
 mod delegation;
 mod explain;
 mod notices;
