Gateway: a backup is prepared on a thread of its own

A stream whose engine went on after 2.85 s reached its caller after 4.40 s (patience 4 s) on. Reservations and the connection of a backup are now made on a thread whose result is polled.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -47,12 +47,11 @@
 /// # Errors
 ///
 /// Fails when the target cannot be connected to.
-pub fn connect(gateway: &Gateway, request: &Request, grant: &Grant) -> Result<Connection, String> {
+pub fn connect(gateway: &Gateway, grant: &Grant, idempotent: bool) -> Result<Connection, String> {
     let addr = grant.placement.target.addr;
     // An idle connection may be closed while a request is being sent, which leaves
     // unknown whether it ran: non-idempotent requests get a new connection.
-    let pooled =
-        if request.is_idempotent() { gateway.connections.take(addr, Instant::now()) } else { None };
+    let pooled = if idempotent { gateway.connections.take(addr, Instant::now()) } else { None };
     pooled.map_or_else(|| Connection::open(addr, CONNECT_TIMEOUT), Ok).map_err(|e| {
         gateway.connections.close_all(addr);
         gateway.record_outcome(&grant.placement.target.id, Outcome::Silent, Instant::now());
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -18,7 +18,7 @@
 use super::queue;
 use super::relay::{self, Progress};
 use super::request::{self, Request};
-use super::run::{NotStarted, Run, Step};
+use super::run::{NotStarted, Prepared, Run, Step};
 use super::runs::Runs;
 use super::state::Gateway;
 
@@ -99,7 +99,7 @@
     flow.report(&end, &table, arrived);
 }
 
-impl<'a> Flow<'a, '_> {
+impl Flow<'_, '_> {
     /// Records in metrics and the log how the request ended.
     fn report(&self, end: &RequestEnd, table: &RouteTable, arrived: Instant) {
         let label = band(self.request.requirements.prompt);
@@ -142,7 +142,9 @@
             queue::wait(self.gateway, &self.request.requirements, || exchange.caller_gone());
         match granted {
             Ok(grant) => {
-                self.start(grant);
+                self.record_grant(&grant);
+                let idempotent = self.request.is_idempotent();
+                self.start(Prepared::new(self.gateway, grant, idempotent));
                 None
             }
             Err(failure) if self.sends > 0 && failure.kind != Kind::CallerGone => {
@@ -153,14 +155,12 @@
         }
     }
 
-    /// Starts a run at the granted target.
-    fn start(&mut self, grant: Grant) {
-        self.record_grant(&grant);
-        self.request.requirements.avoid.push(TargetId::clone(&grant.placement.target.id));
-        match Run::start(self.gateway, self.exchange, &self.request, grant) {
-            Ok(run) => {
+    /// Starts a run at a prepared target.
+    fn start(&mut self, prepared: Result<Prepared, NotStarted>) {
+        match prepared {
+            Ok(prepared) => {
                 self.sends += 1;
-                self.runs.add(run);
+                self.runs.add(Run::new(prepared, self.exchange, &self.request));
             }
             Err(NotStarted { engine, error }) => {
                 self.not_sent += 1;
@@ -170,8 +170,10 @@
         }
     }
 
-    /// Records the target that the request was granted.
+    /// Records the target that the request was granted; it is not granted that one again.
     fn record_grant(&mut self, grant: &Grant) {
+        let target = &grant.placement.target.id;
+        self.request.requirements.avoid.push(TargetId::clone(target));
         let requirements = &self.request.requirements;
         let waited = grant.at.saturating_duration_since(requirements.entry.arrived);
         let label = band(requirements.prompt);
@@ -232,8 +234,12 @@
             self.prepare_resume();
             self.runs.ask_backup(&self.request, now);
         }
-        let Some(grant) = self.runs.take_backup(&self.request, now) else { return };
-        self.start(grant);
+        if let Some((grant, retried)) = self.runs.take_grant(&self.request, now) {
+            self.record_grant(&grant);
+            self.runs.prepare(grant, retried, &self.request);
+        }
+        let Some(prepared) = self.runs.take_prepared(&self.request) else { return };
+        self.start(prepared);
         if self.not_sent >= MAX_NOT_SENT {
             self.runs.deny("too many targets cannot be reached", &self.request, now);
         }
@@ -300,7 +306,7 @@
     }
 
     /// Keeps one run and cancels the others.
-    fn keep(&mut self, index: usize) -> &mut Run<'a> {
+    fn keep(&mut self, index: usize) -> &mut Run {
         let run = self.runs.keep(index, &self.request);
         self.target = Some(TargetId::clone(&run.grant().placement.target.id));
         run
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -58,12 +58,12 @@
 
 /// A granted placement; its targets are released when it is dropped.
 #[derive(Debug)]
-struct Placed<'g> {
-    gateway: &'g Arc<Gateway>,
+struct Placed {
+    gateway: Arc<Gateway>,
     grant: Grant,
 }
 
-impl Drop for Placed<'_> {
+impl Drop for Placed {
     fn drop(&mut self) {
         self.gateway.finish(&self.grant, Instant::now());
     }
@@ -86,7 +86,7 @@
 
 /// A run of a request at a target.
 #[derive(Debug)]
-pub struct Run<'g> {
+pub struct Run {
     /// When the last head, event or part of a body arrived; before that, when the run started.
     pub heard: Instant,
     /// When the last event was complete.
@@ -103,32 +103,44 @@
     // Memory is released before the targets are.
     #[expect(dead_code, reason = "dropping it releases the memory")]
     reservations: Reservations,
-    placed: Placed<'g>,
+    placed: Placed,
 }
 
-impl<'g> Run<'g> {
-    /// Reserves memory, connects to the target and begins to send.
+/// A target with its memory reserved and a connection open.
+#[derive(Debug)]
+pub struct Prepared {
+    connection: Connection,
+    reservations: Reservations,
+    placed: Placed,
+}
+
+impl Prepared {
+    /// Reserves memory at the granted targets and connects; this may take most of a second.
     ///
     /// # Errors
     ///
-    /// Fails when nothing was sent.
-    pub fn start(
-        gateway: &'g Arc<Gateway>,
-        exchange: &Exchange<'_>,
-        request: &Request,
-        grant: Grant,
-    ) -> Result<Self, NotStarted> {
-        let placed = Placed { gateway, grant };
+    /// Fails when an engine does not reserve memory, or the target has left or cannot be
+    /// connected to.
+    pub fn new(gateway: &Arc<Gateway>, grant: Grant, idempotent: bool) -> Result<Self, NotStarted> {
+        let placed = Placed { gateway: Arc::clone(gateway), grant };
         let grant = &placed.grant;
         let reservations = Reservations::reserve(gateway, grant)?;
         if !gateway.accepts(grant) {
             return Err("the target has left since it was granted".to_owned().into());
         }
-        let mut connection = attempt::connect(gateway, request, grant)?;
+        let connection = attempt::connect(gateway, grant, idempotent)?;
+        Ok(Self { connection, reservations, placed })
+    }
+}
+
+impl Run {
+    /// Encodes the request for a prepared target; the first step sends it.
+    pub fn new(prepared: Prepared, exchange: &Exchange<'_>, request: &Request) -> Self {
+        let Prepared { mut connection, reservations, placed } = prepared;
         connection.begin();
         let now = Instant::now();
-        let bytes = attempt::encode(exchange, request, grant, &reservations, now);
-        Ok(Self {
+        let bytes = attempt::encode(exchange, request, &placed.grant, &reservations, now);
+        Self {
             heard: now,
             last_event: None,
             silent_since: None,
@@ -140,7 +152,7 @@
             complete: None,
             reservations,
             placed,
-        })
+        }
     }
 
     /// Returns the grant of the run.
@@ -335,7 +347,7 @@
     pub fn release(self) {
         let sent = self.written == self.request.len();
         match self.complete.filter(|_| sent) {
-            Some(response) => attempt::reuse(self.placed.gateway, self.connection, &response),
+            Some(response) => attempt::reuse(&self.placed.gateway, self.connection, &response),
             None => self.connection.abort(),
         }
     }
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -5,6 +5,8 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::mpsc::{Receiver, TryRecvError, channel};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use mimosapass_caller::exchange::{Departure, Exchange};
@@ -16,13 +18,15 @@
 
 use super::queue::Queued;
 use super::request::Request;
-use super::run::{Run, Step};
+use super::run::{NotStarted, Prepared, Run, Step};
 use super::state::Gateway;
 
 /// Interval between checks whether the instance aborts its requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval between checks for the grant of a backup.
+/// Interval between checks for the grant of a backup, and whether it is prepared.
 const GRANT_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Stack size of the thread that prepares a backup.
+const STACK_BYTES: usize = 128 * 1024;
 /// Longest wait without the caller, once it has sent its next request already.
 const PIPELINED_WAIT: Duration = Duration::from_millis(100);
 
@@ -30,17 +34,25 @@
 #[derive(Debug)]
 pub struct Runs<'g> {
     gateway: &'g Arc<Gateway>,
-    active: Vec<Run<'g>>,
+    active: Vec<Run>,
     /// When a silent run is backed up, if the request may be repeated.
     backup: Option<Backup>,
-    /// The request for a second target, and when its retry was consumed.
-    queued: Option<(Queued<'g>, Instant)>,
+    /// The second target that is asked for, and when its retry was consumed.
+    pending: Option<(Pending<'g>, Instant)>,
+}
+
+/// A second target that is asked for.
+#[derive(Debug)]
+enum Pending<'g> {
+    Queued(Box<Queued<'g>>),
+    /// Granted; a thread reserves its memory and connects to it.
+    Preparing(Receiver<Result<Prepared, NotStarted>>),
 }
 
 impl<'g> Runs<'g> {
     /// Creates the state of a request that has no runs.
     pub fn new(gateway: &'g Arc<Gateway>, route: &Route) -> Self {
-        Self { gateway, active: Vec::new(), backup: Backup::of(route), queued: None }
+        Self { gateway, active: Vec::new(), backup: Backup::of(route), pending: None }
     }
 
     /// Returns whether no run is under way.
@@ -49,7 +61,7 @@
     }
 
     /// Adds a run that has started.
-    pub fn add(&mut self, run: Run<'g>) {
+    pub fn add(&mut self, run: Run) {
         self.active.push(run);
     }
 
@@ -59,7 +71,7 @@
     }
 
     /// Returns a run.
-    pub fn get(&self, index: usize) -> &Run<'g> {
+    pub fn get(&self, index: usize) -> &Run {
         &self.active[index]
     }
 
@@ -74,7 +86,7 @@
     }
 
     /// Cancels all runs but one, and the request for a backup.
-    pub fn keep(&mut self, index: usize, request: &Request) -> &mut Run<'g> {
+    pub fn keep(&mut self, index: usize, request: &Request) -> &mut Run {
         self.cancel_backup(request);
         let run = self.active.swap_remove(index);
         for other in std::mem::replace(&mut self.active, vec![run]) {
@@ -117,7 +129,7 @@
     pub fn record_silence(&mut self, request: &Request, now: Instant) {
         let Some(backup) = &self.backup else { return };
         let silent =
-            |run: &&mut Run<'_>| run.silent_since.is_none() && backup.is_silent(run.heard, now);
+            |run: &&mut Run| run.silent_since.is_none() && backup.is_silent(run.heard, now);
         for run in self.active.iter_mut().filter(silent) {
             run.silent_since = Some(run.heard);
             log_silence(request, run, run.heard, "request: the target is silent.");
@@ -129,7 +141,7 @@
     /// Returns when a second target is to be asked for; `None` while there is one, or if no
     /// other target may get the request, which `sends` targets have got.
     pub fn backup_due(&self, sends: u32) -> Option<Instant> {
-        match (&self.backup, &*self.active, &self.queued) {
+        match (&self.backup, &*self.active, &self.pending) {
             (Some(backup), [run], None) => backup.due(run.heard, sends),
             _ => None,
         }
@@ -139,18 +151,20 @@
     pub fn ask_backup(&mut self, request: &Request, now: Instant) {
         if self.gateway.try_retry(&request.requirements.service, now) {
             let requirements = request.requirements.clone();
-            self.queued = Some((Queued::enqueue(self.gateway, requirements), now));
+            let queued = Queued::enqueue(self.gateway, requirements);
+            self.pending = Some((Pending::Queued(Box::new(queued)), now));
         } else {
             self.deny("the limits on retries are reached", request, now);
         }
     }
 
-    /// Returns the grant of a second target, once there is one.
-    pub fn take_backup(&mut self, request: &Request, now: Instant) -> Option<Grant> {
-        let granted = self.queued.as_mut()?.0.poll(Duration::ZERO)?;
-        let (queued, retried) = self.queued.take()?;
+    /// Returns the grant of a second target, once there is one, and when its retry was consumed.
+    pub fn take_grant(&mut self, request: &Request, now: Instant) -> Option<(Grant, Instant)> {
+        let Some((Pending::Queued(queued), retried)) = &mut self.pending else { return None };
+        let (granted, retried) = (queued.poll(Duration::ZERO)?, *retried);
+        let Some((Pending::Queued(queued), _)) = self.pending.take() else { return None };
         let failure = match granted {
-            Ok(grant) => return Some(grant),
+            Ok(grant) => return Some((grant, retried)),
             Err(failure) => failure,
         };
         let late = queued.leave();
@@ -158,7 +172,37 @@
             self.gateway.give_back_retry(&request.requirements.service, retried);
             self.deny(&failure.to_string(), request, now);
         }
-        late
+        late.map(|grant| (grant, retried))
+    }
+
+    /// Prepares a granted second target on a thread, so that the first one is relayed meanwhile.
+    pub fn prepare(&mut self, grant: Grant, retried: Instant, request: &Request) {
+        let (sender, prepared) = channel();
+        let (gateway, idempotent) = (Arc::clone(self.gateway), request.is_idempotent());
+        let work = move || {
+            // Without a receiver the first target went on; the grant and the memory are released.
+            drop(sender.send(Prepared::new(&gateway, grant, idempotent)));
+        };
+        let builder = thread::Builder::new().name("backup".to_owned()).stack_size(STACK_BYTES);
+        match builder.spawn(work) {
+            Ok(_) => self.pending = Some((Pending::Preparing(prepared), retried)),
+            Err(e) => self.deny(&format!("no thread can be started: {e}"), request, retried),
+        }
+    }
+
+    /// Returns the second target once it is prepared, or why it could not be.
+    pub fn take_prepared(&mut self, request: &Request) -> Option<Result<Prepared, NotStarted>> {
+        let Some((Pending::Preparing(prepared), _)) = &self.pending else { return None };
+        let result = match prepared.try_recv() {
+            Err(TryRecvError::Empty) => return None,
+            Err(TryRecvError::Disconnected) => Err("the thread has ended".to_owned().into()),
+            Ok(result) => result,
+        };
+        if result.is_err() {
+            self.cancel_backup(request);
+        }
+        self.pending = None;
+        Some(result)
     }
 
     /// Records that a backup could not be had.
@@ -174,7 +218,7 @@
     }
 
     fn cancel_backup(&mut self, request: &Request) {
-        if let Some((_, retried)) = self.queued.take() {
+        if let Some((_, retried)) = self.pending.take() {
             self.gateway.give_back_retry(&request.requirements.service, retried);
         }
     }
@@ -197,7 +241,7 @@
         backup_due: Option<Instant>,
         now: Instant,
     ) -> io::Result<Option<Departure>> {
-        let interval = if self.queued.is_some() { GRANT_POLL_INTERVAL } else { POLL_INTERVAL };
+        let interval = if self.pending.is_some() { GRANT_POLL_INTERVAL } else { POLL_INTERVAL };
         let checks = [Some(request.deadline), Some(now + interval), backup_due];
         let end = checks.into_iter().flatten().min().unwrap_or(now);
         let awaited: Vec<Awaited<'_>> = self.active.iter().map(Run::awaited).collect();
@@ -217,7 +261,7 @@
     }
 }
 
-fn log_silence(request: &Request, run: &Run<'_>, since: Instant, text: &str) {
+fn log_silence(request: &Request, run: &Run, since: Instant, text: &str) {
     let silent_ms = since.elapsed().as_millis() as u64;
     log::info!(
         id = request.attempt_id.as_str(),
--- a/tests/suite/gateway/backups.rs
+++ b/tests/suite/gateway/backups.rs
@@ -235,3 +235,54 @@
     });
     assert_eq!((answer.response.status, answer.body.as_str()), (200, "ok"));
 }
+
+/// Guards against a stream that stands still while its target has gone on: the thread that
+/// relays it reserved memory at silent engines for the backup.
+#[test]
+fn events_are_relayed_while_a_backup_reserves_memory() {
+    let silence = Duration::from_millis(2_850);
+    let rest = (2..30).flat_map(|e| [Step::Event(e), Step::Silence(Duration::from_millis(50))]);
+    let steps: Vec<Step> = [Step::Head, Step::Event(1), Step::Silence(silence)]
+        .into_iter()
+        .chain(rest)
+        .chain([Step::End])
+        .collect();
+    let good: Vec<ScriptedTarget> =
+        (0..16).map(|i| start_target(&format!("i-{i:02}"), Reply::Steps(steps.clone()))).collect();
+    let silent = TcpListener::bind("127.0.0.1:0").expect("an address");
+    let cluster = Cluster::start(1);
+    let mut config = super::config(4, &[KEY], &["chat", "look", "book"]);
+    config["routes"][0]["goal_ms"] = 1000.into();
+    cluster.configure(&config);
+    for target in &good {
+        cluster.register(target, "pool");
+    }
+    cluster.ready(0);
+    cluster.logged(0, &["config: now in force", "version=4"]);
+    let longest = std::thread::scope(|scope| {
+        let asking = scope.spawn(|| longest_gap(&cluster));
+        cluster.logged(0, &["request: first event."]);
+        for target in &good {
+            let mut other = target.clone();
+            other.id = target.id.replace('i', "s");
+            other.addr = silent.local_addr().expect("an address");
+            cluster.register(&other, "pool");
+        }
+        asking.join().expect("joined")
+    });
+    assert!(longest < silence + Duration::from_millis(200), "longest gap {longest:?}");
+}
+
+/// Returns the longest time between two parts of a stream with a large prompt.
+fn longest_gap(cluster: &Cluster) -> Duration {
+    let mut stream = send(cluster, "/chat/1", "id-1", "x-token-usage: 455000,50\r\n");
+    let (mut buffer, mut last, mut longest) = ([0; 4096], None, Duration::ZERO);
+    loop {
+        let read = stream.read(&mut buffer).unwrap_or(0);
+        let now = Instant::now();
+        longest = longest.max(last.replace(now).map_or(Duration::ZERO, |last| now - last));
+        if read == 0 || buffer[..read].ends_with(b"0\r\n\r\n") {
+            return longest;
+        }
+    }
+}
