Stop: requests that are left at its end are answered

Callers of requests that were still running when a stop reached its limit got no answer: runs looked for the abort every 0.5 s, and the process ends 0.2 s after it. While an instance stops they look every 50 ms.

--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -23,6 +23,8 @@
 
 /// Interval between checks whether the instance aborts its requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// The same, of an instance that is stopping: after the abort it has 200 ms to respond.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between checks for the grant of a backup, and whether it is prepared.
 const GRANT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Stack size of the thread that prepares a backup.
@@ -241,7 +243,11 @@
         backup_due: Option<Instant>,
         now: Instant,
     ) -> io::Result<Option<Departure>> {
-        let interval = if self.pending.is_some() { GRANT_POLL_INTERVAL } else { POLL_INTERVAL };
+        let interval = match &self.pending {
+            Some(_) => GRANT_POLL_INTERVAL,
+            None if self.gateway.is_stopping() => STOP_POLL_INTERVAL,
+            None => POLL_INTERVAL,
+        };
         let checks = [Some(request.deadline), Some(now + interval), backup_due];
         let end = checks.into_iter().flatten().min().unwrap_or(now);
         let awaited: Vec<Awaited<'_>> = self.active.iter().map(Run::awaited).collect();
--- a/tests/suite/gateway/answers.rs
+++ b/tests/suite/gateway/answers.rs
@@ -176,3 +176,31 @@
         assert!(answer.is_some_and(|a| a.body == "ok"), "request {i}");
     }
 }
+
+/// Guards against requests without any answer: at the end of a stop the process had ended before
+/// they were told so.
+#[test]
+fn every_request_is_answered_before_a_stop_ends() {
+    let target = start_target("i-0", Reply::Hang);
+    let mut cluster = Cluster::start(0);
+    cluster.register(&target, "desk");
+    let endpoint = cluster.endpoint.clone();
+    cluster.add_with(&endpoint, &[], "stop: {limit_ms: 4000}\n");
+    cluster.ready(0);
+    let answers = std::thread::scope(|scope| {
+        let ask = |i: u64| {
+            let cluster = &cluster;
+            scope.spawn(move || {
+                // Spreads the checks of the requests over their interval.
+                std::thread::sleep(Duration::from_millis(60 * i));
+                let head = head("/book/1", &format!("id-{i}"), KEY, "");
+                super::try_call(cluster.callers(0), &head, b"question")
+            })
+        };
+        let asked: Vec<_> = (0..8).map(ask).collect();
+        eventually("all run", || target.requests().len() == 8);
+        cluster.signal(0, "-TERM");
+        asked.into_iter().map(|a| a.join().expect("joined")).collect::<Vec<_>>()
+    });
+    assert!(answers.iter().all(Option::is_some), "{answers:?}");
+}
