Store: a listing undoes nothing that a peer has told of since it was read

A target that joined while a listing was on its way was removed by that listing, since it did not name it, and the watch skipped its entry as one that a peer had told of: it got no requests until its next change.

What a listing says of targets now holds as of its position, and an entry of the watch as of its own: neither is applied if a peer has told of a later position.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -13,6 +13,7 @@
 //! - [`slowdown`]: how much slower an engine decodes than its peers.
 //! - [`pauses`]: pauses that targets ask this instance for.
 //! - [`position`]: the order of what was read from the store.
+//! - [`progress`]: how far an instance has followed the store.
 //! - [`placement`]: the choice of a target for one request.
 //! - [`order`]: the order in which schedulers fill engines.
 //! - [`wait`]: the order of waiting requests, and when they are refused.
@@ -41,6 +42,7 @@
 pub mod pauses;
 pub mod placement;
 pub mod position;
+pub mod progress;
 pub mod remote;
 pub mod requirements;
 pub mod retry;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use mimosapass_core::edge::fleet::Change;
+use mimosapass_core::edge::fleet::{Change, Target};
 use mimosapass_core::edge::position::Position;
 use mimosapass_core::ids::TargetId;
 use mimosapass_platform::store::{Entry, Page, Revision, StoreError};
@@ -83,7 +83,7 @@
         state.store.failing_since = Some(Instant::now());
         state.announce = true;
         let took_ms = took.as_millis() as u64;
-        let revision = state.store.watched.revision;
+        let revision = state.store.progress.watched.revision;
         log::info!(took_ms, revision; "store: a call failed: {error}.");
         gateway.load_changed.notify_all();
     }
@@ -94,7 +94,7 @@
     if state.store.down_since.is_none() {
         state.store.down_since = Some(Instant::now());
         gateway.metrics.store_up.set(0);
-        let revision = state.store.watched.revision;
+        let revision = state.store.progress.watched.revision;
         log::warn!(
             revision;
             "store: unavailable, {MAX_FAILURES} calls failed, known data stays in use: {error}."
@@ -119,8 +119,8 @@
     let expired = state.scheduler.fleet.expire(grace_end, now);
     if !expired.is_empty() {
         // The store states no revision for these; peers get all targets next time.
-        let Position { revision, .. } = state.store.targets;
-        let next = state.store.targets.at(revision + 1);
+        let Position { revision, .. } = state.store.progress.targets;
+        let next = state.store.progress.targets.at(revision + 1);
         state.target_changes.reset(next);
     }
     for id in expired {
@@ -138,36 +138,58 @@
     let Page { entries, position } = gateway.store.list("")?;
     record_success(gateway);
     begin_era(gateway, position);
+    let (targets, others): (Vec<Entry>, Vec<Entry>) =
+        entries.into_iter().partition(|e| e.key.starts_with(target::PREFIX));
+    for entry in &others {
+        apply(gateway, entry, position);
+    }
+    list_targets(gateway, &targets, position);
+    Ok(())
+}
+
+/// Applies the targets of a listing, all at once: peers are told of no position within it.
+fn list_targets(gateway: &Gateway, entries: &[Entry], position: Position) {
     let listed: Vec<TargetId> = entries
         .iter()
         .filter_map(|e| e.key.strip_prefix(target::PREFIX))
         .map(TargetId::from)
         .collect();
-    for entry in &entries {
-        apply(gateway, entry, None);
-    }
+    let decoded: Vec<(Target, Revision)> = std::iter::zip(&listed, entries)
+        .filter_map(|(id, entry)| Some((decode_target(id, entry)?, entry.revision)))
+        .collect();
     let mut state = gateway.state();
     let now = Instant::now();
-    let outage = state.after_outage(now);
-    for (id, change) in state.scheduler.fleet.reconcile(&listed, outage) {
-        if change == Change::Lapsed {
-            log_lapse(&id, position.revision);
-            continue;
+    if state.store.progress.list(position) {
+        for (target, revision) in decoded {
+            let id = TargetId::clone(&target.id);
+            let change = state.scheduler.fleet.report(target);
+            apply_change(&mut state, &id, change, revision);
         }
-        log::info!(target_id = &*id, revision = position.revision; "target: removed, the store does not list it.");
-        state.scheduler.forget(&id);
+        let outage = state.after_outage(now);
+        for (id, change) in state.scheduler.fleet.reconcile(&listed, outage) {
+            if change == Change::Lapsed {
+                log_lapse(&id, position.revision);
+                continue;
+            }
+            log::info!(target_id = &*id, revision = position.revision; "target: removed, the store does not list it.");
+            state.scheduler.forget(&id);
+        }
+        let known = state.store.progress.targets;
+        state.target_changes.reset(known);
+    } else {
+        log::info!(
+            revision = position.revision, known = state.store.progress.targets.revision;
+            "store: targets listed before what a peer has told, not applied."
+        );
     }
     if !state.store.listed {
         let targets = state.scheduler.fleet.all().count();
         log::info!(targets, revision = position.revision; "store: listed for the first time.");
     }
-    state.store.watched = position;
-    let targets = state.store.targets.max(position);
-    state.store.targets = targets;
-    state.target_changes.reset(targets);
     state.store.listed = true;
     count_targets(gateway, &state);
-    Ok(())
+    state.dispatch(gateway, now);
+    gateway.load_changed.notify_all();
 }
 
 /// Notes that the store came back from a copy, if it has since the last listing.
@@ -176,9 +198,11 @@
 /// may have entries of targets that have left, which the fleet knows.
 fn begin_era(gateway: &Gateway, position: Position) {
     let mut state = gateway.state();
-    let before = state.store.watched;
+    let before = state.store.progress.watched;
     // A peer's snapshot of the new era says itself which targets are kept, and until when.
-    if before == Position::default() || position.era <= before.era.max(state.store.targets.era) {
+    if before == Position::default()
+        || position.era <= before.era.max(state.store.progress.targets.era)
+    {
         return;
     }
     state.store.restored_at = Some(Instant::now());
@@ -193,7 +217,8 @@
 
 /// Waits for changes and applies them.
 fn watch(gateway: &Gateway) -> Result<(), StoreError> {
-    let StoreStatus { watched, targets, failing_since, .. } = gateway.state().store;
+    let StoreStatus { progress, failing_since, .. } = gateway.state().store;
+    let watched = progress.watched;
     let timeout = if failing_since.is_some() { PROBE_TIMEOUT } else { WATCH_TIMEOUT };
     let page = gateway.store.watch("", watched.revision, timeout)?;
     if page.position.era != watched.era {
@@ -201,14 +226,11 @@
         return Err(StoreError::Outdated);
     }
     record_success(gateway);
-    // What a peer has told of targets is applied already.
-    let is_known =
-        |e: &Entry| e.key.starts_with(target::PREFIX) && watched.at(e.revision) <= targets;
-    for entry in page.entries.iter().filter(|e| !is_known(e)) {
-        apply(gateway, entry, Some(page.position.at(entry.revision)));
+    for entry in &page.entries {
+        apply(gateway, entry, page.position.at(entry.revision));
     }
     let mut state = gateway.state();
-    state.store.watched = watched.max(page.position);
+    state.store.progress.watch(page.position);
     count_targets(gateway, &state);
     Ok(())
 }
@@ -220,17 +242,17 @@
 fn count_targets(gateway: &Gateway, state: &State) {
     let fleet = &state.scheduler.fleet;
     let serving = fleet.all().filter(|t| !t.draining).count();
-    gateway.metrics.store_era.set(state.store.watched.era as i64);
+    gateway.metrics.store_era.set(state.store.progress.watched.era as i64);
     gateway.metrics.targets.set(serving as i64);
     gateway.metrics.lapsed_targets.set(fleet.lapsed_count() as i64);
 }
 
-/// Applies one entry of the store, changed at `changed_at`; `None` for an entry of a listing.
-fn apply(gateway: &Gateway, entry: &Entry, changed_at: Option<Position>) {
+/// Applies one entry of the store, as of `at`; targets only from a watch.
+fn apply(gateway: &Gateway, entry: &Entry, at: Position) {
     if entry.key == config::KEY {
         apply_config(gateway, entry);
     } else if let Some(id) = entry.key.strip_prefix(target::PREFIX) {
-        apply_target(gateway, id, entry, changed_at);
+        apply_target(gateway, id, entry, at);
     } else if let Some(name) = entry.key.strip_prefix(member::PREFIX) {
         member::apply_entry(gateway, name, entry.value.as_deref());
     }
@@ -249,38 +271,55 @@
     }
 }
 
-fn apply_target(gateway: &Gateway, id: &str, entry: &Entry, changed_at: Option<Position>) {
+/// Applies a change of a target in a watch.
+fn apply_target(gateway: &Gateway, id: &str, entry: &Entry, at: Position) {
+    let target = if entry.deleted { None } else { decode_target(id, entry) };
     let now = Instant::now();
     let mut state = gateway.state();
-    let outage = state.after_outage(now);
-    let revision = entry.revision;
-    // Within a listing the entries come by key: peers are told of no position before its end.
-    if let Some(at) = changed_at {
-        state.store.targets = state.store.targets.max(at);
-        state.target_changes.record(at, TargetId::from(id));
+    if !state.store.progress.change(at) {
+        return;
     }
-    let change = if entry.deleted {
-        state.scheduler.fleet.remove(id, outage)
-    } else {
-        let value = entry.value.as_deref().unwrap_or_default();
-        match target::decode(id, value) {
-            Ok(target) => state.scheduler.fleet.report(target),
-            Err(e) => {
-                log::warn!(target_id = id, revision; "target: ignored an invalid entry: {e}.");
-                return;
-            }
-        }
+    state.target_changes.record(at, TargetId::from(id));
+    let outage = state.after_outage(now);
+    let change = match target {
+        Some(target) => state.scheduler.fleet.report(target),
+        None if entry.deleted => state.scheduler.fleet.remove(id, outage),
+        None => return,
     };
+    if apply_change(&mut state, id, change, at.revision) {
+        state.dispatch(gateway, now);
+        gateway.load_changed.notify_all();
+    }
+}
+
+/// Decodes the entry of a target; an invalid one is logged.
+fn decode_target(id: &str, entry: &Entry) -> Option<Target> {
+    let value = entry.value.as_deref().unwrap_or_default();
+    let decoded = target::decode(id, value);
+    if let Err(e) = &decoded {
+        log::warn!(target_id = id, revision = entry.revision; "target: ignored an invalid entry: {e}.");
+    }
+    decoded.ok()
+}
+
+/// Logs a change of a target and forgets what it makes void; returns whether it affects
+/// requests.
+fn apply_change(state: &mut State, id: &str, change: Change, revision: Revision) -> bool {
     match change {
-        Change::Unchanged => return,
-        Change::Lapsed => return log_lapse(id, revision),
+        Change::Unchanged => return false,
+        Change::Lapsed => {
+            log_lapse(id, revision);
+            return false;
+        }
         Change::Joined if !state.store.listed => {}
         Change::Joined => log::info!(target_id = id, revision; "target: accepts requests."),
         Change::Draining => log::info!(target_id = id, revision; "target: draining."),
-        Change::Gone => log::info!(target_id = id, revision, outage; "target: entry removed."),
+        Change::Gone => {
+            let outage = state.after_outage(Instant::now());
+            log::info!(target_id = id, revision, outage; "target: entry removed.");
+        }
     }
     state.scheduler.forget(id);
     state.announce = true;
-    state.dispatch(gateway, now);
-    gateway.load_changed.notify_all();
+    true
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -176,8 +176,8 @@
         config_version: gateway.route_table().version,
         store_unreachable: state.store.failing_since.is_some(),
         leaving: gateway.is_stopping(),
-        revision: state.store.targets.revision,
-        era: state.store.targets.era,
+        revision: state.store.progress.targets.revision,
+        era: state.store.progress.targets.era,
         watching: state.watches_store(gateway, now),
         delegating: !places,
         // Peers do not rely on a scheduler that is about to exit.
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -69,7 +69,7 @@
     own_version: u64,
     now: Instant,
 ) -> Option<(SocketAddr, SnapshotRequest)> {
-    let known = state.store.targets;
+    let known = state.store.progress.targets;
     let in_zone = state.peers.values().filter(|p| p.zone == state.scheduler.zone);
     let newer = in_zone.filter(|p| p.config_version > own_version || p.targets > known);
     // The peer whose datagram is the most recent is the least likely to have failed.
@@ -103,7 +103,7 @@
     if !needed || !catch_up::may_request(store.listed, state.snapshot_requested.map(age)) {
         return None;
     }
-    let known = state.store.targets;
+    let known = state.store.progress.targets;
     let has_newer = |p: &Peer| p.config_version > own_version || store_silent && p.targets > known;
     let newer: Vec<(bool, SocketAddr)> = state
         .peers
@@ -149,7 +149,7 @@
     let state = gateway.state();
     let without_targets = StoreSnapshot { config_text, ..StoreSnapshot::default() };
     let known = Position { era: request.era, revision: request.revision };
-    let targets = state.store.targets;
+    let targets = state.store.progress.targets;
     if !state.store.listed || targets <= known {
         return without_targets;
     }
@@ -237,7 +237,7 @@
     let now = Instant::now();
     let mut state = gateway.state();
     let position = Position { era: snapshot.era, revision: snapshot.revision };
-    if position <= state.store.targets {
+    if !state.store.progress.learn(position) {
         return;
     }
     let targets = snapshot.targets.iter().filter_map(|t| Some((decode(t)?, t.kept_ms)));
@@ -265,8 +265,6 @@
         state.target_changes.reset(position);
         state.scheduler.fleet.reconcile(&listed, false).len()
     };
-    // The own watch goes on where it is: it has other entries to deliver than targets.
-    state.store.targets = position;
     state.store.listed = true;
     log::info!(
         peer, era = position.era, revision = position.revision, changes, gone, kept,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use mimosapass_core::edge::load::RequestNumber;
 use mimosapass_core::edge::outage::{self, MIN_OUTAGE};
 use mimosapass_core::edge::outcomes::Outcome;
-use mimosapass_core::edge::position::Position;
+use mimosapass_core::edge::progress::Progress;
 use mimosapass_core::edge::remote::RemoteRequests;
 use mimosapass_core::edge::retry::RetryWindow;
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
@@ -42,10 +42,8 @@
     pub failing_since: Option<Instant>,
     /// End of the last outage.
     pub outage_end: Option<Instant>,
-    /// Position up to which this instance has watched the store.
-    pub watched: Position,
-    /// Position of the latest known change of targets, from the store or a peer.
-    pub targets: Position,
+    /// How far this instance has followed the store.
+    pub progress: Progress,
     /// When the store was last found to have come back from a copy.
     pub restored_at: Option<Instant>,
     /// Whether all targets have been listed at least once.
@@ -171,7 +169,7 @@
 
     /// Returns whether the store came back from a copy since this instance listed it.
     pub fn is_in_new_era(&self) -> bool {
-        self.known_era() > self.state().store.watched.era
+        self.known_era() > self.state().store.progress.watched.era
     }
 
     /// Returns a request number that is unique within this process.
@@ -350,7 +348,7 @@
             let away_ms = away.as_millis() as u64;
             let peers = self.peers.values().filter(|p| p.watching).count();
             log::info!(
-                era = self.store.watched.era, revision = self.store.watched.revision,
+                era = self.store.progress.watched.era, revision = self.store.progress.watched.revision,
                 away_ms, whole, peers;
                 "store: available again."
             );
