Gateway: zones evacuated on order get no new requests

No line of the code read op/evacuate/ZONE: targets of an evacuated zone got requests as before.

A key missing from a listing takes the zone back only as of the listing's position and in the same era, so that neither an outage nor an older listing, nor a copy of the store, reverts an order.

A grant that is not sent yet is looked at again, a grant of a scheduler that has not learned of it yet is refused and asked for again. What runs goes on.

--- a/crates/core/src/edge/fleet.rs
+++ b/crates/core/src/edge/fleet.rs
@@ -12,6 +12,7 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::edge::evacuation::Evacuations;
 use crate::edge::route_table::ServiceId;
 use crate::ids::ZoneId;
 
@@ -85,6 +86,8 @@
 /// All known targets.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
+    /// Zones whose targets get no new requests, whatever their entries say.
+    pub evacuations: Evacuations,
     entries: BTreeMap<TargetId, Entry>,
     /// Number of changes so far.
     generation: u64,
@@ -288,9 +291,24 @@
         }
     }
 
-    /// Returns a number that differs after each change of any target.
+    /// Returns a number that differs after each change of any target or evacuated zone.
     pub fn generation(&self) -> u64 {
-        self.generation
+        self.generation + self.evacuations.generation()
+    }
+
+    /// Returns whether a target accepts new requests.
+    pub fn accepts(&self, id: &str) -> bool {
+        self.get(id).is_some_and(|target| self.is_open(target))
+    }
+
+    fn is_open(&self, target: &Target) -> bool {
+        !target.draining && !self.evacuations.is_evacuated(&target.zone)
+    }
+
+    /// Returns whether a service has targets, all of them in evacuated zones.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        let mut zones = self.all().filter(|t| &*t.service == service).map(|t| &t.zone).peekable();
+        zones.peek().is_some() && zones.all(|zone| self.evacuations.is_evacuated(zone))
     }
 
     /// Returns a target, including one that drains.
@@ -300,10 +318,7 @@
 
     /// Returns the targets of a service that accept new requests.
     pub fn serving<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Target>> {
-        self.entries
-            .values()
-            .map(|e| &e.target)
-            .filter(move |t| !t.draining && &*t.service == service)
+        self.all().filter(move |t| &*t.service == service && self.is_open(t))
     }
 
     /// Returns all known targets.
--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -7,6 +7,7 @@
 //! - [`catch_up`]: when an instance asks its peers for what the store has not told it.
 //! - [`changes`]: which targets changed since a revision of the store.
 //! - [`currency`]: whether the known configuration is current.
+//! - [`evacuation`]: availability zones that the operator has evacuated.
 //! - [`fleet`]: known targets, and which of them accept new requests.
 //! - [`cost`]: cost model of an engine's prefill and decoding.
 //! - [`load`]: requests in flight at each target, from all instances.
@@ -34,6 +35,7 @@
 pub mod cost;
 pub mod currency;
 pub mod election;
+pub mod evacuation;
 pub mod fleet;
 pub mod load;
 pub mod order;
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -60,7 +60,8 @@
 /// Why a waiting request is refused.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Refusal {
-    /// It can no longer be served before its caller gives up.
+    /// It can no longer be served before its caller gives up, or all targets are in evacuated
+    /// zones.
     Late,
     /// Engines have requests of more value; carries the pressure, 0 to 1.
     Pressure(f64),
@@ -162,7 +163,9 @@
 
     /// Returns why a waiting request is refused, if it is.
     pub fn refusal(&self, requirements: &Requirements, now: Instant) -> Option<Refusal> {
-        if requirements.entry.has_expired(now) {
+        // No target is about to be free: the operator says when a zone is taken back.
+        let evacuated = self.fleet.is_evacuated(&requirements.service);
+        if evacuated || requirements.entry.has_expired(now) {
             return Some(Refusal::Late);
         }
         if let Some(end) = self.pause_end(&requirements.service, now)
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -71,6 +71,13 @@
     /// Era of that revision: how often the store came back from a copy.
     #[prost(uint64, tag = "25")]
     pub era: u64,
+    /// Store revision of the latest order to evacuate a zone, or to take it back, that the
+    /// sender knows; 0 if there is none, and from former versions.
+    #[prost(uint64, tag = "27")]
+    pub order_revision: u64,
+    /// Era of that revision.
+    #[prost(uint64, tag = "28")]
+    pub order_era: u64,
     /// Whether the sender watches the store for its zone.
     #[prost(bool, tag = "13")]
     pub watching: bool,
--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -124,6 +124,27 @@
     /// Era of `revision`.
     #[prost(uint64, tag = "6")]
     pub era: u64,
+    /// All orders of the operator to evacuate zones, or to take them back, that the sender
+    /// knows; former versions know none.
+    #[prost(message, repeated, tag = "7")]
+    pub zone_orders: Vec<ZoneOrder>,
+}
+
+/// The latest order of the operator for a zone.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ZoneOrder {
+    /// Availability zone.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// Whether it is evacuated.
+    #[prost(bool, tag = "2")]
+    pub evacuated: bool,
+    /// Revision of the store as of which the sender knows this.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// Era of `revision`.
+    #[prost(uint64, tag = "4")]
+    pub era: u64,
 }
 
 /// Entry that a target wrote about itself into the store.
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -88,6 +88,8 @@
     reservations: BTreeMap<String, u64>,
     reserved: usize,
     released: usize,
+    /// Time after which orders are answered.
+    order_delay: Duration,
     /// Whether new connections are refused.
     closed: bool,
 }
@@ -137,10 +139,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns its entry for the metadata store.
+    /// Returns its entry for the metadata store, in zone `a`.
     pub fn registration(&self, service: &str, state: &str, born: u64, seq: u64) -> Vec<u8> {
+        self.registration_in("a", service, state, born, seq)
+    }
+
+    /// As [`Self::registration`], in another zone.
+    pub fn registration_in(
+        &self,
+        zone: &str,
+        service: &str,
+        state: &str,
+        born: u64,
+        seq: u64,
+    ) -> Vec<u8> {
         let entry = json!({
-            "service": service, "address": self.addr.to_string(), "zone": "a", "version": "v1",
+            "service": service, "address": self.addr.to_string(), "zone": zone, "version": "v1",
             "slots": 16, "state": state, "cold_left_ms": 0, "seq": seq, "born": born,
         });
         entry.to_string().into_bytes()
@@ -158,6 +172,11 @@
         drop(TcpStream::connect(self.addr));
     }
 
+    /// Answers orders, which are carried out at once, after `delay`.
+    pub fn delay_orders(&self, delay: Duration) {
+        self.lock().order_delay = delay;
+    }
+
     /// Returns the number of accepted connections.
     pub fn connections(&self) -> usize {
         self.lock().connections
@@ -204,7 +223,9 @@
             state.released += 1;
             state.reservations.remove(&id);
         }
+        let delay = state.order_delay;
         drop(state);
+        thread::sleep(delay);
         write(stream, b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
     }
 
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -163,7 +163,8 @@
     /// Returns the grant of a reply; the target that cannot be used if there is one.
     fn decode_grant(&self, reply: &wire::Reply, now: Instant) -> Result<Grant, TargetId> {
         let serving = |id: &str| {
-            let known = self.scheduler.fleet.get(id).filter(|t| !t.draining);
+            let fleet = &self.scheduler.fleet;
+            let known = fleet.get(id).filter(|t| fleet.accepts(&t.id));
             let known = known.filter(|t| self.scheduler.pauses.admits(&t.id, now));
             known.cloned().ok_or_else(|| TargetId::from(id))
         };
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -15,8 +15,8 @@
 use mimosapass_platform::store::{Entry, Page, Revision, StoreError};
 use mimosapass_platform::{config, target};
 
-use super::member;
 use super::state::{Gateway, State, StoreStatus};
+use super::{evacuation, member};
 
 /// Shortest interval between watches. Every call of every instance is charged, and a
 /// change must take effect within two seconds.
@@ -140,6 +140,8 @@
     begin_era(gateway, position);
     let (targets, others): (Vec<Entry>, Vec<Entry>) =
         entries.into_iter().partition(|e| e.key.starts_with(target::PREFIX));
+    // First, so that no target of an evacuated zone is used meanwhile.
+    evacuation::apply_listing(gateway, &others, position);
     for entry in &others {
         apply(gateway, entry, position);
     }
@@ -241,7 +243,7 @@
 
 fn count_targets(gateway: &Gateway, state: &State) {
     let fleet = &state.scheduler.fleet;
-    let serving = fleet.all().filter(|t| !t.draining).count();
+    let serving = fleet.all().filter(|t| fleet.accepts(&t.id)).count();
     gateway.metrics.store_era.set(state.store.progress.watched.era as i64);
     gateway.metrics.targets.set(serving as i64);
     gateway.metrics.lapsed_targets.set(fleet.lapsed_count() as i64);
@@ -255,6 +257,8 @@
         apply_target(gateway, id, entry, at);
     } else if let Some(name) = entry.key.strip_prefix(member::PREFIX) {
         member::apply_entry(gateway, name, entry.value.as_deref());
+    } else {
+        evacuation::apply_entry(gateway, entry, at);
     }
 }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -168,6 +168,7 @@
 
 /// Returns a datagram with what every receiver is told.
 fn base_datagram(gateway: &Gateway, state: &State, places: bool, now: Instant) -> Datagram {
+    let evacuations = state.scheduler.fleet.evacuations.latest();
     Datagram {
         version: datagram::VERSION,
         from: gateway.name.to_string(),
@@ -178,6 +179,8 @@
         leaving: gateway.is_stopping(),
         revision: state.store.progress.targets.revision,
         era: state.store.progress.targets.era,
+        order_revision: evacuations.revision,
+        order_era: evacuations.era,
         watching: state.watches_store(gateway, now),
         delegating: !places,
         // Peers do not rely on a scheduler that is about to exit.
@@ -377,6 +380,7 @@
         store_unreachable: datagram.store_unreachable,
         outage: Outage::update(outage, datagram.store_unreachable, now),
         targets: Position { era: datagram.era, revision: datagram.revision },
+        evacuations: Position { era: datagram.order_era, revision: datagram.order_revision },
         watching: datagram.watching,
         delegating: datagram.delegating,
         capacity: datagram.capacity,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -39,6 +39,8 @@
     pub paused_targets: IntGauge,
     /// Targets that told this instance that they leave.
     pub leaving_targets: IntGauge,
+    /// Zones that the operator has evacuated.
+    pub evacuated_zones: IntGauge,
     /// Live peers.
     pub peers: IntGauge,
     /// Number of times that the store came back from a copy, as it states.
@@ -63,6 +65,7 @@
             lapsed_targets: gauge("gateway_lapsed_targets", "Targets kept after an outage."),
             paused_targets: gauge("gateway_paused_targets", "Targets that asked for a pause."),
             leaving_targets: gauge("gateway_leaving_targets", "Targets that said they leave."),
+            evacuated_zones: gauge("gateway_evacuated_zones", "Zones evacuated on order."),
             peers: gauge("gateway_peers", "Peers that were heard of lately."),
             store_era: gauge("gateway_store_era", "Era of the store, one more after a restore."),
             store_up: gauge("gateway_store_up", "Whether the store answers."),
@@ -73,7 +76,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 13] = [
+        let all: [Box<dyn Collector>; 14] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.first_event_time.clone()),
@@ -84,6 +87,7 @@
             Box::new(self.lapsed_targets.clone()),
             Box::new(self.paused_targets.clone()),
             Box::new(self.leaving_targets.clone()),
+            Box::new(self.evacuated_zones.clone()),
             Box::new(self.peers.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.store_up.clone()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 
 mod attempt;
 mod delegate;
+mod evacuation;
 mod flow;
 mod follow;
 mod gossip;
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -49,10 +49,11 @@
 
     /// Returns whether all targets of a grant still accept requests.
     ///
-    /// They may have left or asked for a pause since, while memory was reserved.
+    /// They may have left or asked for a pause since, while memory was reserved, or their zone
+    /// may have been evacuated.
     pub fn accepts(&self, grant: &Grant) -> bool {
         let (state, now) = (self.state(), Instant::now());
-        let serves = |id: &str| state.scheduler.fleet.get(id).is_some_and(|t| !t.draining);
+        let serves = |id: &str| state.scheduler.fleet.accepts(id);
         let paused = |id: &str| state.scheduler.pauses.end(id, now).is_some();
         grant.targets().iter().all(|id| serves(id) && !paused(id))
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -45,6 +45,8 @@
     pub outage: Option<Outage>,
     /// Position of the latest change of targets known there.
     pub targets: Position,
+    /// Position of the latest order to evacuate a zone, or to take it back, known there.
+    pub evacuations: Position,
     /// Whether it watches the store for its zone.
     pub watching: bool,
     /// Whether schedulers place its requests.
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -3,8 +3,8 @@
 //! In a large zone only a few instances watch the store. The others request snapshots
 //! from a peer with newer data in the same zone, where traffic is free. The store may
 //! also refuse some instances and serve others, and a connection to it may stall. An
-//! instance whose peers report newer data in their datagrams requests the configuration
-//! and the targets from one of them. An instance that starts while the store is
+//! instance whose peers report newer data in their datagrams requests the configuration,
+//! the targets and the evacuated zones from one of them. An instance that starts while the store is
 //! unavailable gets its first data in the same way.
 
 use std::net::SocketAddr;
@@ -25,7 +25,7 @@
 
 use super::peers::Peer;
 use super::state::{Gateway, State};
-use super::{follow, gossip};
+use super::{evacuation, follow, gossip};
 
 /// Interval between checks whether peers have newer data.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -71,7 +71,10 @@
 ) -> Option<(SocketAddr, SnapshotRequest)> {
     let known = state.store.progress.targets;
     let in_zone = state.peers.values().filter(|p| p.zone == state.scheduler.zone);
-    let newer = in_zone.filter(|p| p.config_version > own_version || p.targets > known);
+    let orders = state.scheduler.fleet.evacuations.latest();
+    let has_newer =
+        |p: &Peer| p.config_version > own_version || p.targets > known || p.evacuations > orders;
+    let newer = in_zone.filter(|p| has_newer(p));
     // The peer whose datagram is the most recent is the least likely to have failed.
     let peer = newer.max_by_key(|p| p.last_heard).map(|p| p.addr);
     state.behind_since = peer.and(state.behind_since.or(Some(now)));
@@ -104,7 +107,11 @@
         return None;
     }
     let known = state.store.progress.targets;
-    let has_newer = |p: &Peer| p.config_version > own_version || store_silent && p.targets > known;
+    let orders = state.scheduler.fleet.evacuations.latest();
+    let has_newer = |p: &Peer| {
+        p.config_version > own_version
+            || store_silent && (p.targets > known || p.evacuations > orders)
+    };
     let newer: Vec<(bool, SocketAddr)> = state
         .peers
         .values()
@@ -147,7 +154,8 @@
     let config_text =
         if newer { Bytes::copy_from_slice(&gateway.config_text()) } else { Bytes::new() };
     let state = gateway.state();
-    let without_targets = StoreSnapshot { config_text, ..StoreSnapshot::default() };
+    let zone_orders = evacuation::encode(&state);
+    let without_targets = StoreSnapshot { config_text, zone_orders, ..StoreSnapshot::default() };
     let known = Position { era: request.era, revision: request.revision };
     let targets = state.store.progress.targets;
     if !state.store.listed || targets <= known {
@@ -234,6 +242,7 @@
             Err(e) => log::error!(peer; "snapshot: the configuration of a peer is invalid: {e}."),
         }
     }
+    evacuation::apply_peer(gateway, peer, &snapshot.zone_orders);
     let now = Instant::now();
     let mut state = gateway.state();
     let position = Position { era: snapshot.era, revision: snapshot.revision };
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod delegation;
+mod evacuation;
 mod explain;
 mod notices;
 mod restore;
@@ -135,6 +136,12 @@
         self.store.set(&key, &target.registration(service, "ready", 1, 1));
     }
 
+    /// Registers a ready target in a zone.
+    pub fn register_in(&self, zone: &str, target: &ScriptedTarget, service: &str) {
+        let key = format!("servers/{}", target.id);
+        self.store.set(&key, &target.registration_in(zone, service, "ready", 1, 1));
+    }
+
     /// Starts a gateway whose standard output is a pipe that is never read.
     pub fn add_unread(&mut self) {
         let endpoint = self.endpoint.clone();
