--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -7,12 +7,14 @@
 //! - [`catch_up`]: when an instance asks its peers for what the store has not told it.
 //! - [`changes`]: which targets changed since a revision of the store.
 //! - [`currency`]: whether the known configuration is current.
+//! - [`evacuation`]: availability zones that the operator has evacuated.
 //! - [`fleet`]: known targets, and which of them accept new requests.
 //! - [`cost`]: cost model of an engine's prefill and decoding.
 //! - [`load`]: requests in flight at each target, from all instances.
 //! - [`slowdown`]: how much slower an engine decodes than its peers.
 //! - [`pauses`]: pauses that targets ask this instance for.
 //! - [`position`]: the order of what was read from the store.
+//! - [`progress`]: how far an instance has followed the store.
 //! - [`placement`]: the choice of a target for one request.
 //! - [`order`]: the order in which schedulers fill engines.
 //! - [`wait`]: the order of waiting requests, and when they are refused.
@@ -35,6 +37,7 @@
 pub mod cost;
 pub mod currency;
 pub mod election;
+pub mod evacuation;
 pub mod fleet;
 pub mod load;
 pub mod order;
@@ -43,6 +46,7 @@
 pub mod pauses;
 pub mod placement;
 pub mod position;
+pub mod progress;
 pub mod remote;
 pub mod requirements;
 pub mod retry;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -90,7 +90,7 @@
     released: usize,
     /// When memory was reserved, or a reservation renewed.
     reserved_at: Vec<Instant>,
-    /// Silence before an order is carried out.
+    /// Time after which orders are answered.
     order_delay: Duration,
     /// Whether new connections are refused.
     closed: bool,
@@ -141,10 +141,22 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns its entry for the metadata store.
+    /// Returns its entry for the metadata store, in zone `a`.
     pub fn registration(&self, service: &str, state: &str, born: u64, seq: u64) -> Vec<u8> {
+        self.registration_in("a", service, state, born, seq)
+    }
+
+    /// As [`Self::registration`], in another zone.
+    pub fn registration_in(
+        &self,
+        zone: &str,
+        service: &str,
+        state: &str,
+        born: u64,
+        seq: u64,
+    ) -> Vec<u8> {
         let entry = json!({
-            "service": service, "address": self.addr.to_string(), "zone": "a", "version": "v1",
+            "service": service, "address": self.addr.to_string(), "zone": zone, "version": "v1",
             "slots": 16, "state": state, "cold_left_ms": 0, "seq": seq, "born": born,
         });
         entry.to_string().into_bytes()
@@ -162,6 +174,11 @@
         drop(TcpStream::connect(self.addr));
     }
 
+    /// Answers orders, which are carried out at once, after `delay`.
+    pub fn delay_orders(&self, delay: Duration) {
+        self.lock().order_delay = delay;
+    }
+
     /// Returns the number of accepted connections.
     pub fn connections(&self) -> usize {
         self.lock().connections
@@ -178,11 +195,6 @@
         self.lock().reserved_at.clone()
     }
 
-    /// Makes the target silent for this time before it carries out an order.
-    pub fn delay_orders(&self, delay: Duration) {
-        self.lock().order_delay = delay;
-    }
-
     fn serve(&self, mut stream: TcpStream) {
         self.lock().connections += 1;
         let mut buffer = Vec::new();
@@ -210,8 +222,6 @@
     fn handle_order(&self, stream: &mut TcpStream, body: &[u8]) {
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
         let id = body["id"].as_str().unwrap_or_default().to_owned();
-        let delay = self.lock().order_delay;
-        thread::sleep(delay);
         let mut state = self.lock();
         if body["op"] == "reserve" {
             state.reserved += 1;
@@ -221,7 +231,9 @@
             state.released += 1;
             state.reservations.remove(&id);
         }
+        let delay = state.order_delay;
         drop(state);
+        thread::sleep(delay);
         write(stream, b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod attempt;
 mod delegate;
 mod ending;
+mod evacuation;
 mod flow;
 mod follow;
 mod gossip;
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -3,8 +3,8 @@
 //! In a large zone only a few instances watch the store. The others request snapshots
 //! from a peer with newer data in the same zone, where traffic is free. The store may
 //! also refuse some instances and serve others, and a connection to it may stall. An
-//! instance whose peers report newer data in their datagrams requests the configuration
-//! and the targets from one of them. An instance that starts while the store is
+//! instance whose peers report newer data in their datagrams requests the configuration,
+//! the targets and the evacuated zones from one of them. An instance that starts while the store is
 //! unavailable gets its first data in the same way.
 
 use std::net::SocketAddr;
@@ -25,7 +25,7 @@
 
 use super::peers::Peer;
 use super::state::{Gateway, State};
-use super::{follow, gossip};
+use super::{evacuation, follow, gossip};
 
 /// Interval between checks whether peers have newer data.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -69,9 +69,12 @@
     own_version: u64,
     now: Instant,
 ) -> Option<(SocketAddr, SnapshotRequest)> {
-    let known = state.store.targets;
+    let known = state.store.progress.targets;
     let in_zone = state.peers.values().filter(|p| p.zone == state.scheduler.zone);
-    let newer = in_zone.filter(|p| p.config_version > own_version || p.targets > known);
+    let orders = state.scheduler.fleet.evacuations.latest();
+    let has_newer =
+        |p: &Peer| p.config_version > own_version || p.targets > known || p.evacuations > orders;
+    let newer = in_zone.filter(|p| has_newer(p));
     // The peer whose datagram is the most recent is the least likely to have failed.
     let peer = newer.max_by_key(|p| p.last_heard).map(|p| p.addr);
     state.behind_since = peer.and(state.behind_since.or(Some(now)));
@@ -103,8 +106,12 @@
     if !needed || !catch_up::may_request(store.listed, state.snapshot_requested.map(age)) {
         return None;
     }
-    let known = state.store.targets;
-    let has_newer = |p: &Peer| p.config_version > own_version || store_silent && p.targets > known;
+    let known = state.store.progress.targets;
+    let orders = state.scheduler.fleet.evacuations.latest();
+    let has_newer = |p: &Peer| {
+        p.config_version > own_version
+            || store_silent && (p.targets > known || p.evacuations > orders)
+    };
     let newer: Vec<(bool, SocketAddr)> = state
         .peers
         .values()
@@ -147,9 +154,10 @@
     let config_text =
         if newer { Bytes::copy_from_slice(&gateway.config_text()) } else { Bytes::new() };
     let state = gateway.state();
-    let without_targets = StoreSnapshot { config_text, ..StoreSnapshot::default() };
+    let zone_orders = evacuation::encode(&state);
+    let without_targets = StoreSnapshot { config_text, zone_orders, ..StoreSnapshot::default() };
     let known = Position { era: request.era, revision: request.revision };
-    let targets = state.store.targets;
+    let targets = state.store.progress.targets;
     if !state.store.listed || targets <= known {
         return without_targets;
     }
@@ -234,10 +242,11 @@
             Err(e) => log::error!(peer; "snapshot: the configuration of a peer is invalid: {e}."),
         }
     }
+    evacuation::apply_peer(gateway, peer, &snapshot.zone_orders);
     let now = Instant::now();
     let mut state = gateway.state();
     let position = Position { era: snapshot.era, revision: snapshot.revision };
-    if position <= state.store.targets {
+    if !state.store.progress.learn(position) {
         return;
     }
     let targets = snapshot.targets.iter().filter_map(|t| Some((decode(t)?, t.kept_ms)));
@@ -265,8 +274,6 @@
         state.target_changes.reset(position);
         state.scheduler.fleet.reconcile(&listed, false).len()
     };
-    // The own watch goes on where it is: it has other entries to deliver than targets.
-    state.store.targets = position;
     state.store.listed = true;
     log::info!(
         peer, era = position.era, revision = position.revision, changes, gone, kept,
