Bound the trailer of a target's chunked response

A target could send a trailer without end: the gateway kept one without a line end in memory until the request's deadline, and discarded lines without a bound. The trailer is now bounded at 16 KiB, after which the response is malformed. The two tests of endless trailers failed before and pass now.

--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -23,6 +23,8 @@
 const MAX_HEADERS: usize = 64;
 /// Maximum length of the line with a chunk's size.
 const CHUNK_LINE_BYTES: usize = 256;
+/// Maximum size of a chunked body's trailer.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 /// Time after which the kernel closes a connection with unacknowledged bytes.
 ///
 /// Without it, a network partition would not be detected.
@@ -108,6 +110,8 @@
     addr: SocketAddr,
     buffered: Vec<u8>,
     chunk: ChunkState,
+    /// Bytes of the trailer that were discarded.
+    trailer_bytes: usize,
     ended: bool,
     reset: bool,
     /// When it became idle, and for how long the target keeps it open.
@@ -130,6 +134,7 @@
             addr,
             buffered: Vec::new(),
             chunk: ChunkState::Size,
+            trailer_bytes: 0,
             ended: false,
             reset: false,
             idle: None,
@@ -302,6 +307,7 @@
                 ChunkState::Size => match httparse::parse_chunk_size(&self.buffered) {
                     Ok(httparse::Status::Complete((line, size))) => {
                         self.buffered.drain(..line);
+                        self.trailer_bytes = 0;
                         self.chunk =
                             if size == 0 { ChunkState::Trailer } else { ChunkState::Data(size) };
                     }
@@ -335,8 +341,12 @@
                         self.buffered.drain(..2);
                         return Ok(BodyPart::End);
                     }
-                    Some(line) => drop(self.buffered.drain(..line + 2)),
-                    None => break,
+                    Some(line) if self.trailer_bytes + line < MAX_TRAILER_BYTES => {
+                        self.trailer_bytes += line + 2;
+                        self.buffered.drain(..line + 2);
+                    }
+                    None if self.trailer_bytes + self.buffered.len() < MAX_TRAILER_BYTES => break,
+                    Some(_) | None => return Err(ReadError::Malformed),
                 },
             }
         }
