Bound the interim responses of a target, and the time of a reservation call

A target could send interim responses without end: they were discarded without a bound, and a reservation call, whose wait reports bytes also after its end, went on for as long as they came. Interim responses before a response are now bounded at 64 KiB together, and the call checks its end before each wait.

--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -19,6 +19,8 @@
 const READ_BYTES: usize = 16 * 1024;
 /// Maximum size of a response's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum size of the interim responses before a response.
+const MAX_INTERIM_BYTES: usize = 64 * 1024;
 /// Maximum number of headers of a response.
 const MAX_HEADERS: usize = 64;
 /// Maximum length of the line with a chunk's size.
@@ -110,6 +112,8 @@
     addr: SocketAddr,
     buffered: Vec<u8>,
     chunk: ChunkState,
+    /// Bytes of the interim responses that were discarded.
+    interim_bytes: usize,
     /// Bytes of the trailer that were discarded.
     trailer_bytes: usize,
     ended: bool,
@@ -134,6 +138,7 @@
             addr,
             buffered: Vec::new(),
             chunk: ChunkState::Size,
+            interim_bytes: 0,
             trailer_bytes: 0,
             ended: false,
             reset: false,
@@ -266,8 +271,13 @@
             self.chunk = ChunkState::Size;
             // Interim responses have no body and are followed by another head.
             if head.status >= 200 {
+                self.interim_bytes = 0;
                 return Ok(Some(head));
             }
+            self.interim_bytes += length;
+            if self.interim_bytes > MAX_INTERIM_BYTES {
+                return Err(ReadError::Malformed);
+            }
         }
     }
 
@@ -419,6 +429,10 @@
         if let Some(head) = connection.parse_head("POST")? {
             return Ok(head);
         }
+        // The wait reports bytes that are there also after its end.
+        if Instant::now() >= end {
+            return Err(ReadError::Truncated);
+        }
         match connection.wait(None::<&TcpStream>, end) {
             Ok(WaitOutcome::Target) => drop(connection.fill()),
             Ok(_) | Err(_) => return Err(ReadError::Truncated),
