Tests that fail: bytes without end on links of peers

Seen: a link on which acknowledgements come that belong to no message, or other frames, stays open; messages that are not handled are read without a bound.

--- a/crates/instance/tests/link.rs
+++ b/crates/instance/tests/link.rs
@@ -10,6 +10,7 @@
 use mimosapass_instance::message::{
     Body, Config, ConfigRequest, Envelope, Heartbeat, MAX_FRAME_BYTES, VERSION,
 };
+use mimosapass_standin::endless::EndlessServer;
 use mimosapass_standin::relay::Relay;
 use prost::Message;
 use rstest::rstest;
@@ -179,3 +180,44 @@
         std::thread::sleep(Duration::from_millis(500));
     }
 }
+
+/// Bytes that the kernel holds for two sockets, and more than an inbox of short messages.
+const MAX_UNREAD_BYTES: usize = 16 * 1024 * 1024;
+
+/// Guards against a link that is served without end for bytes that acknowledge nothing.
+#[rstest]
+#[case::acknowledgements(&[], &[0; 4096])]
+#[case::after_an_acknowledgement(&[0; 4], &[0; 4])]
+#[case::message_instead(&[], &[0, 0, 0, 4, 1, 2, 3, 4])]
+#[case::large_frame(&[0; 4], &[0, 31, 255, 255])]
+fn link_with_bytes_that_acknowledge_nothing_is_closed(
+    #[case] start: &[u8],
+    #[case] repeated: &[u8],
+) {
+    let peer = EndlessServer::start(start, repeated, Duration::from_millis(1));
+    let (near, _inbox) = self::start("near");
+    near.send(peer.addr, heartbeat(1));
+    let end = Instant::now() + Duration::from_secs(2);
+    while peer.seen().disconnected_at.is_none() {
+        assert!(Instant::now() < end, "the link stays open: {:?}", peer.seen());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Guards against messages without end that are kept in memory until they are handled.
+#[test]
+fn messages_that_are_not_handled_are_not_read() {
+    let (far, inbox) = start("far");
+    let mut stream = TcpStream::connect(far.addr()).expect("connected");
+    stream.set_write_timeout(Some(Duration::from_secs(1))).expect("set");
+    let message = envelope("near", VERSION, Some(heartbeat(1))).repeat(1000);
+    let mut sent = 0;
+    while stream.write_all(&message).is_ok() {
+        sent += message.len();
+        assert!(sent < MAX_UNREAD_BYTES, "{sent} bytes were read");
+    }
+    // Once they are handled, the link goes on.
+    for _ in 0..10_000 {
+        inbox.recv_timeout(RECEIVE_TIMEOUT).expect("a message");
+    }
+}
