Close links on which more is acknowledged than was sent

A peer could send acknowledgements, or frames of up to 2 MB in their place, without end: the thread of all links read them for as long as they came. A link is now closed at the first acknowledgement that belongs to no message or is not empty. Four tests failed before and pass now.

--- a/crates/instance/src/link.rs
+++ b/crates/instance/src/link.rs
@@ -18,10 +18,11 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::{Framed, FramedRead, FramedWrite, LengthDelimitedCodec};
 
 use crate::message::{Body, Envelope, MAX_FRAME_BYTES, VERSION};
 
@@ -44,7 +45,7 @@
 /// Time without a message after which an outgoing link is closed.
 const OUTGOING_IDLE: Duration = Duration::from_secs(30);
 
-type FramedStream = Framed<TcpStream, LengthDelimitedCodec>;
+type LinkWriter = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
 
 /// Identity of an instance on a link.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -155,7 +156,7 @@
 
 /// Passes on the messages of one incoming link until it is closed or invalid.
 async fn receive(stream: TcpStream, sink: Sender<Incoming>) {
-    let mut framed = Framed::new(stream, codec());
+    let mut framed = Framed::new(stream, codec(MAX_FRAME_BYTES));
     let (mut from, mut addr) = (Identity::default(), String::new());
     let mut acknowledges = true;
     while let Ok(Some(Ok(frame))) = timeout(INCOMING_IDLE, framed.next()).await {
@@ -248,7 +249,10 @@
     if stream.set_nodelay(true).is_err() {
         return false;
     }
-    let mut link = Framed::new(stream, codec());
+    let (reader, writer) = stream.into_split();
+    // An acknowledgement is an empty frame.
+    let mut acks = FramedRead::new(reader, codec(0));
+    let mut link = FramedWrite::new(writer, codec(MAX_FRAME_BYTES));
     let mut unacked = frames.len();
     let mut end = Instant::now() + ACK_TIMEOUT + transfer_time(&frames);
     let first = std::iter::once(greeting.clone()).chain(frames).collect();
@@ -268,11 +272,15 @@
                     return false;
                 }
             }
-            ack = link.next() => {
+            ack = acks.next() => {
                 if !matches!(ack, Some(Ok(_))) {
                     return false;
                 }
-                unacked = unacked.saturating_sub(1);
+                if unacked == 0 {
+                    log::warn!("links: closing a link to {to}: it acknowledges what was not sent.");
+                    return false;
+                }
+                unacked -= 1;
                 let now = Instant::now();
                 // What was written before may need its time still.
                 end = if unacked > 0 { end.max(now + ACK_TIMEOUT) } else { now + OUTGOING_IDLE };
@@ -291,7 +299,7 @@
     Duration::from_secs(1).mul_f64(bytes as f64 / MIN_RATE as f64)
 }
 
-async fn write_in_time(link: &mut FramedStream, frames: Vec<Bytes>, to: SocketAddr) -> bool {
+async fn write_in_time(link: &mut LinkWriter, frames: Vec<Bytes>, to: SocketAddr) -> bool {
     let limit = WRITE_TIMEOUT + transfer_time(&frames);
     let written = matches!(timeout(limit, write_batch(link, frames)).await, Ok(Ok(())));
     if !written {
@@ -301,13 +309,13 @@
 }
 
 /// Writes messages with one flush, so that they share packets where they fit.
-async fn write_batch(link: &mut FramedStream, frames: Vec<Bytes>) -> io::Result<()> {
+async fn write_batch(link: &mut LinkWriter, frames: Vec<Bytes>) -> io::Result<()> {
     for frame in frames {
         link.feed(frame).await?;
     }
     SinkExt::<Bytes>::flush(link).await
 }
 
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+fn codec(max_frame_bytes: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(max_frame_bytes).new_codec()
 }
