Read messages of peers no faster than they are handled

Received messages waited in a channel without a bound: a peer that sends without end, or a gateway that is held up, could fill the memory. At most 256 messages wait now, after which links are not read.

--- a/crates/instance/examples/control.rs
+++ b/crates/instance/examples/control.rs
@@ -13,7 +13,7 @@
 use std::fs;
 use std::hint::black_box;
 use std::net::SocketAddr;
-use std::sync::mpsc::channel;
+use std::sync::mpsc::sync_channel;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,7 +22,7 @@
 use mimosapass_core::roles::{leader, watchers};
 use mimosapass_core::version::Head;
 use mimosapass_instance::compact::Compactor;
-use mimosapass_instance::link::{Identity, Links};
+use mimosapass_instance::link::{INBOX_LENGTH, Identity, Links};
 use mimosapass_instance::message::{
     self, Body, EngineOffer, Envelope, LoadReport, LoadReports, Pool, ZoneSummary,
 };
@@ -205,7 +205,7 @@
 /// Measures links that send each other heartbeats and their share of load reports.
 fn links(size: usize) -> Result<(), Box<dyn Error>> {
     let local: SocketAddr = "127.0.0.1:0".parse()?;
-    let (sink, inbox) = channel();
+    let (sink, inbox) = sync_channel(INBOX_LENGTH);
     let links = (0..size)
         .map(|i| Links::start(&identity(i), local, sink.clone()))
         .collect::<Result<Vec<_>, _>>()?;
--- a/crates/instance/src/link.rs
+++ b/crates/instance/src/link.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::mpsc::Sender;
+use std::sync::mpsc::{SyncSender, TrySendError};
 use std::thread;
 use std::time::Duration;
 
@@ -26,6 +26,11 @@
 
 use crate::message::{Body, Envelope, MAX_FRAME_BYTES, VERSION};
 
+/// Number of received messages that may wait to be handled, for a channel of [`Links::start`].
+pub const INBOX_LENGTH: usize = 256;
+
+/// Pause before a message is handed over again while too many wait.
+const FULL_PAUSE: Duration = Duration::from_millis(10);
 /// Maximum number of batches that wait for one peer.
 const QUEUE_LENGTH: usize = 64;
 /// Timeout for opening a link.
@@ -84,7 +89,8 @@
 }
 
 impl Links {
-    /// Starts the thread that serves the links; received messages go to `sink`.
+    /// Starts the thread that serves the links; received messages go to `sink`, and while
+    /// that is full, no more are read.
     ///
     /// # Errors
     ///
@@ -92,7 +98,7 @@
     pub fn start(
         identity: &Identity,
         listen: SocketAddr,
-        sink: Sender<Incoming>,
+        sink: SyncSender<Incoming>,
     ) -> io::Result<Self> {
         let listener = std::net::TcpListener::bind(listen)?;
         listener.set_nonblocking(true)?;
@@ -142,7 +148,7 @@
 }
 
 /// Accepts links until the process ends.
-async fn accept(listener: TcpListener, sink: Sender<Incoming>) {
+async fn accept(listener: TcpListener, sink: SyncSender<Incoming>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => drop(tokio::spawn(receive(stream, sink.clone()))),
@@ -155,7 +161,7 @@
 }
 
 /// Passes on the messages of one incoming link until it is closed or invalid.
-async fn receive(stream: TcpStream, sink: Sender<Incoming>) {
+async fn receive(stream: TcpStream, sink: SyncSender<Incoming>) {
     let mut framed = Framed::new(stream, codec(MAX_FRAME_BYTES));
     let (mut from, mut addr) = (Identity::default(), String::new());
     let mut acknowledges = true;
@@ -185,7 +191,7 @@
             return;
         }
         let message = Incoming { from: from.clone(), addr: addr.clone(), body };
-        if sink.send(message).is_err() {
+        if !hand_over(message, &sink).await {
             return;
         }
         if acknowledges {
@@ -195,6 +201,19 @@
     }
 }
 
+/// Hands over a message, and waits while too many are not handled yet; returns whether any
+/// more are wanted.
+async fn hand_over(mut message: Incoming, sink: &SyncSender<Incoming>) -> bool {
+    loop {
+        match sink.try_send(message) {
+            Ok(()) => return true,
+            Err(TrySendError::Disconnected(_)) => return false,
+            Err(TrySendError::Full(full)) => message = full,
+        }
+        tokio::time::sleep(FULL_PAUSE).await;
+    }
+}
+
 /// Hands messages to the writer of each peer and starts writers as needed.
 async fn dispatch(
     identity: Identity,
--- a/crates/instance/tests/link.rs
+++ b/crates/instance/tests/link.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{Receiver, channel};
+use std::sync::mpsc::{Receiver, sync_channel};
 use std::time::{Duration, Instant};
 
-use mimosapass_instance::link::{Identity, Incoming, Links};
+use mimosapass_instance::link::{INBOX_LENGTH, Identity, Incoming, Links};
 use mimosapass_instance::message::{
     Body, Config, ConfigRequest, Envelope, Heartbeat, MAX_FRAME_BYTES, VERSION,
 };
@@ -19,7 +19,7 @@
 
 fn start(name: &str) -> (Links, Receiver<Incoming>) {
     let local: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    let (sink, inbox) = channel();
+    let (sink, inbox) = sync_channel(INBOX_LENGTH);
     (Links::start(&identity(name), local, sink).expect("it starts"), inbox)
 }
 
@@ -121,7 +121,7 @@
     near.send(addr, heartbeat(1));
     let (stream, _) = first.accept().expect("a link");
     drop((stream, first));
-    let (sink, inbox) = channel();
+    let (sink, inbox) = sync_channel(INBOX_LENGTH);
     let _far = Links::start(&identity("far"), addr, sink).expect("it restarts");
     // Messages may be lost until the sender detects the broken link.
     let received = (2..2_000).find(|i| {
@@ -156,7 +156,7 @@
 fn receiver_that_acknowledges_nothing_gets_all_messages() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
     let (near, _) = start("near");
-    let (sink, inbox) = channel();
+    let (sink, inbox) = sync_channel(INBOX_LENGTH);
     let to = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -3,14 +3,14 @@
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::mpsc::channel;
+use std::sync::mpsc::sync_channel;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_caller::server::{Limits, Server};
 use mimosapass_instance::datagram::DatagramSocket;
-use mimosapass_instance::link::{Identity, Links};
+use mimosapass_instance::link::{INBOX_LENGTH, Identity, Links};
 use prometheus::TextEncoder;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -51,7 +51,7 @@
     let sender = Arc::clone(&socket);
     spawn(&gateway, "tell", move |g| gossip::send_updates(g, &sender))?;
     spawn(&gateway, "hear", move |g| gossip::receive_updates(g, &socket))?;
-    let (incoming, inbox) = channel();
+    let (incoming, inbox) = sync_channel(INBOX_LENGTH);
     let links = Links::start(&identity(&gateway), gateway.settings.listen.peers, incoming)?;
     let request_links = links.clone();
     spawn(&gateway, "ask", move |g| snapshot::request_when_behind(g, &request_links))?;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -2,11 +2,11 @@
 
 use std::io;
 use std::sync::Arc;
-use std::sync::mpsc::channel;
+use std::sync::mpsc::{channel, sync_channel};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use mimosapass_caller::server::Server;
-use mimosapass_instance::link::{Identity, Links};
+use mimosapass_instance::link::{INBOX_LENGTH, Identity, Links};
 use mimosapass_operator::pages::{self, Sources};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -28,7 +28,7 @@
 pub fn run(settings: Settings) -> io::Result<()> {
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let timer = Timer::start()?;
-    let (incoming, inbox) = channel();
+    let (incoming, inbox) = sync_channel(INBOX_LENGTH);
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let boot = now.as_millis() as u64;
     let identity = Identity { name: settings.name.clone(), zone: settings.zone.clone(), boot };
--- a/tests/suite/configuration.rs
+++ b/tests/suite/configuration.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::channel;
+use std::sync::mpsc::sync_channel;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use mimosapass_instance::compression::compress;
-use mimosapass_instance::link::{Identity, Links};
+use mimosapass_instance::link::{INBOX_LENGTH, Identity, Links};
 use mimosapass_instance::message::{Body, Config, Heartbeat};
 use mimosapass_keyvalue::kv::KvClient;
 use mimosapass_operator::document::{self, PROPAGATION_LIMIT};
@@ -216,7 +216,7 @@
 /// Starts a peer that has one version and announces it after `silent`.
 fn start_peer(zone: &str, version: u64, text: &str, silent: Duration) -> (Links, JoinHandle<()>) {
     let listen = format!("{}:8081", unique_ip()).parse().expect("an address");
-    let (sender, inbox) = channel();
+    let (sender, inbox) = sync_channel(INBOX_LENGTH);
     let me = Identity { name: format!("peer-{version}"), zone: zone.to_owned(), boot: 1 };
     let links = Links::start(&me, listen, sender).expect("it listens");
     let digest = document::parse(text).expect("it holds").digest;
