Bound the text of an error of a target, and its JSON responses

The text of an error was as long as the body of the response, up to 10 MB, and went into log lines; a longer one was replaced by none. It now has the first 4 KiB. JSON responses are bounded at 4 MiB instead of 10 MB, and one whose content is not used is not kept.

--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -1,9 +1,11 @@
 //! The HTTP agent for calls to targets, and the conversion of its errors.
 
-use std::io;
+use std::io::{self, Read};
 use std::time::Duration;
 
-use ureq::Agent;
+use serde::de::DeserializeOwned;
+use ureq::http::Response;
+use ureq::{Agent, Body};
 
 use crate::error::CallError;
 
@@ -13,6 +15,13 @@
 /// Buffer size of a connection, in each direction.
 const BUFFER_BYTES: usize = 16 * 1024;
 
+/// Maximum size of a JSON response. The longest are lists of allocations and cache events,
+/// with some 100 bytes for each.
+const MAX_JSON_BYTES: u64 = 4 * 1024 * 1024;
+
+/// Maximum length of the text of an error response that is read and logged.
+const MAX_ERROR_BYTES: u64 = 4 * 1024;
+
 /// Builds an agent that keeps up to `idle` idle connections per target.
 ///
 /// It follows no redirects and retries nothing. With `idle` 0 every call opens a
@@ -44,3 +53,21 @@
     };
     if not_sent { CallError::NotSent(text) } else { CallError::OutcomeUnknown(text) }
 }
+
+/// Decodes a JSON response.
+pub(crate) fn read_json<T: DeserializeOwned>(
+    response: &mut Response<Body>,
+) -> Result<T, CallError> {
+    let body = response.body_mut().with_config().limit(MAX_JSON_BYTES);
+    body.read_json().map_err(|e| call_error(&e))
+}
+
+/// Reads the first [`MAX_ERROR_BYTES`] of an error response.
+pub(crate) fn error_text(response: &mut Response<Body>) -> String {
+    let mut text = Vec::new();
+    let body = response.body_mut().as_reader();
+    if let Err(e) = body.take(MAX_ERROR_BYTES).read_to_end(&mut text) {
+        log::debug!("target: the text of an error response is incomplete: {e}.");
+    }
+    String::from_utf8_lossy(&text).into_owned()
+}
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use ureq::Agent;
 
-use crate::client::call_error;
+use crate::client::{call_error, error_text, read_json};
 use crate::error::CallError;
 
 /// Header with the attempt's identifier.
@@ -194,7 +194,7 @@
         return Ok(response);
     }
     let refused = response.headers().get(REFUSED).map(|v| v == "leaving");
-    let text = response.body_mut().read_to_string().unwrap_or_default();
+    let text = error_text(&mut response);
     Err(match refused {
         Some(leaving) => CallError::Refused { leaving, text },
         None if status < 500 => CallError::Rejected { status, text },
@@ -235,5 +235,5 @@
     let request = request.config().timeout_global(Some(LOAD_TIMEOUT)).build();
     let response = request.call().map_err(|e| call_error(&e))?;
     let mut response = check_status(response)?;
-    response.body_mut().read_json().map_err(|e| call_error(&e))
+    read_json(&mut response)
 }
--- a/crates/target/src/memory.rs
+++ b/crates/target/src/memory.rs
@@ -6,11 +6,11 @@
 
 use std::time::Duration;
 
-use serde::de::DeserializeOwned;
+use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
 use ureq::Agent;
 
-use crate::client::call_error;
+use crate::client::{call_error, read_json};
 use crate::engine::check_status;
 use crate::error::CallError;
 
@@ -169,7 +169,7 @@
 ///
 /// Fails when the engine did not confirm; the call must then be repeated.
 pub fn cancel(agent: &Agent, addr: &str, cancel: &Cancel) -> Result<(), CallError> {
-    post::<_, serde_json::Value>(agent, addr, "cancel", cancel).map(drop)
+    post::<_, IgnoredAny>(agent, addr, "cancel", cancel).map(drop)
 }
 
 /// Reserves memory on one engine of a group.
@@ -178,7 +178,7 @@
 ///
 /// [`CallError::Refused`] when the engine has too little free memory.
 pub fn reserve(agent: &Agent, addr: &str, reserve: &Reserve) -> Result<(), CallError> {
-    post::<_, serde_json::Value>(agent, addr, "reserve", reserve).map(drop)
+    post::<_, IgnoredAny>(agent, addr, "reserve", reserve).map(drop)
 }
 
 /// Exports the KV cache of a stream as a block, which is held until freed.
@@ -196,7 +196,7 @@
 ///
 /// [`CallError::Refused`] when the engine has too little free memory.
 pub fn import(agent: &Agent, addr: &str, import: &Import) -> Result<(), CallError> {
-    post::<_, serde_json::Value>(agent, addr, "import", import).map(drop)
+    post::<_, IgnoredAny>(agent, addr, "import", import).map(drop)
 }
 
 /// Fetches the cache events after number `after`; they are late and have gaps.
@@ -211,7 +211,7 @@
 fn get<T: DeserializeOwned>(agent: &Agent, url: &str) -> Result<T, CallError> {
     let request = agent.get(url).config().timeout_global(Some(CALL_TIMEOUT)).build();
     let mut response = check_status(request.call().map_err(|e| call_error(&e))?)?;
-    response.body_mut().read_json().map_err(|e| call_error(&e))
+    read_json(&mut response)
 }
 
 fn post<S, T>(agent: &Agent, addr: &str, call: &str, body: &S) -> Result<T, CallError>
@@ -222,5 +222,5 @@
     let request = agent.post(format!("http://{addr}/{call}"));
     let request = request.config().timeout_global(Some(CALL_TIMEOUT)).build();
     let mut response = check_status(request.send_json(body).map_err(|e| call_error(&e))?)?;
-    response.body_mut().read_json().map_err(|e| call_error(&e))
+    read_json(&mut response)
 }
--- a/crates/target/src/orders.rs
+++ b/crates/target/src/orders.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use ureq::Agent;
 
-use crate::client::call_error;
+use crate::client::{call_error, error_text, read_json};
 use crate::error::CallError;
 
 /// Path of orders and of an engine's assignment.
@@ -39,7 +39,7 @@
     let request = agent.get(url).config().timeout_global(Some(timeout)).build();
     let response = request.call().map_err(|e| call_error(&e))?;
     let mut response = check_status(response)?;
-    response.body_mut().read_json().map_err(|e| call_error(&e))
+    read_json(&mut response)
 }
 
 /// Orders an engine to adopt `goal`; the order may be repeated.
@@ -68,6 +68,6 @@
     if status == 200 {
         return Ok(response);
     }
-    let text = response.body_mut().read_to_string().unwrap_or_default();
+    let text = error_text(&mut response);
     Err(CallError::Rejected { status, text })
 }
