End a generate call that yields no events

A line of an engine that was no event was skipped without a bound: an engine that sends such lines, or one line without end, was read until the timeout of the call, which lasts as long as the request.

--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -40,8 +40,8 @@
 /// Header with the W3C trace context.
 pub const TRACE: &str = "traceparent";
 
-/// Maximum size of an engine's event.
-const MAX_EVENT_BYTES: u64 = 1024 * 1024;
+/// Maximum size of an engine's event, and of what comes between two events.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
 /// Time added to the remaining time for the time-out of a call.
 ///
 /// The user of this client checks the deadline itself and must be the first to
@@ -208,15 +208,24 @@
     F: FnMut(Event) -> bool,
 {
     let mut line = String::new();
+    let mut skipped = 0;
     loop {
         line.clear();
-        let mut limited = std::io::Read::take(&mut reader, MAX_EVENT_BYTES);
+        let mut limited = std::io::Read::take(&mut reader, MAX_EVENT_BYTES as u64);
         let read =
             limited.read_line(&mut line).map_err(|e| CallError::OutcomeUnknown(e.to_string()))?;
         if read == 0 {
             return Ok(());
         }
-        let Some(json) = line.strip_prefix("data: ") else { continue };
+        let Some(json) = line.strip_prefix("data: ") else {
+            skipped += read;
+            if skipped >= MAX_EVENT_BYTES {
+                let text = format!("{skipped} bytes without an event");
+                return Err(CallError::OutcomeUnknown(text));
+            }
+            continue;
+        };
+        skipped = 0;
         let event =
             serde_json::from_str(json).map_err(|e| CallError::OutcomeUnknown(e.to_string()))?;
         if !sink(event) {
