Bound the parts of a stored configuration

A head record that lists parts without end was read part by part, and their texts were held together before the size of the document was checked. A record of more than 16 parts is now corrupt. The test failed before and passes now.

--- a/crates/operator/src/store.rs
+++ b/crates/operator/src/store.rs
@@ -19,6 +19,8 @@
 pub const HEAD_KEY: &str = "config/head";
 /// Maximum length of a part; JSON escapes may double it in transit.
 const MAX_PART_BYTES: usize = 400_000;
+/// Maximum number of parts of a document; the largest document has 5 or 6.
+const MAX_PARTS: usize = 16;
 /// Attempts to read the head after the response to a swap was lost.
 const OUTCOME_READS: u32 = 5;
 /// Previous versions that are kept.
@@ -134,6 +136,10 @@
 ///
 /// Fails when a part is missing, the digest does not match or the text has faults.
 pub fn read_document(kv: &KvClient, record: &HeadRecord) -> Result<Document, StoreError> {
+    let count = record.parts.len();
+    if count > MAX_PARTS {
+        return Err(StoreError::Corrupt(format!("it has {count} parts, over {MAX_PARTS}")));
+    }
     let mut text = String::new();
     for key in &record.parts {
         let part = kv.get(key).map_err(StoreError::Kv)?;
--- a/crates/operator/tests/store.rs
+++ b/crates/operator/tests/store.rs
@@ -82,3 +82,17 @@
     assert!(platform.keys("config/parts/").len() <= max);
     assert!(platform.keys("config/history/").len() <= max);
 }
+
+/// A head record that lists parts without end is not read part by part.
+#[test]
+fn a_document_of_too_many_parts_is_corrupt() {
+    let (_platform, kv) = platform();
+    kv.put("part", &"x".repeat(100_000), 0, None).expect("written");
+    let record = store::HeadRecord {
+        version: 1,
+        parts: vec!["part".to_owned(); 100],
+        ..store::HeadRecord::default()
+    };
+    let read = store::read_document(&kv, &record);
+    assert!(matches!(read, Err(StoreError::Corrupt(_))), "{read:?}");
+}
