Name the bounds on responses of the key-value service and of status pages

Both were bounded by the default of the HTTP client, 10 MB. Responses of the key-value service without a value are now bounded at 64 KiB. The tests of responses without end pass before and after.

--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -18,6 +18,9 @@
 /// Response of one instance, or the reason why there is none.
 type Response = Result<Option<Value>, String>;
 
+/// Maximum size of a status page.
+const MAX_PAGE_BYTES: u64 = 10 * 1024 * 1024;
+
 fn agent() -> Agent {
     Agent::config_builder()
         .http_status_as_error(false)
@@ -32,7 +35,10 @@
     let mut response =
         agent().get(format!("http://{addr}/{page}")).call().map_err(|e| e.to_string())?;
     match response.status().as_u16() {
-        200 => response.body_mut().read_json().map(Some).map_err(|e| e.to_string()),
+        200 => {
+            let body = response.body_mut().with_config().limit(MAX_PAGE_BYTES);
+            body.read_json().map(Some).map_err(|e| e.to_string())
+        }
         404 => Ok(None),
         status => Err(format!("status {status}")),
     }
--- a/crates/keyvalue/src/kv.rs
+++ b/crates/keyvalue/src/kv.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use ureq::Agent;
 use ureq::http::Response;
 
@@ -17,6 +18,9 @@
 /// Maximum size of a value.
 pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
 
+/// Maximum size of a response without a value.
+const MAX_REPLY_BYTES: u64 = 64 * 1024;
+
 /// Value of a key and its revision.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
 pub struct Entry {
@@ -129,7 +133,7 @@
         let url = format!("{}/kv/{key}?revision={revision}{lease}", self.base);
         let request = self.agent.put(url).config().timeout_global(Some(self.timeout)).build();
         let mut response = check_status(request.send(value).map_err(|e| classify(&e))?)?;
-        let written: RevisionBody = response.body_mut().read_json().map_err(|e| classify(&e))?;
+        let written: RevisionBody = read_reply(&mut response)?;
         Ok(written.revision)
     }
 
@@ -153,7 +157,7 @@
         let url = format!("{}/leases?ttl_ms={}", self.base, ttl.as_millis());
         let request = self.agent.post(url).config().timeout_global(Some(self.timeout)).build();
         let mut response = check_status(request.send_empty().map_err(|e| classify(&e))?)?;
-        let granted: LeaseBody = response.body_mut().read_json().map_err(|e| classify(&e))?;
+        let granted: LeaseBody = read_reply(&mut response)?;
         Ok(granted.id)
     }
 
@@ -187,7 +191,7 @@
     match status {
         200 => Ok(response),
         409 => {
-            let at: RevisionBody = response.body_mut().read_json().map_err(|e| classify(&e))?;
+            let at: RevisionBody = read_reply(&mut response)?;
             Err(KvError::Conflict(at.revision))
         }
         410 => Err(KvError::LeaseExpired),
@@ -196,6 +200,12 @@
     }
 }
 
+/// Decodes a response without a value.
+fn read_reply<T: DeserializeOwned>(response: &mut Response<ureq::Body>) -> Result<T, KvError> {
+    let body = response.body_mut().with_config().limit(MAX_REPLY_BYTES);
+    body.read_json().map_err(|e| classify(&e))
+}
+
 /// Classifies a failure by whether the service can have acted on the call.
 fn classify(error: &ureq::Error) -> KvError {
     let text = error.to_string();
