--- a/crates/target/tests/http.rs
+++ b/crates/target/tests/http.rs
@@ -5,6 +5,7 @@
 
 use mimosapass_standin::endless::EndlessServer;
 use mimosapass_target::http::{BodyPart, Connection, ReadError, WaitOutcome, post};
+use mimosapass_target::pool::ConnectionPool;
 use rstest::rstest;
 
 /// Time after which a reader that does not end fails its test.
@@ -145,16 +146,54 @@
 fn connection_with_bytes_after_a_response_is_not_reusable() {
     let start = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
     let server = EndlessServer::start(start.as_bytes(), b"ok", Duration::from_millis(1));
-    let mut connection = connect(&server);
+    let connection = answered(&server);
+    std::thread::sleep(Duration::from_millis(50));
+    assert!(!connection.reusable(Instant::now()));
+}
+
+/// Guards against idle connections that stay open, and receive, until their target is used
+/// again.
+#[test]
+fn idle_connection_with_unrequested_bytes_is_closed() {
+    let start = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    let sending = EndlessServer::start(start.as_bytes(), b"ok", Duration::from_millis(200));
+    let other = EndlessServer::start(start.as_bytes(), b"", Duration::from_secs(1));
+    let pool = ConnectionPool::default();
+    pool.keep(answered(&sending), WAIT_TIMEOUT, Instant::now());
     let end = Instant::now() + WAIT_TIMEOUT;
-    let head = loop {
+    while sending.seen().disconnected_at.is_none() {
+        assert!(Instant::now() < end, "the connection stays open");
+        assert!(pool.take(other.addr, Instant::now()).is_none());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A connection that stays silent is kept for its whole keep-alive time.
+#[test]
+fn idle_connection_is_reused() {
+    let start = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    let server = EndlessServer::start(start.as_bytes(), b"", Duration::from_secs(1));
+    let other = EndlessServer::start(start.as_bytes(), b"", Duration::from_secs(1));
+    let pool = ConnectionPool::default();
+    pool.keep(answered(&server), WAIT_TIMEOUT, Instant::now());
+    for _ in 0..15 {
+        std::thread::sleep(Duration::from_millis(100));
+        assert!(pool.take(other.addr, Instant::now()).is_none());
+    }
+    assert!(pool.take(server.addr, Instant::now()).is_some());
+}
+
+/// Returns a connection on which a response was read.
+fn answered(server: &EndlessServer) -> Connection {
+    let mut connection = connect(server);
+    let end = Instant::now() + WAIT_TIMEOUT;
+    let mut framing = loop {
         if let Some(head) = connection.parse_head("GET").expect("a head") {
-            break head;
+            break head.framing;
         }
         connection.wait(None::<&TcpStream>, end).expect("polled");
         connection.fill();
     };
-    assert_eq!(head.status, 200);
-    std::thread::sleep(Duration::from_millis(50));
-    assert!(!connection.reusable(Instant::now()));
+    while connection.next_part(&mut framing).expect("a body") != BodyPart::End {}
+    connection
 }
