Take no large requests on the addresses for readiness and metrics

They had the limits of a server of prompts: a body of 16 MB, and 1 GB of bodies together, while a machine has 160 MB. Requests there are now bounded at 8 KiB, and 5 s. The test got a 200 for a body of 1 MB before, and gets a 413 now.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -33,6 +33,19 @@
 /// Request bodies may use one part in this many of the machine's memory.
 const BODIES_DIVISOR: usize = 4;
 
+/// Limits of the addresses for readiness and metrics: their requests have no body, and come
+/// from the platform and a few scrapers.
+const SERVICE_LIMITS: Limits = Limits {
+    head_bytes: 8 * 1024,
+    body_bytes: 8 * 1024,
+    bodies_bytes: 256 * 1024,
+    connections: 1024,
+    head_timeout: Duration::from_secs(5),
+    body_timeout: Duration::from_secs(5),
+    idle_timeout: Duration::from_mins(1),
+    write_timeout: Duration::from_secs(5),
+};
+
 /// Runs the gateway until it receives SIGINT or SIGTERM.
 ///
 /// # Errors
@@ -119,7 +132,7 @@
     let checked = Arc::clone(gateway);
     Server::start(
         gateway.settings.listen.ready,
-        Limits::default(),
+        SERVICE_LIMITS,
         Arc::new(move |exchange| match checked.check_ready() {
             Ok(()) => respond(exchange, 200, "ready\n"),
             Err(reason) => respond(exchange, 503, reason),
@@ -131,7 +144,7 @@
     let registry = gateway.metrics.registry.clone();
     Server::start(
         gateway.settings.listen.metrics,
-        Limits::default(),
+        SERVICE_LIMITS,
         Arc::new(move |exchange| match TextEncoder::new().encode_to_string(&registry.gather()) {
             Ok(text) => respond(exchange, 200, &text),
             Err(e) => respond(exchange, 500, &e.to_string()),
--- a/tests/suite/gateway/endless.rs
+++ b/tests/suite/gateway/endless.rs
@@ -282,3 +282,17 @@
     println!("peak memory {memory} kB");
     assert!(memory < MAX_MEMORY_KB, "peak memory {memory} kB");
 }
+
+/// Nothing is sent to the readiness and metrics addresses but short requests.
+#[test]
+fn service_addresses_take_no_large_bodies() {
+    let cluster = Cluster::start(1);
+    cluster.ready(0);
+    let body = "a".repeat(1_000_000);
+    for port in [8081, 8083] {
+        let addr = std::net::SocketAddr::from((cluster.gateways[0].ip, port));
+        let head = "POST /readyz HTTP/1.1\r\nhost: x\r\ncontent-length: 1000000\r\n\r\n";
+        let answer = super::call(addr, head, body.as_bytes());
+        assert_eq!(answer.response.status, 413, "{answer:?}");
+    }
+}
