Serve the operators' pages by the server of callers

The pages were served by rouille, which does not bound requests: one that states a body of 99,999,999,999 bytes ended the process, for want of memory. They are now served by the server of callers, with bounds of 8 KiB and 5 s.

--- a/crates/operator/src/pages.rs
+++ b/crates/operator/src/pages.rs
@@ -3,13 +3,25 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
+use std::time::Duration;
 
+use mimosapass_caller::exchange::Exchange;
+use mimosapass_caller::server::{Limits, Server};
 use prometheus::{Registry, TextEncoder};
-use rouille::{Request, Response, Server};
 
-/// Worker threads of the HTTP server.
-const THREADS: usize = 4;
+/// Limits of requests, which have no body, and come from operators and the balancer.
+const LIMITS: Limits = Limits {
+    head_bytes: 8 * 1024,
+    body_bytes: 8 * 1024,
+    bodies_bytes: 256 * 1024,
+    connections: 1024,
+    head_timeout: Duration::from_secs(5),
+    body_timeout: Duration::from_secs(5),
+    idle_timeout: Duration::from_mins(1),
+    write_timeout: Duration::from_secs(5),
+};
+const JSON: &str = "application/json";
+const TEXT: &str = "text/plain; charset=utf-8";
 
 /// Returns the routing record of a request as JSON, if there is one.
 pub type Explain = Arc<dyn Fn(&str) -> Option<String> + Send + Sync>;
@@ -33,44 +45,46 @@
     }
 }
 
-/// Serves the pages in a background thread and returns the bound address.
+/// Serves the pages in background threads and returns the bound address.
 ///
 /// # Errors
 ///
 /// Fails when the address cannot be bound.
 pub fn start(addr: SocketAddr, sources: Sources) -> io::Result<SocketAddr> {
-    let server = Server::new(addr, move |request| respond(request, &sources))
-        .map_err(|e| io::Error::other(e.to_string()))?
-        .pool_size(THREADS);
-    let bound = server.server_addr();
-    thread::Builder::new().name("pages".to_owned()).spawn(move || server.run())?;
-    Ok(bound)
+    let handler = move |exchange: &mut Exchange<'_>| {
+        let (status, kind, body) = respond(&exchange.head.method, &exchange.head.path, &sources);
+        let headers = [("content-type", kind.to_owned())];
+        if let Err(e) = exchange.respond(status, &headers, body.as_bytes()) {
+            log::debug!("pages: a response could not be sent: {e}.");
+        }
+    };
+    Server::start(addr, LIMITS, Arc::new(handler)).map(|server| server.addr())
 }
 
-fn respond(request: &Request, sources: &Sources) -> Response {
-    let path = request.url();
-    match (request.method(), path.as_str()) {
-        ("GET", "/livez") => Response::text("live\n"),
+/// Returns the status, the content type and the body of a page.
+fn respond(method: &str, path: &str, sources: &Sources) -> (u16, &'static str, String) {
+    match (method, path) {
+        ("GET", "/livez") => (200, TEXT, "live\n".to_owned()),
         ("GET", "/readyz") => match (sources.ready)() {
-            Ok(()) => Response::text("ready\n"),
-            Err(reason) => Response::text(format!("not ready: {reason}\n")).with_status_code(503),
+            Ok(()) => (200, TEXT, "ready\n".to_owned()),
+            Err(reason) => (503, TEXT, format!("not ready: {reason}\n")),
         },
         ("GET", "/metrics") => {
             match TextEncoder::new().encode_to_string(&sources.registry.gather()) {
-                Ok(text) => Response::text(text),
-                Err(e) => Response::text(e.to_string()).with_status_code(500),
+                Ok(text) => (200, TEXT, text),
+                Err(e) => (500, TEXT, e.to_string()),
             }
         }
-        ("GET", "/status") => Response::from_data("application/json", (sources.status)()),
+        ("GET", "/status") => (200, JSON, (sources.status)()),
         ("GET", other) => explain(other, sources),
-        _ => Response::text("only GET is supported\n").with_status_code(405),
+        _ => (405, TEXT, "only GET is supported\n".to_owned()),
     }
 }
 
-fn explain(path: &str, sources: &Sources) -> Response {
+fn explain(path: &str, sources: &Sources) -> (u16, &'static str, String) {
     let found = path.strip_prefix("/explain/").and_then(|id| (sources.explain)(id));
     match found {
-        Some(json) => Response::from_data("application/json", json),
-        None => Response::text("not found\n").with_status_code(404),
+        Some(json) => (200, JSON, json),
+        None => (404, TEXT, "not found\n".to_owned()),
     }
 }
