--- a/tests/suite/gateway/endless.rs
+++ b/tests/suite/gateway/endless.rs
@@ -67,7 +67,9 @@
 fn ask(path: &str, service: &str, headers: &str, steps: &[Step], reply: &Reply) -> Outcome {
     let targets = start_targets(steps, reply);
     let cluster = Cluster::start(1);
-    targets.iter().for_each(|target| cluster.register(target, service));
+    for target in &targets {
+        cluster.register(target, service);
+    }
     cluster.ready(0).knows_targets(0, 2);
     let begun = Instant::now();
     let answer = cluster.ask_with(0, path, "id-1", headers);
@@ -227,7 +229,9 @@
         &Reply::Complete(200, "whole"),
     );
     let cluster = Cluster::start(1);
-    targets.iter().for_each(|target| cluster.register(target, "desk"));
+    for target in &targets {
+        cluster.register(target, "desk");
+    }
     cluster.ready(0).knows_targets(0, 2);
     for number in 0..20 {
         let answer = cluster.ask(0, "/look/1", &format!("id-{number}"));
@@ -260,7 +264,9 @@
         })
     });
     let cluster = Cluster::start(1);
-    targets.iter().for_each(|target| cluster.register(target, "desk"));
+    for target in &targets {
+        cluster.register(target, "desk");
+    }
     cluster.ready(0).knows_targets(0, 2);
     std::thread::scope(|scope| {
         let asking: Vec<_> = (0..TOGETHER)
