--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use ureq::Agent;
 
-use crate::client::call_error;
+use crate::client::{call_error, error_text, read_json};
 use crate::error::CallError;
 
 /// Header with the attempt's identifier.
@@ -40,8 +40,8 @@
 /// Header with the W3C trace context.
 pub const TRACE: &str = "traceparent";
 
-/// Maximum size of an engine's event.
-const MAX_EVENT_BYTES: u64 = 1024 * 1024;
+/// Maximum size of an engine's event, and of what comes between two events.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
 /// Time added to the remaining time for the time-out of a call.
 ///
 /// The user of this client checks the deadline itself and must be the first to
@@ -194,7 +194,7 @@
         return Ok(response);
     }
     let refused = response.headers().get(REFUSED).map(|v| v == "leaving");
-    let text = response.body_mut().read_to_string().unwrap_or_default();
+    let text = error_text(&mut response);
     Err(match refused {
         Some(leaving) => CallError::Refused { leaving, text },
         None if status < 500 => CallError::Rejected { status, text },
@@ -208,15 +208,24 @@
     F: FnMut(Event) -> bool,
 {
     let mut line = String::new();
+    let mut skipped = 0;
     loop {
         line.clear();
-        let mut limited = std::io::Read::take(&mut reader, MAX_EVENT_BYTES);
+        let mut limited = std::io::Read::take(&mut reader, MAX_EVENT_BYTES as u64);
         let read =
             limited.read_line(&mut line).map_err(|e| CallError::OutcomeUnknown(e.to_string()))?;
         if read == 0 {
             return Ok(());
         }
-        let Some(json) = line.strip_prefix("data: ") else { continue };
+        let Some(json) = line.strip_prefix("data: ") else {
+            skipped += read;
+            if skipped >= MAX_EVENT_BYTES {
+                let text = format!("{skipped} bytes without an event");
+                return Err(CallError::OutcomeUnknown(text));
+            }
+            continue;
+        };
+        skipped = 0;
         let event =
             serde_json::from_str(json).map_err(|e| CallError::OutcomeUnknown(e.to_string()))?;
         if !sink(event) {
@@ -235,5 +244,5 @@
     let request = request.config().timeout_global(Some(LOAD_TIMEOUT)).build();
     let response = request.call().map_err(|e| call_error(&e))?;
     let mut response = check_status(response)?;
-    response.body_mut().read_json().map_err(|e| call_error(&e))
+    read_json(&mut response)
 }
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -19,10 +19,14 @@
 const READ_BYTES: usize = 16 * 1024;
 /// Maximum size of a response's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum size of the interim responses before a response.
+const MAX_INTERIM_BYTES: usize = 64 * 1024;
 /// Maximum number of headers of a response.
 const MAX_HEADERS: usize = 64;
 /// Maximum length of the line with a chunk's size.
 const CHUNK_LINE_BYTES: usize = 256;
+/// Maximum size of a chunked body's trailer.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 /// Time after which the kernel closes a connection with unacknowledged bytes.
 ///
 /// Without it, a network partition would not be detected.
@@ -108,6 +112,10 @@
     addr: SocketAddr,
     buffered: Vec<u8>,
     chunk: ChunkState,
+    /// Bytes of the interim responses that were discarded.
+    interim_bytes: usize,
+    /// Bytes of the trailer that were discarded.
+    trailer_bytes: usize,
     ended: bool,
     reset: bool,
     /// When it became idle, and for how long the target keeps it open.
@@ -130,6 +138,8 @@
             addr,
             buffered: Vec::new(),
             chunk: ChunkState::Size,
+            interim_bytes: 0,
+            trailer_bytes: 0,
             ended: false,
             reset: false,
             idle: None,
@@ -270,8 +280,13 @@
             self.chunk = ChunkState::Size;
             // Interim responses have no body and are followed by another head.
             if head.status >= 200 {
+                self.interim_bytes = 0;
                 return Ok(Some(head));
             }
+            self.interim_bytes += length;
+            if self.interim_bytes > MAX_INTERIM_BYTES {
+                return Err(ReadError::Malformed);
+            }
         }
     }
 
@@ -306,50 +321,60 @@
 
     fn decode_chunks(&mut self) -> Result<BodyPart, ReadError> {
         let mut data = Vec::new();
-        loop {
+        // What is decoded is removed from the buffer at the end: a buffer may have thousands
+        // of short chunks.
+        let mut at = 0;
+        let end = loop {
+            let rest = &self.buffered[at..];
             match self.chunk {
-                ChunkState::Size => match httparse::parse_chunk_size(&self.buffered) {
+                ChunkState::Size => match httparse::parse_chunk_size(rest) {
                     Ok(httparse::Status::Complete((line, size))) => {
-                        self.buffered.drain(..line);
+                        at += line;
+                        self.trailer_bytes = 0;
                         self.chunk =
                             if size == 0 { ChunkState::Trailer } else { ChunkState::Data(size) };
                     }
-                    Ok(httparse::Status::Partial) if self.buffered.len() <= CHUNK_LINE_BYTES => {
-                        break;
-                    }
+                    Ok(httparse::Status::Partial) if rest.len() <= CHUNK_LINE_BYTES => break false,
                     Ok(httparse::Status::Partial) | Err(_) => return Err(ReadError::Malformed),
                 },
                 ChunkState::Data(left) => {
-                    let take = left.min(self.buffered.len() as u64) as usize;
+                    let take = left.min(rest.len() as u64) as usize;
                     if take == 0 {
-                        break;
+                        break false;
                     }
-                    data.extend(self.buffered.drain(..take));
+                    data.extend_from_slice(&rest[..take]);
+                    at += take;
                     let left = left - take as u64;
                     self.chunk =
                         if left == 0 { ChunkState::DataEnd } else { ChunkState::Data(left) };
                 }
-                ChunkState::DataEnd => match self.buffered.get(..2) {
+                ChunkState::DataEnd => match rest.get(..2) {
                     Some(b"\r\n") => {
-                        self.buffered.drain(..2);
+                        at += 2;
                         self.chunk = ChunkState::Size;
                     }
                     Some(_) => return Err(ReadError::Malformed),
-                    None => break,
+                    None => break false,
                 },
-                ChunkState::Trailer => match self.buffered.windows(2).position(|w| w == b"\r\n") {
-                    // Return the data first; the next call finds the end again.
-                    _ if !data.is_empty() => break,
+                // Return the data first; the next call finds the end again.
+                ChunkState::Trailer if !data.is_empty() => break false,
+                ChunkState::Trailer => match rest.windows(2).position(|w| w == b"\r\n") {
                     Some(0) => {
-                        self.buffered.drain(..2);
-                        return Ok(BodyPart::End);
+                        at += 2;
+                        break true;
+                    }
+                    Some(line) if self.trailer_bytes + line < MAX_TRAILER_BYTES => {
+                        self.trailer_bytes += line + 2;
+                        at += line + 2;
                     }
-                    Some(line) => drop(self.buffered.drain(..line + 2)),
-                    None => break,
+                    None if self.trailer_bytes + rest.len() < MAX_TRAILER_BYTES => break false,
+                    Some(_) | None => return Err(ReadError::Malformed),
                 },
             }
-        }
+        };
+        self.buffered.drain(..at);
         match data.is_empty() {
+            _ if end => Ok(BodyPart::End),
             false => Ok(BodyPart::Data(data)),
             true if self.ended => Err(ReadError::Truncated),
             true => Ok(BodyPart::NeedMore),
@@ -457,6 +482,10 @@
         if let Some(head) = connection.parse_head("POST")? {
             return Ok(head);
         }
+        // The wait reports bytes that are there also after its end.
+        if Instant::now() >= end {
+            return Err(ReadError::Truncated);
+        }
         match connection.wait(None::<&TcpStream>, end) {
             Ok(WaitOutcome::Target) => drop(connection.fill()),
             Ok(_) | Err(_) => return Err(ReadError::Truncated),
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod backups;
 mod delegation;
+mod endless;
 mod evacuation;
 mod explain;
 mod notices;
