Gateway: the bodies of all responses share a bound, and a body that drips is backed up

Forty bodies without end at once took 175 to 239 MB of an instance with 160 MB: the bound counted for each response alone. The time until a call is backed up counts from its head again, not from the last part of its body.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -14,6 +14,7 @@
 use mimosapass_target::http::{Awaited, BodyPart, Connection, Framing, ReadError, ResponseHead};
 
 use super::attempt;
+use super::held_bytes::HeldBytes;
 use super::relay::complete_length;
 use super::request::Request;
 use super::reservations::Reservations;
@@ -87,7 +88,7 @@
 /// A run of a request at a target.
 #[derive(Debug)]
 pub struct Run {
-    /// When the last head, event or part of a body arrived; before that, when the run started.
+    /// When the last head or event arrived; before that, when the run started.
     pub heard: Instant,
     /// When the last event was complete.
     pub last_event: Option<Instant>,
@@ -98,6 +99,8 @@
     written: usize,
     reading: Reading,
     skipped: u32,
+    /// Memory of the body.
+    held: HeldBytes,
     /// The response, once it is complete.
     complete: Option<ResponseHead>,
     // Memory is released before the targets are.
@@ -149,6 +152,7 @@
             written: 0,
             reading: Reading::Head,
             skipped: 0,
+            held: HeldBytes::new(&placed.gateway.response_bytes),
             complete: None,
             reservations,
             placed,
@@ -279,8 +283,12 @@
             let not_run = states_not_run(response);
             match part {
                 Ok(BodyPart::Data(data)) if body.len() + data.len() <= MAX_BODY_BYTES => {
+                    let gateway = &self.placed.gateway;
+                    if !self.held.grow(data.len(), gateway.max_response_bytes()) {
+                        let error = "the responses of other requests hold too much memory";
+                        return Some(Step::Failed(error.to_owned()));
+                    }
                     body.extend(data);
-                    self.heard = Instant::now();
                 }
                 Ok(BodyPart::End) => {
                     let (response, body) = (response.clone(), std::mem::take(body));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! State shared by the threads of one gateway.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
@@ -30,6 +30,8 @@
 /// Time after the stop signal in which new connections are still served. The load
 /// balancer checks every second and removes an instance after two failed checks.
 pub const STOP_NOTICE: Duration = Duration::from_millis(2_500);
+/// Bodies of responses may use one part in this many of the machine's memory.
+const RESPONSES_DIVISOR: usize = 8;
 /// Time before the stop limit at which the remaining requests are aborted.
 pub const ABORT_MARGIN: Duration = Duration::from_millis(400);
 
@@ -103,6 +105,8 @@
     pub connections: ConnectionPool,
     /// Metrics.
     pub metrics: Metrics,
+    /// Bytes that the bodies of responses hold until they are relayed.
+    pub response_bytes: Arc<AtomicUsize>,
     /// Notified when peers should be sent a change of load.
     pub load_changed: Condvar,
     state: Mutex<State>,
@@ -123,6 +127,7 @@
             store: Store::new(settings.store),
             connections: ConnectionPool::default(),
             metrics: Metrics::new(),
+            response_bytes: Arc::default(),
             load_changed: Condvar::new(),
             state: Mutex::new(State::new(settings.zone.as_str().into())),
             route_table: RwLock::default(),
@@ -134,6 +139,11 @@
         }
     }
 
+    /// Returns how many bytes the bodies of all responses may hold together.
+    pub fn max_response_bytes(&self) -> usize {
+        self.settings.memory_mb * 1024 * 1024 / RESPONSES_DIVISOR
+    }
+
     /// Locks the state; the lock must be held briefly and never across I/O.
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
