--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -124,7 +124,7 @@
 
     fn serve(&mut self) -> RequestEnd {
         loop {
-            let end = if self.runs.is_empty() { self.start_next() } else { self.follow() };
+            let end = if self.runs.is_idle() { self.start_next() } else { self.follow() };
             if let Some(end) = end {
                 self.runs.cancel();
                 return end;
@@ -315,7 +315,7 @@
     /// Ends a run that has failed; the other ones or the next one go on.
     fn end_run(&mut self, index: usize, error: String) -> Option<RequestEnd> {
         self.last_error = error;
-        self.runs.end(index, &self.request);
+        self.runs.end(index);
         if self.runs.is_empty() {
             self.prepare_resume();
         }
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -57,6 +57,11 @@
         Self { gateway, active: Vec::new(), backup: Backup::of(route), pending: None }
     }
 
+    /// Returns whether no run is under way, and no second target is asked for.
+    pub fn is_idle(&self) -> bool {
+        self.active.is_empty() && self.pending.is_none()
+    }
+
     /// Returns whether no run is under way.
     pub fn is_empty(&self) -> bool {
         self.active.is_empty()
@@ -108,12 +113,9 @@
         run
     }
 
-    /// Ends a run and keeps the others.
-    pub fn end(&mut self, index: usize, request: &Request) {
+    /// Ends a run and keeps the others, and the request for a second target.
+    pub fn end(&mut self, index: usize) {
         self.active.remove(index).release();
-        if self.active.is_empty() {
-            self.cancel_backup(request);
-        }
     }
 
     /// Counts the runs that end without a response.
