--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -58,12 +58,12 @@
 
 /// A granted placement; its targets are released when it is dropped.
 #[derive(Debug)]
-struct Placed<'g> {
-    gateway: &'g Arc<Gateway>,
+struct Placed {
+    gateway: Arc<Gateway>,
     grant: Grant,
 }
 
-impl Drop for Placed<'_> {
+impl Drop for Placed {
     fn drop(&mut self) {
         self.gateway.finish(&self.grant, Instant::now());
     }
@@ -86,8 +86,8 @@
 
 /// A run of a request at a target.
 #[derive(Debug)]
-pub struct Run<'g> {
-    /// When the target last sent something; before that, when the run started.
+pub struct Run {
+    /// When the last head, event or part of a body arrived; before that, when the run started.
     pub heard: Instant,
     /// When the last event was complete.
     pub last_event: Option<Instant>,
@@ -103,32 +103,44 @@
     // Memory is released before the targets are.
     #[expect(dead_code, reason = "dropping it releases the memory")]
     reservations: Reservations,
-    placed: Placed<'g>,
+    placed: Placed,
 }
 
-impl<'g> Run<'g> {
-    /// Reserves memory, connects to the target and begins to send.
+/// A target with its memory reserved and a connection open.
+#[derive(Debug)]
+pub struct Prepared {
+    connection: Connection,
+    reservations: Reservations,
+    placed: Placed,
+}
+
+impl Prepared {
+    /// Reserves memory at the granted targets and connects; this may take most of a second.
     ///
     /// # Errors
     ///
-    /// Fails when nothing was sent.
-    pub fn start(
-        gateway: &'g Arc<Gateway>,
-        exchange: &Exchange<'_>,
-        request: &Request,
-        grant: Grant,
-    ) -> Result<Self, NotStarted> {
-        let placed = Placed { gateway, grant };
+    /// Fails when an engine does not reserve memory, or the target has left or cannot be
+    /// connected to.
+    pub fn new(gateway: &Arc<Gateway>, grant: Grant, idempotent: bool) -> Result<Self, NotStarted> {
+        let placed = Placed { gateway: Arc::clone(gateway), grant };
         let grant = &placed.grant;
         let reservations = Reservations::reserve(gateway, grant)?;
         if !gateway.accepts(grant) {
             return Err("the target has left since it was granted".to_owned().into());
         }
-        let mut connection = attempt::connect(gateway, request, grant)?;
+        let connection = attempt::connect(gateway, grant, idempotent)?;
+        Ok(Self { connection, reservations, placed })
+    }
+}
+
+impl Run {
+    /// Encodes the request for a prepared target; the first step sends it.
+    pub fn new(prepared: Prepared, exchange: &Exchange<'_>, request: &Request) -> Self {
+        let Prepared { mut connection, reservations, placed } = prepared;
         connection.begin();
         let now = Instant::now();
-        let bytes = attempt::encode(exchange, request, grant, &reservations, now);
-        Ok(Self {
+        let bytes = attempt::encode(exchange, request, &placed.grant, &reservations, now);
+        Self {
             heard: now,
             last_event: None,
             silent_since: None,
@@ -140,7 +152,7 @@
             complete: None,
             reservations,
             placed,
-        })
+        }
     }
 
     /// Returns the grant of the run.
@@ -155,16 +167,20 @@
 
     /// Receives what has arrived.
     pub fn receive(&mut self) {
-        if self.connection.fill() {
-            self.heard = Instant::now();
-        }
+        self.connection.fill();
     }
 
     /// Sends and reads as far as possible.
     pub fn advance(&mut self, method: &str, request: &Request) -> Step {
-        if let Some(failed) = self.write() {
-            return failed;
+        let failed = self.write();
+        match (self.read(method, request), failed) {
+            // A target may respond before it has read the whole request.
+            (Step::Pending, Some(failed)) => failed,
+            (step, _) => step,
         }
+    }
+
+    fn read(&mut self, method: &str, request: &Request) -> Step {
         loop {
             let step = match &mut self.reading {
                 Reading::Head => self.read_head(method, request),
@@ -227,6 +243,7 @@
             };
             return Some(Step::Failed(error));
         }
+        self.heard = Instant::now();
         self.reading = if success && request.route.streaming {
             Reading::Stream(response, Vec::new())
         } else {
@@ -263,6 +280,7 @@
             match part {
                 Ok(BodyPart::Data(data)) if body.len() + data.len() <= MAX_BODY_BYTES => {
                     body.extend(data);
+                    self.heard = Instant::now();
                 }
                 Ok(BodyPart::End) => {
                     let (response, body) = (response.clone(), std::mem::take(body));
@@ -289,6 +307,7 @@
                 Ok(BodyPart::Data(data)) => {
                     partial.extend(data);
                     if let Some(length) = complete_length(partial) {
+                        self.heard = Instant::now();
                         return Some(Step::Events(partial.drain(..length).collect()));
                     }
                     if partial.len() > MAX_EVENT_BYTES {
@@ -328,7 +347,7 @@
     pub fn release(self) {
         let sent = self.written == self.request.len();
         match self.complete.filter(|_| sent) {
-            Some(response) => attempt::reuse(self.placed.gateway, self.connection, &response),
+            Some(response) => attempt::reuse(&self.placed.gateway, self.connection, &response),
             None => self.connection.abort(),
         }
     }
