Soak: targets that fall silent and go on, and answers without end

One, half or all targets of a service now fall silent for 0.3 to 2.5 s, at any point of what they send, while the others serve, refuse or send without end. New promises: a request that such a target runs is answered whole (lost), events come complete, in order and once (order), answers without end are disconnected a second after the deadline (endless), and instances stay under 160 MB (memory).

--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -60,6 +60,10 @@
     Whole(u16, &'static str),
     /// Bytes as they are.
     Bytes(&'static [u8]),
+    /// Text as it is.
+    Text(String),
+    /// What a function of the test does on the connection.
+    Run(Hook),
     /// Nothing for this time.
     Silence(Duration),
     /// These bytes again and again until the caller disconnects.
@@ -68,6 +72,23 @@
     Close,
 }
 
+/// A function of a test that gets the connection and returns whether it stays open.
+#[derive(Clone)]
+pub struct Hook(Arc<dyn Fn(&TcpStream) -> bool + Send + Sync>);
+
+impl Hook {
+    /// Creates a hook from a function.
+    pub fn new(function: impl Fn(&TcpStream) -> bool + Send + Sync + 'static) -> Self {
+        Self(Arc::new(function))
+    }
+}
+
+impl std::fmt::Debug for Hook {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Hook").finish_non_exhaustive()
+    }
+}
+
 /// A request that a target received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -288,6 +309,8 @@
             Step::End => write(stream, b"0\r\n\r\n"),
             Step::Whole(status, body) => write(stream, &complete_response(*status, id, body)),
             Step::Bytes(bytes) => write(stream, bytes),
+            Step::Text(text) => write(stream, text.as_bytes()),
+            Step::Run(hook) => (hook.0)(stream),
             Step::Silence(time) => {
                 thread::sleep(*time);
                 true
--- a/tests/suite/gateway/soak/callers.rs
+++ b/tests/suite/gateway/soak/callers.rs
@@ -9,7 +9,7 @@
 use mimosapass_target::http::{BodyPart, Connection, WaitOutcome};
 
 use super::super::{HOST, KEY};
-use super::promises::{Promises, Seen};
+use super::promises::{Answer, Promises, Seen};
 use super::world::World;
 
 /// Longest wait for an answer.
@@ -43,17 +43,16 @@
         number += 1;
         promises.send(&id, instance);
         let sent = Instant::now();
-        let (answer, reusable) = ask(&mut current, &id, &path).unzip();
+        let answer = ask(&mut current, &id, &path);
+        answers += usize::from(answer.as_ref().is_some_and(|a| a.complete));
+        connection = answer.as_ref().is_some_and(|a| a.reusable).then_some(current);
         promises.seen(instance, &Seen { id: &id, path: &path, route, sent, answer });
-        answers += usize::from(answer.is_some());
-        connection = reusable.unwrap_or(false).then_some(current);
     }
     answers
 }
 
-/// Sends a request; returns the status, whether the answer is whole and its own, and whether
-/// the connection can be used again.
-fn ask(connection: &mut Connection, id: &str, path: &str) -> Option<((u16, bool), bool)> {
+/// Sends a request and reads what comes; `None` without the head of an answer.
+fn ask(connection: &mut Connection, id: &str, path: &str) -> Option<Answer> {
     let end = Instant::now() + PATIENCE;
     let head = format!(
         "GET {path} HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: {id}\r\nx-deadline-ms: 6000\r\n\
@@ -67,18 +66,23 @@
             Err(_) => return None,
         }
     };
-    let mut framing = response.framing;
-    loop {
+    let (mut framing, mut body) = (response.framing, Vec::new());
+    let complete = loop {
         match connection.next_part(&mut framing) {
-            Ok(BodyPart::Data(_)) => {}
-            Ok(BodyPart::NeedMore) => more(connection, end)?,
-            Ok(BodyPart::End) => break,
-            Err(_) => return None,
+            Ok(BodyPart::Data(data)) => body.extend(data),
+            Ok(BodyPart::NeedMore) if more(connection, end).is_some() => {}
+            Ok(BodyPart::End) => break true,
+            Ok(BodyPart::NeedMore) | Err(_) => break false,
         }
-    }
+    };
     let own = response.header("x-attempt-id");
-    let whole = if response.status == 200 { own == Some(id) } else { own.is_none_or(|o| o == id) };
-    Some(((response.status, whole), !response.close))
+    Some(Answer {
+        status: response.status,
+        own: if response.status == 200 { own == Some(id) } else { own.is_none_or(|o| o == id) },
+        body: String::from_utf8_lossy(&body).into_owned(),
+        complete,
+        reusable: complete && !response.close,
+    })
 }
 
 /// Waits for more bytes; `None` when the connection has ended.
--- a/tests/suite/gateway/soak/mod.rs
+++ b/tests/suite/gateway/soak/mod.rs
@@ -8,6 +8,8 @@
 mod callers;
 mod plan;
 mod promises;
+mod script;
+mod targets;
 mod world;
 
 use std::sync::Arc;
@@ -19,7 +21,7 @@
 use world::World;
 
 /// Callers of each instance.
-const CALLERS: usize = 2;
+const CALLERS: usize = 4;
 /// Time without faults at the end, in which all instances have to recover.
 const CALM: Duration = Duration::from_secs(6);
 /// Seed, seconds and instances of a run that sets none. Three instances watch the store, and
@@ -51,7 +53,12 @@
     let answers: usize = callers.into_iter().map(|c| c.join().expect("no panic")).sum();
     let broken = promises.broken();
     let faults = events.iter().filter(|(_, e)| !matches!(e, Event::Renew)).count();
-    println!("soak: seed {seed}, {faults} events, {answers} answers, {} broken", broken.len());
+    println!(
+        "soak: seed {seed}, {faults} events, {answers} answers, {}, {} KiB, {} broken",
+        promises.counts(),
+        world.memory,
+        broken.len()
+    );
     if !broken.is_empty() || answers == 0 {
         let folder = world.keep_logs(seed, &events, &broken);
         panic!(
--- a/tests/suite/gateway/soak/plan.rs
+++ b/tests/suite/gateway/soak/plan.rs
@@ -13,6 +13,113 @@
 /// Time from a restore until the operator and the targets write again.
 const RENEW_MS: std::ops::Range<u64> = 200..1_200;
 
+/// Least and greatest time between two draws of what targets do.
+const TARGET_GAP_MS: std::ops::Range<u64> = 300..2_400;
+/// Least and greatest time for which a target is silent and then goes on.
+const SILENCE_MS: std::ops::Range<u64> = 300..2_500;
+/// Least and greatest time in which a target begins answers without end.
+const ENDLESS_MS: std::ops::Range<u64> = 100..800;
+/// Makes the draws of what targets do independent of the others.
+const TARGET_SEED: u64 = 0x7461_7267;
+/// Services of the configuration: calls, and streams.
+pub const SERVICES: [&str; 2] = ["desk", "pool"];
+
+/// Where the answers of a silent target stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Point {
+    /// Before the first byte.
+    Start,
+    /// Within the head.
+    Head,
+    /// Before the first event, or the body of a call.
+    First,
+    /// Between two events, or before the end of the stream.
+    Between,
+    /// Within an event.
+    Event,
+    /// Within the body of a call.
+    Body,
+    /// At any of these.
+    Any,
+}
+
+impl Point {
+    /// Returns whether an answer at this point stops in a silence at `silent`.
+    pub fn is_met_by(self, silent: Self) -> bool {
+        silent == Self::Any || silent == self
+    }
+}
+
+/// The part of an answer that has no end.
+#[derive(Clone, Copy, Debug)]
+pub enum Place {
+    /// The status line.
+    Line,
+    /// The head.
+    Head,
+    /// The interim answers.
+    Interim,
+    /// The body.
+    Body,
+    /// An event after the first one.
+    Event,
+    /// The trailer of a body.
+    Trailer,
+}
+
+/// How many of the targets of a service.
+#[derive(Clone, Copy, Debug)]
+pub enum Size {
+    One,
+    Half,
+    All,
+}
+
+impl Size {
+    /// Returns how many of `length` targets it is.
+    pub fn of(self, length: usize) -> usize {
+        match self {
+            Self::One => length.min(1),
+            Self::Half => length.div_ceil(2),
+            Self::All => length,
+        }
+    }
+}
+
+/// Some of the targets of a service.
+#[derive(Clone, Copy, Debug)]
+pub struct Share {
+    pub service: &'static str,
+    /// Number of the first one, in the order of their starts.
+    pub first: usize,
+    pub size: Size,
+}
+
+/// What the other targets of a service do during a silence.
+#[derive(Clone, Copy, Debug)]
+pub enum Others {
+    Serve,
+    Refuse,
+    Endless(Place),
+}
+
+/// Targets fall silent for a time and go on.
+#[derive(Clone, Copy, Debug)]
+pub struct Stall {
+    pub share: Share,
+    pub point: Point,
+    pub time: Duration,
+    pub others: Others,
+}
+
+/// Targets begin answers without end for a time.
+#[derive(Clone, Copy, Debug)]
+pub struct Endless {
+    pub share: Share,
+    pub place: Place,
+    pub time: Duration,
+}
+
 /// Something that happens to the fleet.
 #[derive(Clone, Copy, Debug)]
 pub enum Event {
@@ -48,6 +155,10 @@
     Stop(usize),
     /// A process is suspended, or goes on.
     Freeze(usize, bool),
+    /// Targets fall silent for a time and go on.
+    Stall(Stall),
+    /// Targets begin answers without end for a time.
+    Endless(Endless),
 }
 
 /// Draws the events of a run, in the order of their times.
@@ -60,6 +171,12 @@
         draw(&mut random, at, end, instances, &mut events);
         at += random.random_range(GAP_MS);
     }
+    let mut random = StdRng::seed_from_u64(seed ^ TARGET_SEED);
+    let mut at = 1_000;
+    while at < end {
+        events.push((at, draw_targets(&mut random)));
+        at += random.random_range(TARGET_GAP_MS);
+    }
     events.sort_by_key(|(at, _)| *at);
     events.into_iter().map(|(at, event)| (Duration::from_millis(at), event)).collect()
 }
@@ -115,3 +232,31 @@
         }
     }
 }
+
+/// Draws what some targets do.
+fn draw_targets(random: &mut impl Rng) -> Event {
+    let service = SERVICES[random.random_range(0..SERVICES.len())];
+    let first = random.random_range(0..usize::from(u8::MAX));
+    let size = [Size::One, Size::Half, Size::All][random.random_range(0..3)];
+    let share = Share { service, first, size };
+    let places =
+        [Place::Line, Place::Head, Place::Interim, Place::Body, Place::Event, Place::Trailer];
+    let place = places[random.random_range(0..places.len())];
+    let points = match service {
+        "pool" => [Point::Start, Point::Head, Point::First, Point::Between, Point::Event],
+        _ => [Point::Start, Point::Head, Point::First, Point::Body, Point::Body],
+    };
+    let point = *points.get(random.random_range(0..=points.len())).unwrap_or(&Point::Any);
+    let others = match random.random_range(0..5) {
+        0 | 1 => Others::Serve,
+        2 | 3 => Others::Refuse,
+        _ => Others::Endless(place),
+    };
+    let silence = Duration::from_millis(random.random_range(SILENCE_MS));
+    let time = Duration::from_millis(random.random_range(ENDLESS_MS));
+    if random.random_range(0..5) == 0 {
+        Event::Endless(Endless { share, place, time })
+    } else {
+        Event::Stall(Stall { share, point, time: silence, others })
+    }
+}
--- a/tests/suite/gateway/soak/promises.rs
+++ b/tests/suite/gateway/soak/promises.rs
@@ -5,6 +5,10 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use super::super::events;
+use super::plan::{Place, Point};
+use super::script::{BODY, EVENTS};
+
 /// Time after a fault from which an instance counts as in touch.
 pub const IN_TOUCH: Duration = Duration::from_secs(3);
 /// Time after its leave from which a target gets no requests.
@@ -16,6 +20,13 @@
 /// Requests that may reach a target within its pause.
 const PAUSE_REQUESTS: u32 = 2;
 
+/// Time after which a request's deadline of 6 s may have passed.
+const DEADLINE: Duration = Duration::from_millis(5_900);
+/// Time between two pieces of an answer from which it counts as a silence.
+const SILENT: Duration = Duration::from_millis(250);
+
+/// Where a target waited, for how long, and whether the caller was still connected then.
+pub type Pause = (Point, Duration, bool);
 /// One start of an instance.
 pub type Boot = (usize, u32);
 
@@ -33,9 +44,32 @@
     told: HashMap<(String, Boot), Instant>,
     /// Pauses asked of a start of an instance, with the requests since.
     pauses: HashMap<(String, Boot), (Instant, Instant, u32)>,
-    /// Requests in flight or answered, by attempt: instance, when sent, and its runs.
-    sent: HashMap<String, (Boot, Instant, u32)>,
+    /// Requests in flight or answered, by attempt.
+    sent: HashMap<String, Sent>,
     planned: Vec<Option<Instant>>,
+    /// Whether an instance's process does not run, and when this changed last.
+    halted: Vec<(bool, Option<Instant>)>,
+    counts: Counts,
+}
+
+/// A request that a caller sent.
+#[derive(Debug)]
+struct Sent {
+    boot: Boot,
+    at: Instant,
+    runs: u32,
+    /// Whether a target that was at most silent has run it.
+    sound: bool,
+    /// What its targets noted, for a report.
+    notes: Vec<String>,
+}
+
+/// What happened to runs at targets that were at most silent.
+#[derive(Debug, Default)]
+struct Counts {
+    sound: usize,
+    silent: usize,
+    closed: usize,
 }
 
 /// The promises and what is known of the fleet.
@@ -54,8 +88,37 @@
     /// Version of the route, if it is the latest one.
     pub route: Option<u64>,
     pub sent: Instant,
-    /// Status and whether the answer was whole and its own; `None` without an answer.
-    pub answer: Option<(u16, bool)>,
+    /// `None` without the head of an answer.
+    pub answer: Option<Answer>,
+}
+
+/// What a caller received.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    /// Whether it names the caller's attempt, or none if it is a failure.
+    pub own: bool,
+    pub body: String,
+    /// Whether the body was complete according to its framing.
+    pub complete: bool,
+    /// Whether the connection can be used again.
+    pub reusable: bool,
+}
+
+impl Answer {
+    /// Returns the status and whether the answer is the caller's; `None` if it was cut.
+    fn ended(&self) -> Option<(u16, bool)> {
+        self.complete.then_some((self.status, self.own))
+    }
+
+    /// Returns whether all that was received is what a target sends for this path.
+    fn is_in_order(&self, path: &str, ran: bool) -> bool {
+        let stream = path.contains("chat");
+        let whole = if stream { events(1, EVENTS) } else { BODY.to_owned() };
+        let in_order = whole.starts_with(&self.body)
+            && (!ran || !stream || self.body.is_empty() || self.body.ends_with("\n\n"));
+        self.status != 200 || if self.complete { whole == self.body } else { in_order }
+    }
 }
 
 impl Promises {
@@ -64,6 +127,7 @@
             faults: vec![(0, None); instances],
             boots: vec![(0, Instant::now()); instances],
             planned: vec![None; instances],
+            halted: vec![(false, None); instances],
             ..State::default()
         };
         Self { stopped: AtomicBool::new(false), state: Mutex::new(state) }
@@ -103,6 +167,11 @@
         self.state().planned[instance] = Some(Instant::now());
     }
 
+    /// Notes that the process of an instance stops running, or runs again.
+    pub fn halted(&self, instance: usize, halted: bool) {
+        self.state().halted[instance] = (halted, Some(Instant::now()));
+    }
+
     pub fn configured(&self, route: Option<u64>) {
         self.state().route = route.map(|route| (route, Instant::now()));
     }
@@ -119,15 +188,18 @@
     pub fn send(&self, id: &str, instance: usize) {
         let mut state = self.state();
         let boot = (instance, state.boots[instance].0);
-        state.sent.insert(id.to_owned(), (boot, Instant::now(), 0));
+        let (sound, notes) = (false, Vec::new());
+        let sent = Sent { boot, at: Instant::now(), runs: 0, sound, notes };
+        state.sent.insert(id.to_owned(), sent);
     }
 
     /// Checks a request that a target received; returns the start of its instance.
     pub fn received(&self, target: &str, id: &str) -> Option<Boot> {
         let mut state = self.state();
-        let (boot, sent, count) = state.sent.get_mut(id).map(|(boot, sent, count)| {
-            *count += 1;
-            (*boot, *sent, *count)
+        let (boot, sent, count) = state.sent.get_mut(id).map(|sent| {
+            sent.runs += 1;
+            sent.notes.push(format!("received by {target}"));
+            (sent.boot, sent.at, sent.runs)
         })?;
         if id.contains("book") && count > 1 {
             state.broken.push(format!("twice: {id} ran {count} times"));
@@ -162,11 +234,50 @@
 
     /// Notes that a received request was turned away and did not run.
     pub fn turned_away(&self, id: &str) {
-        if let Some((_, _, count)) = self.state().sent.get_mut(id) {
-            *count -= 1;
+        if let Some(sent) = self.state().sent.get_mut(id) {
+            sent.runs -= 1;
+            sent.notes.push("turned away".to_owned());
         }
     }
 
+    /// Notes that a target begins an answer which it will complete.
+    pub fn sound(&self, id: &str) {
+        let mut state = self.state();
+        state.counts.sound += 1;
+        if let Some(sent) = state.sent.get_mut(id) {
+            sent.sound = true;
+        }
+    }
+
+    /// Notes that a target goes on with its answer, unless the caller has closed the connection.
+    pub fn went_on(&self, target: &str, id: &str, (point, waited, connected): Pause) {
+        if connected && waited < SILENT {
+            return;
+        }
+        let mut state = self.state();
+        state.counts.silent += usize::from(waited >= SILENT);
+        state.counts.closed += usize::from(!connected);
+        let Some(sent) = state.sent.get_mut(id) else { return };
+        let how = if connected { "went on" } else { "was closed by its caller" };
+        sent.notes.push(format!("{target} {how} at {point:?} after {waited:?}"));
+    }
+
+    /// Notes that the caller did not close the connection of an answer without end.
+    pub fn endless(&self, target: &str, id: &str, place: Place) {
+        let mut state = self.state();
+        let Some((boot, at)) = state.sent.get(id).map(|s| (s.boot, s.at)) else { return };
+        if state.ran(boot, at) {
+            let text = format!("endless: {id} was read from {target} for too long ({place:?})");
+            state.broken.push(text);
+        }
+    }
+
+    /// Returns what happened to the runs, for the summary.
+    pub fn counts(&self) -> String {
+        let Counts { sound, silent, closed } = self.state().counts;
+        format!("{sound} sound runs, {silent} silences, {closed} closed by an instance")
+    }
+
     pub fn told_leave(&self, target: &str, boot: Boot) {
         self.state().told.entry((target.to_owned(), boot)).or_insert_with(Instant::now);
     }
@@ -186,10 +297,16 @@
     /// Checks what a caller saw.
     pub fn seen(&self, instance: usize, seen: &Seen<'_>) {
         let mut state = self.state();
-        let Some((boot, _, runs)) = state.sent.get(seen.id).copied() else { return };
+        let Some((boot, runs)) = state.sent.get(seen.id).map(|s| (s.boot, s.runs)) else { return };
         let calm = state.in_touch(instance, seen.sent) && state.boots[instance].0 == boot.1;
         let Seen { id, path, .. } = seen;
-        let broken = match seen.answer {
+        let ran = state.ran(boot, seen.sent);
+        let lost = state.lost(seen, ran);
+        if seen.answer.as_ref().is_some_and(|a| !a.is_in_order(path, ran)) {
+            let text = format!("order: {id} {path} got {:?}", seen.answer);
+            state.broken.push(text);
+        }
+        let broken = match seen.answer.as_ref().and_then(Answer::ended) {
             Some((_, false)) => Some(format!("whole: {id} got another answer, or a part")),
             Some((429 | 503 | 408 | 421, _)) if runs > 0 && path.contains("book") => {
                 Some(format!("refused: {id} was refused and has run"))
@@ -205,7 +322,7 @@
             }
             Some(_) | None => None,
         };
-        state.broken.extend(broken);
+        state.broken.extend(broken.into_iter().chain(lost));
     }
 }
 
@@ -215,4 +332,31 @@
         let (count, last) = self.faults[instance];
         count == 0 && last.is_none_or(|last| at > last + IN_TOUCH)
     }
+    /// Returns whether the process of a start of an instance has run since `at`.
+    fn ran(&self, (instance, boot): Boot, at: Instant) -> bool {
+        let (halted, last) = self.halted[instance];
+        !halted && last.is_none_or(|last| last < at) && self.boots[instance].0 == boot
+    }
+
+    /// Returns how a request was lost that a target would have answered.
+    fn lost(&self, seen: &Seen<'_>, ran: bool) -> Option<String> {
+        let sent = self.sent.get(seen.id).filter(|sent| sent.sound)?;
+        let instance = sent.boot.0;
+        let took = seen.sent.elapsed();
+        let whole = seen.answer.as_ref().is_some_and(|a| a.complete && a.status == 200);
+        if whole || !ran || self.planned[instance].is_some() || took >= DEADLINE {
+            return None;
+        }
+        let touch = if self.in_touch(instance, seen.sent) { "in touch" } else { "not in touch" };
+        let got = match &seen.answer {
+            Some(a) if a.complete => format!("got {}", a.status),
+            Some(a) => format!("was cut after {} bytes", a.body.len()),
+            None => "got no answer".to_owned(),
+        };
+        let Seen { id, path, .. } = seen;
+        let notes = sent.notes.join(", ");
+        Some(format!(
+            "lost: {id} {path} {got} after {took:?} at instance {instance}, {touch}; {notes}"
+        ))
+    }
 }
--- /dev/null
+++ b/tests/suite/gateway/soak/script.rs
@@ -0,0 +1,226 @@
+//! What the targets of a run send, piece by piece, and the faults within it.
+
+use std::io::{ErrorKind, Write};
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use mimosapass_caller::head::Head;
+use mimosapass_standin::target::{Hook, Reply, Step};
+
+use super::plan::{Place, Point};
+use super::promises::Promises;
+
+/// Events of a stream.
+pub const EVENTS: u64 = 8;
+/// Body of a call.
+pub const BODY: &str = "a body of two parts";
+/// Pause that a target asks for.
+const PAUSE: Duration = Duration::from_millis(1_500);
+/// Time before each event.
+const EVENT_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two pieces of a head, an event or a body.
+const PIECE_PAUSE: Duration = Duration::from_millis(10);
+/// Time without a deadline of the request in which an endless answer has to be disconnected.
+const NO_DEADLINE: Duration = Duration::from_secs(6);
+/// Time after the deadline of the request in which an endless answer has to be disconnected.
+const DISCONNECT: Duration = Duration::from_secs(1);
+/// Bytes of an endless answer that are sent at once, and the time between them.
+const ENDLESS: (usize, Duration) = (64 * 1024, Duration::from_millis(4));
+/// Longest time for which the caller may take nothing of an endless answer before it is checked.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// What a target does now.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Mood {
+    /// Whether it states in its answers that it leaves.
+    pub leaving: bool,
+    /// Whether it asks each caller for a pause once.
+    pub pausing: bool,
+    /// Where its answers stop, and until when.
+    pub silent: Option<(Point, Instant)>,
+    /// Until when it refuses requests.
+    pub refusing: Option<Instant>,
+    /// Which part of its answers has no end, and until when it begins such ones.
+    pub endless: Option<(Place, Instant)>,
+}
+
+/// A target's part of the run.
+#[derive(Clone, Debug)]
+pub struct Script {
+    target: Arc<str>,
+    mood: Arc<Mutex<Mood>>,
+    promises: Arc<Promises>,
+}
+
+/// One request to a target.
+#[derive(Clone, Debug)]
+struct Run {
+    script: Script,
+    id: Arc<str>,
+    /// When it has to be disconnected if it does not end.
+    limit: Instant,
+}
+
+impl Script {
+    pub fn new(target: &str, promises: &Arc<Promises>) -> Self {
+        Self { target: target.into(), mood: Arc::default(), promises: Arc::clone(promises) }
+    }
+
+    pub fn mood(&self) -> MutexGuard<'_, Mood> {
+        self.mood.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the answer to a request.
+    pub fn answer(&self, head: &Head) -> Reply {
+        let id = head.header("x-attempt-id").unwrap_or_default();
+        let Some(boot) = self.promises.received(&self.target, id) else {
+            return Reply::Complete(200, "unknown");
+        };
+        let (mood, now) = (*self.mood(), Instant::now());
+        if mood.pausing && self.promises.asked_pause(&self.target, boot, PAUSE) {
+            self.promises.turned_away(id);
+            return Reply::WithHeader(503, "full", "retry-after: 1.5\r\nx-not-executed: 1");
+        }
+        if mood.refusing.is_some_and(|until| now < until) {
+            self.promises.turned_away(id);
+            return Reply::NotExecuted(503);
+        }
+        if mood.leaving {
+            self.promises.told_leave(&self.target, boot);
+        }
+        let left = head.header("x-deadline-ms").and_then(|v| v.parse().ok());
+        let limit = now + left.map_or(NO_DEADLINE, Duration::from_millis) + DISCONNECT;
+        let run = Run { script: self.clone(), id: id.into(), limit };
+        let line = if mood.leaving { "server-leaving: 1\r\n" } else { "" };
+        let pieces = if id.contains("chat") {
+            let from = head.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
+            stream(&response_head(id, line, "transfer-encoding: chunked"), from)
+        } else {
+            call(&response_head(id, line, &format!("content-length: {}", BODY.len())))
+        };
+        match mood.endless.filter(|(_, until)| now < *until) {
+            Some((place, _)) => run.endless(place),
+            None => run.sound(pieces),
+        }
+    }
+}
+
+impl Run {
+    /// Sends all pieces, each as soon as the target is not silent.
+    fn sound(self, pieces: Vec<(Point, String)>) -> Reply {
+        self.script.promises.sound(&self.id);
+        let steps = pieces.into_iter().flat_map(|(point, text)| {
+            let run = self.clone();
+            [Step::Run(Hook::new(move |caller| run.wait(caller, point))), Step::Text(text)]
+        });
+        Reply::Steps(steps.collect())
+    }
+
+    /// Waits before a piece; returns whether the caller is still connected.
+    fn wait(&self, caller: &TcpStream, point: Point) -> bool {
+        let begin = Instant::now();
+        thread::sleep(match point {
+            Point::First | Point::Between => EVENT_PAUSE,
+            _ => PIECE_PAUSE,
+        });
+        let silent = || self.script.mood().silent.filter(|(at, _)| point.is_met_by(*at));
+        while let Some((_, until)) = silent() {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            thread::sleep(left);
+        }
+        let connected = is_connected(caller);
+        let script = &self.script;
+        script.promises.went_on(&script.target, &self.id, (point, begin.elapsed(), connected));
+        connected
+    }
+
+    /// Sends bytes without end until the caller disconnects.
+    fn endless(self, place: Place) -> Reply {
+        let head = response_head(&self.id, "", "transfer-encoding: chunked");
+        let (begin, bytes) = match place {
+            Place::Line => (String::new(), "x".to_owned()),
+            Place::Head => ("HTTP/1.1 200 OK\r\n".to_owned(), "x-more: of the same\r\n".to_owned()),
+            Place::Interim => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".to_owned()),
+            Place::Body => (head, chunk(&"x".repeat(1_000))),
+            Place::Event => (head + &chunk("id: 1\ndata: e1\n\nid: 2\ndata: "), chunk("xxxxxxxx")),
+            Place::Trailer => (head + "0\r\n", "x-more: of the same\r\n".to_owned()),
+        };
+        let bytes = bytes.repeat(ENDLESS.0 / bytes.len());
+        let send = Hook::new(move |caller| {
+            if !self.send_until_closed(caller, bytes.as_bytes()) {
+                self.script.promises.endless(&self.script.target, &self.id, place);
+            }
+            false
+        });
+        Reply::Steps(vec![Step::Text(begin), Step::Run(send)])
+    }
+
+    /// Returns whether the caller closed the connection in time.
+    fn send_until_closed(&self, mut caller: &TcpStream, bytes: &[u8]) -> bool {
+        caller.set_write_timeout(Some(WRITE_TIMEOUT)).expect("a timeout");
+        let mut sent = 0;
+        while Instant::now() < self.limit {
+            match caller.write(&bytes[sent..]) {
+                Ok(written) => sent = (sent + written) % bytes.len(),
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+                Err(_) => return true,
+            }
+            if sent == 0 {
+                thread::sleep(ENDLESS.1);
+            }
+            if !is_connected(caller) {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+fn response_head(id: &str, line: &str, framing: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-seal: s\r\n{line}\
+         content-type: text/event-stream\r\n{framing}\r\n\r\n"
+    )
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Returns the pieces of a stream after an event.
+fn stream(head: &str, from: u64) -> Vec<(Point, String)> {
+    let (start, rest) = head.split_at(head.len() / 2);
+    let mut pieces = vec![(Point::Start, start.to_owned()), (Point::Head, rest.to_owned())];
+    for event in from + 1..=EVENTS {
+        let text = chunk(&format!("id: {event}\ndata: e{event}\n\n"));
+        let (start, rest) = text.split_at(text.len() / 2);
+        let before = if event == from + 1 { Point::First } else { Point::Between };
+        pieces.extend([(before, start.to_owned()), (Point::Event, rest.to_owned())]);
+    }
+    pieces.push((Point::Between, "0\r\n\r\n".to_owned()));
+    pieces
+}
+
+/// Returns the pieces of a call.
+fn call(head: &str) -> Vec<(Point, String)> {
+    let ((start, rest), (first, last)) =
+        (head.split_at(head.len() / 2), BODY.split_at(BODY.len() / 2));
+    let points = [Point::Start, Point::Head, Point::First, Point::Body];
+    points.into_iter().zip([start, rest, first, last].map(str::to_owned)).collect()
+}
+
+/// Returns whether a connection was neither closed nor reset by its other end.
+fn is_connected(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("a mode");
+    let peeked = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).expect("a mode");
+    match peeked {
+        Ok(read) => read > 0,
+        Err(e) => matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+    }
+}
--- a/tests/suite/gateway/soak/world.rs
+++ b/tests/suite/gateway/soak/world.rs
@@ -4,28 +4,19 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Stdio;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use mimosapass_standin::metastore::{Copy, Endpoint, Fault};
 use mimosapass_standin::relay::Relay;
-use mimosapass_standin::target::{Reply, ScriptedTarget};
 
 use super::super::{Cluster, KEY, config, eventually, spawn};
 use super::plan::Event;
 use super::promises::Promises;
+use super::targets::Targets;
 
-/// Pause that a target asks for.
-const PAUSE: Duration = Duration::from_millis(1_500);
-/// Targets of each service.
-const TARGETS: usize = 3;
-
-/// What a target states in its answers from now on.
-#[derive(Clone, Debug, Default)]
-struct Notices {
-    leaves: Arc<Mutex<HashSet<String>>>,
-    pauses: Arc<Mutex<HashSet<String>>>,
-}
+/// Most memory that an instance may use, in KiB.
+const MAX_MEMORY_KIB: u64 = 160 * 1024;
 
 /// Way of one instance to the store.
 struct Way {
@@ -33,21 +24,11 @@
     endpoint: Endpoint,
 }
 
-/// A target with the last state that it wrote.
-struct Registered {
-    target: ScriptedTarget,
-    service: &'static str,
-    /// `None` once its entry is removed.
-    state: Option<&'static str>,
-    seq: u64,
-}
-
 pub struct World {
     cluster: Cluster,
     promises: Arc<Promises>,
     ways: Vec<Way>,
-    targets: Vec<Registered>,
-    notices: Notices,
+    targets: Targets,
     version: u64,
     copy: Copy,
     outage: bool,
@@ -55,6 +36,8 @@
     partitions: HashSet<usize>,
     frozen: HashSet<usize>,
     stopping: HashSet<usize>,
+    /// Most memory that an instance has used, in KiB.
+    pub memory: u64,
 }
 
 impl World {
@@ -67,24 +50,21 @@
             cluster.add(&endpoint.via(path.addr()), &[]);
             ways.push(Way { path, endpoint });
         }
+        let targets = Targets::start(&cluster, promises);
         let mut world = Self {
             copy: cluster.store.copy(),
             cluster,
             promises: Arc::clone(promises),
             ways,
-            targets: Vec::new(),
-            notices: Notices::default(),
+            targets,
             version: 3,
             outage: false,
             store_faults: HashMap::new(),
             partitions: HashSet::new(),
             frozen: HashSet::new(),
             stopping: HashSet::new(),
+            memory: 0,
         };
-        for _ in 0..TARGETS {
-            world.add_target("desk");
-            world.add_target("pool");
-        }
         for number in 0..instances {
             world.cluster.ready(number);
         }
@@ -128,12 +108,17 @@
                 self.promises.configured(None);
                 self.cluster.store.restore(self.copy.clone());
             }
-            Event::Renew => self.renew(),
+            Event::Renew => {
+                self.write_config();
+                self.targets.renew(&self.cluster);
+            }
             Event::Configure => self.configure(),
-            Event::Drain(n) => self.replace(n, Some("draining")),
-            Event::Remove(n) => self.replace(n, None),
-            Event::Leave(n) => self.leave(n),
-            Event::Pause(n) => self.pause(n),
+            Event::Drain(n) => self.targets.replace(&self.cluster, n, Some("draining")),
+            Event::Remove(n) => self.targets.replace(&self.cluster, n, None),
+            Event::Leave(n) => self.targets.leave(&self.cluster, n),
+            Event::Pause(n) => self.targets.pause(n),
+            Event::Stall(stall) => self.targets.stall(&stall),
+            Event::Endless(endless) => self.targets.endless(&endless),
             Event::Kill(instance) => self.kill(instance),
             Event::Stop(instance) => self.stop(instance),
             Event::Freeze(instance, begins) => self.freeze(instance, begins),
@@ -178,78 +163,13 @@
         self.promises.configured(Some(self.version));
     }
 
-    /// Writes again what the operator and the targets had written.
-    fn renew(&mut self) {
-        self.write_config();
-        let store = self.cluster.store.clone();
-        for registered in &mut self.targets {
-            let key = format!("servers/{}", registered.target.id);
-            registered.seq += 1;
-            let Registered { target, service, state, seq } = registered;
-            match state {
-                Some(state) => store.set(&key, &target.registration(service, state, 1, *seq)),
-                None => store.delete(&key),
-            }
-        }
-    }
-
-    fn add_target(&mut self, service: &'static str) {
-        let id = format!("i-{:03}", self.targets.len());
-        let (promises, notices) = (Arc::clone(&self.promises), self.notices.clone());
-        let name = id.clone();
-        let target = ScriptedTarget::start(&id, move |head| {
-            let attempt = head.header("x-attempt-id").unwrap_or_default();
-            answer(&promises, &notices, &name, attempt)
-        });
-        self.cluster.register(&target, service);
-        self.targets.push(Registered { target, service, state: Some("ready"), seq: 1 });
-    }
-
-    /// Starts a new target and lets another one of its service leave.
-    fn replace(&mut self, number: usize, state: Option<&'static str>) {
-        let Some(index) = self.serving(number) else { return };
-        self.add_target(self.targets[index].service);
-        let registered = &mut self.targets[index];
-        registered.state = state;
-        registered.seq += 1;
-        let Registered { target, service, seq, .. } = registered;
-        let key = format!("servers/{}", target.id);
-        match state {
-            Some(state) => {
-                self.cluster.store.set(&key, &target.registration(service, state, 1, *seq));
-            }
-            None => self.cluster.store.delete(&key),
-        }
-        self.promises.left(&target.id);
-    }
-
-    fn leave(&mut self, number: usize) {
-        let Some(index) = self.serving(number) else { return };
-        self.add_target(self.targets[index].service);
-        let id = self.targets[index].target.id.clone();
-        self.notices.leaves.lock().unwrap_or_else(PoisonError::into_inner).insert(id);
-    }
-
-    fn pause(&mut self, number: usize) {
-        let Some(index) = self.serving(number) else { return };
-        let id = self.targets[index].target.id.clone();
-        self.notices.pauses.lock().unwrap_or_else(PoisonError::into_inner).insert(id);
-    }
-
-    /// Returns one of the targets that are ready, also in what they answer.
-    fn serving(&self, number: usize) -> Option<usize> {
-        let leaves = self.notices.leaves.lock().unwrap_or_else(PoisonError::into_inner);
-        let ready = |r: &Registered| r.state == Some("ready") && !leaves.contains(&r.target.id);
-        let all: Vec<usize> =
-            (0..self.targets.len()).filter(|i| ready(&self.targets[*i])).collect();
-        (!all.is_empty()).then(|| all[number % all.len()])
-    }
-
     fn kill(&mut self, instance: usize) {
         if self.frozen.contains(&instance) || self.stopping.contains(&instance) {
             return;
         }
+        self.check_memory(instance);
         self.promises.shock(instance);
+        self.promises.halted(instance, true);
         let gateway = &mut self.cluster.gateways[instance];
         gateway.child.kill().expect("killed");
         self.start_again(instance);
@@ -259,6 +179,7 @@
         if self.frozen.contains(&instance) || !self.stopping.insert(instance) {
             return;
         }
+        self.check_memory(instance);
         self.promises.stopping(instance);
         self.cluster.signal(instance, "-TERM");
     }
@@ -273,6 +194,7 @@
         for instance in ended {
             self.stopping.remove(&instance);
             self.promises.shock(instance);
+            self.promises.halted(instance, true);
             self.start_again(instance);
         }
     }
@@ -284,6 +206,7 @@
         let log = std::fs::File::options().append(true).open(log).expect("a log");
         gateway.child = spawn(&gateway.settings, Stdio::from(log));
         self.promises.restarted(instance);
+        self.promises.halted(instance, false);
     }
 
     fn freeze(&mut self, instance: usize, begins: bool) {
@@ -294,7 +217,24 @@
             if begins { self.frozen.insert(instance) } else { self.frozen.remove(&instance) };
         if changed {
             self.promises.fault(instance, begins);
+            self.promises.halted(instance, true);
             self.cluster.signal(instance, if begins { "-STOP" } else { "-CONT" });
+            self.promises.halted(instance, begins);
+        }
+    }
+
+    /// Checks the most memory that a running instance has used.
+    fn check_memory(&mut self, instance: usize) {
+        let id = self.cluster.gateways[instance].child.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        // A process that has just ended has no memory.
+        let Some(used) = line.and_then(|l| l.trim().trim_end_matches(" kB").parse().ok()) else {
+            return;
+        };
+        self.memory = self.memory.max(used);
+        if used > MAX_MEMORY_KIB {
+            self.promises.report(format!("memory: instance {instance} has used {used} KiB"));
         }
     }
 
@@ -306,6 +246,7 @@
         });
         for number in 0..self.instances() {
             self.cluster.ready(number);
+            self.check_memory(number);
             let path = format!("/new-{}/1", self.version);
             let answer = self.cluster.ask(number, &path, &format!("last-{number}"));
             if answer.response.status != 200 {
@@ -329,25 +270,3 @@
         folder
     }
 }
-
-/// Returns the answer of a target to an attempt, with what it states about itself.
-fn answer(promises: &Promises, notices: &Notices, target: &str, attempt: &str) -> Reply {
-    let holds = |set: &Mutex<HashSet<String>>| {
-        set.lock().unwrap_or_else(PoisonError::into_inner).contains(target)
-    };
-    let Some(boot) = promises.received(target, attempt) else {
-        return Reply::Complete(200, "unknown");
-    };
-    if holds(&notices.pauses) && promises.asked_pause(target, boot, PAUSE) {
-        promises.turned_away(attempt);
-        return Reply::WithHeader(503, "full", "retry-after: 1.5\r\nx-not-executed: 1");
-    }
-    if holds(&notices.leaves) {
-        promises.told_leave(target, boot);
-        return Reply::WithHeader(200, "yes", "server-leaving: 1");
-    }
-    if attempt.contains("chat") {
-        return Reply::Stream { last: 4, pause: Duration::from_millis(30), cut_at: None };
-    }
-    Reply::Complete(200, "yes")
-}
