Soak: a target that sends without end goes on after the caller's last event

The stand-in target ignored Last-Event-Id: it sent event 1 again to a stream that was resumed after it, and the check of the order of events blamed the gateway. The target now goes on after the event that it is told.

A request that has not ended nearly a second after its deadline breaks a promise (late), and the summary counts resumed runs and answers without end.

--- a/tests/suite/gateway/soak/promises.rs
+++ b/tests/suite/gateway/soak/promises.rs
@@ -22,6 +22,8 @@
 
 /// Time after which a request's deadline of 6 s may have passed.
 const DEADLINE: Duration = Duration::from_millis(5_900);
+/// Time after which a request must have ended: its deadline, and nearly a second.
+const ENDED: Duration = Duration::from_millis(6_900);
 /// Time between two pieces of an answer from which it counts as a silence.
 const SILENT: Duration = Duration::from_millis(250);
 
@@ -65,11 +67,13 @@
 }
 
 /// What happened to runs at targets that were at most silent.
-#[derive(Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Counts {
     sound: usize,
+    resumed: usize,
     silent: usize,
     closed: usize,
+    endless: usize,
 }
 
 /// The promises and what is known of the fleet.
@@ -240,10 +244,11 @@
         }
     }
 
-    /// Notes that a target begins an answer which it will complete.
-    pub fn sound(&self, id: &str) {
+    /// Notes that a target begins an answer which it will complete, after the event `from`.
+    pub fn sound(&self, id: &str, from: u64) {
         let mut state = self.state();
         state.counts.sound += 1;
+        state.counts.resumed += usize::from(from > 0);
         if let Some(sent) = state.sent.get_mut(id) {
             sent.sound = true;
         }
@@ -262,9 +267,13 @@
         sent.notes.push(format!("{target} {how} at {point:?} after {waited:?}"));
     }
 
-    /// Notes that the caller did not close the connection of an answer without end.
-    pub fn endless(&self, target: &str, id: &str, place: Place) {
+    /// Notes whether the caller closed the connection of an answer without end in time.
+    pub fn endless(&self, target: &str, id: &str, place: Place, closed: bool) {
         let mut state = self.state();
+        state.counts.endless += 1;
+        if closed {
+            return;
+        }
         let Some((boot, at)) = state.sent.get(id).map(|s| (s.boot, s.at)) else { return };
         if state.ran(boot, at) {
             let text = format!("endless: {id} was read from {target} for too long ({place:?})");
@@ -274,8 +283,11 @@
 
     /// Returns what happened to the runs, for the summary.
     pub fn counts(&self) -> String {
-        let Counts { sound, silent, closed } = self.state().counts;
-        format!("{sound} sound runs, {silent} silences, {closed} closed by an instance")
+        let Counts { sound, resumed, silent, closed, endless } = self.state().counts;
+        format!(
+            "{sound} sound runs ({resumed} resumed, {closed} closed by an instance), \
+             {silent} silences, {endless} answers without end"
+        )
     }
 
     pub fn told_leave(&self, target: &str, boot: Boot) {
@@ -302,6 +314,9 @@
         let Seen { id, path, .. } = seen;
         let ran = state.ran(boot, seen.sent);
         let lost = state.lost(seen, ran);
+        if ran && state.planned[instance].is_none() && seen.sent.elapsed() > ENDED {
+            state.broken.push(format!("late: {id} {path} had not ended after {ENDED:?}"));
+        }
         if seen.answer.as_ref().is_some_and(|a| !a.is_in_order(path, ran)) {
             let text = format!("order: {id} {path} got {:?}", seen.answer);
             state.broken.push(text);
--- a/tests/suite/gateway/soak/script.rs
+++ b/tests/suite/gateway/soak/script.rs
@@ -9,6 +9,7 @@
 use mimosapass_caller::head::Head;
 use mimosapass_standin::target::{Hook, Reply, Step};
 
+use super::super::events;
 use super::plan::{Place, Point};
 use super::promises::Promises;
 
@@ -94,23 +95,23 @@
         let limit = now + left.map_or(NO_DEADLINE, Duration::from_millis) + DISCONNECT;
         let run = Run { script: self.clone(), id: id.into(), limit };
         let line = if mood.leaving { "server-leaving: 1\r\n" } else { "" };
+        let from = head.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
         let pieces = if id.contains("chat") {
-            let from = head.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
             stream(&response_head(id, line, "transfer-encoding: chunked"), from)
         } else {
             call(&response_head(id, line, &format!("content-length: {}", BODY.len())))
         };
         match mood.endless.filter(|(_, until)| now < *until) {
-            Some((place, _)) => run.endless(place),
-            None => run.sound(pieces),
+            Some((place, _)) => run.endless(place, from),
+            None => run.sound(pieces, from),
         }
     }
 }
 
 impl Run {
     /// Sends all pieces, each as soon as the target is not silent.
-    fn sound(self, pieces: Vec<(Point, String)>) -> Reply {
-        self.script.promises.sound(&self.id);
+    fn sound(self, pieces: Vec<(Point, String)>, from: u64) -> Reply {
+        self.script.promises.sound(&self.id, from);
         let steps = pieces.into_iter().flat_map(|(point, text)| {
             let run = self.clone();
             [Step::Run(Hook::new(move |caller| run.wait(caller, point))), Step::Text(text)]
@@ -139,22 +140,24 @@
         connected
     }
 
-    /// Sends bytes without end until the caller disconnects.
-    fn endless(self, place: Place) -> Reply {
+    /// Sends bytes without end, after the event `from`, until the caller disconnects.
+    fn endless(self, place: Place, from: u64) -> Reply {
         let head = response_head(&self.id, "", "transfer-encoding: chunked");
         let (begin, bytes) = match place {
             Place::Line => (String::new(), "x".to_owned()),
             Place::Head => ("HTTP/1.1 200 OK\r\n".to_owned(), "x-more: of the same\r\n".to_owned()),
             Place::Interim => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".to_owned()),
             Place::Body => (head, chunk(&"x".repeat(1_000))),
-            Place::Event => (head + &chunk("id: 1\ndata: e1\n\nid: 2\ndata: "), chunk("xxxxxxxx")),
+            Place::Event => {
+                let next = if from < EVENTS { events(from + 1, from + 1) } else { String::new() };
+                (head + &chunk(&format!("{next}id: {}\ndata: ", from + 2)), chunk("xxxxxxxx"))
+            }
             Place::Trailer => (head + "0\r\n", "x-more: of the same\r\n".to_owned()),
         };
         let bytes = bytes.repeat(ENDLESS.0 / bytes.len());
         let send = Hook::new(move |caller| {
-            if !self.send_until_closed(caller, bytes.as_bytes()) {
-                self.script.promises.endless(&self.script.target, &self.id, place);
-            }
+            let closed = self.send_until_closed(caller, bytes.as_bytes());
+            self.script.promises.endless(&self.script.target, &self.id, place, closed);
             false
         });
         Reply::Steps(vec![Step::Text(begin), Step::Run(send)])
@@ -197,7 +200,7 @@
     let (start, rest) = head.split_at(head.len() / 2);
     let mut pieces = vec![(Point::Start, start.to_owned()), (Point::Head, rest.to_owned())];
     for event in from + 1..=EVENTS {
-        let text = chunk(&format!("id: {event}\ndata: e{event}\n\n"));
+        let text = chunk(&events(event, event));
         let (start, rest) = text.split_at(text.len() / 2);
         let before = if event == from + 1 { Point::First } else { Point::Between };
         pieces.extend([(before, start.to_owned()), (Point::Event, rest.to_owned())]);
