--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -87,6 +87,12 @@
     pub cut_once: Option<u64>,
     /// Start every answer at its first token, whatever the offset.
     pub no_resume: bool,
+    /// Fall silent within the event of the token with this index, then go on.
+    pub silent_at: Option<u64>,
+    /// Length of that silence, in milliseconds.
+    pub silent_ms: u64,
+    /// From this token on, send bytes that are no event until the caller disconnects.
+    pub endless_from: Option<u64>,
     /// Send the token with this index twice.
     pub repeat: Option<u64>,
     /// Omit the token with this index.
--- a/crates/standin/src/generate.rs
+++ b/crates/standin/src/generate.rs
@@ -113,6 +113,9 @@
         if cancelled || cut_once || faults.cut_after.is_some_and(|n| index >= n) {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
+        if faults.endless_from.is_some_and(|n| index >= n) {
+            return reply::endless(exchange);
+        }
         std::thread::sleep(self.settings.token_interval);
         let attempt = echoed_attempt(job, &faults);
         let event = Event::Token { attempt, index, text: format!("t{index} ") };
@@ -121,7 +124,9 @@
             _ if faults.repeat == Some(index) => 2,
             _ => 1,
         };
-        (0..times).try_for_each(|_| send(exchange, &event))
+        let silence = Duration::from_millis(faults.silent_ms);
+        let silence = faults.silent_at.filter(|n| *n == index).map(|_| silence);
+        (0..times).try_for_each(|_| send(exchange, &event, silence))
     }
 
     fn end(&self, exchange: &mut Exchange<'_>, job: &Job) -> io::Result<()> {
@@ -133,7 +138,7 @@
                 prompt: job.prompt_tokens,
                 reason: "stop".to_owned(),
             };
-            send(exchange, &event)?;
+            send(exchange, &event, None)?;
         }
         let ids = vec![job.claim.id.clone()];
         self.state().memory.cancel(&Cancel { ids, expired: false });
@@ -172,7 +177,8 @@
     if faults.crossed { format!("{id}-other") } else { id.clone() }
 }
 
-fn send(exchange: &mut Exchange<'_>, event: &Event) -> io::Result<()> {
-    let json = serde_json::to_string(event)?;
-    exchange.send(format!("data: {json}\n\n").as_bytes())
+/// Sends an event, with a silence in its midst if there is one.
+fn send(exchange: &mut Exchange<'_>, event: &Event, silence: Option<Duration>) -> io::Result<()> {
+    let text = format!("data: {}\n\n", serde_json::to_string(event)?);
+    reply::in_halves(exchange, text.as_bytes(), silence)
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -26,6 +26,10 @@
     pub leaving: bool,
     /// Refuse new calls without running them.
     pub refuse: bool,
+    /// Run, then fall silent for this time within the response, in milliseconds.
+    pub silent_ms: Option<u64>,
+    /// Run, then send bytes until the caller disconnects.
+    pub endless: bool,
     /// Run, then hold back the response until the value changes.
     pub hold: bool,
 }
@@ -131,6 +135,12 @@
     if faults.lose_answer {
         // An unfinished streamed response closes the connection.
         exchange.begin(200, &[]).unwrap_or_default();
+    } else if faults.endless {
+        let sent = exchange.begin(200, &[]).and_then(|()| reply::endless(exchange));
+        // Only the caller ends it.
+        sent.unwrap_or_default();
+    } else if let Some(silence) = faults.silent_ms {
+        respond_in_halves(exchange, &call, Duration::from_millis(silence)).unwrap_or_default();
     } else {
         reply::json(exchange, 200, &call);
     }
@@ -150,3 +160,15 @@
     };
     (call, state.faults.clone())
 }
+
+fn respond_in_halves(
+    exchange: &mut Exchange<'_>,
+    call: &EchoedCall,
+    silence: Duration,
+) -> io::Result<()> {
+    let body = serde_json::to_vec(call)?;
+    exchange.begin(200, &[("content-type", "application/json".to_owned())])?;
+    reply::in_halves(exchange, &body, Some(silence))?;
+    exchange.finish();
+    Ok(())
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -16,5 +16,6 @@
 mod recovery;
 mod refusals;
 mod settings;
+mod silent_targets;
 mod stop;
 mod trace;
