Soak: a target states that it leaves once the caller was sent its head

The check noted the statement when the target chose its answer. An answer that is silent within its head, or has no end, states nothing, or later. Noted now when the head was written; answers without end state it in theirs.

--- a/tests/suite/gateway/soak/script.rs
+++ b/tests/suite/gateway/soak/script.rs
@@ -11,7 +11,7 @@
 
 use super::super::events;
 use super::plan::{Place, Point};
-use super::promises::Promises;
+use super::promises::{Boot, Promises};
 
 /// Events of a stream.
 pub const EVENTS: u64 = 8;
@@ -60,6 +60,9 @@
 struct Run {
     script: Script,
     id: Arc<str>,
+    boot: Boot,
+    /// Header line with which the target states that it leaves, if it does.
+    line: &'static str,
     /// When it has to be disconnected if it does not end.
     limit: Instant,
 }
@@ -88,13 +91,10 @@
             self.promises.turned_away(id);
             return Reply::NotExecuted(503);
         }
-        if mood.leaving {
-            self.promises.told_leave(&self.target, boot);
-        }
         let left = head.header("x-deadline-ms").and_then(|v| v.parse().ok());
         let limit = now + left.map_or(NO_DEADLINE, Duration::from_millis) + DISCONNECT;
-        let run = Run { script: self.clone(), id: id.into(), limit };
         let line = if mood.leaving { "server-leaving: 1\r\n" } else { "" };
+        let run = Run { script: self.clone(), id: id.into(), boot, line, limit };
         let from = head.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
         let pieces = if id.contains("chat") {
             stream(&response_head(id, line, "transfer-encoding: chunked"), from)
@@ -122,6 +122,9 @@
     /// Waits before a piece; returns whether the caller is still connected.
     fn wait(&self, caller: &TcpStream, point: Point) -> bool {
         let begin = Instant::now();
+        if point == Point::First && is_connected(caller) {
+            self.sent_head();
+        }
         thread::sleep(match point {
             Point::First | Point::Between => EVENT_PAUSE,
             _ => PIECE_PAUSE,
@@ -140,9 +143,16 @@
         connected
     }
 
+    /// Notes that the caller was sent a complete head.
+    fn sent_head(&self) {
+        if !self.line.is_empty() {
+            self.script.promises.told_leave(&self.script.target, self.boot);
+        }
+    }
+
     /// Sends bytes without end, after the event `from`, until the caller disconnects.
     fn endless(self, place: Place, from: u64) -> Reply {
-        let head = response_head(&self.id, "", "transfer-encoding: chunked");
+        let head = response_head(&self.id, self.line, "transfer-encoding: chunked");
         let (begin, bytes) = match place {
             Place::Line => (String::new(), "x".to_owned()),
             Place::Head => ("HTTP/1.1 200 OK\r\n".to_owned(), "x-more: of the same\r\n".to_owned()),
@@ -156,6 +166,9 @@
         };
         let bytes = bytes.repeat(ENDLESS.0 / bytes.len());
         let send = Hook::new(move |caller| {
+            if matches!(place, Place::Body | Place::Event | Place::Trailer) {
+                self.sent_head();
+            }
             let closed = self.send_until_closed(caller, bytes.as_bytes());
             self.script.promises.endless(&self.script.target, &self.id, place, closed);
             false
