Tests that fail: serve and a long silence, and answers without end of a service

An engine that is silent for 11 s and goes on is ended after 10 s, and the chat gets 502 cut_answer when the other engine refuses: 2 of 2. Twelve answers without end of a service take 280,448 and 258,868 KiB at the peak of one instance in 1.5 s.

--- a/tests/suite/silent_targets.rs
+++ b/tests/suite/silent_targets.rs
@@ -12,6 +12,8 @@
 const FULL_ANSWER: &str = "t0 t1 t2 t3 t4 t5 ";
 /// Longest silence of a sound target that the users name, in milliseconds.
 const SILENT_MS: u64 = 2_500;
+/// Silence that is longer than an instance waits for another token, in milliseconds.
+const LONG_MS: u64 = 11_000;
 /// Header with a deadline that bytes without end exceed.
 const DEADLINE: (&str, &str) = ("mimosapass-deadline-ms", "1500");
 /// Time after the deadline in which such a request ends and is disconnected.
@@ -64,6 +66,21 @@
     assert_eq!(runs, 1, "the silent engine was not given up");
 }
 
+/// An engine that is silent for longer than an instance waits, with no other one to take over.
+#[rstest]
+fn a_chat_survives_a_long_silence_when_no_other_engine_answers(#[values(1, 3)] index: u64) {
+    let fleet = fleet();
+    set(&fleet, &silent(index, LONG_MS));
+    let answer = std::thread::scope(|scope| {
+        let asking = scope.spawn(|| chat(&fleet));
+        wait_until("an engine runs", || fleet.engines.iter().any(|(_, e)| e.runs() == 1));
+        let (_, other) = fleet.engines.iter().find(|(_, e)| e.runs() == 0).expect("another one");
+        other.set(Faults { refuse: true, ..Faults::default() });
+        asking.join().expect("no panic")
+    });
+    assert_eq!(answer.expect("an answer"), FULL_ANSWER);
+}
+
 #[rstest]
 fn a_chat_whose_engines_send_without_end_ends_by_its_deadline(#[values(0, 3)] from: u64) {
     let fleet = fleet();
@@ -116,3 +133,11 @@
     let took = endless_calls(&fleet());
     assert!(took < Duration::from_millis(1_500) + DISCONNECT, "it took {took:?}");
 }
+
+#[test]
+fn answers_without_end_of_a_service_fit_into_memory() {
+    let fleet = fleet();
+    endless_calls(&fleet);
+    let used = memory(&fleet);
+    assert!(used <= MAX_MEMORY_KIB, "{used} KiB");
+}
