Tests that fail: targets that send without end are not backed up

Idempotent calls and streams wait for their deadline at a target that sends interim answers, a trailer or a body without end, while another target is free: callers see 504 or a cut stream. The time of what was heard last is renewed by any byte, so that such a target never counts as silent.

--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod delegation;
+mod endless;
 mod explain;
 mod notices;
 mod restore;
