Soak: a silent run that another target took over from is not held against the instance

The last target that the caller heard had sent wrong bytes, so that the silence was not what lost it. The case is told apart by the event that the endless answer sent: if it is the last that the caller received and no sound run began after it, lost does not count.

--- a/tests/suite/gateway/soak/promises.rs
+++ b/tests/suite/gateway/soak/promises.rs
@@ -62,6 +62,8 @@
     runs: u32,
     /// Whether a target that was at most silent has run it.
     sound: bool,
+    /// The last event of an endless answer, if no sound one began after it.
+    endless_event: Option<u64>,
     /// What its targets noted, for a report.
     notes: Vec<String>,
 }
@@ -192,8 +194,8 @@
     pub fn send(&self, id: &str, instance: usize) {
         let mut state = self.state();
         let boot = (instance, state.boots[instance].0);
-        let (sound, notes) = (false, Vec::new());
-        let sent = Sent { boot, at: Instant::now(), runs: 0, sound, notes };
+        let (sound, endless_event, notes) = (false, None, Vec::new());
+        let sent = Sent { boot, at: Instant::now(), runs: 0, sound, endless_event, notes };
         state.sent.insert(id.to_owned(), sent);
     }
 
@@ -251,6 +253,7 @@
         state.counts.resumed += usize::from(from > 0);
         if let Some(sent) = state.sent.get_mut(id) {
             sent.sound = true;
+            sent.endless_event = None;
         }
     }
 
@@ -267,6 +270,13 @@
         sent.notes.push(format!("{target} {how} at {point:?} after {waited:?}"));
     }
 
+    /// Notes that a target begins an answer without end, with this event if there is one.
+    pub fn begins_endless(&self, id: &str, event: Option<u64>) {
+        if let Some(sent) = self.state().sent.get_mut(id) {
+            sent.endless_event = event;
+        }
+    }
+
     /// Notes whether the caller closed the connection of an answer without end in time.
     pub fn endless(&self, target: &str, id: &str, place: Place, closed: bool) {
         let mut state = self.state();
@@ -359,7 +369,11 @@
         let instance = sent.boot.0;
         let took = seen.sent.elapsed();
         let whole = seen.answer.as_ref().is_some_and(|a| a.complete && a.status == 200);
-        if whole || !ran || self.planned[instance].is_some() || took >= DEADLINE {
+        // What the caller received last came from the other target, which then failed.
+        let taken_over = sent.endless_event.is_some_and(|event| {
+            seen.answer.as_ref().is_some_and(|a| a.body.ends_with(&events(event, event)))
+        });
+        if whole || taken_over || !ran || self.planned[instance].is_some() || took >= DEADLINE {
             return None;
         }
         let touch = if self.in_touch(instance, seen.sent) { "in touch" } else { "not in touch" };
--- a/tests/suite/gateway/soak/script.rs
+++ b/tests/suite/gateway/soak/script.rs
@@ -164,6 +164,8 @@
             }
             Place::Trailer => (head + "0\r\n", "x-more: of the same\r\n".to_owned()),
         };
+        let event = (matches!(place, Place::Event) && from < EVENTS).then_some(from + 1);
+        self.script.promises.begins_endless(&self.id, event);
         let bytes = bytes.repeat(ENDLESS.0 / bytes.len());
         let send = Hook::new(move |caller| {
             if matches!(place, Place::Body | Place::Event | Place::Trailer) {
