--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -9,6 +9,7 @@
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::schedule::Grant;
+use mimosapass_core::ids::TargetId;
 use mimosapass_platform::header;
 use mimosapass_target::http::{Awaited, BodyPart, Connection, Framing, ReadError, ResponseHead};
 
@@ -68,6 +69,21 @@
     }
 }
 
+/// Why a run was not started.
+#[derive(Clone, Debug)]
+pub struct NotStarted {
+    /// The engine that refused a reservation or did not answer.
+    pub engine: Option<TargetId>,
+    /// What happened.
+    pub error: String,
+}
+
+impl From<String> for NotStarted {
+    fn from(error: String) -> Self {
+        Self { engine: None, error }
+    }
+}
+
 /// A run of a request at a target.
 #[derive(Debug)]
 pub struct Run<'g> {
@@ -75,8 +91,8 @@
     pub heard: Instant,
     /// When the last event was complete.
     pub last_event: Option<Instant>,
-    /// Whether the target was recorded as silent since it was last heard.
-    pub silent: bool,
+    /// Since when the target has sent no event, if it was recorded as silent.
+    pub silent_since: Option<Instant>,
     connection: Connection,
     request: Vec<u8>,
     written: usize,
@@ -101,12 +117,12 @@
         exchange: &Exchange<'_>,
         request: &Request,
         grant: Grant,
-    ) -> Result<Self, String> {
+    ) -> Result<Self, NotStarted> {
         let placed = Placed { gateway, grant };
         let grant = &placed.grant;
         let reservations = Reservations::reserve(gateway, grant)?;
         if !gateway.accepts(grant) {
-            return Err("the target has left since it was granted".to_owned());
+            return Err("the target has left since it was granted".to_owned().into());
         }
         let mut connection = attempt::connect(gateway, request, grant)?;
         connection.begin();
@@ -115,7 +131,7 @@
         Ok(Self {
             heard: now,
             last_event: None,
-            silent: false,
+            silent_since: None,
             connection,
             request: bytes,
             written: 0,
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod endless;
 mod explain;
 mod notices;
+mod reservations;
 mod restore;
 mod silence;
 mod soak;
