Soak: more callers, shorter pauses and more long silences within streams

Half of the silences now last for 1.7 to 2.5 s, more of them fall within or between events, and there are six callers an instance with shorter pauses in what targets send.

--- a/tests/suite/gateway/soak/mod.rs
+++ b/tests/suite/gateway/soak/mod.rs
@@ -21,7 +21,7 @@
 use world::World;
 
 /// Callers of each instance.
-const CALLERS: usize = 4;
+const CALLERS: usize = 6;
 /// Time without faults at the end, in which all instances have to recover.
 const CALM: Duration = Duration::from_secs(6);
 /// Seed, seconds and instances of a run that sets none. Three instances watch the store, and
--- a/tests/suite/gateway/soak/plan.rs
+++ b/tests/suite/gateway/soak/plan.rs
@@ -17,6 +17,8 @@
 const TARGET_GAP_MS: std::ops::Range<u64> = 300..2_400;
 /// Least and greatest time for which a target is silent and then goes on.
 const SILENCE_MS: std::ops::Range<u64> = 300..2_500;
+/// As [`SILENCE_MS`], for silences after which an instance asks another target for a stream.
+const LONG_SILENCE_MS: std::ops::Range<u64> = 1_700..2_500;
 /// Least and greatest time in which a target begins answers without end.
 const ENDLESS_MS: std::ops::Range<u64> = 100..800;
 /// Makes the draws of what targets do independent of the others.
@@ -242,17 +244,21 @@
     let places =
         [Place::Line, Place::Head, Place::Interim, Place::Body, Place::Event, Place::Trailer];
     let place = places[random.random_range(0..places.len())];
-    let points = match service {
-        "pool" => [Point::Start, Point::Head, Point::First, Point::Between, Point::Event],
-        _ => [Point::Start, Point::Head, Point::First, Point::Body, Point::Body],
+    let own = if service == "pool" { [Point::Between, Point::Event] } else { [Point::Body; 2] };
+    let point = match random.random_range(0..7) {
+        0 => Point::Start,
+        1 => Point::Head,
+        2 => Point::First,
+        3 => Point::Any,
+        n => own[n % own.len()],
     };
-    let point = *points.get(random.random_range(0..=points.len())).unwrap_or(&Point::Any);
     let others = match random.random_range(0..5) {
         0 | 1 => Others::Serve,
         2 | 3 => Others::Refuse,
         _ => Others::Endless(place),
     };
-    let silence = Duration::from_millis(random.random_range(SILENCE_MS));
+    let range = if random.random() { SILENCE_MS } else { LONG_SILENCE_MS };
+    let silence = Duration::from_millis(random.random_range(range));
     let time = Duration::from_millis(random.random_range(ENDLESS_MS));
     if random.random_range(0..5) == 0 {
         Event::Endless(Endless { share, place, time })
--- a/tests/suite/gateway/soak/script.rs
+++ b/tests/suite/gateway/soak/script.rs
@@ -20,9 +20,9 @@
 /// Pause that a target asks for.
 const PAUSE: Duration = Duration::from_millis(1_500);
 /// Time before each event.
-const EVENT_PAUSE: Duration = Duration::from_millis(50);
+const EVENT_PAUSE: Duration = Duration::from_millis(30);
 /// Time between two pieces of a head, an event or a body.
-const PIECE_PAUSE: Duration = Duration::from_millis(10);
+const PIECE_PAUSE: Duration = Duration::from_millis(5);
 /// Time without a deadline of the request in which an endless answer has to be disconnected.
 const NO_DEADLINE: Duration = Duration::from_secs(6);
 /// Time after the deadline of the request in which an endless answer has to be disconnected.
