--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -18,7 +18,7 @@
 use super::queue;
 use super::relay::{self, Progress};
 use super::request::{self, Request};
-use super::run::{NotStarted, Run, Step};
+use super::run::{NotStarted, Prepared, Run, Step};
 use super::runs::Runs;
 use super::state::Gateway;
 
@@ -99,7 +99,7 @@
     flow.report(&end, &table, arrived);
 }
 
-impl<'a> Flow<'a, '_> {
+impl Flow<'_, '_> {
     /// Records in metrics and the log how the request ended.
     fn report(&self, end: &RequestEnd, table: &RouteTable, arrived: Instant) {
         let label = band(self.request.requirements.prompt);
@@ -142,7 +142,9 @@
             queue::wait(self.gateway, &self.request.requirements, || exchange.caller_gone());
         match granted {
             Ok(grant) => {
-                self.start(grant);
+                self.record_grant(&grant);
+                let idempotent = self.request.is_idempotent();
+                self.start(Prepared::new(self.gateway, grant, idempotent));
                 None
             }
             Err(failure) if self.sends > 0 && failure.kind != Kind::CallerGone => {
@@ -153,14 +155,12 @@
         }
     }
 
-    /// Starts a run at the granted target.
-    fn start(&mut self, grant: Grant) {
-        self.record_grant(&grant);
-        self.request.requirements.avoid.push(TargetId::clone(&grant.placement.target.id));
-        match Run::start(self.gateway, self.exchange, &self.request, grant) {
-            Ok(run) => {
+    /// Starts a run at a prepared target.
+    fn start(&mut self, prepared: Result<Prepared, NotStarted>) {
+        match prepared {
+            Ok(prepared) => {
                 self.sends += 1;
-                self.runs.add(run);
+                self.runs.add(Run::new(prepared, self.exchange, &self.request));
             }
             Err(NotStarted { engine, error }) => {
                 self.not_sent += 1;
@@ -170,8 +170,10 @@
         }
     }
 
-    /// Records the target that the request was granted.
+    /// Records the target that the request was granted; it is not granted that one again.
     fn record_grant(&mut self, grant: &Grant) {
+        let target = &grant.placement.target.id;
+        self.request.requirements.avoid.push(TargetId::clone(target));
         let requirements = &self.request.requirements;
         let waited = grant.at.saturating_duration_since(requirements.entry.arrived);
         let label = band(requirements.prompt);
@@ -210,7 +212,8 @@
         }
         self.runs.record_silence(&self.request, now);
         self.back_up(now);
-        match self.runs.wait(self.exchange, &self.request, self.sends, now) {
+        let backup_due = self.backup_due();
+        match self.runs.wait(self.exchange, &self.request, backup_due, now) {
             Ok(None) => None,
             Ok(Some(departure)) => {
                 self.runs.count_unfinished("caller_gone");
@@ -227,17 +230,25 @@
 
     /// Starts a run at another target when the only one has been silent for too long.
     fn back_up(&mut self, now: Instant) {
-        if self.progress.is_resumable() && self.runs.is_backup_due(self.sends, now) {
+        if self.backup_due().is_some_and(|due| now >= due) {
             self.prepare_resume();
             self.runs.ask_backup(&self.request, now);
         }
-        let Some(grant) = self.runs.take_backup(&self.request, now) else { return };
-        self.start(grant);
+        if let Some((grant, retried)) = self.runs.take_grant(&self.request, now) {
+            self.record_grant(&grant);
+            self.runs.prepare(grant, retried, &self.request);
+        }
+        let Some(prepared) = self.runs.take_prepared(&self.request) else { return };
+        self.start(prepared);
         if self.not_sent >= MAX_NOT_SENT {
             self.runs.deny("too many targets cannot be reached", &self.request, now);
         }
     }
 
+    fn backup_due(&self) -> Option<Instant> {
+        self.progress.is_resumable().then(|| self.runs.backup_due(self.sends)).flatten()
+    }
+
     /// Takes a step of a run; `None` while the request goes on.
     fn take(&mut self, index: usize, step: Step) -> Option<RequestEnd> {
         self.record_step(index, &step);
@@ -245,16 +256,7 @@
             Step::Pending => None,
             Step::Events(events) => self.relay_events(index, &events),
             Step::End(events) => Some(self.relay_end(index, &events)),
-            Step::Response(response, body) => {
-                self.may_have_run = true;
-                if response.status < 500 || !self.request.is_idempotent() {
-                    self.keep(index);
-                    return Some(self.relay_response(&response, &body));
-                }
-                let error = format!("status {}", response.status);
-                self.last_response = Some((response, body));
-                self.end_run(index, error)
-            }
+            Step::Response(response, body) => self.take_response(index, response, body),
             Step::NotSent(error) => {
                 self.gateway
                     .connections
@@ -271,6 +273,26 @@
         }
     }
 
+    /// Takes a complete response; `None` while the request goes on without it.
+    fn take_response(
+        &mut self,
+        index: usize,
+        response: ResponseHead,
+        body: Vec<u8>,
+    ) -> Option<RequestEnd> {
+        self.may_have_run = true;
+        let retried = response.status >= 500 && self.request.is_idempotent();
+        let other_run = response.status >= 400 && self.runs.is_backed_up();
+        let error = format!("status {}", response.status);
+        // Within a stream no other response can follow.
+        if !self.progress.begun && !retried && !other_run {
+            self.keep(index);
+            return Some(self.relay_response(&response, &body));
+        }
+        self.last_response = Some((response, body));
+        self.end_run(index, error)
+    }
+
     /// Records in metrics and for placement what a step says of the target.
     fn record_step(&self, index: usize, step: &Step) {
         let run = self.runs.get(index);
@@ -284,7 +306,7 @@
     }
 
     /// Keeps one run and cancels the others.
-    fn keep(&mut self, index: usize) -> &mut Run<'a> {
+    fn keep(&mut self, index: usize) -> &mut Run {
         let run = self.runs.keep(index, &self.request);
         self.target = Some(TargetId::clone(&run.grant().placement.target.id));
         run
@@ -404,6 +426,9 @@
             "the deadline passed during the stream".clone_into(&mut self.last_error);
             return RequestEnd { outcome: "cut", detail: self.last_error.clone() };
         }
+        if let Some((response, body)) = self.last_response.take() {
+            return self.relay_response(&response, &body);
+        }
         "the deadline passed before the target responded".clone_into(&mut self.last_error);
         self.refuse(&Failure::new(Kind::RunTimeout, self.last_error.clone()))
     }
