--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod backups;
 mod delegation;
 mod endless;
+mod endless_streams;
 mod evacuation;
 mod explain;
 mod notices;
