Targets: one that has started again is noticed by its 421

Renewals did not name the engine that they were for: one that had started again reserved memory for a request that it did not know, and the bare connect to the answering engine succeeded, so that the others held theirs until the store dropped its former start. Orders now carry the expected identifier; a 421 gives the reservations up and ends the run. A 421 to a request excludes the target for a while as well, like one that cannot be reached: the store may name it for seconds. Three tests failed before (two of gateway::reservations, target_that_is_gone_from_its_address_is_avoided).

--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -113,6 +113,8 @@
     reserved_at: Vec<Instant>,
     /// Time after which orders are answered.
     order_delay: Duration,
+    /// Whether it has started again since its registration.
+    restarted: bool,
     /// Whether new connections are refused.
     closed: bool,
 }
@@ -221,7 +223,7 @@
         let mut buffer = Vec::new();
         while let Some((head, body)) = read(&mut stream, &mut buffer) {
             if head.path == "/order" {
-                self.handle_order(&mut stream, &body);
+                self.handle_order(&mut stream, &head, &body);
                 continue;
             }
             let reply = (self.script)(&head);
@@ -240,7 +242,18 @@
         }
     }
 
-    fn handle_order(&self, stream: &mut TcpStream, body: &[u8]) {
+    /// Loses its memory, and answers orders to its former start with 421 from now on.
+    pub fn restart(&self) {
+        let mut state = self.lock();
+        state.restarted = true;
+        state.reservations.clear();
+    }
+
+    fn handle_order(&self, stream: &mut TcpStream, head: &Head, body: &[u8]) {
+        if self.lock().restarted && head.header("x-expect-instance").is_some() {
+            write(stream, b"HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n");
+            return;
+        }
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
         let id = body["id"].as_str().unwrap_or_default().to_owned();
         let mut state = self.lock();
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -457,7 +457,7 @@
     Some(ResponseHead { status, headers, framing, close })
 }
 
-/// Posts a JSON body and returns the head of the response.
+/// Posts a JSON body with extra headers and returns the head of the response.
 ///
 /// # Errors
 ///
@@ -465,12 +465,15 @@
 pub fn post(
     connection: &mut Connection,
     path: &str,
+    headers: &[(&str, &str)],
     body: &[u8],
     end: Instant,
 ) -> Result<ResponseHead, ReadError> {
+    let more: String =
+        headers.iter().flat_map(|(name, value)| [name, ": ", value, "\r\n"]).collect();
     let head = format!(
         "POST {path} HTTP/1.1\r\nhost: {}\r\ncontent-type: application/json\r\n\
-         connection: close\r\ncontent-length: {}\r\n\r\n",
+         connection: close\r\n{more}content-length: {}\r\n\r\n",
         connection.addr,
         body.len()
     );
--- a/crates/target/tests/http.rs
+++ b/crates/target/tests/http.rs
@@ -152,7 +152,7 @@
     let (done, result) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         let end = begun + Duration::from_millis(400);
-        let response = post(&mut connection, "/order", b"{}", end);
+        let response = post(&mut connection, "/order", &[], b"{}", end);
         drop(connection);
         done.send(response).expect("the test waits");
     });
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -265,7 +265,7 @@
                 self.not_sent += 1;
                 self.end_run(index, error)
             }
-            Step::NotRun(error) => self.end_run(index, error),
+            Step::NotRun(error) | Step::Gone(error) => self.end_run(index, error),
             Step::Failed(error) => {
                 self.may_have_run = true;
                 self.end_run(index, error)
--- a/src/gateway/reservations.rs
+++ b/src/gateway/reservations.rs
@@ -6,6 +6,7 @@
 //! releases them at the end of the request.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{RecvTimeoutError, Sender, channel};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -14,7 +15,7 @@
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_core::ids::TargetId;
-use mimosapass_platform::reservation;
+use mimosapass_platform::{header, reservation};
 use mimosapass_target::http::{Connection, post};
 
 use super::run::NotStarted;
@@ -28,6 +29,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Attempts to release; after them the reservation is left to expire.
 const RELEASE_ATTEMPTS: u32 = 3;
+/// Status of a target that is not the expected one.
+pub const MISDIRECTED: u16 = 421;
 /// Stack size of the thread that renews.
 const STACK_BYTES: usize = 128 * 1024;
 
@@ -36,6 +39,8 @@
 pub struct Reservations {
     /// Identifier that all of them share; empty when there are none.
     pub id: String,
+    /// Set when one of the engines has restarted, which ends the prompt's memory there.
+    lost: Arc<AtomicBool>,
     #[expect(dead_code, reason = "dropping it stops the renewals")]
     stop_renewals: Option<Sender<()>>,
 }
@@ -80,8 +85,10 @@
         log::info!(ticket = id, engines = engines.len(); "reservation: made on all engines.");
         let (stop_renewals, stopped) = channel();
         let renewed = id.clone();
-        let answering = grant.placement.target.addr;
+        let answering = Arc::clone(&grant.placement.target);
+        let lost = Arc::new(AtomicBool::new(false));
         let gateway = Arc::clone(gateway);
+        let is_lost = Arc::clone(&lost);
         let renewal = move || {
             let mut next = Instant::now() + RENEW_INTERVAL;
             let left = |next: Instant| next.saturating_duration_since(Instant::now());
@@ -90,37 +97,57 @@
                 // Engines with reservations detect the failure of the answering engine at
                 // once, this instance only after the limit on its silence. Without this
                 // check it would renew until then.
-                if let Err(e) = Connection::open(answering, CALL_TIMEOUT) {
+                if let Err(e) = Connection::open(answering.addr, CALL_TIMEOUT) {
                     log::warn!(
-                        ticket = renewed, addr:% = answering;
+                        ticket = renewed, addr:% = answering.addr;
                         "reservation: not renewed, the answering engine is unreachable: {e}."
                     );
                     continue;
                 }
-                renew(&gateway, &renewed, &engines);
+                // The answering engine holds no reservation; the call shows whether it is the same.
+                let answer = call(&gateway, &answering, &reservation::release_body(&renewed));
+                if answer == Ok(MISDIRECTED) || !renew(&gateway, &renewed, &engines) {
+                    log::warn!(ticket = renewed; "reservation: given up, an engine has restarted.");
+                    is_lost.store(true, Ordering::SeqCst);
+                    break;
+                }
             }
             release(&gateway, &renewed, &engines);
         };
         let builder = thread::Builder::new().name("ticket".to_owned()).stack_size(STACK_BYTES);
         builder.spawn(renewal).map_err(|e| format!("cannot start the renewal thread: {e}"))?;
-        Ok(Self { id, stop_renewals: Some(stop_renewals) })
+        Ok(Self { id, lost, stop_renewals: Some(stop_renewals) })
+    }
+
+    /// Returns whether an engine has restarted, so that the request cannot be answered.
+    pub fn is_lost(&self) -> bool {
+        self.lost.load(Ordering::SeqCst)
     }
 }
 
 /// Renews the reservations on all engines at once: one that is silent must not delay the others.
-fn renew(gateway: &Gateway, id: &str, engines: &[EngineTokens]) {
+///
+/// Returns whether all of them are still the same engines, as far as they answered.
+fn renew(gateway: &Gateway, id: &str, engines: &[EngineTokens]) -> bool {
+    let restarted = AtomicBool::new(false);
     thread::scope(|scope| {
         for engine in engines {
             let builder = thread::Builder::new().name("renew".to_owned()).stack_size(STACK_BYTES);
-            let renewal = move || renew_one(gateway, id, engine);
+            let restarted = &restarted;
+            let renewal = move || {
+                if renew_one(gateway, id, engine) == Ok(MISDIRECTED) {
+                    restarted.store(true, Ordering::SeqCst);
+                }
+            };
             if let Err(e) = builder.spawn_scoped(scope, renewal) {
                 log::error!(ticket = id; "reservation: cannot start a thread for a renewal: {e}.");
             }
         }
     });
+    !restarted.into_inner()
 }
 
-fn renew_one(gateway: &Gateway, id: &str, (engine, tokens): &EngineTokens) {
+fn renew_one(gateway: &Gateway, id: &str, (engine, tokens): &EngineTokens) -> Result<u16, String> {
     let result = call(gateway, engine, &reservation::reserve_body(id, *tokens, TTL));
     if result != Ok(200) {
         log::warn!(
@@ -128,6 +155,7 @@
             "reservation: renewal failed."
         );
     }
+    result
 }
 
 /// Releases reservations on a thread of their own: silent engines must not delay the request.
@@ -156,7 +184,8 @@
 fn call(gateway: &Gateway, engine: &Target, body: &[u8]) -> Result<u16, String> {
     let end = Instant::now() + CALL_TIMEOUT;
     let mut connection = Connection::open(engine.addr, CALL_TIMEOUT).map_err(|e| e.to_string())?;
-    let response = post(&mut connection, reservation::PATH, body, end);
+    let headers = [(header::EXPECTED_TARGET, &*engine.id)];
+    let response = post(&mut connection, reservation::PATH, &headers, body, end);
     let response = response.map_err(|e| format!("{e:?}"))?;
     gateway.read_notices(engine, &response);
     Ok(response.status)
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,7 +17,7 @@
 use super::held_bytes::HeldBytes;
 use super::relay::complete_length;
 use super::request::Request;
-use super::reservations::Reservations;
+use super::reservations::{MISDIRECTED, Reservations};
 use super::state::Gateway;
 
 /// Largest accepted body of a response that is not streamed; a larger one is malformed.
@@ -43,6 +43,8 @@
     NotSent(String),
     /// The target stated that it did not run the request.
     NotRun(String),
+    /// Another target answers at the address; the granted one is gone.
+    Gone(String),
     /// The run failed after the request may have run.
     Failed(String),
 }
@@ -104,7 +106,6 @@
     /// The response, once it is complete.
     complete: Option<ResponseHead>,
     // Memory is released before the targets are.
-    #[expect(dead_code, reason = "dropping it releases the memory")]
     reservations: Reservations,
     placed: Placed,
 }
@@ -176,6 +177,9 @@
 
     /// Sends and reads as far as possible.
     pub fn advance(&mut self, method: &str, request: &Request) -> Step {
+        if self.reservations.is_lost() {
+            return Step::Failed("an engine of the prompt has restarted".to_owned());
+        }
         let failed = self.write();
         match (self.read(method, request), failed) {
             // A target may respond before it has read the whole request.
@@ -294,13 +298,13 @@
                     let (response, body) = (response.clone(), std::mem::take(body));
                     self.complete = Some(response.clone());
                     return Some(if not_run {
-                        Step::NotRun(format!("status {}", response.status))
+                        refusal(&response)
                     } else {
                         Step::Response(response, body)
                     });
                 }
                 // What a target sends after it stated that it did not run is not waited for.
-                _ if not_run => return Some(Step::NotRun(format!("status {}", response.status))),
+                _ if not_run => return Some(refusal(response)),
                 Ok(BodyPart::NeedMore) => return Some(Step::Pending),
                 Ok(BodyPart::Data(_)) => return Some(read_failure(ReadError::Malformed)),
                 Err(e) => return Some(read_failure(e)),
@@ -369,7 +373,7 @@
             Self::Response(response, _) if response.status >= 500 => Some(Outcome::Failed),
             Self::End(_) | Self::Response(..) => Some(Outcome::Answered),
             Self::NotRun(_) => Some(Outcome::Refused),
-            Self::NotSent(_) | Self::Failed(_) => Some(Outcome::Silent),
+            Self::Gone(_) | Self::NotSent(_) | Self::Failed(_) => Some(Outcome::Silent),
         }
     }
 
@@ -379,16 +383,22 @@
             Self::Pending | Self::Events(_) => "streaming",
             Self::End(_) | Self::Response(..) => "answered",
             Self::NotSent(_) => "unsent",
-            Self::NotRun(_) => "not_run",
+            Self::NotRun(_) | Self::Gone(_) => "not_run",
             Self::Failed(_) => "lost",
         }
     }
 }
 
+/// Returns the step of a response that states that the request was not run.
+fn refusal(response: &ResponseHead) -> Step {
+    let error = format!("status {}", response.status);
+    if response.status == MISDIRECTED { Step::Gone(error) } else { Step::NotRun(error) }
+}
+
 /// Returns whether a target states in a response that it did not run the request.
 fn states_not_run(response: &ResponseHead) -> bool {
     let success = (200..300).contains(&response.status);
-    !success && (response.status == 421 || response.header(header::NOT_RUN).is_some())
+    !success && (response.status == MISDIRECTED || response.header(header::NOT_RUN).is_some())
 }
 
 fn read_failure(error: ReadError) -> Step {
--- a/tests/suite/gateway/answers.rs
+++ b/tests/suite/gateway/answers.rs
@@ -204,3 +204,15 @@
     });
     assert!(answers.iter().all(Option::is_some), "{answers:?}");
 }
+
+/// Guards against requests that all meet a target which is gone, while the store still names it.
+#[test]
+fn target_that_is_gone_from_its_address_is_avoided() {
+    let (cluster, targets) =
+        cluster(&[Reply::NotExecuted(421), Reply::Complete(200, "yes"), Reply::NotExecuted(421)]);
+    for i in 0..8 {
+        cluster.ask(0, "/look/1", &format!("id-{i}"));
+    }
+    let misdirected = targets[0].requests().len() + targets[2].requests().len();
+    assert!(misdirected <= 2, "{misdirected} requests were sent to targets that are gone");
+}
--- a/tests/suite/gateway/reservations.rs
+++ b/tests/suite/gateway/reservations.rs
@@ -4,7 +4,7 @@
 
 use mimosapass_standin::target::{Reply, ScriptedTarget};
 
-use super::{Cluster, KEY, config, start_target};
+use super::{Cluster, KEY, config, eventually, start_target};
 
 /// Time after which a reservation expires that is not renewed.
 const TTL: Duration = Duration::from_secs(3);
@@ -67,3 +67,36 @@
     let answer = cluster.ask_with(0, "/chat/1", "id-2", PROMPT);
     assert_eq!(answer.response.status, 200, "{answer:?}");
 }
+
+/// Time in which memory is free again that no request uses.
+const FREE_TIME: Duration = Duration::from_secs(4);
+
+/// Serves a large prompt whose stream is silent, and restarts the engine that `choose` finds.
+fn assert_released_after_restart(choose: fn(&ScriptedTarget) -> bool) {
+    let (cluster, targets) = start(&Reply::Hang);
+    std::thread::scope(|scope| {
+        scope.spawn(|| cluster.ask_with(0, "/chat/1", "id-1", PROMPT));
+        cluster.logged(0, &["reservation: made on all engines."]);
+        eventually("it runs", || targets.iter().any(|t| !t.requests().is_empty()));
+        let engine = targets.iter().find(|t| choose(t)).expect("an engine");
+        engine.restart();
+        let restarted = Instant::now();
+        cluster.logged(0, &["reservation: given up, an engine has restarted."]);
+        let took = restarted.elapsed();
+        assert!(took < FREE_TIME, "{took:?}");
+    });
+}
+
+/// Guards against LEAK on days with dark engines: memory was renewed for an engine that had
+/// started again, until the store dropped its former start.
+#[test]
+fn memory_is_not_renewed_for_an_answering_engine_that_restarted() {
+    assert_released_after_restart(|target| !target.requests().is_empty());
+}
+
+/// Guards against STUCK on the same days: a renewal reserved memory on an engine that had
+/// started again, for a request that it does not know.
+#[test]
+fn memory_is_not_reserved_anew_on_a_helper_that_restarted() {
+    assert_released_after_restart(|target| target.memory().1 > 0);
+}
