Gateway: a connection is free for the next request before its caller has the answer

connection_is_reused_for_idempotent_calls failed once: since runs are ended together, the connection went back to the pool after the answer was sent, and the caller's next request opened another one.

--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -287,6 +287,8 @@
         // Within a stream no other response can follow.
         if !self.progress.begun && !retried && !other_run {
             self.keep(index);
+            // The caller's next request may come at once, and use the same connection.
+            self.runs.cancel();
             return Some(self.relay_response(&response, &body));
         }
         self.last_response = Some((response, body));
@@ -348,6 +350,7 @@
         if !sent {
             return RequestEnd::caller_gone(self.exchange);
         }
+        self.runs.cancel();
         self.exchange.finish();
         RequestEnd { outcome: "served", detail: format!("{} chunks", self.progress.chunks) }
     }
