--- a/crates/target/tests/http.rs
+++ b/crates/target/tests/http.rs
@@ -12,10 +12,18 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Bytes that a reader may take before it ends; more than any bound on a head or a trailer.
 const MAX_READ_BYTES: usize = 256 * 1024;
+/// Bytes that a server sends at once.
+const BLOCK_BYTES: usize = 64 * 1024;
 /// Chunks of one byte in a body.
 const SHORT_CHUNKS: usize = 1_000_000;
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
+/// Returns a text again and again, as much as several reads take: a bound is told by the number
+/// of reads, and short ones would count as whole ones.
+fn block(text: &str) -> Vec<u8> {
+    text.repeat(BLOCK_BYTES / text.len()).into_bytes()
+}
+
 fn connect(server: &EndlessServer) -> Connection {
     let mut connection = Connection::open(server.addr, WAIT_TIMEOUT).expect("connected");
     let end = Instant::now() + WAIT_TIMEOUT;
@@ -68,8 +76,7 @@
 #[case::interim_responses("", "HTTP/1.1 100 Continue\r\n\r\n")]
 #[case::interim_responses_with_headers("", "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n")]
 fn head_without_end_is_malformed(#[case] start: &str, #[case] repeated: &str) {
-    let server =
-        EndlessServer::start(start.as_bytes(), repeated.repeat(64).as_bytes(), Duration::ZERO);
+    let server = EndlessServer::start(start.as_bytes(), &block(repeated), Duration::ZERO);
     assert_eq!(read(&server, MAX_READ_BYTES), Err(ReadError::Malformed));
 }
 
@@ -97,8 +104,7 @@
         None => (start, "0000000000000000"),
     };
     let start = [CHUNKED, prefix].concat();
-    let server =
-        EndlessServer::start(start.as_bytes(), repeated.repeat(64).as_bytes(), Duration::ZERO);
+    let server = EndlessServer::start(start.as_bytes(), &block(repeated), Duration::ZERO);
     assert_eq!(read(&server, MAX_READ_BYTES), Err(ReadError::Malformed));
 }
 
