--- a/crates/core/src/edge/backup.rs
+++ b/crates/core/src/edge/backup.rs
@@ -14,8 +14,7 @@
 /// Share of the caller's timeout after which a silent stream is backed up. The rest lets
 /// another target answer before the caller disconnects.
 const STREAM_SILENCE: f64 = 0.7;
-/// Silence after which a call without a stream is backed up. The unit is the time limit
-/// of the route.
+/// Silence after which a call without a stream is backed up, in latency goals of the route.
 const CALL_SILENCE_GOALS: u32 = 2;
 
 /// When a request is backed up.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -259,6 +259,7 @@
         };
         None
     }
+
     /// Reads the body of a response to an earlier request; `None` when it is complete.
     fn skip_body(&mut self) -> Option<Step> {
         let Reading::Skipped(framing, read) = &mut self.reading else { return None };
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -72,7 +72,7 @@
         self.active.push(run);
     }
 
-    /// Returns whether another run is under way beside one.
+    /// Returns whether two runs are under way.
     pub fn is_backed_up(&self) -> bool {
         self.active.len() > 1
     }
