Observability: every failed call to the store, and each configuration from a peer

Of a series of failed calls only the first had a line, so a watch that fails at the same revision for 20 s could not be told from a store that is away. Copies of a configuration that came from peers had no line when they were not newer.

Logged now: two failures in a row and each fourth one, with revision and time; the size and source of a configuration; copies that are not newer. No decision changes.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -33,6 +33,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Consecutive failed calls after which the store counts as unavailable.
 const MAX_FAILURES: u32 = 2;
+/// Consecutive failed calls of which one is logged; a second or more of refusals.
+const FAILURES_PER_LINE: u32 = 4;
 
 /// Follows the store until the process ends.
 pub fn run(gateway: &Arc<Gateway>) {
@@ -65,7 +67,7 @@
             }
             Err(e) => {
                 failures += 1;
-                record_failure(gateway, &e, begun.elapsed());
+                record_failure(gateway, &e, begun.elapsed(), failures);
                 if failures == MAX_FAILURES {
                     record_outage(gateway, &e);
                 }
@@ -75,16 +77,18 @@
     }
 }
 
-/// Records a failed call. The first one is logged, since the connection may have failed long
-/// before, and peers are told of it.
-fn record_failure(gateway: &Gateway, error: &StoreError, took: Duration) {
+/// Records and logs the failed call number `count` in a row; peers are told of the first one.
+fn record_failure(gateway: &Gateway, error: &StoreError, took: Duration, count: u32) {
+    gateway.metrics.store_failures.with_label_values(&[error.reason()]).inc();
     let mut state = gateway.state();
+    let took_ms = took.as_millis() as u64;
+    let revision = state.store.progress.watched.revision;
+    if count <= MAX_FAILURES || count.is_multiple_of(FAILURES_PER_LINE) {
+        log::info!(took_ms, revision, count; "store: a call failed: {error}.");
+    }
     if state.store.failing_since.is_none() {
         state.store.failing_since = Some(Instant::now());
         state.announce = true;
-        let took_ms = took.as_millis() as u64;
-        let revision = state.store.progress.watched.revision;
-        log::info!(took_ms, revision; "store: a call failed: {error}.");
         gateway.load_changed.notify_all();
     }
 }
@@ -266,7 +270,7 @@
     let Some(text) = &entry.value else { return };
     match config::decode(text) {
         Ok(table) => {
-            if gateway.install(table, text) {
+            if gateway.install(table, text, "store") {
                 gateway.state().announce = true;
                 gateway.load_changed.notify_all();
             }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -25,6 +25,10 @@
     pub attempts: IntCounterVec,
     /// Runs at silent targets by what became of them.
     pub silent_runs: IntCounterVec,
+    /// Failed calls to the store by reason.
+    pub store_failures: IntCounterVec,
+    /// Snapshots requested from peers, and configurations received in them, by outcome.
+    pub snapshots: IntCounterVec,
     /// Time to the first event of a stream, in seconds, by band.
     pub first_event_time: HistogramVec,
     /// Time that requests were queued, in seconds, by band.
@@ -60,6 +64,8 @@
             requests: counters("gateway_requests", "Ended requests.", &["band", "outcome"]),
             attempts: counters("gateway_attempts", "Sends to targets.", &["outcome"]),
             silent_runs: counters("gateway_silent_runs", "Silent targets.", &["outcome"]),
+            store_failures: counters("gateway_store_failures", "Failed store calls.", &["reason"]),
+            snapshots: counters("gateway_snapshots", "Snapshots of peers.", &["outcome"]),
             first_event_time: times("gateway_first_seconds", "Time to the first byte."),
             wait_time: times("gateway_wait_seconds", "Time until a place was found."),
             config_version: gauge("gateway_config_version", "Configuration version in force."),
@@ -79,10 +85,12 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 15] = [
+        let all: [Box<dyn Collector>; 17] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.silent_runs.clone()),
+            Box::new(self.store_failures.clone()),
+            Box::new(self.snapshots.clone()),
             Box::new(self.first_event_time.clone()),
             Box::new(self.wait_time.clone()),
             Box::new(self.config_version.clone()),
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -54,6 +54,7 @@
         if let Some((peer, request)) = request {
             state.snapshot_requested = Some(now);
             drop(state);
+            gateway.metrics.snapshots.with_label_values(&["requested"]).inc();
             log::info!(
                 peer:% = peer, version = own_version, era = request.era, revision = request.revision;
                 "snapshot: requested from a peer."
@@ -235,12 +236,25 @@
     })
 }
 
+/// Applies the configuration of a peer's snapshot.
+fn apply_config(gateway: &Gateway, peer: &str, text: &[u8]) {
+    let outcome = match config::decode(text).map(|table| gateway.install(table, text, peer)) {
+        Ok(true) => "newer",
+        Ok(false) => {
+            log::info!(peer, bytes = text.len(); "snapshot: the configuration of a peer is not newer.");
+            "known"
+        }
+        Err(e) => {
+            log::error!(peer; "snapshot: the configuration of a peer is invalid: {e}.");
+            "invalid"
+        }
+    };
+    gateway.metrics.snapshots.with_label_values(&[outcome]).inc();
+}
+
 fn apply(gateway: &Gateway, peer: &str, snapshot: &StoreSnapshot) {
     if !snapshot.config_text.is_empty() {
-        match config::decode(&snapshot.config_text) {
-            Ok(table) => drop(gateway.install(table, &snapshot.config_text)),
-            Err(e) => log::error!(peer; "snapshot: the configuration of a peer is invalid: {e}."),
-        }
+        apply_config(gateway, peer, &snapshot.config_text);
     }
     evacuation::apply_peer(gateway, peer, &snapshot.zone_orders);
     let now = Instant::now();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -154,13 +154,16 @@
         Arc::clone(&self.route_table.read().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Puts a configuration in force if it is newer; returns whether it was.
-    pub fn install(&self, table: RouteTable, text: &[u8]) -> bool {
+    /// Puts a configuration from `source` in force if it is newer; returns whether it was.
+    pub fn install(&self, table: RouteTable, text: &[u8], source: &str) -> bool {
         let mut current = self.route_table.write().unwrap_or_else(PoisonError::into_inner);
         if table.version <= current.version {
             return false;
         }
-        log::info!(version = table.version, before = current.version; "config: now in force.");
+        log::info!(
+            version = table.version, before = current.version, bytes = text.len(), source;
+            "config: now in force."
+        );
         self.metrics.config_version.set(table.version as i64);
         *current = Arc::new(table);
         *self.config_text.lock().unwrap_or_else(PoisonError::into_inner) = Arc::from(text);
