Store: an answer that makes progress is not dropped, a long history is listed

Callers saw requests handled by an older configuration for seconds: an instance stayed behind while large configurations were written in quick succession.

Cause: each call to the store had a fixed time limit, whatever its size (1.7 s for a watch, 0.7 s after a failed call). A watch answers with every version since the last one; over 20 Mbit/s such an answer did not fit, was dropped and asked for again from the same revision, with more in it each time; beyond 4 MiB it could not be read at all until the history was compacted.

The time limit now grows with the bytes that have arrived, so that only a lack of progress ends a call. Changes larger than any single value are not read; all entries are listed instead, which hold one version.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -26,6 +26,7 @@
 //! - [`remote`]: requests of this instance that a scheduler of its zone places.
 //! - [`clients`]: requests that a scheduler places for other instances.
 //! - [`backup`]: when a silent run of a request is backed up at another target.
+//! - [`transfer`]: how long an answer may take to arrive.
 //! - [`outage`]: whether an outage of the store affected all instances.
 //! - [`outcomes`]: temporary exclusion of targets that fail or do not answer.
 
@@ -53,4 +54,5 @@
 pub mod route_table;
 pub mod schedule;
 pub mod slowdown;
+pub mod transfer;
 pub mod wait;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -61,7 +61,7 @@
                 failures = 0;
                 thread::sleep(WATCH_INTERVAL.saturating_sub(begun.elapsed()));
             }
-            Err(e @ (StoreError::Compacted | StoreError::Outdated)) => {
+            Err(e @ (StoreError::Compacted | StoreError::Outdated | StoreError::TooLarge)) => {
                 log::warn!("store: listing all entries again, {e}.");
                 listed = false;
             }
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod endless_streams;
 mod evacuation;
 mod explain;
+mod large_changes;
 mod notices;
 mod reservations;
 mod restore;
