--- a/crates/core/src/edge/catch_up.rs
+++ b/crates/core/src/edge/catch_up.rs
@@ -2,9 +2,11 @@
 //!
 //! Answers the pattern of a whole fleet that starts at once: each instance lists the store, and
 //! copies of the same list between instances, asked for again while they are under way, would
-//! fill the links of small machines for many times as long as the listings take.
+//! fill the links of small machines for many times as long as the listings take. It is the same
+//! with a large configuration: copies from several peers at once share the link of the instance
+//! that asks, and the more of them there are, the later the first one is complete.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Silence of the store after which peers are asked for what they know. A healthy store
 /// answers a watch within 1.7 seconds of the one before.
@@ -22,8 +24,41 @@
     failing || last_answer.unwrap_or(uptime) >= STORE_SILENCE
 }
 
-/// Returns whether another request may be sent, `last_request` after the last one.
-pub fn may_request(knows_targets: bool, last_request: Option<Duration>) -> bool {
-    let answer_time = if knows_targets { CHANGES_TIME } else { LIST_TIME };
-    last_request.is_none_or(|at| at >= answer_time)
+/// Maximum number of times that the time between two requests doubles: peers are asked in
+/// the time in which a change has to be in force even if several of them do not answer.
+const MAX_DOUBLINGS: u32 = 2;
+
+/// Requests to peers for what they know.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Requests {
+    last: Option<Instant>,
+    /// Requests since the last answer.
+    unanswered: u32,
+}
+
+impl Requests {
+    /// Returns whether another request may be sent, `interval` after an answered one.
+    ///
+    /// The answer to an earlier one may still be under way, so the time doubles with each that
+    /// is unanswered.
+    pub fn may_send(&self, interval: Duration, now: Instant) -> bool {
+        let doublings = self.unanswered.saturating_sub(1).min(MAX_DOUBLINGS);
+        self.last.is_none_or(|at| now >= at + interval * 2_u32.pow(doublings))
+    }
+
+    /// Records that a request was sent.
+    pub fn sent(&mut self, now: Instant) {
+        self.last = Some(now);
+        self.unanswered += 1;
+    }
+
+    /// Records that an answer has arrived.
+    pub fn answered(&mut self) {
+        self.unanswered = 0;
+    }
+}
+
+/// Returns the time after which a request of an instance that watches the store is repeated.
+pub fn answer_time(knows_targets: bool) -> Duration {
+    if knows_targets { CHANGES_TIME } else { LIST_TIME }
 }
--- a/crates/core/tests/edge_catch_up.rs
+++ b/crates/core/tests/edge_catch_up.rs
@@ -1,8 +1,8 @@
 //! When peers are asked for what the store has not told.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use mimosapass_core::edge::catch_up::{is_store_silent, may_request};
+use mimosapass_core::edge::catch_up::{Requests, answer_time, is_store_silent};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -27,6 +27,16 @@
     watch_is_refused: true, Some(10), 60_000 => true;
 }
 
+fn may_request(knows_targets: bool, last_request: Option<Duration>) -> bool {
+    let now = Instant::now();
+    let mut requests = Requests::default();
+    if let Some(age) = last_request {
+        requests.sent(now);
+        return requests.may_send(answer_time(knows_targets), now + age);
+    }
+    requests.may_send(answer_time(knows_targets), now)
+}
+
 #[test]
 fn whole_list_is_not_asked_for_again_while_it_may_be_under_way() {
     assert!(may_request(false, None));
@@ -35,3 +45,60 @@
     assert!(!may_request(true, Some(MS * 500)));
     assert!(may_request(true, Some(MS * 600)));
 }
+
+/// Replays an instance whose link carries an answer in `answer_ms` by itself, and all that are
+/// under way together at the same speed; returns when the first one is complete, and how many
+/// were asked for.
+fn catch_up(answer_ms: u32, interval: Duration) -> (u32, usize) {
+    let begun = Instant::now();
+    let mut requests = Requests::default();
+    let mut left: Vec<f64> = Vec::new();
+    for elapsed in 0..60_000 {
+        let now = begun + MS * elapsed;
+        if requests.may_send(interval, now) {
+            requests.sent(now);
+            left.push(f64::from(answer_ms));
+        }
+        let share = 1.0 / left.len() as f64;
+        for ms in &mut left {
+            *ms -= share;
+        }
+        if left.iter().any(|ms| *ms <= 0.0) {
+            return (elapsed, left.len());
+        }
+    }
+    panic!("no answer is complete within a minute");
+}
+
+#[test]
+fn copies_of_a_large_configuration_do_not_crowd_each_other_out() {
+    let (time, count) = catch_up(1_000, MS * 300);
+    assert!(time < 3_000, "{time} ms, longer than a change may take; {count} copies");
+}
+
+#[test]
+fn peers_are_asked_again_in_time_when_some_do_not_answer() {
+    let begun = Instant::now();
+    let mut requests = Requests::default();
+    let ms = (0..2_200).filter(|ms| {
+        let now = begun + MS * *ms;
+        let due = requests.may_send(MS * 300, now);
+        if due {
+            requests.sent(now);
+        }
+        due
+    });
+    assert_eq!(ms.collect::<Vec<u32>>(), [0, 300, 900, 2_100]);
+}
+
+#[test]
+fn answer_ends_the_wait_for_a_repeated_request() {
+    let now = Instant::now();
+    let mut requests = Requests::default();
+    for _ in 0..5 {
+        requests.sent(now);
+    }
+    assert!(!requests.may_send(MS * 300, now + MS * 1_100));
+    requests.answered();
+    assert!(requests.may_send(MS * 300, now + MS * 300));
+}
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -32,8 +32,8 @@
 /// Time for which a peer may have a newer configuration before it is requested. When
 /// nothing fails, each watching instance gets it from the store.
 const MAX_OUTDATED: Duration = Duration::from_secs(1);
-/// Shortest time between two requests of an instance that does not watch the store.
-/// Together with the interval of watches, a change is known everywhere within about a
+/// Shortest time between two requests of an instance that does not watch the store, if the
+/// first one was answered. Together with the interval of watches, a change is known everywhere within about a
 /// second.
 const UNWATCHED_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -52,7 +52,7 @@
             request_watched(&mut state, own_version, gateway.started, now)
         };
         if let Some((peer, request)) = request {
-            state.snapshot_requested = Some(now);
+            state.snapshot_requests.sent(now);
             drop(state);
             gateway.metrics.snapshots.with_label_values(&["requested"]).inc();
             log::info!(
@@ -79,7 +79,7 @@
     // The peer whose datagram is the most recent is the least likely to have failed.
     let peer = newer.max_by_key(|p| p.last_heard).map(|p| p.addr);
     state.behind_since = peer.and(state.behind_since.or(Some(now)));
-    if state.snapshot_requested.is_some_and(|at| now < at + UNWATCHED_INTERVAL) {
+    if !state.snapshot_requests.may_send(UNWATCHED_INTERVAL, now) {
         return None;
     }
     let digest = state.scheduler.fleet.digest();
@@ -104,7 +104,7 @@
         catch_up::is_store_silent(store.failing_since.is_some(), last_answer, age(started));
     // The first listing brings the configuration too.
     let needed = store_silent || outdated && store.listed;
-    if !needed || !catch_up::may_request(store.listed, state.snapshot_requested.map(age)) {
+    if !needed || !state.snapshot_requests.may_send(catch_up::answer_time(store.listed), now) {
         return None;
     }
     let known = state.store.progress.targets;
@@ -253,6 +253,7 @@
 }
 
 fn apply(gateway: &Gateway, peer: &str, snapshot: &StoreSnapshot) {
+    gateway.state().snapshot_requests.answered();
     if !snapshot.config_text.is_empty() {
         apply_config(gateway, peer, &snapshot.config_text);
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
+use mimosapass_core::edge::catch_up::Requests;
 use mimosapass_core::edge::changes::ChangeLog;
 use mimosapass_core::edge::clients::ClientRequests;
 use mimosapass_core::edge::cost::Engine;
@@ -84,8 +85,8 @@
     /// Since when a peer in the zone has had newer data of the store, while this
     /// instance does not watch it.
     pub behind_since: Option<Instant>,
-    /// When a snapshot was last requested from a peer.
-    pub snapshot_requested: Option<Instant>,
+    /// Requests to peers for a snapshot.
+    pub snapshot_requests: Requests,
 }
 
 /// One gateway, shared by its threads.
@@ -299,7 +300,7 @@
             target_changes: ChangeLog::default(),
             outdated_since: None,
             behind_since: None,
-            snapshot_requested: None,
+            snapshot_requests: Requests::default(),
         }
     }
 
