--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -99,6 +99,9 @@
     /// Digest of the targets known to the requester; absent if it is not to be compared.
     #[prost(fixed64, optional, tag = "5")]
     pub digest: Option<u64>,
+    /// Whether the requester understands a compressed configuration.
+    #[prost(bool, tag = "6")]
+    pub accepts_compressed: bool,
 }
 
 /// Snapshot of what a gateway knows from the store.
@@ -106,7 +109,7 @@
 pub struct StoreSnapshot {
     /// Text of the configuration as the operator wrote it.
     ///
-    /// Empty when the requester has this version.
+    /// Empty when the requester has this version, or when it is compressed.
     #[prost(bytes = "bytes", tag = "1")]
     pub config_text: bytes::Bytes,
     /// Revision of the store that `targets` reflects; 0 when they are omitted.
@@ -128,6 +131,9 @@
     /// knows; former versions know none.
     #[prost(message, repeated, tag = "7")]
     pub zone_orders: Vec<ZoneOrder>,
+    /// The text of the configuration, compressed, for requesters that understand it.
+    #[prost(bytes = "bytes", tag = "8")]
+    pub config_compressed: bytes::Bytes,
 }
 
 /// The latest order of the operator for a zone.
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -18,6 +18,7 @@
 use mimosapass_core::edge::fleet::{Change, Target};
 use mimosapass_core::edge::position::Position;
 use mimosapass_core::ids::TargetId;
+use mimosapass_instance::compression::decompress;
 use mimosapass_instance::link::{Incoming, Links};
 use mimosapass_instance::message::{Body, SnapshotRequest, StoreSnapshot, StoreTarget};
 use mimosapass_platform::config;
@@ -36,6 +37,8 @@
 /// first one was answered. Together with the interval of watches, a change is known everywhere within about a
 /// second.
 const UNWATCHED_INTERVAL: Duration = Duration::from_millis(300);
+/// Maximum size of a configuration: the largest value of the store, and as much again.
+const MAX_CONFIG_BYTES: usize = 2 * 1024 * 1024;
 
 /// Requests a snapshot whenever a peer has newer data; runs until the process ends.
 pub fn request_when_behind(gateway: &Arc<Gateway>, links: &Links) {
@@ -129,7 +132,14 @@
 
 fn request(config_version: u64, known: Position, digest: Option<u64>) -> SnapshotRequest {
     let Position { era, revision } = known;
-    SnapshotRequest { config_version, revision, accepts_changes: true, era, digest }
+    SnapshotRequest {
+        config_version,
+        revision,
+        accepts_changes: true,
+        era,
+        digest,
+        accepts_compressed: true,
+    }
 }
 
 /// Serves requests of peers and applies their snapshots; runs until the process ends.
@@ -151,12 +161,11 @@
 
 /// Builds the snapshot for a request; data that is not newer stays empty.
 fn snapshot(gateway: &Gateway, request: &SnapshotRequest) -> StoreSnapshot {
-    let newer = gateway.route_table().version > request.config_version;
-    let config_text =
-        if newer { Bytes::copy_from_slice(&gateway.config_text()) } else { Bytes::new() };
+    let (config_text, config_compressed) = encode_config(gateway, request);
     let state = gateway.state();
     let zone_orders = evacuation::encode(&state);
-    let without_targets = StoreSnapshot { config_text, zone_orders, ..StoreSnapshot::default() };
+    let without_targets =
+        StoreSnapshot { config_text, config_compressed, zone_orders, ..StoreSnapshot::default() };
     let known = Position { era: request.era, revision: request.revision };
     let targets = state.store.progress.targets;
     if !state.store.listed || targets <= known {
@@ -198,6 +207,19 @@
     }
 }
 
+/// Returns the configuration for a request, as text or compressed; both are empty if the
+/// requester has it.
+fn encode_config(gateway: &Gateway, request: &SnapshotRequest) -> (Bytes, Bytes) {
+    if gateway.route_table().version <= request.config_version {
+        return (Bytes::new(), Bytes::new());
+    }
+    let config = gateway.config_text();
+    if request.accepts_compressed && !config.compressed().is_empty() {
+        return (Bytes::new(), Bytes::clone(config.compressed()));
+    }
+    (Bytes::clone(&config.text), Bytes::new())
+}
+
 fn encode(target: &Target) -> StoreTarget {
     StoreTarget {
         id: target.id.to_string(),
@@ -257,6 +279,14 @@
     if !snapshot.config_text.is_empty() {
         apply_config(gateway, peer, &snapshot.config_text);
     }
+    if !snapshot.config_compressed.is_empty() {
+        match decompress(&snapshot.config_compressed, MAX_CONFIG_BYTES) {
+            Ok(text) => apply_config(gateway, peer, text.as_bytes()),
+            Err(e) => {
+                log::error!(peer; "snapshot: the configuration of a peer cannot be read: {e}.");
+            }
+        }
+    }
     evacuation::apply_peer(gateway, peer, &snapshot.zone_orders);
     let now = Instant::now();
     let mut state = gateway.state();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use mimosapass_core::edge::catch_up::Requests;
 use mimosapass_core::edge::changes::ChangeLog;
 use mimosapass_core::edge::clients::ClientRequests;
@@ -19,6 +20,7 @@
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
 use mimosapass_core::edge::schedule::{Exclusions, Grant, Scheduler};
 use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
+use mimosapass_instance::compression::compress;
 use mimosapass_platform::store::Store;
 use mimosapass_target::pool::ConnectionPool;
 
@@ -36,6 +38,31 @@
 /// Time before the stop limit at which the remaining requests are aborted.
 pub const ABORT_MARGIN: Duration = Duration::from_millis(400);
 
+/// Text of a configuration, for peers that do not have it.
+#[derive(Debug, Default)]
+pub struct ConfigText {
+    /// The text as the operator wrote it.
+    pub text: Bytes,
+    compressed: OnceLock<Bytes>,
+}
+
+impl ConfigText {
+    fn new(text: &[u8]) -> Self {
+        Self { text: Bytes::copy_from_slice(text), compressed: OnceLock::new() }
+    }
+
+    /// Returns the compressed text; empty if it cannot be compressed.
+    pub fn compressed(&self) -> &Bytes {
+        self.compressed.get_or_init(|| {
+            let text = std::str::from_utf8(&self.text).map_err(std::io::Error::other);
+            text.and_then(compress).unwrap_or_else(|e| {
+                log::error!("snapshot: the configuration cannot be compressed: {e}.");
+                Bytes::new()
+            })
+        })
+    }
+}
+
 /// Connection to the store and progress of its watch.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreStatus {
@@ -112,7 +139,7 @@
     pub load_changed: Condvar,
     state: Mutex<State>,
     route_table: RwLock<Arc<RouteTable>>,
-    config_text: Mutex<Arc<[u8]>>,
+    config_text: Mutex<Arc<ConfigText>>,
     stopping_since: OnceLock<Instant>,
     aborting: AtomicBool,
     next_number: AtomicU64,
@@ -132,7 +159,7 @@
             load_changed: Condvar::new(),
             state: Mutex::new(State::new(settings.zone.as_str().into())),
             route_table: RwLock::default(),
-            config_text: Mutex::new(Arc::from(&b""[..])),
+            config_text: Mutex::default(),
             stopping_since: OnceLock::new(),
             aborting: AtomicBool::new(false),
             next_number: AtomicU64::new(0),
@@ -167,12 +194,13 @@
         );
         self.metrics.config_version.set(table.version as i64);
         *current = Arc::new(table);
-        *self.config_text.lock().unwrap_or_else(PoisonError::into_inner) = Arc::from(text);
+        *self.config_text.lock().unwrap_or_else(PoisonError::into_inner) =
+            Arc::new(ConfigText::new(text));
         true
     }
 
     /// Returns the text of the configuration in force.
-    pub fn config_text(&self) -> Arc<[u8]> {
+    pub fn config_text(&self) -> Arc<ConfigText> {
         Arc::clone(&self.config_text.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
--- a/tests/suite/gateway/large_changes.rs
+++ b/tests/suite/gateway/large_changes.rs
@@ -6,14 +6,14 @@
 
 use mimosapass_instance::datagram::{self, Datagram, DatagramSocket};
 use mimosapass_instance::link::{INBOX_LENGTH, Identity, Incoming, Links};
-use mimosapass_instance::message::{Body, SnapshotRequest};
+use mimosapass_instance::message::{Body, SnapshotRequest, StoreSnapshot};
 use mimosapass_standin::metastore::Fault;
 use mimosapass_standin::relay::Relay;
 use mimosapass_standin::target::Reply;
 use serde_json::Value;
 
 use super::{Cluster, KEY, call, config, eventually, head, start_target};
-use crate::common::unique_ip;
+use crate::common::{WAIT_TIMEOUT, unique_ip};
 
 /// Time in which a confirmed change has to be in force at size.
 const CHANGE_TIME: Duration = Duration::from_secs(3);
@@ -74,7 +74,7 @@
     eventually("it is in force", || status(&cluster, "/v10/1") == 200);
 }
 
-/// A peer that has a newer configuration and answers no request for it.
+/// A peer that has a newer configuration, if it says so, and answers no request for it.
 struct SlowPeer {
     socket: DatagramSocket,
     inbox: Receiver<Incoming>,
@@ -107,6 +107,20 @@
         self.socket.send(&datagram, &[to]);
     }
 
+    /// Returns the snapshot that the gateway at `addr` sends for a request.
+    fn snapshot(&self, links: &Links, addr: SocketAddr, accepts_compressed: bool) -> StoreSnapshot {
+        let request =
+            SnapshotRequest { accepts_compressed, accepts_changes: true, ..Default::default() };
+        links.send(addr, Body::SnapshotRequest(request));
+        let end = Instant::now() + WAIT_TIMEOUT;
+        while let Ok(incoming) = self.inbox.recv_timeout(end - Instant::now()) {
+            if let Body::Snapshot(snapshot) = incoming.body {
+                return snapshot;
+            }
+        }
+        panic!("no snapshot came");
+    }
+
     fn requests(&self) -> Vec<SnapshotRequest> {
         let requests = self.inbox.try_iter().filter_map(|incoming| match incoming.body {
             Body::SnapshotRequest(request) => Some(request),
@@ -132,3 +146,21 @@
     let count = peer.requests().len();
     assert!((2..=5).contains(&count), "{count} requests");
 }
+
+/// Guards against whole copies of a configuration for each instance of a zone, which fill the
+/// link of the peer that sends them.
+#[test]
+fn snapshot_holds_a_large_configuration_in_a_tenth_of_its_size() {
+    let cluster = Cluster::start(1);
+    let config = large_config(10, 1_400);
+    cluster.configure(&config);
+    cluster.ready(0);
+    cluster.logged(0, &["config: now in force", "version=10"]);
+    let (peer, links) = SlowPeer::start();
+    let sent = peer.snapshot(&links, cluster.peers(0), true);
+    assert!(sent.config_text.is_empty());
+    assert!(sent.config_compressed.len() * 10 < config.to_string().len());
+    let former = peer.snapshot(&links, cluster.peers(0), false);
+    assert_eq!(former.config_text, config.to_string(), "a peer of the former version");
+    assert!(former.config_compressed.is_empty());
+}
