Quarantine: parts of prompts that crash engines are refused

Cause: nothing related crashes to what was sent. An engine that ended was avoided, and the request that had ended it went to the next one, by the gateway and by its caller.

An instance now tells a crash from a lost connection (nothing listens at the target's address) and holds it against the parts of its requests there that had just begun or were about to. Requests that go on to be answered clear their parts; peers exchange crashes and add them up. A part with three crashes at different moments and no answer is refused at once, by all instances, until the crashes are ten minutes old; after two its requests are not retried. When several parts were under the same crashes, a request with some of them is tried, one at a time for each part and instance, so that the sound ones are cleared.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -13,6 +13,7 @@
 //! - [`load`]: requests in flight at each target, from all instances.
 //! - [`slowdown`]: how much slower an engine decodes than its peers.
 //! - [`pauses`]: pauses that targets ask this instance for.
+//! - [`quarantine`]: parts of prompts that crash the targets that serve them.
 //! - [`position`]: the order of what was read from the store.
 //! - [`progress`]: how far an instance has followed the store.
 //! - [`placement`]: the choice of a target for one request.
@@ -48,6 +49,7 @@
 pub mod placement;
 pub mod position;
 pub mod progress;
+pub mod quarantine;
 pub mod remote;
 pub mod requirements;
 pub mod retry;
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -36,6 +36,8 @@
     QueueTimeout,
     /// No target can serve the request now.
     NoTarget,
+    /// A part of the prompt has crashed several targets.
+    Quarantined,
     /// The instance has no configuration yet.
     NotReady,
     /// The instance is stopping.
@@ -99,7 +101,7 @@
 }
 
 /// One row for each kind, in the order of [`Kind`].
-pub const TABLE: [Row; 27] = [
+pub const TABLE: [Row; 28] = [
     row(Kind::BadRequest, 400, "bad_request", true, NEVER),
     row(Kind::TooLarge, 413, "too_large", true, NEVER),
     row(Kind::SlowRequest, 408, "slow_request", true, SOON),
@@ -113,6 +115,7 @@
     row(Kind::TooLate, 503, "too_late", true, SOON),
     row(Kind::QueueTimeout, 503, "queue_timeout", true, SOON),
     row(Kind::NoTarget, 503, "no_target", true, SOON),
+    row(Kind::Quarantined, 503, "quarantined", true, LATER),
     row(Kind::NotReady, 503, "not_ready", true, SOON),
     row(Kind::Stopping, 503, "stopping", true, SOON),
     row(Kind::RecordUnavailable, 503, "record_unavailable", true, LATER),
--- a/crates/core/tests/refusals.rs
+++ b/crates/core/tests/refusals.rs
@@ -32,6 +32,7 @@
 #[case::too_late(Kind::TooLate, 503, true, Some(1))]
 #[case::queue_timeout(Kind::QueueTimeout, 503, true, Some(1))]
 #[case::no_target(Kind::NoTarget, 503, true, Some(1))]
+#[case::quarantined(Kind::Quarantined, 503, true, Some(5))]
 #[case::not_ready(Kind::NotReady, 503, true, Some(1))]
 #[case::stopping(Kind::Stopping, 503, true, Some(1))]
 #[case::record_unavailable(Kind::RecordUnavailable, 503, true, Some(5))]
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -18,7 +18,7 @@
 /// Size of the receive buffer; one target alone may exceed [`MAX_DATAGRAM_BYTES`].
 const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
 /// Bytes of a datagram that are reserved for fields other than its targets.
-const RESERVED_BYTES: usize = 200;
+const RESERVED_BYTES: usize = 600;
 
 impl Datagram {
     /// Returns whether it states the sender's requests in flight.
@@ -120,6 +120,31 @@
     /// Targets that told the sender that they leave.
     #[prost(message, repeated, tag = "26")]
     pub leaving_targets: Vec<LeavingTarget>,
+    /// Parts of prompts under which targets have crashed, and accused ones that are sound.
+    #[prost(message, repeated, tag = "29")]
+    pub parts: Vec<PartReport>,
+}
+
+/// What the sender knows of a part of prompts.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PartReport {
+    /// Identifier of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Crashes that are held against it; empty if it is sound.
+    #[prost(message, repeated, tag = "2")]
+    pub crashes: Vec<TargetCrash>,
+}
+
+/// A crash of a target.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct TargetCrash {
+    /// Digest of the target and its start.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Time since it was noticed, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 
 /// A target that stated in an answer that it leaves.
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -41,6 +41,8 @@
     Duplicated(&'static str),
     /// The connection is closed without a response.
     Disconnect,
+    /// The target crashes: all its connections are closed and new ones refused.
+    Crash,
     /// No response until the caller disconnects.
     Hang,
     /// These steps, one after the other.
@@ -117,6 +119,8 @@
     restarted: bool,
     /// Whether new connections are refused.
     closed: bool,
+    /// All connections so far.
+    streams: Vec<TcpStream>,
 }
 
 /// A target on loopback.
@@ -197,6 +201,22 @@
         drop(TcpStream::connect(self.addr));
     }
 
+    /// Closes all connections and refuses new ones, for good.
+    pub fn crash(&self) {
+        self.stop_accepting();
+        while TcpStream::connect(self.addr).is_ok() {
+            thread::sleep(Duration::from_millis(1));
+        }
+        for stream in std::mem::take(&mut self.lock().streams) {
+            stream.shutdown(Shutdown::Both).unwrap_or_default();
+        }
+    }
+
+    /// Returns whether it has crashed, or accepts no connections for another reason.
+    pub fn is_closed(&self) -> bool {
+        self.lock().closed
+    }
+
     /// Answers orders, which are carried out at once, after `delay`.
     pub fn delay_orders(&self, delay: Duration) {
         self.lock().order_delay = delay;
@@ -219,7 +239,10 @@
     }
 
     fn serve(&self, mut stream: TcpStream) {
-        self.lock().connections += 1;
+        let mut state = self.lock();
+        state.connections += 1;
+        state.streams.extend(stream.try_clone());
+        drop(state);
         let mut buffer = Vec::new();
         while let Some((head, body)) = read(&mut stream, &mut buffer) {
             if head.path == "/order" {
@@ -330,6 +353,10 @@
                 write(stream, &both)
             }
             Reply::Disconnect => false,
+            Reply::Crash => {
+                self.crash();
+                false
+            }
             Reply::Hang => {
                 self.wait_for_disconnect(stream, number);
                 false
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -72,6 +72,7 @@
         };
         if refused { Err(stopping()) } else { Ok(request) }
     });
+    let resolved = resolved.and_then(|request| gateway.admit_parts(request));
     let request = match resolved {
         Ok(request) => request,
         Err(failure) => {
@@ -137,24 +138,39 @@
         if self.sends + self.not_sent > 0 && !self.may_retry() {
             return Some(self.respond_last_failure());
         }
-        let exchange = &*self.exchange;
-        let granted =
-            queue::wait(self.gateway, &self.request.requirements, || exchange.caller_gone());
+        let granted = queue::wait(self.gateway, &self.request.requirements, || self.obstacle());
         match granted {
             Ok(grant) => {
+                if let Some(failure) = self.gateway.check_parts(&self.request) {
+                    self.gateway.finish(&grant, Instant::now());
+                    return Some(self.fail(&failure));
+                }
                 self.record_grant(&grant);
                 let idempotent = self.request.is_idempotent();
                 self.start(Prepared::new(self.gateway, grant, idempotent));
                 None
             }
-            Err(failure) if self.sends > 0 && failure.kind != Kind::CallerGone => {
-                self.last_error = format!("{}; then {failure}", self.last_error);
-                Some(self.respond_last_failure())
-            }
-            Err(failure) => Some(self.refuse(&failure)),
+            Err(failure) => Some(self.fail(&failure)),
         }
     }
 
+    /// Returns why the request need not wait for a target any longer.
+    fn obstacle(&self) -> Option<Failure> {
+        if self.exchange.caller_gone() {
+            return Some(Failure::new(Kind::CallerGone, "the caller disconnected while queued"));
+        }
+        self.gateway.check_parts(&self.request)
+    }
+
+    /// Ends the request for want of a target.
+    fn fail(&mut self, failure: &Failure) -> RequestEnd {
+        if self.sends > 0 && failure.kind != Kind::CallerGone {
+            self.last_error = format!("{}; then {failure}", self.last_error);
+            return self.respond_last_failure();
+        }
+        self.refuse(failure)
+    }
+
     /// Starts a run at a prepared target.
     fn start(&mut self, prepared: Result<Prepared, NotStarted>) {
         match prepared {
@@ -232,7 +248,11 @@
     fn back_up(&mut self, now: Instant) {
         if self.backup_due().is_some_and(|due| now >= due) {
             self.prepare_resume();
-            self.runs.ask_backup(&self.request, now);
+            if self.gateway.may_retry_parts(&self.request) {
+                self.runs.ask_backup(&self.request, now);
+            } else {
+                self.runs.deny("a part of the prompt may crash targets", &self.request, now);
+            }
         }
         if let Some((grant, retried)) = self.runs.take_grant(&self.request, now) {
             self.record_grant(&grant);
@@ -268,6 +288,7 @@
             Step::NotRun(error) | Step::Gone(error) => self.end_run(index, error),
             Step::Failed(error) => {
                 self.may_have_run = true;
+                self.gateway.examine_failure(&self.request, self.runs.get(index));
                 self.end_run(index, error)
             }
         }
@@ -327,7 +348,13 @@
     /// Relays events of a run, which is kept.
     fn relay_events(&mut self, index: usize, events: &[u8]) -> Option<RequestEnd> {
         self.may_have_run = true;
-        let gap = self.keep(index).record_event(Instant::now());
+        let now = Instant::now();
+        let run = self.keep(index);
+        let was_settled = run.last_event.is_some_and(|at| run.is_settled(at));
+        let gap = run.record_event(now);
+        if run.is_settled(now) && !was_settled {
+            self.gateway.clear_parts(&self.request, now);
+        }
         let run = self.runs.get(0);
         match gap {
             None => record_first_event(self.gateway, &self.request, run.grant()),
@@ -344,6 +371,7 @@
     /// Relays the end of a stream.
     fn relay_end(&mut self, index: usize, events: &[u8]) -> RequestEnd {
         self.keep(index);
+        self.gateway.clear_parts(&self.request, Instant::now());
         let response = self.runs.get(0).response();
         let sent = response
             .is_some_and(|r| relay::send_events(self.exchange, r, &mut self.progress, events));
@@ -383,6 +411,11 @@
         if !self.progress.is_resumable() {
             return false;
         }
+        if self.sends > 0 && !self.gateway.may_retry_parts(request) {
+            self.last_error =
+                format!("{}; a part of the prompt may crash targets", self.last_error);
+            return false;
+        }
         let allowed = self.sends == 0
             || self.gateway.try_retry(&request.requirements.service, Instant::now());
         if !allowed {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -66,6 +66,7 @@
         metrics.peers.set(state.peers.len() as i64);
         metrics.paused_targets.set(scheduler.pauses.closed(now).count() as i64);
         metrics.leaving_targets.set(scheduler.fleet.told_leaving().count() as i64);
+        metrics.quarantined_parts.set(state.quarantine.count(now) as i64);
         drop(state);
         for (mut datagram, addrs) in outgoing {
             seq += 1;
@@ -83,6 +84,7 @@
         let changed = !state.scheduler.changed_targets.is_empty()
             || state.scheduler.long_changed
             || state.announce
+            || state.evidence_changed
             || state.clients.has_replies();
         let mut due = schedule.full;
         due = state.remote.next_due(now).map_or(due, |at| at.min(due));
@@ -109,7 +111,8 @@
         state.clients.refuse(&mut state.scheduler, now);
         state.dispatch(gateway, now);
     }
-    let full = now >= schedule.full || std::mem::take(&mut state.announce);
+    let accused = std::mem::take(&mut state.evidence_changed);
+    let full = now >= schedule.full || std::mem::take(&mut state.announce) || accused;
     if full {
         schedule.full = now + FULL_INTERVAL;
         remove_silent(state, now);
@@ -122,6 +125,9 @@
     }
     let Recipients { exchange, heartbeat } = &schedule.recipients;
     let mut base = base_datagram(gateway, state, places, now);
+    if full || now >= schedule.heartbeat {
+        base.parts = state.part_reports(now);
+    }
     if full && places {
         let addrs = state.scheduler_addrs(gateway, now);
         base.schedulers = addrs.iter().map(ToString::to_string).collect();
@@ -133,7 +139,7 @@
     }
     if full && places {
         outgoing.push((base.clone(), heartbeat.clone()));
-    } else if now >= schedule.heartbeat {
+    } else if accused || now >= schedule.heartbeat {
         let receivers = [exchange.as_slice(), heartbeat].concat();
         let interval = HEARTBEAT_PER_PEER * receivers.len() as u32;
         schedule.heartbeat = now + interval.clamp(FULL_INTERVAL, MAX_HEARTBEAT);
@@ -353,6 +359,7 @@
         apply_load(gateway, &mut state, &name, &mut datagram, now);
     }
     state.apply_leaving(&name, &datagram.leaving_targets);
+    state.apply_part_reports(gateway, &name, &datagram.parts, now);
     state.apply_client(gateway, &mut datagram, now);
     for reply in &datagram.replies {
         state.apply_reply(&name, reply, now);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -45,6 +45,10 @@
     pub paused_targets: IntGauge,
     /// Targets that told this instance that they leave.
     pub leaving_targets: IntGauge,
+    /// Parts of prompts whose requests are refused.
+    pub quarantined_parts: IntGauge,
+    /// Refused requests by quarantined part.
+    pub quarantine_refusals: IntCounterVec,
     /// Zones that the operator has evacuated.
     pub evacuated_zones: IntGauge,
     /// Live peers.
@@ -74,6 +78,12 @@
             lapsed_targets: gauge("gateway_lapsed_targets", "Targets kept after an outage."),
             paused_targets: gauge("gateway_paused_targets", "Targets that asked for a pause."),
             leaving_targets: gauge("gateway_leaving_targets", "Targets that said they leave."),
+            quarantined_parts: gauge("gateway_quarantined_parts", "Parts that are refused."),
+            quarantine_refusals: counters(
+                "gateway_quarantine_refusals",
+                "Requests refused for a part.",
+                &["part"],
+            ),
             evacuated_zones: gauge("gateway_evacuated_zones", "Zones evacuated on order."),
             peers: gauge("gateway_peers", "Peers that were heard of lately."),
             store_era: gauge("gateway_store_era", "Era of the store, one more after a restore."),
@@ -85,7 +95,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 17] = [
+        let all: [Box<dyn Collector>; 19] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.silent_runs.clone()),
@@ -99,6 +109,8 @@
             Box::new(self.lapsed_targets.clone()),
             Box::new(self.paused_targets.clone()),
             Box::new(self.leaving_targets.clone()),
+            Box::new(self.quarantined_parts.clone()),
+            Box::new(self.quarantine_refusals.clone()),
             Box::new(self.evacuated_zones.clone()),
             Box::new(self.peers.clone()),
             Box::new(self.store_era.clone()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 //! | `runs` | the runs of one request: waits for them, and backs up a silent one |
 //! | `reservations` | reserves memory for a prompt that one engine cannot hold |
 //! | `relay` | relays event streams |
+//! | `crashes` | which parts of prompts crash targets, and what peers are told of it |
 //! | `notices` | what targets state about themselves in their answers |
 //! | `ending` | how a request ends: log line, metrics, responses of the gateway itself |
 //! | `flow` | serves one request |
@@ -30,6 +31,7 @@
 pub mod settings;
 
 mod attempt;
+mod crashes;
 mod delegate;
 mod ending;
 mod evacuation;
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -157,24 +157,28 @@
 
 /// Waits until the request is granted a target.
 ///
+/// `obstacle` returns why it need not wait any longer, if so.
+///
 /// # Errors
 ///
-/// Fails when the caller disconnected or no target can be granted in time.
+/// Fails with the obstacle, or when no target can be granted in time.
 pub fn wait(
     gateway: &Gateway,
     requirements: &Requirements,
-    caller_gone: impl Fn() -> bool,
+    obstacle: impl Fn() -> Option<Failure>,
 ) -> Result<Grant, Failure> {
     let mut queued = Queued::enqueue(gateway, requirements.clone());
     loop {
-        match queued.poll(POLL_INTERVAL) {
-            Some(Ok(grant)) => return Ok(grant),
-            _ if caller_gone() => {
-                return Err(Failure::new(Kind::CallerGone, "the caller disconnected while queued"));
-            }
+        let polled = queued.poll(POLL_INTERVAL);
+        if let Some(Ok(grant)) = polled {
+            return Ok(grant);
+        }
+        if let Some(failure) = obstacle() {
+            return Err(failure);
+        }
+        if let Some(Err(failure)) = polled {
             // A grant may have arrived between the last check and the removal.
-            Some(Err(failure)) => return queued.leave().ok_or(failure),
-            None => {}
+            return queued.leave().ok_or(failure);
         }
     }
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -5,9 +5,11 @@
 
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_caller::head::Head;
+use mimosapass_core::edge::quarantine::Admission;
 use mimosapass_core::edge::route_table::{RetryPolicy, Route, RouteTable, Workspace};
 use mimosapass_core::edge::schedule::{Requirements, TokenCounts};
 use mimosapass_core::error::{Failure, Kind};
+use mimosapass_core::ids::PartId;
 use mimosapass_platform::header;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -28,6 +30,10 @@
     pub deadline: Instant,
     /// Identifier of the last event that the caller received.
     pub last_event: Option<String>,
+    /// Parts of the prompt that other requests may have too.
+    pub parts: Vec<PartId>,
+    /// How it was admitted in spite of these.
+    pub admission: Admission,
 }
 
 impl Request {
@@ -80,6 +86,8 @@
         requirements,
         deadline,
         last_event,
+        parts: head.header(header::PROMPT_PARTS).map(header::shared_parts).unwrap_or_default(),
+        admission: Admission::Free,
     })
 }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -8,6 +8,7 @@
 
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_core::edge::outcomes::Outcome;
+use mimosapass_core::edge::quarantine::SETTLE_TIME;
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_core::ids::TargetId;
 use mimosapass_platform::header;
@@ -92,6 +93,8 @@
 pub struct Run {
     /// When the last head or event arrived; before that, when the run started.
     pub heard: Instant,
+    /// When the first event was complete.
+    pub first_event: Option<Instant>,
     /// When the last event was complete.
     pub last_event: Option<Instant>,
     /// Since when the target has sent no event, if it was recorded as silent.
@@ -146,6 +149,7 @@
         let bytes = attempt::encode(exchange, request, &placed.grant, &reservations, now);
         Self {
             heard: now,
+            first_event: None,
             last_event: None,
             silent_since: None,
             connection,
@@ -350,8 +354,14 @@
         }
     }
 
+    /// Returns whether the target has gone on with its answer for a while.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        self.first_event.is_some_and(|at| now >= at + SETTLE_TIME)
+    }
+
     /// Returns the time between the last event and one at `now`; `None` for the first one.
     pub fn record_event(&mut self, now: Instant) -> Option<Duration> {
+        self.first_event.get_or_insert(now);
         let last = self.last_event.replace(now);
         last.map(|at| now.saturating_duration_since(at))
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use mimosapass_core::edge::outage::{self, MIN_OUTAGE};
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::progress::Progress;
+use mimosapass_core::edge::quarantine::Quarantine;
 use mimosapass_core::edge::remote::RemoteRequests;
 use mimosapass_core::edge::retry::RetryWindow;
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
@@ -112,6 +113,10 @@
     /// Since when a peer in the zone has had newer data of the store, while this
     /// instance does not watch it.
     pub behind_since: Option<Instant>,
+    /// Parts of prompts that crash targets.
+    pub quarantine: Quarantine,
+    /// Whether peers are to be told at once of parts that were accused or cleared here.
+    pub evidence_changed: bool,
     /// Requests to peers for a snapshot.
     pub snapshot_requests: Requests,
 }
@@ -328,6 +333,8 @@
             target_changes: ChangeLog::default(),
             outdated_since: None,
             behind_since: None,
+            quarantine: Quarantine::default(),
+            evidence_changed: false,
             snapshot_requests: Requests::default(),
         }
     }
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod large_changes;
 mod notices;
+mod quarantine;
 mod reservations;
 mod restore;
 mod silence;
