Streams: one that ends within an event, or without one, is broken off

A stream in chunks that ended within an event was relayed to its end and terminated as complete. One without length or chunks whose connection closed before its first event, as a crash does, was served as an empty one.

--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -9,9 +9,12 @@
 
 use mimosapass_caller::head::{Framing, Head, Parsed, parse};
 use serde_json::{Value, json};
+use socket2::SockRef;
 
 /// Interval of checks for a disconnect while a target does not answer.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for the receiver to read what a reset would discard.
+const RESET_DELAY: Duration = Duration::from_millis(50);
 
 /// How a target replies to a request.
 #[derive(Clone, Debug)]
@@ -72,6 +75,8 @@
     Endless(&'static [u8]),
     /// The end of the connection.
     Close,
+    /// A reset of the connection, after what was sent has arrived.
+    Reset,
 }
 
 /// A function of a test that gets the connection and returns whether it stays open.
@@ -119,8 +124,8 @@
     restarted: bool,
     /// Whether new connections are refused.
     closed: bool,
-    /// All connections so far.
-    streams: Vec<TcpStream>,
+    /// Open connections by their number.
+    streams: BTreeMap<usize, TcpStream>,
 }
 
 /// A target on loopback.
@@ -207,7 +212,7 @@
         while TcpStream::connect(self.addr).is_ok() {
             thread::sleep(Duration::from_millis(1));
         }
-        for stream in std::mem::take(&mut self.lock().streams) {
+        for stream in std::mem::take(&mut self.lock().streams).into_values() {
             stream.shutdown(Shutdown::Both).unwrap_or_default();
         }
     }
@@ -241,12 +246,18 @@
     fn serve(&self, mut stream: TcpStream) {
         let mut state = self.lock();
         state.connections += 1;
-        state.streams.extend(stream.try_clone());
+        let number = state.connections;
+        state.streams.extend(stream.try_clone().map(|stream| (number, stream)));
         drop(state);
+        self.serve_requests(&mut stream);
+        self.lock().streams.remove(&number);
+    }
+
+    fn serve_requests(&self, stream: &mut TcpStream) {
         let mut buffer = Vec::new();
-        while let Some((head, body)) = read(&mut stream, &mut buffer) {
+        while let Some((head, body)) = read(stream, &mut buffer) {
             if head.path == "/order" {
-                self.handle_order(&mut stream, &head, &body);
+                self.handle_order(stream, &head, &body);
                 continue;
             }
             let reply = (self.script)(&head);
@@ -259,7 +270,7 @@
                 });
                 state.requests.len() - 1
             };
-            if !self.send_reply(&mut stream, &head, &reply, number) {
+            if !self.send_reply(stream, &head, &reply, number) {
                 return;
             }
         }
@@ -390,6 +401,11 @@
                 false
             }
             Step::Close => false,
+            Step::Reset => {
+                thread::sleep(RESET_DELAY);
+                SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).unwrap_or_default();
+                false
+            }
         }
     }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -198,7 +198,7 @@
                 Reading::Head => self.read_head(method, request),
                 Reading::Skipped(..) => self.skip_body(),
                 Reading::Body(..) => self.read_body(),
-                Reading::Stream(..) => self.read_events(),
+                Reading::Stream(..) => self.read_events(request),
             };
             if let Some(step) = step {
                 return step;
@@ -317,7 +317,8 @@
         }
     }
 
-    fn read_events(&mut self) -> Option<Step> {
+    fn read_events(&mut self, request: &Request) -> Option<Step> {
+        let resumed = self.last_event.is_some() || request.last_event.is_some();
         let Reading::Stream(response, partial) = &mut self.reading else { return None };
         loop {
             match self.connection.next_part(&mut response.framing) {
@@ -332,11 +333,13 @@
                     }
                 }
                 Ok(BodyPart::NeedMore) => return Some(Step::Pending),
-                Ok(BodyPart::End)
-                    if !partial.is_empty() && response.framing == Framing::UntilClose =>
-                {
+                Ok(BodyPart::End) if !partial.is_empty() => {
                     return Some(Step::Failed("the stream ended within an event".to_owned()));
                 }
+                // A crash that closes the connection looks the same.
+                Ok(BodyPart::End) if response.framing == Framing::UntilClose && !resumed => {
+                    return Some(Step::Failed("the stream ended without an event".to_owned()));
+                }
                 Ok(BodyPart::End) => {
                     self.complete = Some(response.clone());
                     return Some(Step::End(std::mem::take(partial)));
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod silence;
 mod soak;
 mod streams;
+mod unframed;
 mod views;
 mod wire;
 
