Targets: a reset does not complete a response without a length

Callers of a service through `mimosapass serve` got the part of a response that had arrived as the whole one, when it had neither a length nor chunks and its connection was reset: the HTTP library takes a reset for the end of the body.

The connector of the client turns a reset into another error.

--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -5,9 +5,12 @@
 
 use serde::de::DeserializeOwned;
 use ureq::http::Response;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::{Connector as _, TcpConnector};
 use ureq::{Agent, Body};
 
 use crate::error::CallError;
+use crate::reset::ResetConnector;
 
 /// Time to connect to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -28,7 +31,7 @@
 /// new connection, so that a call which must not be repeated never uses a
 /// connection that the target has just closed.
 pub fn agent(idle: usize) -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .allow_non_standard_methods(true)
         .http_status_as_error(false)
         .max_idle_connections(idle * 64)
@@ -38,8 +41,9 @@
         .input_buffer_size(BUFFER_BYTES)
         .output_buffer_size(BUFFER_BYTES)
         .timeout_connect(Some(CONNECT_TIMEOUT))
-        .build()
-        .new_agent()
+        .build();
+    let connector = TcpConnector::default().chain(ResetConnector);
+    Agent::with_parts(config, connector, DefaultResolver::default())
 }
 
 /// Converts an error by how far the failed call may have got.
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod memory;
 pub mod orders;
 pub mod pool;
+mod reset;
 pub mod service;
 pub mod stream_agents;
