Engines: an event without the end of its line is broken off

The client of engines accepted an end event that was cut after its JSON, before the end of its line. Tests of unframed responses of engines and services; this one failed before: stream_that_ends_within_an_event_is_broken_off.

--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -217,6 +217,10 @@
         if read == 0 {
             return Ok(());
         }
+        if !line.ends_with('\n') && read < MAX_EVENT_BYTES {
+            let text = "the stream ended within an event".to_owned();
+            return Err(CallError::OutcomeUnknown(text));
+        }
         let Some(json) = line.strip_prefix("data: ") else {
             skipped += read;
             if skipped >= MAX_EVENT_BYTES {
