--- a/crates/target/tests/unframed.rs
+++ b/crates/target/tests/unframed.rs
@@ -44,7 +44,7 @@
         offset: 0,
         resumes: None,
         holder: "i/1".to_owned(),
-        expiry: Duration::from_secs(60),
+        expiry: Duration::from_mins(1),
         group: Vec::new(),
         remaining: Duration::from_secs(5),
         priority: 50,
