--- a/tests/suite/gateway/soak/targets.rs
+++ b/tests/suite/gateway/soak/targets.rs
@@ -63,6 +63,19 @@
         self.promises.left(&registered.target.id);
     }
 
+    /// Starts a new target for each one that has crashed, whose entry goes.
+    pub fn replace_crashed(&mut self, cluster: &Cluster) {
+        for index in 0..self.all.len() {
+            if self.all[index].target.is_closed() && self.all[index].state.is_some() {
+                self.add(cluster, self.all[index].service);
+                let registered = &mut self.all[index];
+                registered.state = None;
+                registered.write(cluster);
+                self.promises.left(&registered.target.id);
+            }
+        }
+    }
+
     /// As [`Self::replace`], but the target states it in its answers before its entry does.
     pub fn leave(&mut self, cluster: &Cluster, number: usize) {
         let Some(index) = self.serving(number) else { return };
--- a/tests/suite/gateway/soak/world.rs
+++ b/tests/suite/gateway/soak/world.rs
@@ -83,6 +83,7 @@
 
     pub fn apply(&mut self, event: &Event) {
         self.restart_stopped();
+        self.targets.replace_crashed(&self.cluster);
         match *event {
             Event::StoreFault(instance, fault) => self.store_fault(instance, fault),
             Event::StoreOutage(fault) => self.store_outage(fault),
