--- a/tests/suite/gateway/views.rs
+++ b/tests/suite/gateway/views.rs
@@ -11,6 +11,9 @@
 /// Time after the store acknowledged a leave from which a target gets no requests.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// Time in which a confirmed change has to be in force where a zone has more than three instances.
+const CHANGE_TIME: Duration = Duration::from_secs(3);
+
 /// Time in which an instance learns from its peers what the store does not tell it: half of
 /// the time in which a change has to be in force.
 const PEER_TIME: Duration = Duration::from_secs(1);
@@ -355,3 +358,32 @@
     eventually("the new route is served", || status(&cluster, 0, "/new/1", KEY) == 200);
     assert_eq!(status(&cluster, 0, "/gone/1", KEY), 404);
 }
+
+/// Guards against a zone that stays behind while all its watching instances are cut off from the
+/// store: the others reach it, and are in touch all the while.
+#[test]
+fn change_is_in_force_in_time_while_all_watching_instances_are_cut_off() {
+    let mut cluster = Cluster::start(0);
+    let mut paths = Vec::new();
+    for number in 0..5 {
+        let path = Relay::start(cluster.endpoint.addr).expect("a port");
+        let endpoint = cluster.endpoint.via(path.addr());
+        cluster.add(&endpoint, &[]);
+        cluster.ready(number);
+        paths.push(path);
+    }
+    let target = start_target("i-0", Reply::Complete(200, "yes"));
+    cluster.register(&target, "desk");
+    for number in [3, 4] {
+        cluster.logged(number, &["started or stopped watching", "watches=false"]);
+    }
+    for path in &paths[..3] {
+        path.set_silent(true);
+    }
+    cluster.configure(&config(9, &["key-two"], &["new"]));
+    let begun = Instant::now();
+    for number in [3, 4] {
+        eventually("the new route", || status(&cluster, number, "/new/1", "key-two") == 200);
+    }
+    assert!(begun.elapsed() <= CHANGE_TIME, "{:?}", begun.elapsed());
+}
