Services: the responses of all calls share a bound

12 calls of `mimosapass serve` to a service whose answers have no end took 259 and 280 MB, each up to 64 MiB; the test allows 160. The account of the gateway's responses is used for both now.

--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -1,5 +1,6 @@
 //! Client of plain services: forwards any method, body and response.
 
+use std::io::Read;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,9 @@
 /// Maximum size of a service's response body.
 const MAX_RESPONSE_BYTES: u64 = 64 * 1024 * 1024;
 
+/// Size of the pieces in which it is read.
+const BUFFER_BYTES: usize = 16 * 1024;
+
 /// Headers that concern one connection and are never forwarded.
 const HOP_BY_HOP: [&str; 9] = [
     "connection",
@@ -61,10 +65,16 @@
 
 /// Calls a service once and reads its complete response.
 ///
+/// `accepts` is told the size of each piece of the body, and returns whether it may be held.
+///
 /// # Errors
 ///
 /// The error tells how far the call may have got.
-pub fn call(agent: &Agent, call: &Call) -> Result<Answer, CallError> {
+pub fn call(
+    agent: &Agent,
+    call: &Call,
+    accepts: impl FnMut(usize) -> bool,
+) -> Result<Answer, CallError> {
     let mut builder = Request::builder()
         .method(call.method.as_str())
         .uri(format!("http://{}{}", call.addr, call.path));
@@ -74,10 +84,13 @@
     let request = builder.body(&*call.body).map_err(|e| CallError::NotSent(e.to_string()))?;
     let request = agent.configure_request(request).timeout_global(Some(call.remaining)).build();
     let response = agent.run(request).map_err(|e| call_error(&e))?;
-    read_response(response)
+    read_response(response, accepts)
 }
 
-fn read_response(response: ureq::http::Response<ureq::Body>) -> Result<Answer, CallError> {
+fn read_response(
+    response: ureq::http::Response<ureq::Body>,
+    accepts: impl FnMut(usize) -> bool,
+) -> Result<Answer, CallError> {
     let status = response.status().as_u16();
     let refused = response.headers().get(REFUSED).map(|v| v == "leaving");
     let headers = response
@@ -86,12 +99,8 @@
         .filter(|(name, _)| is_forwarded(name.as_str()))
         .filter_map(|(n, v)| Some((n.as_str().to_owned(), v.to_str().ok()?.to_owned())))
         .collect();
-    let body = response
-        .into_body()
-        .into_with_config()
-        .limit(MAX_RESPONSE_BYTES)
-        .read_to_vec()
-        .map_err(|e| CallError::OutcomeUnknown(e.to_string()))?;
+    let limited = response.into_body().into_with_config().limit(MAX_RESPONSE_BYTES);
+    let body = read_body(limited.reader(), accepts)?;
     match refused {
         Some(leaving) => {
             Err(CallError::Refused { leaving, text: String::from_utf8_lossy(&body).into_owned() })
@@ -99,3 +108,22 @@
         None => Ok(Answer { status, headers, body: Bytes::from(body) }),
     }
 }
+
+/// Reads a body as long as its pieces are accepted.
+fn read_body(
+    mut reader: impl Read,
+    mut accepts: impl FnMut(usize) -> bool,
+) -> Result<Vec<u8>, CallError> {
+    let (mut body, mut buffer) = (Vec::new(), [0; BUFFER_BYTES]);
+    loop {
+        match reader.read(&mut buffer) {
+            Ok(0) => return Ok(body),
+            Ok(read) if accepts(read) => body.extend_from_slice(&buffer[..read]),
+            Ok(_) => {
+                let text = "the responses of other calls hold too much memory";
+                return Err(CallError::OutcomeUnknown(text.to_owned()));
+            }
+            Err(e) => return Err(CallError::OutcomeUnknown(e.to_string())),
+        }
+    }
+}
--- a/crates/target/tests/endless.rs
+++ b/crates/target/tests/endless.rs
@@ -156,7 +156,7 @@
             remaining: TIME_LIMIT,
             body: Bytes::new(),
         };
-        call(agent, &service_call).map(drop)
+        call(agent, &service_call, |_| true).map(drop)
     });
     assert!(matches!(result, Err(CallError::OutcomeUnknown(_))), "{result:?}");
     assert!(took < MAX_CALL, "{took:?}");
--- a/crates/target/tests/service.rs
+++ b/crates/target/tests/service.rs
@@ -31,7 +31,7 @@
 }
 
 fn send_call(service: &Service, remaining: Duration) -> Result<Answer, CallError> {
-    call(&agent(0), &booking(service.addr(), "POST", remaining))
+    call(&agent(0), &booking(service.addr(), "POST", remaining), |_| true)
 }
 
 /// Reads one request with its body; `None` when the connection was closed.
@@ -88,9 +88,9 @@
     let agent = agent(idle);
     let request = booking(addr, method, Duration::from_secs(10));
     for _ in 0..answered {
-        assert_eq!(call(&agent, &request).expect("an answer").status, 200);
+        assert_eq!(call(&agent, &request, |_| true).expect("an answer").status, 200);
     }
-    let error = call(&agent, &request).expect_err("it closes");
+    let error = call(&agent, &request, |_| true).expect_err("it closes");
     assert!(matches!(error, CallError::OutcomeUnknown(_)), "{error}");
     assert!(!error.not_run());
     assert_eq!(count.load(Ordering::SeqCst), answered + 1);
@@ -130,5 +130,5 @@
     let addr = listener.local_addr().expect("an address");
     drop(listener);
     let request = booking(addr, "POST", Duration::from_secs(5));
-    assert!(matches!(call(&agent(0), &request), Err(CallError::NotSent(_))));
+    assert!(matches!(call(&agent(0), &request, |_| true), Err(CallError::NotSent(_))));
 }
--- a/crates/target/tests/unframed.rs
+++ b/crates/target/tests/unframed.rs
@@ -69,7 +69,7 @@
         remaining: Duration::from_secs(5),
         body: Bytes::new(),
     };
-    service::call(&client::agent(1), &call).map(|answer| answer.body)
+    service::call(&client::agent(1), &call, |_| true).map(|answer| answer.body)
 }
 
 fn is_unknown<T>(result: &Result<T, CallError>) -> bool {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,7 +17,6 @@
 //! | `queue` | queues requests until they are granted a target |
 //! | `attempt` | connects to a target and encodes a request for it |
 //! | `run` | one run of a request at a target |
-//! | `held_bytes` | the memory that the bodies of all responses take |
 //! | `runs` | the runs of one request: waits for them, and backs up a silent one |
 //! | `reservations` | reserves memory for a prompt that one engine cannot hold |
 //! | `relay` | relays event streams |
@@ -38,7 +37,6 @@
 mod flow;
 mod follow;
 mod gossip;
-mod held_bytes;
 mod member;
 mod metrics;
 mod notices;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,11 +15,11 @@
 use mimosapass_target::http::{Awaited, BodyPart, Connection, Framing, ReadError, ResponseHead};
 
 use super::attempt;
-use super::held_bytes::HeldBytes;
 use super::relay::complete_length;
 use super::request::Request;
 use super::reservations::{MISDIRECTED, Reservations};
 use super::state::Gateway;
+use crate::held_bytes::HeldBytes;
 
 /// Largest accepted body of a response that is not streamed; a larger one is malformed.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,6 +7,7 @@
 mod cli;
 mod explain;
 mod gateway;
+mod held_bytes;
 mod logs;
 mod metrics;
 mod node;
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,7 +1,7 @@
 //! State that all threads of one instance share.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -111,6 +111,8 @@
     /// A reused connection may already be closed by the target, and the call may
     /// not be repeated.
     pub unpooled_agent: Agent,
+    /// Bytes of the responses of services that are being read.
+    pub response_bytes: Arc<AtomicUsize>,
     /// Source of traces.
     pub traces: Traces,
     /// Metrics.
@@ -175,6 +177,7 @@
             pooled_agent: mimosapass_target::client::agent(MAX_IDLE),
             stream_agents: StreamAgents::default(),
             unpooled_agent: mimosapass_target::client::agent(0),
+            response_bytes: Arc::default(),
             traces: Traces::new(settings.trace, &settings.name, &settings.zone),
             metrics: Metrics::new(),
             explanations: Explanations::default(),
--- a/src/request/service_call.rs
+++ b/src/request/service_call.rs
@@ -1,6 +1,7 @@
 //! Runs one call to a service.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::sync::mpsc::{RecvTimeoutError, channel};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -20,6 +21,7 @@
 use ureq::Agent;
 
 use crate::explain::Explanation;
+use crate::held_bytes::HeldBytes;
 use crate::node::Node;
 use crate::request::admission::{Admitted, admit, caller_id, idempotency_id};
 use crate::request::idempotency::{NotSent, PendingClaim, RequestIdentity, SendGuard};
@@ -33,6 +35,9 @@
 const CALLER_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Time past the deadline in which a recorded call may still complete.
 const OUTCOME_GRACE: Duration = Duration::from_secs(30);
+/// Maximum size of the responses that all calls read at the same time; one of the largest size
+/// fits, and an instance is given 160 MB.
+const MAX_HELD_BYTES: usize = 64 * 1024 * 1024;
 /// Header that marks an answer as replayed from its idempotency record.
 const REPLAYED: &str = "mimosapass-replayed";
 /// Stack size of an attempt's thread.
@@ -231,8 +236,9 @@
         let (sender, results) = channel();
         let (agent, call) = (self.agent(), self.build_call(choice, explanation));
         let (guard, deadline) = (self.guard.clone(), self.admitted.deadline);
+        let response_bytes = Arc::clone(&self.node.response_bytes);
         let run = move || {
-            let result = send(&agent, &call, guard.as_deref(), deadline);
+            let result = send(&agent, &call, guard.as_deref(), deadline, &response_bytes);
             // Releases the claim before the request sees the result.
             drop(guard);
             // The receiver is gone if the request has ended.
@@ -283,13 +289,16 @@
     call: &Call,
     guard: Option<&SendGuard>,
     deadline: Instant,
+    response_bytes: &Arc<AtomicUsize>,
 ) -> Result<Answer, CallError> {
     if Instant::now() >= deadline {
         return Err(CallError::NotSent("the deadline has passed".to_owned()));
     }
-    let Some(guard) = guard else { return service::call(agent, call) };
+    let mut held = HeldBytes::new(response_bytes);
+    let accepts = |bytes| held.grow(bytes, MAX_HELD_BYTES);
+    let Some(guard) = guard else { return service::call(agent, call, accepts) };
     guard.mark_sending();
-    let result = service::call(agent, call);
+    let result = service::call(agent, call, accepts);
     match &result {
         Ok(a) => guard.record_outcome(State::answered(a.status, &a.headers, &a.body)),
         Err(error) if error.not_run() => guard.mark_not_run(),
