Quarantine: the end of an unframed stream may be a crash

A stream without length or chunks ends with its connection, which a crash closes too. Its end soon after its first event cleared the parts of the request, a deadly one among them. It is looked at like a failure now. Found by reading the change; crash_that_ends_an_unframed_stream_clears_no_part failed with the former end (no part was quarantined after three crashes).

--- a/crates/core/src/edge/quarantine.rs
+++ b/crates/core/src/edge/quarantine.rs
@@ -8,8 +8,10 @@
 //! Sound parts are among them, so that none is refused for a single crash, and each request
 //! that a target goes on to answer clears its parts. What remains, under several crashes, is
 //! the cause. When several parts remain that were together under all crashes, a request that
-//! has some of them is tried, one at a time: its answer clears them. Instances exchange their evidence, and all come to the same result in whatever
-//! order they learn of it.
+//! has some of them is tried, one at a time: its answer clears them.
+//!
+//! Instances exchange their evidence, and all come to the same result in whatever order they
+//! learn of it.
 //!
 //! The last part belongs to one request or session alone and is never judged.
 
@@ -42,7 +44,8 @@
 /// Time after the first event of an answer from which its parts are clear: a few passes of an
 /// engine.
 pub const SETTLE_TIME: Duration = Duration::from_millis(500);
-/// Maximum number of accused parts, and of cleared ones. There is no end of parts that are used once.
+/// Maximum number of accused parts, and of cleared ones. There is no end of parts that are used
+/// once.
 const MAX_PARTS: usize = 4_096;
 
 /// A crash of a target.
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -75,6 +75,8 @@
     Endless(&'static [u8]),
     /// The end of the connection.
     Close,
+    /// The target crashes: all its connections are closed and new ones refused.
+    Crash,
     /// A reset of the connection, after what was sent has arrived.
     Reset,
 }
@@ -401,6 +403,10 @@
                 false
             }
             Step::Close => false,
+            Step::Crash => {
+                self.crash();
+                false
+            }
             Step::Reset => {
                 thread::sleep(RESET_DELAY);
                 SockRef::from(&*stream).set_linger(Some(Duration::ZERO)).unwrap_or_default();
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -13,6 +13,7 @@
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::PartId;
 use mimosapass_instance::datagram::{PartReport, TargetCrash};
+use mimosapass_target::http::Framing;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::gossip::{ago, ms};
@@ -81,6 +82,17 @@
         state.record_evidence(self, &update, &self.name, now);
     }
 
+    /// Clears the parts of a request whose stream has ended, unless a crash may have ended it.
+    pub fn record_end(&self, request: &Request, run: &Run) {
+        let now = Instant::now();
+        let unframed = run.response().is_some_and(|r| r.framing == Framing::UntilClose);
+        if unframed && !run.is_settled(now) {
+            self.examine_failure(request, run);
+        } else {
+            self.clear_parts(request, now);
+        }
+    }
+
     /// Holds a failed run against the parts of its request if its target has crashed.
     pub fn examine_failure(&self, request: &Request, run: &Run) {
         let now = Instant::now();
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -371,7 +371,7 @@
     /// Relays the end of a stream.
     fn relay_end(&mut self, index: usize, events: &[u8]) -> RequestEnd {
         self.keep(index);
-        self.gateway.clear_parts(&self.request, Instant::now());
+        self.gateway.record_end(&self.request, self.runs.get(0));
         let response = self.runs.get(0).response();
         let sent = response
             .is_some_and(|r| relay::send_events(self.exchange, r, &mut self.progress, events));
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -34,8 +34,8 @@
 /// nothing fails, each watching instance gets it from the store.
 const MAX_OUTDATED: Duration = Duration::from_secs(1);
 /// Shortest time between two requests of an instance that does not watch the store, if the
-/// first one was answered. Together with the interval of watches, a change is known everywhere within about a
-/// second.
+/// first one was answered. Together with the interval of watches, a change is known
+/// everywhere within about a second.
 const UNWATCHED_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum size of a configuration: the largest value of the store, and as much again.
 const MAX_CONFIG_BYTES: usize = 2 * 1024 * 1024;
--- a/tests/suite/gateway/quarantine.rs
+++ b/tests/suite/gateway/quarantine.rs
@@ -4,14 +4,16 @@
 use std::time::Duration;
 
 use mimosapass_standin::metastore::Endpoint;
-use mimosapass_standin::target::{Reply, ScriptedTarget};
+use mimosapass_standin::target::{Reply, ScriptedTarget, Step};
 
-use super::{Answer, Cluster, start_target};
+use super::{Answer, Cluster, events, start_target};
 
 /// Part under which targets crash.
 const DEADLY: &str = "dead";
 /// Crashes until the part is known, and the requests that may still reach targets then.
 const MAX_CRASHES: usize = 5 + 3;
+/// Time between an event and the crash of its target.
+const SHORT: Duration = Duration::from_millis(20);
 /// Limits on retries that are never reached.
 const MANY_RETRIES: &str = "repeats: {ratio: 1, slack: 500, window_ms: 10000}\n";
 
@@ -101,6 +103,31 @@
     assert_eq!(crashed(&engines), before);
 }
 
+/// Guards against a part that is cleared by the crash itself: the stream ends with its connection.
+#[test]
+fn crash_that_ends_an_unframed_stream_clears_no_part() {
+    let cluster = Cluster::start(1);
+    let head = "HTTP/1.1 200 OK\r\nx-attempt-id: id-ATTEMPT\r\nx-server-seal: s\r\n\r\n";
+    let start = |n: usize| {
+        ScriptedTarget::start(&format!("i-{n}"), move |request| {
+            let id = request.header("x-attempt-id").unwrap_or_default();
+            let text = head.replace("id-ATTEMPT", id) + &events(1, 1);
+            Reply::Steps(vec![Step::Text(text), Step::Silence(SHORT), Step::Crash])
+        })
+    };
+    let engines: Vec<_> = (0..3).map(start).collect();
+    for engine in &engines {
+        cluster.register(engine, "pool");
+    }
+    cluster.ready(0).knows_targets(0, 3);
+    for _ in 0..3 {
+        ask(&cluster, 0, "5a:20,dead:10");
+        std::thread::sleep(Duration::from_millis(150));
+    }
+    assert_eq!(crashed(&engines), 3);
+    cluster.logged(0, &["part: quarantined", "part=dead"]);
+}
+
 /// Guards against a quarantine for lost connections: the targets go on.
 #[test]
 fn lost_connections_accuse_no_part() {
