Soak: a stream whose target crashes within its last attempt is not lost

The check knew the last target that had begun to answer alone, the closed backup, and not that the relayed one had crashed. Any of them counts now, unless another one began after its crash.

--- a/tests/suite/gateway/soak/promises.rs
+++ b/tests/suite/gateway/soak/promises.rs
@@ -70,8 +70,10 @@
     boot: Boot,
     at: Instant,
     runs: u32,
-    /// The last target that has run it and was at most silent.
-    sound: Option<String>,
+    /// Targets that have run it and were at most silent.
+    sound: Vec<String>,
+    /// Whether one of these has crashed since the last of them began to answer.
+    crashed: bool,
     /// Whether a target has sent it an answer without end.
     endless: bool,
     /// The last event of an endless answer, if no sound one began after it.
@@ -206,9 +208,9 @@
     pub fn send(&self, id: &str, instance: usize) {
         let mut state = self.state();
         let boot = (instance, state.boots[instance].0);
-        let (sound, endless_event, notes) = (None, None, Vec::new());
+        let (sound, endless_event, notes) = (Vec::new(), None, Vec::new());
         let (at, endless) = (Instant::now(), false);
-        let sent = Sent { boot, at, runs: 0, sound, endless, endless_event, notes };
+        let sent = Sent { boot, at, runs: 0, sound, crashed: false, endless, endless_event, notes };
         state.sent.insert(id.to_owned(), sent);
     }
 
@@ -269,7 +271,8 @@
         state.counts.sound += 1;
         state.counts.resumed += usize::from(from > 0);
         if let Some(sent) = state.sent.get_mut(id) {
-            sent.sound = Some(target.to_owned());
+            sent.sound.push(target.to_owned());
+            sent.crashed = false;
             sent.endless_event = None;
         }
     }
@@ -278,9 +281,9 @@
     pub fn crashes(&self, target: &str, id: &str) {
         let mut state = self.state();
         // What ran there is lost.
-        let lost = state.sent.values_mut().filter(|sent| sent.sound.as_deref() == Some(target));
+        let lost = state.sent.values_mut().filter(|sent| sent.sound.iter().any(|s| s == target));
         lost.for_each(|sent| {
-            sent.sound = None;
+            sent.crashed = true;
             sent.notes.push(format!("{target} crashed"));
         });
         state.crashed.insert(target.to_owned());
@@ -402,7 +405,7 @@
         let taken_over = self.endless_event.is_some_and(|event| {
             seen.answer.as_ref().is_some_and(|a| a.body.ends_with(&events(event, event)))
         });
-        taken_over || self.endless && self.sound.is_none()
+        taken_over || self.endless && self.sound.is_empty()
     }
 }
 
@@ -420,7 +423,7 @@
 
     /// Returns how a request was lost that a target would have answered.
     fn lost(&self, seen: &Seen<'_>, ran: bool) -> Option<String> {
-        let sent = self.sent.get(seen.id).filter(|sent| sent.sound.is_some())?;
+        let sent = self.sent.get(seen.id).filter(|sent| !sent.sound.is_empty() && !sent.crashed)?;
         let instance = sent.boot.0;
         let took = seen.sent.elapsed();
         let whole = seen.answer.as_ref().is_some_and(|a| a.complete && a.status == 200);
