--- a/crates/target/tests/unframed.rs
+++ b/crates/target/tests/unframed.rs
@@ -1,7 +1,7 @@
 //! Responses that have neither a length nor chunks and end with their connection.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::Duration;
 
@@ -15,8 +15,8 @@
 const HEAD: &str = "HTTP/1.1 200 OK\r\n\r\n";
 const TOKEN: &str = r#"data: {"event":"token","attempt":"a","index":0,"text":"x"}"#;
 const END: &str = r#"data: {"event":"end","attempt":"a","tokens":1,"prompt":1,"reason":"stop"}"#;
-/// Longest request of these tests.
-const REQUEST_BYTES: usize = 4096;
+/// Body of a generate call.
+const BODY: &[u8] = b"{}";
 
 /// Starts a target that sends this body to one caller, then closes or resets the connection.
 fn start(body: String, reset: bool) -> SocketAddr {
@@ -24,8 +24,7 @@
     let addr = listener.local_addr().expect("an address");
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a caller");
-        let read = stream.read(&mut [0; REQUEST_BYTES]).expect("a request");
-        assert!(read > 0);
+        read_request(&mut stream);
         stream.write_all(format!("{HEAD}{body}").as_bytes()).expect("sent");
         if reset {
             thread::sleep(Duration::from_millis(50));
@@ -35,6 +34,18 @@
     addr
 }
 
+/// Reads a whole request, since bytes that are left would reset the connection.
+fn read_request(stream: &mut TcpStream) {
+    let (mut request, mut buffer) = (Vec::new(), [0; 1024]);
+    let ends: [&[u8]; 2] = [b"\r\n\r\n", BODY];
+    let end = |request: &[u8]| if request.starts_with(b"GET") { ends[0] } else { ends[1] };
+    while !request.ends_with(end(&request)) {
+        let read = stream.read(&mut buffer).expect("a request");
+        assert!(read > 0, "the request ends");
+        request.extend_from_slice(&buffer[..read]);
+    }
+}
+
 /// Returns the number of events that a generate call receives, and how it ends.
 fn stream(body: String, reset: bool) -> (usize, Result<(), CallError>) {
     let call = Generate {
@@ -49,7 +60,7 @@
         remaining: Duration::from_secs(5),
         priority: 50,
         trace: None,
-        body: Bytes::from_static(b"{}"),
+        body: Bytes::from_static(BODY),
     };
     let mut events = 0;
     let ended = generate(&client::agent(1), &call, |_: Event| {
