Targets: limits that they state are read, logged and counted

No log or metric told whether an instance had been told a limit, or which kind of send exceeded it. Each change of a stated limit has a log line, gateway_limited_targets counts such targets and gateway_limited_grants{kind} the grants of them. Nothing is decided by it yet. An answer without a limit ends one only if its request was sent after the limit was learned.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -13,6 +13,7 @@
 //! - [`load`]: requests in flight at each target, from all instances.
 //! - [`slowdown`]: how much slower an engine decodes than its peers.
 //! - [`pauses`]: pauses that targets ask this instance for.
+//! - [`limits`]: limits that targets state in their answers.
 //! - [`quarantine`]: parts of prompts that crash the targets that serve them.
 //! - [`position`]: the order of what was read from the store.
 //! - [`progress`]: how far an instance has followed the store.
@@ -41,6 +42,7 @@
 pub mod election;
 pub mod evacuation;
 pub mod fleet;
+pub mod limits;
 pub mod load;
 pub mod order;
 pub mod outage;
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -10,6 +10,7 @@
 
 use crate::edge::cost::Engine;
 use crate::edge::fleet::{Fleet, TargetId};
+use crate::edge::limits::Limits;
 use crate::edge::load::{Assignment, Load, Pressure, RequestNumber};
 use crate::edge::order::{Excluded, Lineup, Member, Turn};
 use crate::edge::outcomes::{Outcome, Outcomes, ZoneReachability};
@@ -94,6 +95,8 @@
     pub outcomes: Outcomes,
     /// Pauses that targets asked this instance for.
     pub pauses: Pauses,
+    /// Limits that targets state.
+    pub limits: Limits,
     /// How much slower engines decode than their peers.
     pub slowdowns: Slowdowns,
     /// Availability zones that appear to be cut off.
@@ -120,6 +123,7 @@
             load: Load::default(),
             outcomes: Outcomes::default(),
             pauses: Pauses::default(),
+            limits: Limits::default(),
             slowdowns: Slowdowns::default(),
             reachability: ZoneReachability::default(),
             peer_queues: HashMap::new(),
@@ -407,6 +411,7 @@
         self.outcomes.forget(target);
         self.slowdowns.forget(target);
         self.pauses.forget(target);
+        self.limits.forget(target);
     }
 
     /// Returns the mean failure rate of the other targets of the service.
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -192,10 +192,10 @@
         self.request.requirements.avoid.push(TargetId::clone(target));
         let requirements = &self.request.requirements;
         let waited = grant.at.saturating_duration_since(requirements.entry.arrived);
-        let label = band(requirements.prompt);
-        let histogram = self.gateway.metrics.wait_time.with_label_values(&[label]);
-        histogram.observe(waited.as_secs_f64());
+        let histogram = &self.gateway.metrics.wait_time;
+        histogram.with_label_values(&[band(requirements.prompt)]).observe(waited.as_secs_f64());
         self.target = Some(TargetId::clone(&grant.placement.target.id));
+        self.gateway.count_limited(grant, self.runs.kind(self.sends));
         let scheduler = self.gateway.state().remote.scheduler_of(grant.id);
         log::debug!(
             id = self.request.attempt_id.as_str(),
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -65,6 +65,7 @@
         let (metrics, scheduler) = (&gateway.metrics, &state.scheduler);
         metrics.peers.set(state.peers.len() as i64);
         metrics.paused_targets.set(scheduler.pauses.closed(now).count() as i64);
+        metrics.limited_targets.set(scheduler.limits.count() as i64);
         metrics.leaving_targets.set(scheduler.fleet.told_leaving().count() as i64);
         metrics.quarantined_parts.set(state.quarantine.count(now) as i64);
         drop(state);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -43,6 +43,10 @@
     pub lapsed_targets: IntGauge,
     /// Targets that asked for a pause, or get few requests after one.
     pub paused_targets: IntGauge,
+    /// Targets that state a limit.
+    pub limited_targets: IntGauge,
+    /// Requests granted a target that states a limit, by kind.
+    pub limited_grants: IntCounterVec,
     /// Targets that told this instance that they leave.
     pub leaving_targets: IntGauge,
     /// Parts of prompts whose requests are refused.
@@ -77,6 +81,12 @@
             targets: gauge("gateway_targets", "Targets that take new work."),
             lapsed_targets: gauge("gateway_lapsed_targets", "Targets kept after an outage."),
             paused_targets: gauge("gateway_paused_targets", "Targets that asked for a pause."),
+            limited_targets: gauge("gateway_limited_targets", "Targets that state a limit."),
+            limited_grants: counters(
+                "gateway_limited_grants",
+                "Requests granted a target that states a limit.",
+                &["kind"],
+            ),
             leaving_targets: gauge("gateway_leaving_targets", "Targets that said they leave."),
             quarantined_parts: gauge("gateway_quarantined_parts", "Parts that are refused."),
             quarantine_refusals: counters(
@@ -95,7 +105,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 19] = [
+        let all: [Box<dyn Collector>; 21] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.silent_runs.clone()),
@@ -108,6 +118,8 @@
             Box::new(self.targets.clone()),
             Box::new(self.lapsed_targets.clone()),
             Box::new(self.paused_targets.clone()),
+            Box::new(self.limited_targets.clone()),
+            Box::new(self.limited_grants.clone()),
             Box::new(self.leaving_targets.clone()),
             Box::new(self.quarantined_parts.clone()),
             Box::new(self.quarantine_refusals.clone()),
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -3,12 +3,14 @@
 use std::time::Instant;
 
 use mimosapass_core::edge::fleet::{Change, Target};
+use mimosapass_core::edge::limits::Statement;
 use mimosapass_core::edge::pauses::DEFAULT_PAUSE;
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_instance::datagram::LeavingTarget;
 use mimosapass_platform::header;
 use mimosapass_target::http::ResponseHead;
 
+use super::reservations::MISDIRECTED;
 use super::state::{Gateway, State};
 
 /// Most leaving targets that one datagram names; the others are named when these are gone.
@@ -31,6 +33,38 @@
         }
     }
 
+    /// Applies the limit that the answer to a request states, or that it states none.
+    pub fn read_limit(&self, target: &Target, response: &ResponseHead, sent_at: Instant) {
+        // Another process may answer at the address.
+        if response.status == MISDIRECTED {
+            return;
+        }
+        let target_id = &*target.id;
+        let rate = match header::stated_limit(|name| response.header(name)) {
+            Ok(rate) => rate,
+            Err(value) => {
+                log::warn!(target_id, value; "target: its limit cannot be read, the known one stays.");
+                return;
+            }
+        };
+        let now = Instant::now();
+        let stated = self.state().scheduler.limits.state(&target.id, rate, sent_at, now);
+        log_limit(target_id, stated, "none");
+    }
+
+    /// Counts a grant of targets that state a limit; `kind` is that of its run.
+    pub fn count_limited(&self, grant: &Grant, kind: &str) {
+        let state = self.state();
+        let limited = |id: &str| state.scheduler.limits.rate(id).is_some();
+        let count = |kind: &str| self.metrics.limited_grants.with_label_values(&[kind]).inc();
+        if limited(&grant.placement.target.id) {
+            count(kind);
+        }
+        for _ in grant.placement.helpers.iter().filter(|h| limited(&h.target.id)) {
+            count("part");
+        }
+    }
+
     /// Begins the pause that a target asks for, which holds for this instance alone.
     fn read_pause(&self, target: &Target, response: &ResponseHead) {
         let asked = header::requested_pause(|name| response.header(name));
@@ -59,6 +93,19 @@
     }
 }
 
+/// Logs a change of the limit of a target; `peer` told of it, or `none`.
+fn log_limit(target_id: &str, stated: Statement, peer: &str) {
+    match stated {
+        Statement::Known => {}
+        Statement::Limited(rate) => {
+            log::info!(target_id, rate, peer; "target: limited, it states so in its answers.");
+        }
+        Statement::Ended => {
+            log::info!(target_id, peer; "target: not limited any more, its answers state no limit.");
+        }
+    }
+}
+
 impl State {
     /// Records that a target leaves; returns whether that was not known.
     ///
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -102,6 +102,8 @@
     connection: Connection,
     request: Vec<u8>,
     written: usize,
+    /// When the target was connected to.
+    began: Instant,
     reading: Reading,
     skipped: u32,
     /// Memory of the body.
@@ -155,6 +157,7 @@
             connection,
             request: bytes,
             written: 0,
+            began: now,
             reading: Reading::Head,
             skipped: 0,
             held: HeldBytes::new(&placed.gateway.response_bytes),
@@ -232,7 +235,8 @@
             Ok(None) => return Some(Step::Pending),
             Err(e) => return Some(read_failure(e)),
         };
-        self.placed.gateway.read_notices(&self.grant().placement.target, &response);
+        let gateway = &self.placed.gateway;
+        gateway.read_notices(&self.grant().placement.target, &response);
         let echoed = response.header(header::ATTEMPT_ID);
         if echoed.is_some_and(|id| id != request.attempt_id) {
             self.skipped += 1;
@@ -243,6 +247,7 @@
             self.reading = Reading::Skipped(response.framing, 0);
             return None;
         }
+        gateway.read_limit(&self.grant().placement.target, &response, self.began);
         let success = (200..300).contains(&response.status);
         let signed = response.header(header::SIGNATURE).is_some()
             && echoed.is_some()
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -67,6 +67,15 @@
         self.active.is_empty()
     }
 
+    /// Returns the kind of the next run, after `sends` targets have got the request.
+    pub fn kind(&self, sends: u32) -> &'static str {
+        match (self.active.is_empty(), sends) {
+            (false, _) => "backup",
+            (true, 0) => "first",
+            (true, _) => "retry",
+        }
+    }
+
     /// Adds a run that has started.
     pub fn add(&mut self, run: Run) {
         self.active.push(run);
--- a/tests/suite/gateway/notices.rs
+++ b/tests/suite/gateway/notices.rs
@@ -1,5 +1,6 @@
 //! What targets state about themselves in their answers.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -178,3 +179,24 @@
         assert_eq!(caller.join().expect("no panic"), 200);
     }
 }
+
+#[test]
+fn stated_limit_and_its_end_are_logged() {
+    let limited = Arc::new(AtomicBool::new(true));
+    let states = Arc::clone(&limited);
+    let cluster = Cluster::start(1);
+    let target = ScriptedTarget::start("i-0", move |_| {
+        if states.load(Ordering::SeqCst) {
+            Reply::WithHeader(200, "few", "server-limit: 20.5")
+        } else {
+            Reply::Complete(200, "many")
+        }
+    });
+    cluster.register(&target, "desk");
+    cluster.ready(0);
+    assert_eq!(status(&cluster, 0, "/look/1"), 200);
+    cluster.logged(0, &["target: limited", "target_id=i-0", "rate=20.5", "peer=none"]);
+    limited.store(false, Ordering::SeqCst);
+    assert_eq!(status(&cluster, 0, "/look/1"), 200);
+    cluster.logged(0, &["target: not limited any more", "target_id=i-0"]);
+}
