--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -105,6 +105,8 @@
     pub head: Head,
     /// Body.
     pub body: Vec<u8>,
+    /// When it was complete.
+    pub received_at: Instant,
     /// Time at which the caller's disconnect from a hanging target was seen.
     pub disconnected_at: Option<Instant>,
 }
@@ -268,6 +270,7 @@
                 state.requests.push(ReceivedRequest {
                     head: head.clone(),
                     body,
+                    received_at: Instant::now(),
                     disconnected_at: None,
                 });
                 state.requests.len() - 1
--- /dev/null
+++ b/tests/suite/gateway/limits.rs
@@ -0,0 +1,85 @@
+//! Limits that targets state, with several instances.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use mimosapass_standin::target::{Reply, ScriptedTarget};
+
+use super::{Cluster, KEY, call, head, start_target};
+
+/// Time after which all instances have been told.
+const TELL_TIME: Duration = Duration::from_secs(3);
+/// Length of the windows in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Requests in a window beyond one and a half times the limit.
+const SLACK: f64 = 5.0;
+
+/// Starts gateways, a target that answers `limited`, and one without a limit.
+fn start(gateways: usize, limited: Reply) -> (Cluster, ScriptedTarget) {
+    let cluster = Cluster::start(gateways);
+    let target = start_target("i-0", limited);
+    let other = start_target("i-1", Reply::Complete(200, "other"));
+    cluster.register(&target, "desk");
+    cluster.register(&other, "desk");
+    for number in 0..gateways {
+        cluster.ready(number);
+    }
+    cluster.knows_targets(0, 2);
+    (cluster, target)
+}
+
+/// Sends requests to all gateways for `time`, one each `pause` and gateway.
+fn load(cluster: &Cluster, gateways: usize, time: Duration, pause: Duration) {
+    let end = Instant::now() + time;
+    thread::scope(|scope| {
+        for number in 0..gateways {
+            let addr = cluster.callers(number);
+            scope.spawn(move || {
+                let mut sent = 0;
+                while Instant::now() < end {
+                    let head = head("/look/1", &format!("id-{number}-{sent}"), KEY, "");
+                    call(addr, &head, b"question");
+                    sent += 1;
+                    thread::sleep(pause);
+                }
+            });
+        }
+    });
+}
+
+/// Returns the most requests that a target received in a window that ends after `since`.
+fn most_in_window(target: &ScriptedTarget, since: Instant) -> usize {
+    let times: Vec<Instant> = target.requests().iter().map(|r| r.received_at).collect();
+    let ends = times.iter().filter(|end| **end >= since);
+    ends.map(|end| times.iter().filter(|at| **at <= *end && **at + WINDOW > *end).count())
+        .max()
+        .unwrap_or_default()
+}
+
+/// Generates a test from the number of gateways, the limit and the target's answer.
+macro_rules! limits {
+    ($($name:ident: $gateways:literal, $limit:literal, $reply:expr;)+) => {
+        $(#[test]
+        fn $name() {
+            let (cluster, target) = start($gateways, $reply);
+            let told = Instant::now() + TELL_TIME;
+            load(&cluster, $gateways, Duration::from_secs(9), Duration::from_millis(40));
+            let most = most_in_window(&target, told) as f64;
+            let allowed = 1.5 * $limit * WINDOW.as_secs_f64() + SLACK;
+            assert!(most <= allowed, "{most} requests, {allowed} allowed");
+            let used = target.requests().iter().any(|request| request.received_at > told);
+            assert!(used, "it is not used any more");
+        })+
+    };
+}
+
+limits! {
+    instances_keep_to_the_limit_of_a_target_together:
+        5, 1.0, Reply::WithHeader(200, "few", "server-limit: 1");
+    fraction_is_kept_to: 3, 2.6, Reply::WithHeader(200, "few", "server-limit: 2.6");
+    limit_in_failures_is_kept_to: 3, 1.0, Reply::WithHeader(500, "no", "server-limit: 1.0");
+    limit_in_refusals_is_kept_to: 3, 1.0,
+        Reply::WithHeader(503, "full", "server-limit: 1\r\nx-not-executed: 1");
+    limit_of_zero_does_not_shut_a_target_out:
+        3, 0.0, Reply::WithHeader(200, "few", "server-limit: 0");
+}
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod evacuation;
 mod explain;
 mod large_changes;
+mod limits;
 mod notices;
 mod quarantine;
 mod reservations;
