Limits: instances keep to the limit of a target together

Targets in need state in their answers how many requests a second they take from all instances together. Callers' requests went on to them as before: the answers' limit was read for the log only (6.8 requests a second at a limit of 2.7).

Cause: what a target states for all instances was known to one of them at best, and nothing counted what they send in sum. Now a change of a limit is told to peers with a version, schedulers tell each other of their sends to limited targets, and all grants (first sends, retries, backups, parts) count against one account (core::edge::shared_rate). Instances that do not hear each other use shares of the rate. If all targets of a service are limited, a request that they cannot take before its deadline is refused at once with a time to return.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -9,11 +9,13 @@
 //! - [`currency`]: whether the known configuration is current.
 //! - [`evacuation`]: availability zones that the operator has evacuated.
 //! - [`fleet`]: known targets, and which of them accept new requests.
+//! - [`grant`]: what becomes of a waiting request.
 //! - [`cost`]: cost model of an engine's prefill and decoding.
 //! - [`load`]: requests in flight at each target, from all instances.
 //! - [`slowdown`]: how much slower an engine decodes than its peers.
 //! - [`pauses`]: pauses that targets ask this instance for.
 //! - [`limits`]: limits that targets state in their answers.
+//! - [`shared_rate`]: a rate that several instances share.
 //! - [`quarantine`]: parts of prompts that crash the targets that serve them.
 //! - [`position`]: the order of what was read from the store.
 //! - [`progress`]: how far an instance has followed the store.
@@ -42,6 +44,7 @@
 pub mod election;
 pub mod evacuation;
 pub mod fleet;
+pub mod grant;
 pub mod limits;
 pub mod load;
 pub mod order;
@@ -57,6 +60,7 @@
 pub mod retry;
 pub mod route_table;
 pub mod schedule;
+pub mod shared_rate;
 pub mod slowdown;
 pub mod transfer;
 pub mod wait;
--- a/crates/core/src/edge/order.rs
+++ b/crates/core/src/edge/order.rs
@@ -84,8 +84,9 @@
     pub targets: BTreeSet<TargetId>,
     /// All targets of availability zones.
     pub zones: BTreeSet<ZoneId>,
-    /// Targets that asked for a pause; they get nothing, also if no other one is there.
-    pub paused: BTreeSet<TargetId>,
+    /// Targets that asked for a pause, or have got as many requests as they take; they get
+    /// nothing, also if no other one is there.
+    pub closed: BTreeSet<TargetId>,
 }
 
 impl Excluded {
@@ -111,7 +112,7 @@
     ///
     /// Excluded targets are left out unless no other one is there.
     pub fn new(fleet: &Fleet, service: &str, zone: &str, turn: Turn, excluded: &Excluded) -> Self {
-        let open = || fleet.serving(service).filter(|t| !excluded.paused.contains(&t.id));
+        let open = || fleet.serving(service).filter(|t| !excluded.closed.contains(&t.id));
         let mut targets: Vec<&Arc<Target>> = open().filter(|t| !excluded.contains(t)).collect();
         if targets.is_empty() {
             targets = open().collect();
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -14,7 +14,7 @@
 use crate::edge::load::{Assignment, Load, Pressure, RequestNumber};
 use crate::edge::order::{Excluded, Lineup, Member, Turn};
 use crate::edge::outcomes::{Outcome, Outcomes, ZoneReachability};
-use crate::edge::pauses::Pauses;
+use crate::edge::pauses::{MAX_PAUSE, Pauses};
 use crate::edge::placement::{Candidate, MIN_BACKLOG, Placement, PlacementRequest, choose};
 use crate::edge::remote::Orphan;
 use crate::edge::route_table::{RouteTable, ServiceId};
@@ -22,6 +22,7 @@
 use crate::edge::wait::QueueEntry;
 use crate::ids::{InstanceId, ZoneId};
 
+pub use crate::edge::grant::{Grant, Refusal};
 pub use crate::edge::requirements::{Requirements, TokenCounts};
 
 /// Least time between two samples of the pressure: half a pass.
@@ -39,38 +40,6 @@
 /// Additional latency to a target in another availability zone.
 const CROSS_ZONE_LATENCY: Duration = Duration::from_millis(1);
 
-/// A placement that was assigned; the load of its targets includes the request.
-#[derive(Clone, Debug)]
-pub struct Grant {
-    /// Where the request goes.
-    pub placement: Placement,
-    /// Number of the request in the load.
-    pub id: RequestNumber,
-    /// When it was assigned.
-    pub at: Instant,
-}
-
-impl Grant {
-    /// Returns the targets of the placement, starting with the one that decodes.
-    pub fn targets(&self) -> Vec<TargetId> {
-        let helpers = self.placement.helpers.iter().map(|h| TargetId::clone(&h.target.id));
-        std::iter::once(TargetId::clone(&self.placement.target.id)).chain(helpers).collect()
-    }
-}
-
-/// Why a waiting request is refused.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Refusal {
-    /// It can no longer be served before its caller gives up, or all targets are in evacuated
-    /// zones.
-    Late,
-    /// Engines have requests of more value; carries the pressure, 0 to 1.
-    Pressure(f64),
-    /// All targets asked for a pause that ends after its caller gives up; carries the time
-    /// until the first one ends.
-    Paused(Duration),
-}
-
 /// What an outcome newly excludes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Exclusions {
@@ -103,6 +72,8 @@
     pub reachability: ZoneReachability,
     /// Long prompts in the queue of each peer, with their services.
     pub peer_queues: HashMap<InstanceId, Vec<(ServiceId, QueueEntry)>>,
+    /// Requests that wait at each peer for services of which all targets state limits.
+    pub peer_waiting: HashMap<InstanceId, HashMap<ServiceId, usize>>,
     /// Targets whose load changed since the last datagram to peers.
     pub changed_targets: BTreeSet<TargetId>,
     /// Whether the waiting long prompts changed since the last datagram to peers.
@@ -127,6 +98,7 @@
             slowdowns: Slowdowns::default(),
             reachability: ZoneReachability::default(),
             peer_queues: HashMap::new(),
+            peer_waiting: HashMap::new(),
             changed_targets: BTreeSet::new(),
             long_changed: false,
             queue: BTreeMap::new(),
@@ -177,6 +149,9 @@
         {
             return Some(Refusal::Paused(end.saturating_duration_since(now)));
         }
+        if let Some(left) = self.limited_for(requirements, now) {
+            return Some(Refusal::Limited(left));
+        }
         let pressure = self.pressure(&requirements.service);
         let shed = requirements.long && requirements.entry.should_shed(pressure, now);
         shed.then_some(Refusal::Pressure(pressure))
@@ -188,6 +163,52 @@
         ends.collect::<Option<Vec<Instant>>>()?.into_iter().min()
     }
 
+    /// Returns the time that the requests before this one take if all targets of the service
+    /// state limits; `None` if it can be served before its caller gives up.
+    fn limited_for(&self, requirements: &Requirements, now: Instant) -> Option<Duration> {
+        let (service, entry) = (&requirements.service, &requirements.entry);
+        let latest = entry.latest_start()?;
+        let (mut rate, mut capacity) = (0.0, 0.0);
+        for target in self.fleet.serving(service) {
+            rate += self.limits.rate(&target.id)?;
+            capacity += self.limits.capacity(&target.id, now, latest)?;
+        }
+        let ahead = self.waiting_before(service, entry, now);
+        let is_limited = rate > 0.0 || capacity > 0.0;
+        (is_limited && ahead >= capacity)
+            .then(|| Duration::try_from_secs_f64((ahead + 1.0) / rate).unwrap_or(MAX_PAUSE))
+            .map(|left| left.min(MAX_PAUSE))
+    }
+
+    /// Estimates how many requests of a service wait before one, at all schedulers.
+    fn waiting_before(&self, service: &str, entry: &QueueEntry, now: Instant) -> f64 {
+        let own = || self.queue.values().filter(|r| *r.service == *service).map(|r| &r.entry);
+        let rank = entry.rank(now);
+        let precedes =
+            |e: &&QueueEntry| e.rank(now).order(&rank).then(e.arrived.cmp(&entry.arrived)).is_lt();
+        let (before, count) = (own().filter(precedes).count(), own().count());
+        let peers = self.peer_waiting.values().filter_map(|waiting| waiting.get(service));
+        let elsewhere = peers.sum::<usize>() as f64;
+        // The requests of peers precede it as often as those here.
+        before as f64 + elsewhere * before as f64 / count.max(1) as f64
+    }
+
+    /// Returns how many requests wait for services of which all targets state limits.
+    pub fn limited_queues(&self) -> BTreeMap<&ServiceId, usize> {
+        let mut queues = BTreeMap::new();
+        if self.limits.count() == 0 {
+            return queues;
+        }
+        for requirements in self.queue.values() {
+            *queues.entry(&requirements.service).or_default() += 1;
+        }
+        let limited = |id: &ServiceId| {
+            self.fleet.serving(id).all(|target| self.limits.rate(&target.id).is_some())
+        };
+        queues.retain(|service, _| limited(service));
+        queues
+    }
+
     /// Places waiting requests in the order of their ranks.
     pub fn dispatch(&mut self, table: &RouteTable, now: Instant) -> Vec<Grant> {
         self.sample(table, now);
@@ -235,7 +256,11 @@
     pub fn record_requests(&mut self, placement: &Placement, now: Instant) -> Vec<TargetId> {
         let helpers = placement.helpers.iter().map(|h| &h.target.id);
         let targets = std::iter::once(&placement.target.id).chain(helpers).cloned();
-        targets.filter(|id| !self.pauses.record_request(id, now)).collect()
+        let mut admits = |id: &TargetId| {
+            let limited = self.limits.record_request(id, now);
+            self.pauses.record_request(id, now) && limited
+        };
+        targets.filter(|id| !admits(id)).collect()
     }
 
     fn ranked(&self, now: Instant) -> Vec<RequestNumber> {
@@ -309,7 +334,7 @@
         let excluded = Excluded {
             targets: self.outcomes.avoided(now).cloned().collect(),
             zones: self.reachability.cut_off(now).cloned().collect(),
-            paused: self.pauses.closed(now).cloned().collect(),
+            closed: self.pauses.closed(now).chain(self.limits.closed(now)).cloned().collect(),
         };
         let waiting: BTreeSet<&ServiceId> = self.queue.values().map(|r| &r.service).collect();
         for service in waiting {
--- a/crates/core/src/edge/wait.rs
+++ b/crates/core/src/edge/wait.rs
@@ -151,6 +151,11 @@
 
     /// Returns whether the request can no longer be served before its caller gives up.
     pub fn has_expired(&self, now: Instant) -> bool {
-        now + self.min_work + FIRST_EVENT_MARGIN >= self.expires
+        self.latest_start().is_none_or(|latest| now >= latest)
+    }
+
+    /// Returns until when it has to be placed to be served before its caller gives up.
+    pub fn latest_start(&self) -> Option<Instant> {
+        self.expires.checked_sub(self.min_work + FIRST_EVENT_MARGIN)
     }
 }
--- a/crates/emulator/src/simulation/instance.rs
+++ b/crates/emulator/src/simulation/instance.rs
@@ -246,7 +246,7 @@
         self.queued.remove(&id);
         let after = match refusal {
             Refusal::Late => Duration::ZERO,
-            Refusal::Paused(left) => left,
+            Refusal::Limited(left) | Refusal::Paused(left) => left,
             Refusal::Pressure(_) => retry_after(id),
         };
         if started {
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -123,6 +123,41 @@
     /// Parts of prompts under which targets have crashed, and accused ones that are sound.
     #[prost(message, repeated, tag = "29")]
     pub parts: Vec<PartReport>,
+    /// Limits that targets state.
+    #[prost(message, repeated, tag = "30")]
+    pub limits: Vec<TargetLimit>,
+    /// Requests that wait at the sender for services of which all targets state limits; stated
+    /// with `exchange`.
+    #[prost(message, repeated, tag = "31")]
+    pub limited_queues: Vec<LimitedQueue>,
+}
+
+/// Requests that wait for a service of which all targets state limits.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LimitedQueue {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Number of requests.
+    #[prost(uint32, tag = "2")]
+    pub waiting: u32,
+}
+
+/// What the sender knows of the limit that a target states.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TargetLimit {
+    /// Identifier of the target.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Start of its process, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
+    /// Version of the statement, higher with each change.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Requests a second from all instances together; absent if the limit has ended.
+    #[prost(double, optional, tag = "4")]
+    pub rate: Option<f64>,
 }
 
 /// What the sender knows of a part of prompts.
@@ -190,6 +225,10 @@
     /// The requests; empty when all have ended.
     #[prost(message, repeated, tag = "2")]
     pub requests: Vec<Request>,
+    /// Time since each of the sender's latest requests to it, ended ones too, in milliseconds;
+    /// only if the target states a limit.
+    #[prost(uint32, repeated, tag = "3")]
+    pub sent_ms: Vec<u32>,
 }
 
 /// One in-flight request.
--- a/crates/instance/src/delegation.rs
+++ b/crates/instance/src/delegation.rs
@@ -132,4 +132,8 @@
     /// Pressure under which it is refused, 0 to 1.
     #[prost(double, tag = "8")]
     pub pressure: f64,
+    /// Time after which the caller may come back if the request is refused because all targets
+    /// state limits, in milliseconds; 0 if it is not.
+    #[prost(uint32, tag = "9")]
+    pub limited_ms: u32,
 }
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -139,6 +139,9 @@
         Reply::Queued => empty,
         // A pause of a target for this instance says nothing of the client.
         Reply::Refused(Refusal::Late | Refusal::Paused(_)) => wire::Reply { late: true, ..empty },
+        Reply::Refused(Refusal::Limited(left)) => {
+            wire::Reply { limited_ms: ms(left).max(1), ..empty }
+        }
         Reply::Refused(Refusal::Pressure(pressure)) => {
             wire::Reply { shed: true, pressure, ..empty }
         }
@@ -227,9 +230,14 @@
             }
             return;
         };
-        if reply.late || reply.shed {
-            let refusal =
-                if reply.late { Refusal::Late } else { Refusal::Pressure(reply.pressure) };
+        if reply.late || reply.shed || reply.limited_ms > 0 {
+            let refusal = match reply {
+                wire::Reply { late: true, .. } => Refusal::Late,
+                wire::Reply { shed: true, pressure, .. } => Refusal::Pressure(*pressure),
+                wire::Reply { limited_ms, .. } => {
+                    Refusal::Limited(Duration::from_millis(u64::from(*limited_ms)))
+                }
+            };
             if let Some(slot) = self.grant_slots.get(&id) {
                 slot.refuse(refusal);
             }
@@ -240,7 +248,10 @@
             match self.decode_grant(reply, now) {
                 Ok(grant) => {
                     self.remote.granted(&grant);
-                    self.scheduler.record_requests(&grant.placement, now);
+                    // The scheduler counts it against the limits of targets.
+                    for id in grant.targets() {
+                        self.scheduler.pauses.record_request(&id, now);
+                    }
                     if let Some(slot) = self.grant_slots.remove(&id) {
                         slot.put(grant);
                     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -17,7 +17,7 @@
 use mimosapass_core::edge::wait::QueueEntry;
 use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
 use mimosapass_instance::datagram::{
-    self, Datagram, DatagramSocket, TargetRequests, split_targets,
+    self, Datagram, DatagramSocket, LimitedQueue, TargetRequests, split_targets,
 };
 
 use super::peers::Peer;
@@ -118,6 +118,8 @@
         schedule.full = now + FULL_INTERVAL;
         remove_silent(state, now);
         state.scheduler.turn = state.turn(gateway, now);
+        let senders = state.senders(gateway, now);
+        state.scheduler.limits.set_senders(senders, now);
     }
     state.reassign(gateway, now);
     let places = state.places_own(gateway, now);
@@ -128,6 +130,7 @@
     let mut base = base_datagram(gateway, state, places, now);
     if full || now >= schedule.heartbeat {
         base.parts = state.part_reports(now);
+        base.limits = state.limit_reports(now);
     }
     if full && places {
         let addrs = state.scheduler_addrs(gateway, now);
@@ -218,6 +221,7 @@
     let mut targets = changed;
     if full {
         targets.extend(state.scheduler.load.own_targets().cloned());
+        targets.extend(state.scheduler.limits.used_targets(now).cloned());
     }
     let target_requests = |target: &TargetId| {
         let requests = state
@@ -227,8 +231,14 @@
             .iter()
             .map(|(id, assignment)| encode_request(*id, assignment, now))
             .collect();
-        TargetRequests { target: target.to_string(), requests }
+        let sends = state.scheduler.limits.own_sends(target, now);
+        let sent_ms = sends.iter().map(|at| ms(now.saturating_duration_since(*at))).collect();
+        TargetRequests { target: target.to_string(), requests, sent_ms }
     };
+    let queues = state.scheduler.limited_queues().into_iter();
+    let limited_queues: Vec<LimitedQueue> = queues
+        .map(|(service, n)| LimitedQueue { service: service.to_string(), waiting: n as u32 })
+        .collect();
     let groups = split_targets(targets.iter().map(target_requests).collect());
     let single = groups.len() == 1;
     let datagram = |targets| Datagram {
@@ -236,6 +246,7 @@
         complete: full && single,
         targets,
         waiting: waiting.clone(),
+        limited_queues: limited_queues.clone(),
         ..base.clone()
     };
     groups.into_iter().map(datagram).collect()
@@ -361,6 +372,7 @@
     }
     state.apply_leaving(&name, &datagram.leaving_targets);
     state.apply_part_reports(gateway, &name, &datagram.parts, now);
+    state.apply_limits(gateway, &name, &datagram.limits, now);
     state.apply_client(gateway, &mut datagram, now);
     for reply in &datagram.replies {
         state.apply_reply(&name, reply, now);
@@ -417,7 +429,12 @@
     let waiting = std::mem::take(&mut datagram.waiting);
     let waiting = waiting.into_iter().map(|w| decode_waiting(w, now)).collect();
     state.scheduler.peer_queues.insert(InstanceId::clone(name), waiting);
-    for TargetRequests { target, requests } in std::mem::take(&mut datagram.targets) {
+    let queues = std::mem::take(&mut datagram.limited_queues).into_iter();
+    let queues = queues.map(|q| (ServiceId::from(q.service), q.waiting as usize)).collect();
+    state.scheduler.peer_waiting.insert(InstanceId::clone(name), queues);
+    for TargetRequests { target, requests, sent_ms } in std::mem::take(&mut datagram.targets) {
+        let sends = sent_ms.into_iter().map(|ms| ago(ms, now)).collect();
+        state.scheduler.limits.replace_sends(name, &target, sends, now);
         let assignments = requests.iter().map(|r| decode_request(r, now)).collect();
         let engine = state.engine_at(&table, &target);
         state.scheduler.load.replace(name, &TargetId::from(target), assignments, engine.as_ref());
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -3,10 +3,11 @@
 use std::time::Instant;
 
 use mimosapass_core::edge::fleet::{Change, Target};
-use mimosapass_core::edge::limits::Statement;
+use mimosapass_core::edge::limits::{Report, Statement};
 use mimosapass_core::edge::pauses::DEFAULT_PAUSE;
 use mimosapass_core::edge::schedule::Grant;
-use mimosapass_instance::datagram::LeavingTarget;
+use mimosapass_core::ids::TargetId;
+use mimosapass_instance::datagram::{LeavingTarget, TargetLimit};
 use mimosapass_platform::header;
 use mimosapass_target::http::ResponseHead;
 
@@ -15,6 +16,8 @@
 
 /// Most leaving targets that one datagram names; the others are named when these are gone.
 const MAX_LEAVING: usize = 16;
+/// Most limits that one datagram names; the others are named in the next ones.
+const MAX_LIMITS: usize = 16;
 
 impl Gateway {
     /// Applies what an answer of `target` states about it.
@@ -47,9 +50,13 @@
                 return;
             }
         };
-        let now = Instant::now();
-        let stated = self.state().scheduler.limits.state(&target.id, rate, sent_at, now);
+        let (mut state, now) = (self.state(), Instant::now());
+        let stated = state.scheduler.limits.state(&target.id, rate, sent_at, now);
         log_limit(target_id, stated, "none");
+        if stated != Statement::Known {
+            state.announce = true;
+            self.load_changed.notify_all();
+        }
     }
 
     /// Counts a grant of targets that state a limit; `kind` is that of its run.
@@ -127,6 +134,46 @@
         }
     }
 
+    /// Applies the limits that a peer tells of.
+    ///
+    /// Schedulers pass them on to other zones; in a zone they are told to all.
+    pub fn apply_limits(
+        &mut self,
+        gateway: &Gateway,
+        peer: &str,
+        limits: &[TargetLimit],
+        now: Instant,
+    ) {
+        for TargetLimit { id, started_ms, version, rate } in limits {
+            if self.scheduler.fleet.get(id).is_none_or(|known| known.started_ms != *started_ms) {
+                continue;
+            }
+            if rate.is_some_and(|rate| !rate.is_finite() || rate < 0.0) {
+                log::warn!(target_id = id.as_str(), peer; "target: ignored an invalid limit.");
+                continue;
+            }
+            let report = Report { id: TargetId::from(id.as_str()), version: *version, rate: *rate };
+            let stated = self.scheduler.limits.merge(&report, now);
+            log_limit(id, stated, peer);
+            if stated != Statement::Known && self.places_own(gateway, now) {
+                self.announce = true;
+                gateway.load_changed.notify_all();
+            }
+        }
+    }
+
+    /// Returns the limits that peers are told of.
+    pub fn limit_reports(&mut self, now: Instant) -> Vec<TargetLimit> {
+        let reports = self.scheduler.limits.reports(MAX_LIMITS, now).into_iter();
+        let fleet = &self.scheduler.fleet;
+        reports
+            .filter_map(|Report { id, version, rate }| {
+                let started_ms = fleet.get(&id)?.started_ms;
+                Some(TargetLimit { id: id.to_string(), started_ms, version, rate })
+            })
+            .collect()
+    }
+
     /// Returns the leaving targets that peers are told of.
     pub fn leaving_targets(&self) -> Vec<LeavingTarget> {
         let told = self.scheduler.fleet.told_leaving().take(MAX_LEAVING);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,6 +5,7 @@
 //! not with requests times instances. Datagrams without requests serve as heartbeats in
 //! the zone, where traffic is free.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,7 @@
 use mimosapass_core::edge::order::Turn;
 use mimosapass_core::edge::outage::Outage;
 use mimosapass_core::edge::position::Position;
+use mimosapass_core::edge::shared_rate::Senders;
 use mimosapass_core::ids::{InstanceId, ZoneId};
 
 use super::state::{Gateway, State};
@@ -115,6 +117,32 @@
         Turn { index: index.unwrap_or_default(), count: schedulers.len().max(1) }
     }
 
+    /// Returns which instances send to targets, as far as this one knows their requests.
+    pub fn senders(&self, gateway: &Gateway, now: Instant) -> Senders {
+        let heard = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.delegating && now < peer.last_heard + SCHEDULER_SILENCE);
+        let mut others: Vec<InstanceId> = heard.map(|(name, _)| InstanceId::clone(name)).collect();
+        others.sort_unstable();
+        let share = if others.is_empty() || !self.places_own(gateway, now) {
+            1.0 / self.instance_count() as f64
+        } else {
+            self.heard_zones(&others)
+        };
+        Senders { own: InstanceId::clone(&gateway.name), others, share }
+    }
+
+    /// Returns the share of the zones with registered instances of which one is heard.
+    fn heard_zones(&self, others: &[InstanceId]) -> f64 {
+        let zones = others.iter().filter_map(|name| self.peers.get(name)).map(|p| &p.zone);
+        let mut heard: BTreeSet<&ZoneId> = zones.collect();
+        heard.insert(&self.scheduler.zone);
+        let registered = self.members.values().filter_map(|member| member.zone.as_ref());
+        let known: BTreeSet<&ZoneId> = registered.chain(heard.iter().copied()).collect();
+        heard.len() as f64 / known.len() as f64
+    }
+
     /// Returns whether this instance places the requests of its callers itself.
     pub fn places_own(&self, gateway: &Gateway, now: Instant) -> bool {
         let schedulers = self.schedulers(gateway, now);
@@ -152,6 +180,7 @@
     /// Removes what is known of a peer that has failed or restarted.
     pub fn forget_peer(&mut self, name: &str) {
         self.scheduler.peer_queues.remove(name);
+        self.scheduler.peer_waiting.remove(name);
         self.scheduler.load.forget_peer(name);
         self.clients.forget(&mut self.scheduler, name);
         for orphan in self.remote.forget(name) {
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -114,6 +114,13 @@
                 let detail = format!("all targets of {} asked for a pause", requirements.service);
                 Failure::new(Kind::NoTarget, detail).after(left)
             }
+            Refusal::Limited(left) => {
+                let detail = format!(
+                    "all targets of {} state limits, others wait before it",
+                    requirements.service
+                );
+                Failure::new(Kind::NoTarget, detail).after(left)
+            }
             Refusal::Late => no_target_in_time(state, requirements, now),
             Refusal::Pressure(pressure) => {
                 let detail = format!(
--- a/tests/suite/gateway/limits.rs
+++ b/tests/suite/gateway/limits.rs
@@ -14,6 +14,11 @@
 /// Requests in a window beyond one and a half times the limit.
 const SLACK: f64 = 5.0;
 
+/// Time for which requests come, two windows and more.
+const LOAD_TIME: Duration = Duration::from_secs(9);
+/// The same for a target that is only tried each five seconds, by up to three instances at once.
+const TRIAL_TIME: Duration = Duration::from_secs(18);
+
 /// Starts gateways, a target that answers `limited`, and one without a limit.
 fn start(gateways: usize, limited: Reply) -> (Cluster, ScriptedTarget) {
     let cluster = Cluster::start(gateways);
@@ -23,6 +28,7 @@
     cluster.register(&other, "desk");
     for number in 0..gateways {
         cluster.ready(number);
+        cluster.shows(number, &format!("gateway_peers {}", gateways - 1));
     }
     cluster.knows_targets(0, 2);
     (cluster, target)
@@ -56,14 +62,14 @@
         .unwrap_or_default()
 }
 
-/// Generates a test from the number of gateways, the limit and the target's answer.
+/// Generates a test from the number of gateways, the limit, the time and the target's answer.
 macro_rules! limits {
-    ($($name:ident: $gateways:literal, $limit:literal, $reply:expr;)+) => {
+    ($($name:ident: $gateways:literal, $limit:literal, $time:expr, $reply:expr;)+) => {
         $(#[test]
         fn $name() {
             let (cluster, target) = start($gateways, $reply);
             let told = Instant::now() + TELL_TIME;
-            load(&cluster, $gateways, Duration::from_secs(9), Duration::from_millis(40));
+            load(&cluster, $gateways, $time, Duration::from_millis(40));
             let most = most_in_window(&target, told) as f64;
             let allowed = 1.5 * $limit * WINDOW.as_secs_f64() + SLACK;
             assert!(most <= allowed, "{most} requests, {allowed} allowed");
@@ -75,11 +81,40 @@
 
 limits! {
     instances_keep_to_the_limit_of_a_target_together:
-        5, 1.0, Reply::WithHeader(200, "few", "server-limit: 1");
-    fraction_is_kept_to: 3, 2.6, Reply::WithHeader(200, "few", "server-limit: 2.6");
-    limit_in_failures_is_kept_to: 3, 1.0, Reply::WithHeader(500, "no", "server-limit: 1.0");
-    limit_in_refusals_is_kept_to: 3, 1.0,
+        5, 1.0, LOAD_TIME, Reply::WithHeader(200, "few", "server-limit: 1");
+    fraction_is_kept_to: 3, 2.6, LOAD_TIME, Reply::WithHeader(200, "few", "server-limit: 2.6");
+    limit_in_failures_is_kept_to: 3, 1.0, LOAD_TIME, Reply::WithHeader(500, "no", "server-limit: 1.0");
+    limit_in_refusals_is_kept_to: 3, 1.0, LOAD_TIME,
         Reply::WithHeader(503, "full", "server-limit: 1\r\nx-not-executed: 1");
     limit_of_zero_does_not_shut_a_target_out:
-        3, 0.0, Reply::WithHeader(200, "few", "server-limit: 0");
+        3, 0.0, TRIAL_TIME, Reply::WithHeader(200, "few", "server-limit: 0");
+}
+
+/// Guards against requests that wait until their deadline for targets that take too few.
+#[test]
+fn request_that_limited_targets_cannot_take_in_time_is_refused_at_once() {
+    let cluster = Cluster::start(1);
+    let target = start_target("i-0", Reply::WithHeader(200, "few", "server-limit: 0.4"));
+    cluster.register(&target, "desk");
+    cluster.ready(0);
+    assert_eq!(cluster.ask(0, "/look/1", "id-first").response.status, 200);
+    let addr = cluster.callers(0);
+    let callers: Vec<_> = (0..12)
+        .map(|n| {
+            let head = head("/look/1", &format!("id-{n}"), KEY, "");
+            thread::spawn(move || {
+                let begin = Instant::now();
+                (call(addr, &head, b"question"), begin.elapsed())
+            })
+        })
+        .collect();
+    let answers: Vec<_> = callers.into_iter().map(|c| c.join().expect("no panic")).collect();
+    let served = answers.iter().filter(|(answer, _)| answer.response.status == 200).count();
+    assert!((2..=4).contains(&served), "{served} served within six seconds");
+    for (answer, took) in answers.iter().filter(|(answer, _)| answer.response.status != 200) {
+        assert_eq!(answer.response.status, 503);
+        assert!(*took < Duration::from_secs(1), "refused after {took:?}");
+        let after = answer.response.header("retry-after").and_then(|v| v.parse::<f64>().ok());
+        assert!(after.is_some_and(|seconds| seconds > 4.0), "{after:?}");
+    }
 }
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -190,9 +190,13 @@
 
     /// Waits until a gateway that watches the store knows `count` targets.
     pub fn knows_targets(&self, number: usize, count: usize) {
+        self.shows(number, &format!("gateway_targets {count}"));
+    }
+
+    /// Waits until the metrics of a gateway have a line.
+    pub fn shows(&self, number: usize, line: &str) {
         let addr = SocketAddr::from((self.gateways[number].ip, 8083));
-        let line = format!("gateway_targets {count}");
-        eventually(&format!("{count} targets are known"), || {
+        eventually(&format!("gateway {number} shows {line}"), || {
             let metrics = try_call(addr, "GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n", b"");
             metrics.is_some_and(|m| m.body.lines().any(|l| l == line))
         });
