Tests: a request that comes again crashes one target after the other

Fails on the present code: 12 requests with the same path, caller and body crash 12 to 16 of 16 targets, 6 allowed.

--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod notices;
 mod quarantine;
+mod repeated_crashes;
 mod reservations;
 mod restore;
 mod silence;
