Quarantine: the answer of a service clears no part of a prompt

Since whole answers clear the parts of their requests, a call of a service with the parts of a prompt in its header cleared them, although no engine had written on them. Only requests to engines have parts besides their digest now. answer_of_a_service_clears_no_part failed before.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -82,7 +82,9 @@
     }
     let last_event = head.header(header::LAST_EVENT).map(str::to_owned);
     let digest = digest(exchange);
-    let mut parts = head.header(header::PROMPT_PARTS).map(header::shared_parts).unwrap_or_default();
+    // A service that answers does not show that an engine can write on a part.
+    let stated = head.header(header::PROMPT_PARTS).filter(|_| requirements.engine.is_some());
+    let mut parts = stated.map(header::shared_parts).unwrap_or_default();
     parts.push(digest);
     Ok(Request {
         attempt_id,
--- a/tests/suite/gateway/quarantine.rs
+++ b/tests/suite/gateway/quarantine.rs
@@ -161,3 +161,21 @@
     assert_eq!((sound.response.status, sound.complete), (200, true));
     assert!(!cluster.log(0).contains("part: quarantined"));
 }
+
+/// Guards against a part that crashes engines and is cleared by a service, which has no engine.
+#[test]
+fn answer_of_a_service_clears_no_part() {
+    let (cluster, engines) = start(1, 8);
+    let desk = start_target("i-desk", Reply::Complete(200, "yes"));
+    cluster.register(&desk, "desk");
+    cluster.knows_targets(0, 9);
+    for number in 0..4 {
+        let headers = format!("x-prefix-hash: {DEADLY}:10,{number}:60\r\n");
+        let answer = cluster.ask_with(0, "/look/1", &format!("id-look-{number}"), &headers);
+        assert_eq!(answer.response.status, 200);
+        ask(&cluster, 0, &format!("{DEADLY}:10"));
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    cluster.logged(0, &["part: quarantined", "part=dead"]);
+    assert!(crashed(&engines) <= 4, "{} crashed", crashed(&engines));
+}
