--- a/tests/suite/gateway/soak/callers.rs
+++ b/tests/suite/gateway/soak/callers.rs
@@ -23,6 +23,11 @@
 pub const DEADLY_PART: &str = "dead";
 const DEADLY_INTERVAL: usize = 12;
 
+/// Query of a call under which targets crash, and one in this many requests of a caller that is
+/// such a call. All of them have the same path, caller and body.
+pub const DEADLY_CALL: &str = "deadly";
+const DEADLY_CALL_INTERVAL: usize = 40;
+
 /// Returns the header line with the parts of a prompt; all callers share the first one.
 fn parts(caller: usize, number: usize) -> String {
     let deadly = (number / PATHS.len() + caller) % DEADLY_INTERVAL == DEADLY_INTERVAL - 1;
@@ -51,7 +56,10 @@
         let route = if number % 5 == 4 { promises.route() } else { None };
         let kind = route.map_or_else(|| PATHS[number % 4].to_owned(), |r| format!("new-{r}"));
         let parts = parts(caller, number);
-        let (id, path) = (format!("{instance}-{caller}-{number}-{kind}"), format!("/{kind}/1"));
+        let deadly = kind == "look" && number % DEADLY_CALL_INTERVAL == 10 * (caller % 2);
+        let query = if deadly { format!("?{DEADLY_CALL}") } else { String::new() };
+        let id = format!("{instance}-{caller}-{number}-{kind}");
+        let path = format!("/{kind}/1{query}");
         number += 1;
         promises.send(&id, instance);
         let sent = Instant::now();
--- a/tests/suite/gateway/soak/plan.rs
+++ b/tests/suite/gateway/soak/plan.rs
@@ -21,6 +21,13 @@
 const LONG_SILENCE_MS: std::ops::Range<u64> = 1_700..2_500;
 /// Least and greatest time in which a target begins answers without end.
 const ENDLESS_MS: std::ops::Range<u64> = 100..800;
+/// Least and greatest time between the limits of targets, and for which one is stated.
+const LIMIT_GAP_MS: std::ops::Range<u64> = 1_000..5_000;
+const LIMIT_MS: std::ops::Range<u64> = 4_000..12_000;
+/// Limits of targets, in requests a second.
+const LIMITS: [f64; 4] = [0.5, 1.0, 2.6, 8.0];
+/// Makes the draws of limits independent of the others.
+const LIMIT_SEED: u64 = 0x6c69_6d69;
 /// Makes the draws of what targets do independent of the others.
 const TARGET_SEED: u64 = 0x7461_7267;
 /// Services of the configuration: calls, and streams.
@@ -151,6 +158,8 @@
     Leave(usize),
     /// A target asks each caller for a pause once.
     Pause(usize),
+    /// A target states a limit, in requests a second, or none any more.
+    Limit(usize, Option<f64>),
     /// A process is killed and started again.
     Kill(usize),
     /// A process gets SIGTERM; it is started again when it has ended.
@@ -179,6 +188,14 @@
         events.push((at, draw_targets(&mut random)));
         at += random.random_range(TARGET_GAP_MS);
     }
+    let mut random = StdRng::seed_from_u64(seed ^ LIMIT_SEED);
+    let mut at = 1_000;
+    while at < end {
+        let (target, limit) = (random.random_range(0..6), LIMITS[random.random_range(0..4)]);
+        events.push((at, Event::Limit(target, Some(limit))));
+        events.push(((at + random.random_range(LIMIT_MS)).min(end), Event::Limit(target, None)));
+        at += random.random_range(LIMIT_GAP_MS);
+    }
     events.sort_by_key(|(at, _)| *at);
     events.into_iter().map(|(at, event)| (Duration::from_millis(at), event)).collect()
 }
--- a/tests/suite/gateway/soak/promises.rs
+++ b/tests/suite/gateway/soak/promises.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::super::events;
+use super::bounds::{Cause, Crashes, Limited};
 use super::plan::{Place, Point};
 use super::script::{BODY, EVENTS};
 
@@ -20,10 +21,6 @@
 /// Requests that may reach a target within its pause.
 const PAUSE_REQUESTS: u32 = 2;
 
-/// Crashes under one part after which all instances have to know it.
-const MAX_CRASHES: usize = 5;
-/// Crashes that may follow when they do.
-const MAX_LATE_CRASHES: usize = 3;
 /// Time after which a request's deadline of 6 s may have passed.
 const DEADLINE: Duration = Duration::from_millis(5_900);
 /// Time after which a request must have ended: its deadline, and nearly a second.
@@ -58,10 +55,10 @@
     counts: Counts,
     /// Targets that have crashed.
     crashed: HashSet<String>,
-    /// When targets crashed under a request.
-    crashes: Vec<Instant>,
-    /// Crashes by instances in touch, later than [`IN_TOUCH`] after [`MAX_CRASHES`].
-    late_crashes: usize,
+    /// Crashes of targets under requests.
+    crashes: HashMap<Cause, Crashes>,
+    /// Targets that state a limit.
+    limits: HashMap<String, Limited>,
 }
 
 /// A request that a caller sent.
@@ -239,6 +236,7 @@
             let late = sent.saturating_duration_since(told);
             state.broken.push(format!("drain: {id} reached {target}, {late:?} after its answer"));
         }
+        state.count_limited(target, boot, calm);
         let mut over = None;
         if let Some((from, until, count)) = state.pauses.get_mut(&(target.to_owned(), boot)) {
             let now = Instant::now();
@@ -278,7 +276,7 @@
     }
 
     /// Checks a request under which a target crashes.
-    pub fn crashes(&self, target: &str, id: &str) {
+    pub fn crashes(&self, target: &str, id: &str, cause: Cause) {
         let mut state = self.state();
         // What ran there is lost.
         let lost = state.sent.values_mut().filter(|sent| sent.sound.iter().any(|s| s == target));
@@ -287,15 +285,26 @@
             sent.notes.push(format!("{target} crashed"));
         });
         state.crashed.insert(target.to_owned());
-        state.crashes.push(Instant::now());
-        let Some((boot, at)) = state.sent.get(id).map(|sent| (sent.boot, sent.at)) else { return };
-        let fifth = state.crashes.get(MAX_CRASHES - 1).copied();
-        if fifth.is_some_and(|fifth| at > fifth + IN_TOUCH) && state.in_touch(boot.0, at) {
-            state.late_crashes += 1;
-            if state.late_crashes > MAX_LATE_CRASHES {
-                let text = format!("budget: {id} is the next one to crash a target, {target}");
-                state.broken.push(text);
-            }
+        let sent = state.sent.get(id).map(|sent| (sent.boot, sent.at));
+        let in_touch = sent.is_some_and(|(boot, at)| state.in_touch(boot.0, at));
+        let crashes = state.crashes.entry(cause).or_default();
+        if crashes.add(cause, sent.map(|(_, at)| at).filter(|_| in_touch)) {
+            let text = format!("budget: {id} is the next one to crash a target, {target}");
+            state.broken.push(text);
+        }
+    }
+
+    /// Notes that a target states a limit from now on, or none.
+    pub fn limited(&self, target: &str, rate: Option<f64>) {
+        let mut state = self.state();
+        state.limits.remove(target);
+        state.limits.extend(rate.map(|rate| (target.to_owned(), Limited::new(rate))));
+    }
+
+    /// Notes that a start of an instance was sent a whole head with the limit of a target.
+    pub fn told_limit(&self, target: &str, boot: Boot) {
+        if let Some(limited) = self.state().limits.get_mut(target) {
+            limited.tell(boot);
         }
     }
 
@@ -338,7 +347,7 @@
     pub fn counts(&self) -> String {
         let state = self.state();
         let Counts { sound, resumed, silent, closed, endless } = state.counts;
-        let crashes = state.crashes.len();
+        let crashes: usize = state.crashes.values().map(Crashes::count).sum();
         format!(
             "{sound} sound runs ({resumed} resumed, {closed} closed by an instance), \
              {silent} silences, {endless} answers without end, {crashes} crashes"
@@ -415,6 +424,15 @@
         let (count, last) = self.faults[instance];
         count == 0 && last.is_none_or(|last| at > last + IN_TOUCH)
     }
+
+    /// Counts a request to a target that states a limit.
+    fn count_limited(&mut self, target: &str, boot: Boot, calm: bool) {
+        let Some(limited) = self.limits.get_mut(target) else { return };
+        if let Some(excess) = calm.then(|| limited.add(boot)).flatten() {
+            self.broken.push(format!("limit: {target} got {excess}"));
+        }
+    }
+
     /// Returns whether the process of a start of an instance has run since `at`.
     fn ran(&self, (instance, boot): Boot, at: Instant) -> bool {
         let (halted, last) = self.halted[instance];
--- a/tests/suite/gateway/soak/script.rs
+++ b/tests/suite/gateway/soak/script.rs
@@ -10,7 +10,8 @@
 use mimosapass_standin::target::{Hook, Reply, Step};
 
 use super::super::events;
-use super::callers::DEADLY_PART;
+use super::bounds::Cause;
+use super::callers::{DEADLY_CALL, DEADLY_PART};
 use super::plan::{Place, Point};
 use super::promises::{Boot, Promises};
 
@@ -40,6 +41,8 @@
     pub leaving: bool,
     /// Whether it asks each caller for a pause once.
     pub pausing: bool,
+    /// The limit that it states, in requests a second.
+    pub limit: Option<f64>,
     /// Where its answers stop, and until when.
     pub silent: Option<(Point, Instant)>,
     /// Until when it refuses requests.
@@ -62,8 +65,10 @@
     script: Script,
     id: Arc<str>,
     boot: Boot,
-    /// Header line with which the target states that it leaves, if it does.
-    line: &'static str,
+    /// Header lines in which the target states that it leaves, and its limit.
+    lines: Arc<str>,
+    leaving: bool,
+    limited: bool,
     /// When it has to be disconnected if it does not end.
     limit: Instant,
 }
@@ -85,7 +90,11 @@
         };
         let parts = head.header("x-prefix-hash").unwrap_or_default();
         if id.contains("chat") && parts.contains(&format!("{DEADLY_PART}:")) {
-            self.promises.crashes(&self.target, id);
+            self.promises.crashes(&self.target, id, Cause::Part);
+            return Reply::Crash;
+        }
+        if head.target.contains(DEADLY_CALL) {
+            self.promises.crashes(&self.target, id, Cause::Call);
             return Reply::Crash;
         }
         let (mood, now) = (*self.mood(), Instant::now());
@@ -100,12 +109,22 @@
         let left = head.header("x-deadline-ms").and_then(|v| v.parse().ok());
         let limit = now + left.map_or(NO_DEADLINE, Duration::from_millis) + DISCONNECT;
         let line = if mood.leaving { "server-leaving: 1\r\n" } else { "" };
-        let run = Run { script: self.clone(), id: id.into(), boot, line, limit };
+        let stated = mood.limit.map(|rate| format!("server-limit: {rate}\r\n"));
+        let lines: Arc<str> = (line.to_owned() + &stated.unwrap_or_default()).into();
+        let run = Run {
+            script: self.clone(),
+            id: id.into(),
+            boot,
+            lines: Arc::clone(&lines),
+            leaving: mood.leaving,
+            limited: mood.limit.is_some(),
+            limit,
+        };
         let from = head.header("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
         let pieces = if id.contains("chat") {
-            stream(&response_head(id, line, "transfer-encoding: chunked"), from)
+            stream(&response_head(id, &lines, "transfer-encoding: chunked"), from)
         } else {
-            call(&response_head(id, line, &format!("content-length: {}", BODY.len())))
+            call(&response_head(id, &lines, &format!("content-length: {}", BODY.len())))
         };
         match mood.endless.filter(|(_, until)| now < *until) {
             Some((place, _)) => run.endless(place, from),
@@ -151,14 +170,18 @@
 
     /// Notes that the caller was sent a complete head.
     fn sent_head(&self) {
-        if !self.line.is_empty() {
-            self.script.promises.told_leave(&self.script.target, self.boot);
+        let script = &self.script;
+        if self.leaving {
+            script.promises.told_leave(&script.target, self.boot);
+        }
+        if self.limited {
+            script.promises.told_limit(&script.target, self.boot);
         }
     }
 
     /// Sends bytes without end, after the event `from`, until the caller disconnects.
     fn endless(self, place: Place, from: u64) -> Reply {
-        let head = response_head(&self.id, self.line, "transfer-encoding: chunked");
+        let head = response_head(&self.id, &self.lines, "transfer-encoding: chunked");
         let (begin, bytes) = match place {
             Place::Line => (String::new(), "x".to_owned()),
             Place::Head => ("HTTP/1.1 200 OK\r\n".to_owned(), "x-more: of the same\r\n".to_owned()),
@@ -205,9 +228,9 @@
     }
 }
 
-fn response_head(id: &str, line: &str, framing: &str) -> String {
+fn response_head(id: &str, lines: &str, framing: &str) -> String {
     format!(
-        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-seal: s\r\n{line}\
+        "HTTP/1.1 200 OK\r\nx-attempt-id: {id}\r\nx-server-seal: s\r\n{lines}\
          content-type: text/event-stream\r\n{framing}\r\n\r\n"
     )
 }
--- a/tests/suite/gateway/soak/targets.rs
+++ b/tests/suite/gateway/soak/targets.rs
@@ -88,6 +88,13 @@
         self.all[index].script.mood().pausing = true;
     }
 
+    /// Lets a target state a limit, or none any more.
+    pub fn limit(&self, number: usize, rate: Option<f64>) {
+        let Some(registered) = self.all.get(number) else { return };
+        registered.script.mood().limit = rate;
+        self.promises.limited(&registered.target.id, rate);
+    }
+
     /// Lets targets fall silent for a time, and others of their service refuse or fail meanwhile.
     pub fn stall(&self, stall: &Stall) {
         let (chosen, others) = self.share(&stall.share);
--- a/tests/suite/gateway/soak/world.rs
+++ b/tests/suite/gateway/soak/world.rs
@@ -118,6 +118,7 @@
             Event::Remove(n) => self.targets.replace(&self.cluster, n, None),
             Event::Leave(n) => self.targets.leave(&self.cluster, n),
             Event::Pause(n) => self.targets.pause(n),
+            Event::Limit(n, rate) => self.targets.limit(n, rate),
             Event::Stall(stall) => self.targets.stall(&stall),
             Event::Endless(endless) => self.targets.endless(&endless),
             Event::Kill(instance) => self.kill(instance),
