Limits: only an answer to a request that ran ends one

A refusal need not come from what states limits, so that it ends none now; nor does an answer without a signature.

The soak's limits are drawn for targets that serve; those before were for the first targets, which crash early.

--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -36,8 +36,11 @@
         }
     }
 
-    /// Applies the limit that the answer to a request states, or that it states none.
-    pub fn read_limit(&self, target: &Target, response: &ResponseHead, sent_at: Instant) {
+    /// Applies the limit that an answer states, or that it states none.
+    ///
+    /// `sent_at` is when its request was sent, if it ran. Other answers do not end a limit: they
+    /// need not come from what states it.
+    pub fn read_limit(&self, target: &Target, response: &ResponseHead, sent_at: Option<Instant>) {
         // Another process may answer at the address.
         if response.status == MISDIRECTED {
             return;
@@ -50,7 +53,11 @@
                 return;
             }
         };
+        if rate.is_none() && sent_at.is_none() {
+            return;
+        }
         let (mut state, now) = (self.state(), Instant::now());
+        let sent_at = sent_at.unwrap_or(now);
         let stated = state.scheduler.limits.state(&target.id, rate, sent_at, now);
         log_limit(target_id, stated, "none");
         if stated != Statement::Known {
--- a/src/gateway/reservations.rs
+++ b/src/gateway/reservations.rs
@@ -188,5 +188,6 @@
     let response = post(&mut connection, reservation::PATH, &headers, body, end);
     let response = response.map_err(|e| format!("{e:?}"))?;
     gateway.read_notices(engine, &response);
+    gateway.read_limit(engine, &response, None);
     Ok(response.status)
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -247,7 +247,6 @@
             self.reading = Reading::Skipped(response.framing, 0);
             return None;
         }
-        gateway.read_limit(&self.grant().placement.target, &response, self.began);
         let success = (200..300).contains(&response.status);
         let signed = response.header(header::SIGNATURE).is_some()
             && echoed.is_some()
@@ -260,6 +259,8 @@
             };
             return Some(Step::Failed(error));
         }
+        let ran = !states_not_run(&response);
+        gateway.read_limit(&self.grant().placement.target, &response, ran.then_some(self.began));
         self.heard = Instant::now();
         self.reading = if success && request.route.streaming {
             Reading::Stream(response, Vec::new())
--- a/tests/suite/gateway/limits.rs
+++ b/tests/suite/gateway/limits.rs
@@ -1,5 +1,6 @@
 //! Limits that targets state, with several instances.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -21,8 +22,12 @@
 
 /// Starts gateways, a target that answers `limited`, and one without a limit.
 fn start(gateways: usize, limited: Reply) -> (Cluster, ScriptedTarget) {
+    start_with(gateways, start_target("i-0", limited))
+}
+
+/// As [`start`], with a target that has been started.
+fn start_with(gateways: usize, target: ScriptedTarget) -> (Cluster, ScriptedTarget) {
     let cluster = Cluster::start(gateways);
-    let target = start_target("i-0", limited);
     let other = start_target("i-1", Reply::Complete(200, "other"));
     cluster.register(&target, "desk");
     cluster.register(&other, "desk");
@@ -90,6 +95,24 @@
         3, 0.0, TRIAL_TIME, Reply::WithHeader(200, "few", "server-limit: 0");
 }
 
+/// Guards against a refusal without the header that is taken for the end of the limit.
+#[test]
+fn refusal_that_states_no_limit_does_not_end_one() {
+    let count = AtomicUsize::new(0);
+    let target = ScriptedTarget::start("i-0", move |_| {
+        if count.fetch_add(1, Ordering::Relaxed).is_multiple_of(2) {
+            Reply::WithHeader(200, "few", "server-limit: 1")
+        } else {
+            Reply::NotExecuted(503)
+        }
+    });
+    let (cluster, target) = start_with(3, target);
+    let told = Instant::now() + TELL_TIME;
+    load(&cluster, 3, LOAD_TIME, Duration::from_millis(40));
+    let most = most_in_window(&target, told);
+    assert!(most <= 11, "{most} requests, 11 allowed");
+}
+
 /// Guards against requests that wait until their deadline for targets that take too few.
 #[test]
 fn request_that_limited_targets_cannot_take_in_time_is_refused_at_once() {
--- a/tests/suite/gateway/soak/plan.rs
+++ b/tests/suite/gateway/soak/plan.rs
@@ -191,7 +191,8 @@
     let mut random = StdRng::seed_from_u64(seed ^ LIMIT_SEED);
     let mut at = 1_000;
     while at < end {
-        let (target, limit) = (random.random_range(0..6), LIMITS[random.random_range(0..4)]);
+        let (target, limit) =
+            (random.random_range(0..6), LIMITS[random.random_range(0..LIMITS.len())]);
         events.push((at, Event::Limit(target, Some(limit))));
         events.push(((at + random.random_range(LIMIT_MS)).min(end), Event::Limit(target, None)));
         at += random.random_range(LIMIT_GAP_MS);
--- a/tests/suite/gateway/soak/targets.rs
+++ b/tests/suite/gateway/soak/targets.rs
@@ -1,5 +1,6 @@
 //! The targets of a run: their entries in the store, and the faults that they meet.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -27,12 +28,15 @@
 
 pub struct Targets {
     all: Vec<Registered>,
+    /// Targets that state a limit, by the number under which they were chosen.
+    limited: HashMap<usize, usize>,
     promises: Arc<Promises>,
 }
 
 impl Targets {
     pub fn start(cluster: &Cluster, promises: &Arc<Promises>) -> Self {
-        let mut targets = Self { all: Vec::new(), promises: Arc::clone(promises) };
+        let mut targets =
+            Self { all: Vec::new(), limited: HashMap::new(), promises: Arc::clone(promises) };
         for service in SERVICES.into_iter().cycle().take(TARGETS * SERVICES.len()) {
             targets.add(cluster, service);
         }
@@ -89,8 +93,13 @@
     }
 
     /// Lets a target state a limit, or none any more.
-    pub fn limit(&self, number: usize, rate: Option<f64>) {
-        let Some(registered) = self.all.get(number) else { return };
+    pub fn limit(&mut self, number: usize, rate: Option<f64>) {
+        let known = self.limited.remove(&number).or_else(|| self.serving(number));
+        let Some(index) = known else { return };
+        if rate.is_some() {
+            self.limited.insert(number, index);
+        }
+        let registered = &self.all[index];
         registered.script.mood().limit = rate;
         self.promises.limited(&registered.target.id, rate);
     }
