Limits: a refusal for limits of zero states when the callers before it are served

With limits of 0 alone the time to come back was ten minutes; it is computed from the rate that is used now.

--- a/crates/core/src/edge/limits.rs
+++ b/crates/core/src/edge/limits.rs
@@ -204,11 +204,11 @@
         self.by_target.iter().filter(move |(_, limit)| closed(limit)).map(|(id, _)| id)
     }
 
-    /// Returns how many requests a target takes from all instances from `now` until `end`;
-    /// `None` if it has no limit.
-    pub fn capacity(&self, id: &str, now: Instant, end: Instant) -> Option<f64> {
+    /// Returns how many requests a target takes from all instances from `now` until `end`, and
+    /// how many a second; `None` if it has no limit.
+    pub fn capacity(&self, id: &str, now: Instant, end: Instant) -> Option<(f64, f64)> {
         let account = self.by_target.get(id)?.account.as_ref()?;
-        Some(account.capacity(now, end))
+        Some((account.capacity(now, end), account.used_rate()))
     }
 
     /// Returns the limit of a target, in requests a second.
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -14,7 +14,7 @@
 use crate::edge::load::{Assignment, Load, Pressure, RequestNumber};
 use crate::edge::order::{Excluded, Lineup, Member, Turn};
 use crate::edge::outcomes::{Outcome, Outcomes, ZoneReachability};
-use crate::edge::pauses::{MAX_PAUSE, Pauses};
+use crate::edge::pauses::Pauses;
 use crate::edge::placement::{Candidate, MIN_BACKLOG, Placement, PlacementRequest, choose};
 use crate::edge::remote::Orphan;
 use crate::edge::route_table::{RouteTable, ServiceId};
@@ -170,14 +170,14 @@
         let latest = entry.latest_start()?;
         let (mut rate, mut capacity) = (0.0, 0.0);
         for target in self.fleet.serving(service) {
-            rate += self.limits.rate(&target.id)?;
-            capacity += self.limits.capacity(&target.id, now, latest)?;
+            let (taken, used_rate) = self.limits.capacity(&target.id, now, latest)?;
+            capacity += taken;
+            rate += used_rate;
         }
         let ahead = self.waiting_before(service, entry, now);
-        let is_limited = rate > 0.0 || capacity > 0.0;
-        (is_limited && ahead >= capacity)
-            .then(|| Duration::try_from_secs_f64((ahead + 1.0) / rate).unwrap_or(MAX_PAUSE))
-            .map(|left| left.min(MAX_PAUSE))
+        // Without a target the rate is 0.
+        let left = Duration::try_from_secs_f64((ahead + 1.0) / rate).ok()?;
+        (ahead >= capacity).then_some(left)
     }
 
     /// Estimates how many requests of a service wait before one, at all schedulers.
--- a/crates/core/src/edge/shared_rate.rs
+++ b/crates/core/src/edge/shared_rate.rs
@@ -88,6 +88,11 @@
         self.rate
     }
 
+    /// Returns the rate that is used, in sends a second.
+    pub fn used_rate(&self) -> f64 {
+        self.rate.max(MIN_RATE)
+    }
+
     /// Returns when this instance may send next.
     pub fn opens_at(&self) -> Instant {
         self.opens_at
@@ -96,7 +101,7 @@
     /// Returns how many sends the rate allows all instances from `now` until `end`.
     pub fn capacity(&self, now: Instant, end: Instant) -> f64 {
         match end.checked_duration_since(self.opens_at.max(now)) {
-            Some(time) => 1.0 + (self.rate.max(MIN_RATE) * time.as_secs_f64()).floor(),
+            Some(time) => 1.0 + (self.used_rate() * time.as_secs_f64()).floor(),
             None => 0.0,
         }
     }
@@ -150,7 +155,7 @@
 
     /// Returns the time between two sends.
     fn interval(&self, share: f64) -> Duration {
-        let seconds = 1.0 / (self.rate.max(MIN_RATE) * share);
+        let seconds = 1.0 / (self.used_rate() * share);
         Duration::from_secs_f64(seconds.min(MAX_INTERVAL.as_secs_f64()))
     }
 
