Logs: links that fall silent, and how long an instance is behind

Neither logs nor metrics told apart a request that was lost on its link, an answer that was, and an instance that should watch the store and does not. No decision changes.

--- a/crates/core/src/edge/catch_up.rs
+++ b/crates/core/src/edge/catch_up.rs
@@ -52,6 +52,11 @@
         self.unanswered += 1;
     }
 
+    /// Returns the number of requests since the last answer.
+    pub fn unanswered(&self) -> u32 {
+        self.unanswered
+    }
+
     /// Records that an answer has arrived.
     pub fn answered(&mut self) {
         self.unanswered = 0;
--- a/crates/instance/src/link.rs
+++ b/crates/instance/src/link.rs
@@ -273,7 +273,9 @@
     let mut acks = FramedRead::new(reader, codec(0));
     let mut link = FramedWrite::new(writer, codec(MAX_FRAME_BYTES));
     let mut unacked = frames.len();
-    let mut end = Instant::now() + ACK_TIMEOUT + transfer_time(&frames);
+    let opened = Instant::now();
+    let mut last_ack = opened;
+    let mut end = opened + ACK_TIMEOUT + transfer_time(&frames);
     let first = std::iter::once(greeting.clone()).chain(frames).collect();
     if !write_in_time(&mut link, first, to).await {
         return false;
@@ -301,11 +303,18 @@
                 }
                 unacked -= 1;
                 let now = Instant::now();
+                last_ack = now;
                 // What was written before may need its time still.
                 end = if unacked > 0 { end.max(now + ACK_TIMEOUT) } else { now + OUTGOING_IDLE };
             }
             () = sleep_until(end) => {
-                log::debug!("links: closing a link to {to}, {unacked} messages are not acknowledged.");
+                if unacked > 0 {
+                    let (open_ms, silent_ms) = (opened.elapsed().as_millis(), last_ack.elapsed().as_millis());
+                    log::info!(
+                        peer:% = to, unacked, open_ms = open_ms as u64, silent_ms = silent_ms as u64;
+                        "links: closing a silent link, messages are not acknowledged."
+                    );
+                }
                 return true;
             }
         }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -45,7 +45,8 @@
         let begun = Instant::now();
         let watches = gateway.state().watches_store(gateway, begun);
         if watches != watching {
-            log::info!(watches; "store: started or stopped watching.");
+            let behind_ms = gateway.state().behind_ms(begun);
+            log::info!(watches, behind_ms; "store: started or stopped watching.");
             watching = watches;
         }
         if listed && !watches {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -35,6 +35,8 @@
     pub wait_time: HistogramVec,
     /// Configuration version in force; 0 before the first.
     pub config_version: IntGauge,
+    /// Milliseconds for which a peer has had newer data of the store.
+    pub behind: IntGauge,
     /// Queued requests.
     pub queued: IntGauge,
     /// Targets that accept new requests.
@@ -77,6 +79,7 @@
             first_event_time: times("gateway_first_seconds", "Time to the first byte."),
             wait_time: times("gateway_wait_seconds", "Time until a place was found."),
             config_version: gauge("gateway_config_version", "Configuration version in force."),
+            behind: gauge("gateway_behind_ms", "Time since a peer has had newer data."),
             queued: gauge("gateway_waiting", "Requests that wait for a place."),
             targets: gauge("gateway_targets", "Targets that take new work."),
             lapsed_targets: gauge("gateway_lapsed_targets", "Targets kept after an outage."),
@@ -105,7 +108,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 21] = [
+        let all: [Box<dyn Collector>; 22] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.silent_runs.clone()),
@@ -114,6 +117,7 @@
             Box::new(self.first_event_time.clone()),
             Box::new(self.wait_time.clone()),
             Box::new(self.config_version.clone()),
+            Box::new(self.behind.clone()),
             Box::new(self.queued.clone()),
             Box::new(self.targets.clone()),
             Box::new(self.lapsed_targets.clone()),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -105,6 +105,11 @@
         nominees.next().is_none_or(|own| election::should_watch(own, nominees))
     }
 
+    /// Returns the milliseconds for which a peer of the zone has had newer data of the store.
+    pub fn behind_ms(&self, now: Instant) -> u64 {
+        self.behind_since.map_or(0, |at| now.saturating_duration_since(at).as_millis() as u64)
+    }
+
     /// Returns the schedulers of this zone, best first.
     pub fn schedulers<'a>(&'a self, gateway: &'a Gateway, now: Instant) -> Vec<&'a str> {
         election::schedulers(self.nominees(gateway, now))
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -54,12 +54,17 @@
             state.behind_since = None;
             request_watched(&mut state, own_version, gateway.started, now)
         };
+        let behind_ms = state.behind_ms(now);
+        gateway.metrics.behind.set(behind_ms as i64);
         if let Some((peer, request)) = request {
             state.snapshot_requests.sent(now);
+            let unanswered = state.snapshot_requests.unanswered();
+            let store_ms = state.store.last_success.map(|at| gossip::ms(now - at));
             drop(state);
             gateway.metrics.snapshots.with_label_values(&["requested"]).inc();
             log::info!(
-                peer:% = peer, version = own_version, era = request.era, revision = request.revision;
+                peer:% = peer, version = own_version, era = request.era, revision = request.revision,
+                behind_ms, unanswered, store_ms;
                 "snapshot: requested from a peer."
             );
             links.send(peer, Body::SnapshotRequest(request));
