Tests: links that fall silent, and an instance whose peers do not answer

Questions to a peer and their answers are lost on links that fell silent, busy or idle, one way or both: no answer within 4 s, 1 s allowed (six cases). A link that acknowledges nothing stays open while messages come: none of 38 in 4 s arrived. An instance that is behind and whose peers do not answer never watches the store: a change is not in force after 8 s, 1.5 s allowed. The stand-in for a peer moves to a file of its own.

--- a/crates/instance/tests/link.rs
+++ b/crates/instance/tests/link.rs
@@ -8,7 +8,8 @@
 
 use mimosapass_instance::link::{INBOX_LENGTH, Identity, Incoming, Links};
 use mimosapass_instance::message::{
-    Body, Config, ConfigRequest, Envelope, Heartbeat, MAX_FRAME_BYTES, VERSION,
+    Body, Config, ConfigRequest, Envelope, Heartbeat, MAX_FRAME_BYTES, SnapshotRequest,
+    StoreSnapshot, VERSION,
 };
 use mimosapass_standin::endless::EndlessServer;
 use mimosapass_standin::relay::Relay;
@@ -221,3 +222,101 @@
         inbox.recv_timeout(RECEIVE_TIMEOUT).expect("a message");
     }
 }
+
+/// Time within which a question is answered although its links fell silent: a change has to be
+/// in force within a second and a half of the moment at which it is known in the zone.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+
+fn question(config_version: u64) -> Body {
+    Body::SnapshotRequest(SnapshotRequest { config_version, ..Default::default() })
+}
+
+/// Two instances, the paths between them, and what the one that asks receives.
+struct Pair {
+    near: Links,
+    inbox: Receiver<Incoming>,
+    there: Relay,
+    back: Relay,
+}
+
+impl Pair {
+    /// Starts two instances; the far one answers each question.
+    fn start() -> Self {
+        let (near, inbox) = start("near");
+        let (far, questions) = start("far");
+        let there = Relay::start(far.addr()).expect("a port");
+        let back = Relay::start(near.addr()).expect("a port");
+        let to = back.addr();
+        std::thread::spawn(move || {
+            for incoming in questions {
+                if let Body::SnapshotRequest(request) = incoming.body {
+                    let revision = request.config_version;
+                    far.send(to, Body::Snapshot(StoreSnapshot { revision, ..Default::default() }));
+                }
+            }
+        });
+        Self { near, inbox, there, back }
+    }
+
+    /// Asks question `number`; returns the time until its answer, at most `limit`.
+    fn ask(&self, number: u64, limit: Duration) -> Option<Duration> {
+        let begun = Instant::now();
+        self.near.send(self.there.addr(), question(number));
+        while let Ok(incoming) = self.inbox.recv_timeout(limit.saturating_sub(begun.elapsed())) {
+            if matches!(incoming.body, Body::Snapshot(s) if s.revision == number) {
+                return Some(begun.elapsed());
+            }
+        }
+        None
+    }
+}
+
+/// Guards against changes that were in force after five seconds on dokaz-zapad-grown: a question
+/// and its answer were lost on two links that had fallen silent, one after the other.
+#[rstest]
+#[case::busy_question(0, true, false)]
+#[case::busy_answer(0, false, true)]
+#[case::busy_both(0, true, true)]
+#[case::idle_question(1_200, true, false)]
+#[case::idle_answer(1_200, false, true)]
+#[case::idle_both(1_200, true, true)]
+fn question_is_answered_although_links_fell_silent(
+    #[case] idle_ms: u64,
+    #[case] there: bool,
+    #[case] back: bool,
+) {
+    let pair = Pair::start();
+    pair.ask(1, RECEIVE_TIMEOUT).expect("the links work");
+    // The answer is acknowledged too.
+    std::thread::sleep(Duration::from_millis(50));
+    if there {
+        pair.there.silence_open();
+    }
+    if back {
+        pair.back.silence_open();
+    }
+    std::thread::sleep(Duration::from_millis(idle_ms));
+    let took = pair.ask(2, Duration::from_secs(4)).expect("an answer");
+    assert!(took <= ANSWER_TIME, "answered after {took:?}");
+}
+
+/// Guards against a link that stays open although it acknowledges nothing, for as long as there
+/// are messages for it.
+#[test]
+fn silent_link_is_closed_although_messages_come() {
+    let (near, _) = start("near");
+    let (far, inbox) = start("far");
+    let path = Relay::start(far.addr()).expect("a port");
+    near.send(path.addr(), heartbeat(1));
+    inbox.recv_timeout(RECEIVE_TIMEOUT).expect("the link works");
+    path.silence_open();
+    let compressed = bytes::Bytes::from(vec![7; 16 * 1024]);
+    let begun = Instant::now();
+    let arrived = (2..40).find(|version| {
+        let config = Config { version: *version, digest: 1, compressed: compressed.clone() };
+        near.send(path.addr(), Body::Config(config));
+        inbox.recv_timeout(Duration::from_millis(100)).is_ok()
+    });
+    assert!(arrived.is_some(), "no message arrived within {:?}", begun.elapsed());
+    assert!(begun.elapsed() < Duration::from_secs(2), "after {:?}", begun.elapsed());
+}
--- a/tests/suite/gateway/large_changes.rs
+++ b/tests/suite/gateway/large_changes.rs
@@ -1,19 +1,14 @@
 //! Large configurations over narrow links.
 
-use std::net::SocketAddr;
-use std::sync::mpsc::{Receiver, sync_channel};
 use std::time::{Duration, Instant};
 
-use mimosapass_instance::datagram::{self, Datagram, DatagramSocket};
-use mimosapass_instance::link::{INBOX_LENGTH, Identity, Incoming, Links};
-use mimosapass_instance::message::{Body, SnapshotRequest, StoreSnapshot};
 use mimosapass_standin::metastore::Fault;
 use mimosapass_standin::relay::Relay;
 use mimosapass_standin::target::Reply;
 use serde_json::Value;
 
+use super::fake_peer::FakePeer;
 use super::{Cluster, KEY, call, config, eventually, head, start_target};
-use crate::common::{WAIT_TIMEOUT, unique_ip};
 
 /// Time in which a confirmed change has to be in force at size.
 const CHANGE_TIME: Duration = Duration::from_secs(3);
@@ -74,75 +69,18 @@
     eventually("it is in force", || status(&cluster, "/v10/1") == 200);
 }
 
-/// A peer that has a newer configuration, if it says so, and answers no request for it.
-struct SlowPeer {
-    socket: DatagramSocket,
-    inbox: Receiver<Incoming>,
-    seq: u64,
-}
-
-impl SlowPeer {
-    /// Starts it; messages are received until the links are dropped.
-    fn start() -> (Self, Links) {
-        let addr = SocketAddr::from((unique_ip(), 8082));
-        let identity = Identity { name: "slow".to_owned(), zone: "a".to_owned(), boot: 1 };
-        let (sink, inbox) = sync_channel(INBOX_LENGTH);
-        let links = Links::start(&identity, addr, sink).expect("it starts");
-        let socket = DatagramSocket::bind(addr).expect("an address");
-        (Self { socket, inbox, seq: 0 }, links)
-    }
-
-    fn announce(&mut self, to: SocketAddr) {
-        self.seq += 1;
-        let datagram = Datagram {
-            version: datagram::VERSION,
-            from: "slow".to_owned(),
-            boot: 1,
-            seq: self.seq,
-            config_version: 99,
-            watching: true,
-            zone: "a".to_owned(),
-            ..Datagram::default()
-        };
-        self.socket.send(&datagram, &[to]);
-    }
-
-    /// Returns the snapshot that the gateway at `addr` sends for a request.
-    fn snapshot(&self, links: &Links, addr: SocketAddr, accepts_compressed: bool) -> StoreSnapshot {
-        let request =
-            SnapshotRequest { accepts_compressed, accepts_changes: true, ..Default::default() };
-        links.send(addr, Body::SnapshotRequest(request));
-        let end = Instant::now() + WAIT_TIMEOUT;
-        while let Ok(incoming) = self.inbox.recv_timeout(end - Instant::now()) {
-            if let Body::Snapshot(snapshot) = incoming.body {
-                return snapshot;
-            }
-        }
-        panic!("no snapshot came");
-    }
-
-    fn requests(&self) -> Vec<SnapshotRequest> {
-        let requests = self.inbox.try_iter().filter_map(|incoming| match incoming.body {
-            Body::SnapshotRequest(request) => Some(request),
-            _ => None,
-        });
-        requests.collect()
-    }
-}
-
 /// Guards against copies of a configuration that are asked for while the first is under way.
 #[test]
 fn configuration_under_way_is_not_asked_for_every_time() {
     let cluster = Cluster::start(1);
     cluster.ready(0);
     cluster.endpoint.set_fault(Fault::Reject(503));
-    let (mut peer, links) = SlowPeer::start();
+    let mut peer = FakePeer::start("slow", 0);
     let begun = Instant::now();
     while begun.elapsed() < Duration::from_secs(6) {
-        peer.announce(cluster.peers(0));
+        peer.announce(99, cluster.peers(0));
         std::thread::sleep(Duration::from_millis(200));
     }
-    drop(links);
     let count = peer.requests().len();
     assert!((2..=5).contains(&count), "{count} requests");
 }
@@ -156,11 +94,11 @@
     cluster.configure(&config);
     cluster.ready(0);
     cluster.logged(0, &["config: now in force", "version=10"]);
-    let (peer, links) = SlowPeer::start();
-    let sent = peer.snapshot(&links, cluster.peers(0), true);
+    let peer = FakePeer::start("slow", 0);
+    let sent = peer.snapshot(cluster.peers(0), true);
     assert!(sent.config_text.is_empty());
     assert!(sent.config_compressed.len() * 10 < config.to_string().len());
-    let former = peer.snapshot(&links, cluster.peers(0), false);
+    let former = peer.snapshot(cluster.peers(0), false);
     assert_eq!(former.config_text, config.to_string(), "a peer of the former version");
     assert!(former.config_compressed.is_empty());
 }
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -2,11 +2,13 @@
 
 mod answers;
 mod backups;
+mod behind;
 mod delegation;
 mod endless;
 mod endless_streams;
 mod evacuation;
 mod explain;
+mod fake_peer;
 mod large_changes;
 mod limits;
 mod notices;
