Links: what a silent link lost is sent again, and none is kept while unused

An instance that does not watch the store asks a peer over a link and is answered over the peer's own one. Both fall silent with all other connections, each is noticed a second after the next message, which is lost, and every further peer that is asked has two more such links.

A link that was not used for a second is closed, so that the next message opens one. An acknowledgement is missing after 0.3 s, counted from the oldest message, so that later ones do not keep a silent link open, and messages that may arrive twice go out again over the next link, three times at most and only to peers that acknowledge. The decisions are in core::unacked. What went unanswered for two losses in a row is answered within 0.6 s.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,4 +39,5 @@
 pub mod target_state;
 pub mod target_table;
 pub mod tiers;
+pub mod unacked;
 pub mod version;
--- a/crates/instance/src/lib.rs
+++ b/crates/instance/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod delegation;
 pub mod link;
 pub mod message;
+mod outgoing;
--- a/crates/instance/src/link.rs
+++ b/crates/instance/src/link.rs
@@ -3,7 +3,8 @@
 //! There is one outgoing link per peer address. A link carries messages in one
 //! direction; the receiver responds on its own outgoing link. It acknowledges each
 //! message with an empty frame. A link that is broken, or on which an acknowledgement is
-//! missing because it fell silent, is reopened for the next message. Messages to a slow peer are dropped rather than
+//! missing because it fell silent, is opened again, and what may arrive twice is sent again.
+//! Messages to a slow peer are dropped rather than
 //! delaying other peers; senders repeat everything that they send here. The first
 //! message of a link names the sender, so that heartbeats stay small, and a message
 //! to many peers is encoded once.
@@ -17,14 +18,15 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use prost::Message;
-use tokio::net::tcp::OwnedWriteHalf;
+use mimosapass_core::unacked::Message;
+use prost::Message as _;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout};
-use tokio_util::codec::{Framed, FramedRead, FramedWrite, LengthDelimitedCodec};
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::message::{Body, Envelope, MAX_FRAME_BYTES, VERSION};
+use crate::outgoing;
 
 /// Number of received messages that may wait to be handled, for a channel of [`Links::start`].
 pub const INBOX_LENGTH: usize = 256;
@@ -33,24 +35,10 @@
 const FULL_PAUSE: Duration = Duration::from_millis(10);
 /// Maximum number of batches that wait for one peer.
 const QUEUE_LENGTH: usize = 64;
-/// Timeout for opening a link.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout for writing one batch, besides the time for its bytes.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Least rate of a link in bytes a second: small machines send large messages to many peers
-/// at once.
-const MIN_RATE: usize = 32 * 1024;
-/// Time within which a message is acknowledged, besides the time for its bytes. Former versions acknowledge none: to them a
-/// link is reopened for each message that comes later.
-const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout for writing an acknowledgement. Former versions read none, and fill up.
 const ACK_WRITE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time without a message after which an incoming link is closed.
 const INCOMING_IDLE: Duration = Duration::from_secs(30);
-/// Time without a message after which an outgoing link is closed.
-const OUTGOING_IDLE: Duration = Duration::from_secs(30);
-
-type LinkWriter = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
 
 /// Identity of an instance on a link.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -78,7 +66,7 @@
 #[derive(Debug)]
 struct Outgoing {
     to: Vec<SocketAddr>,
-    frames: Vec<Bytes>,
+    messages: Vec<Message>,
 }
 
 /// Sends messages to peers without blocking.
@@ -136,8 +124,12 @@
     }
 
     fn enqueue(&self, to: Vec<SocketAddr>, bodies: Vec<Body>) {
-        let frames = bodies.into_iter().map(|b| encode(&Envelope::with_body(b))).collect();
-        if self.queue.send(Outgoing { to, frames }).is_err() {
+        let messages = bodies.into_iter().map(|body| {
+            let repeatable = body.is_repeatable();
+            Message { bytes: encode(&Envelope::with_body(body)), repeatable }
+        });
+        let messages = messages.collect();
+        if self.queue.send(Outgoing { to, messages }).is_err() {
             log::error!("links: message dropped, the thread has ended.");
         }
     }
@@ -218,7 +210,7 @@
 async fn dispatch(
     identity: Identity,
     addr: SocketAddr,
-    mut outgoing: mpsc::UnboundedReceiver<Outgoing>,
+    mut queued: mpsc::UnboundedReceiver<Outgoing>,
 ) {
     let greeting = Envelope {
         from: identity.name,
@@ -228,122 +220,23 @@
         ..Envelope::empty()
     };
     let greeting = encode(&greeting);
-    let mut peers: HashMap<SocketAddr, mpsc::Sender<Vec<Bytes>>> = HashMap::new();
-    while let Some(Outgoing { to, frames }) = outgoing.recv().await {
+    let mut peers: HashMap<SocketAddr, mpsc::Sender<Vec<Message>>> = HashMap::new();
+    while let Some(Outgoing { to, messages }) = queued.recv().await {
         peers.retain(|_, queue| !queue.is_closed());
         for to in to {
             let queue = peers.entry(to).or_insert_with(|| {
                 let (queue, batches) = mpsc::channel(QUEUE_LENGTH);
-                tokio::spawn(write(to, greeting.clone(), batches));
+                tokio::spawn(outgoing::write(to, greeting.clone(), batches));
                 queue
             });
-            if queue.try_send(frames.clone()).is_err() {
+            if queue.try_send(messages.clone()).is_err() {
                 log::debug!("links: messages to {to} dropped, its queue is full or closed.");
             }
         }
     }
 }
 
-/// Writes messages to one peer until a link breaks or there are no messages for a while.
-async fn write(to: SocketAddr, greeting: Bytes, mut batches: mpsc::Receiver<Vec<Bytes>>) {
-    while let Ok(Some(frames)) = timeout(OUTGOING_IDLE, batches.recv()).await {
-        if !write_link(to, &greeting, frames, &mut batches).await {
-            return;
-        }
-    }
-}
-
-/// Opens a link and writes messages; returns whether it ended as idle or silent, so that the
-/// next message may open another one.
-async fn write_link(
-    to: SocketAddr,
-    greeting: &Bytes,
-    frames: Vec<Bytes>,
-    batches: &mut mpsc::Receiver<Vec<Bytes>>,
-) -> bool {
-    let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await else {
-        log::debug!("links: cannot connect to {to}.");
-        return false;
-    };
-    if stream.set_nodelay(true).is_err() {
-        return false;
-    }
-    let (reader, writer) = stream.into_split();
-    // An acknowledgement is an empty frame.
-    let mut acks = FramedRead::new(reader, codec(0));
-    let mut link = FramedWrite::new(writer, codec(MAX_FRAME_BYTES));
-    let mut unacked = frames.len();
-    let opened = Instant::now();
-    let mut last_ack = opened;
-    let mut end = opened + ACK_TIMEOUT + transfer_time(&frames);
-    let first = std::iter::once(greeting.clone()).chain(frames).collect();
-    if !write_in_time(&mut link, first, to).await {
-        return false;
-    }
-    loop {
-        tokio::select! {
-            batch = batches.recv() => {
-                let Some(frames) = batch else { return false };
-                if unacked == 0 {
-                    end = Instant::now() + ACK_TIMEOUT;
-                }
-                end += transfer_time(&frames);
-                unacked += frames.len();
-                if !write_in_time(&mut link, frames, to).await {
-                    return false;
-                }
-            }
-            ack = acks.next() => {
-                if !matches!(ack, Some(Ok(_))) {
-                    return false;
-                }
-                if unacked == 0 {
-                    log::warn!("links: closing a link to {to}: it acknowledges what was not sent.");
-                    return false;
-                }
-                unacked -= 1;
-                let now = Instant::now();
-                last_ack = now;
-                // What was written before may need its time still.
-                end = if unacked > 0 { end.max(now + ACK_TIMEOUT) } else { now + OUTGOING_IDLE };
-            }
-            () = sleep_until(end) => {
-                if unacked > 0 {
-                    let (open_ms, silent_ms) = (opened.elapsed().as_millis(), last_ack.elapsed().as_millis());
-                    log::info!(
-                        peer:% = to, unacked, open_ms = open_ms as u64, silent_ms = silent_ms as u64;
-                        "links: closing a silent link, messages are not acknowledged."
-                    );
-                }
-                return true;
-            }
-        }
-    }
-}
-
-/// Returns the longest time in which frames are sent over a link that works.
-fn transfer_time(frames: &[Bytes]) -> Duration {
-    let bytes: usize = frames.iter().map(Bytes::len).sum();
-    Duration::from_secs(1).mul_f64(bytes as f64 / MIN_RATE as f64)
-}
-
-async fn write_in_time(link: &mut LinkWriter, frames: Vec<Bytes>, to: SocketAddr) -> bool {
-    let limit = WRITE_TIMEOUT + transfer_time(&frames);
-    let written = matches!(timeout(limit, write_batch(link, frames)).await, Ok(Ok(())));
-    if !written {
-        log::debug!("links: writing to {to} failed or timed out.");
-    }
-    written
-}
-
-/// Writes messages with one flush, so that they share packets where they fit.
-async fn write_batch(link: &mut LinkWriter, frames: Vec<Bytes>) -> io::Result<()> {
-    for frame in frames {
-        link.feed(frame).await?;
-    }
-    SinkExt::<Bytes>::flush(link).await
-}
-
-fn codec(max_frame_bytes: usize) -> LengthDelimitedCodec {
+/// Returns the framing of links, with a limit on the length of a frame.
+pub(crate) fn codec(max_frame_bytes: usize) -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(max_frame_bytes).new_codec()
 }
--- a/crates/instance/src/message.rs
+++ b/crates/instance/src/message.rs
@@ -81,6 +81,28 @@
     Snapshot(StoreSnapshot),
 }
 
+impl Body {
+    /// Returns whether it may arrive twice: it asks for what its sender does not have, or says
+    /// what is not older than what the receiver then has.
+    pub fn is_repeatable(&self) -> bool {
+        match self {
+            Self::ConfigRequest(_)
+            | Self::Config(_)
+            | Self::MemberListRequest(_)
+            | Self::SnapshotRequest(_)
+            | Self::Snapshot(_) => true,
+            // A group that is requested twice is formed twice; the rest is sent at intervals.
+            Self::Heartbeat(_)
+            | Self::LoadReports(_)
+            | Self::GroupRequest(_)
+            | Self::GroupResponse(_)
+            | Self::Contacts(_)
+            | Self::ZoneSummary(_)
+            | Self::MemberList(_) => false,
+        }
+    }
+}
+
 /// Request for a snapshot of what a gateway knows from the store.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct SnapshotRequest {
