--- a/crates/core/tests/edge_catch_up.rs
+++ b/crates/core/tests/edge_catch_up.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use mimosapass_core::edge::catch_up::{Requests, answer_time, is_store_silent};
+use mimosapass_core::edge::catch_up::{
+    Known, Lag, MAX_BEHIND, Requests, answer_time, is_store_silent,
+};
+use mimosapass_core::edge::position::Position;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -102,3 +105,56 @@
     requests.answered();
     assert!(requests.may_send(MS * 300, now + MS * 300));
 }
+
+fn version(config: u64) -> Known {
+    Known { config, ..Known::default() }
+}
+
+/// Replays versions written each `interval_ms` that each take `delay_ms` to arrive; returns
+/// whether the instance is ever to watch the store itself within ten seconds.
+fn watches(interval_ms: u32, delay_ms: u32) -> bool {
+    let begun = Instant::now();
+    let mut lag = Lag::default();
+    (0..10_000).step_by(100).any(|ms| {
+        let now = begun + MS * ms;
+        let at = |ms: u32| version(u64::from(ms / interval_ms));
+        lag.update(at(ms.saturating_sub(delay_ms)), at(ms), now);
+        lag.is_overdue(now)
+    })
+}
+
+#[test]
+fn changes_in_quick_succession_that_arrive_in_time_are_no_lag() {
+    assert!(!watches(300, 300));
+    assert!(!watches(100, 400));
+}
+
+#[test]
+fn instance_whose_peers_do_not_answer_is_behind() {
+    assert!(watches(300, 900));
+    assert!(watches(5_000, 5_000));
+}
+
+/// Guards against an instance that stops to watch as soon as it has begun.
+#[test]
+fn instance_is_behind_until_it_has_what_it_lacked() {
+    let begun = Instant::now();
+    let mut lag = Lag::default();
+    for ms in (0..3_000).step_by(100) {
+        let now = begun + MS * ms;
+        lag.update(version(3), version(9), now);
+        assert_eq!(lag.is_overdue(now), MS * ms >= MAX_BEHIND, "after {ms} ms");
+    }
+    lag.update(version(9), version(9), begun + MS * 3_000);
+    assert_eq!(lag.since(), None);
+}
+
+#[test]
+fn instance_lacks_targets_and_orders_too() {
+    let later = Position { era: 0, revision: 8 };
+    let own = version(3);
+    assert!(own.lacks(&Known { targets: later, ..own }));
+    assert!(own.lacks(&Known { evacuations: later, ..own }));
+    assert!(!Known { targets: later, ..own }.lacks(&own));
+    assert!(!own.lacks(&own));
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_core::edge::audience::{self, Heard, Recipients, Registered, Sender};
+use mimosapass_core::edge::catch_up::Known;
 use mimosapass_core::edge::currency::{self, PeerView};
 use mimosapass_core::edge::election::{self, Nominee};
 use mimosapass_core::edge::order::Turn;
@@ -23,10 +24,6 @@
 /// Silence after which a scheduler is not asked any more: three of its datagrams are
 /// missing.
 const SCHEDULER_SILENCE: Duration = Duration::from_secs(1);
-/// Time behind its peers after which an instance watches the store itself. By then
-/// one request for a snapshot went unanswered, and what remains of the two seconds
-/// in which a change must take effect is enough for a watch.
-const MAX_BEHIND: Duration = Duration::from_millis(500);
 
 /// What is known of a peer from its datagrams.
 #[derive(Clone, Debug)]
@@ -73,7 +70,28 @@
     pub zone: Option<ZoneId>,
 }
 
+impl Peer {
+    /// Returns what it knows of the store's data.
+    pub fn known(&self) -> Known {
+        let Self { config_version: config, targets, evacuations, .. } = *self;
+        Known { config, targets, evacuations }
+    }
+}
+
 impl State {
+    /// Returns what this instance knows of the store's data, with its configuration.
+    pub fn known(&self, config: u64) -> Known {
+        let evacuations = self.scheduler.fleet.evacuations.latest();
+        Known { config, targets: self.store.progress.targets, evacuations }
+    }
+
+    /// Records since when this instance lacks what a peer of its zone has.
+    pub fn update_lag(&mut self, config: u64, now: Instant) {
+        let in_zone = self.peers.values().filter(|p| p.zone == self.scheduler.zone);
+        let newest = in_zone.map(Peer::known).fold(Known::default(), Known::max);
+        self.lag.update(self.known(config), newest, now);
+    }
+
     /// Returns the live instances of this zone, with this one.
     fn nominees<'a>(
         &'a self,
@@ -98,7 +116,7 @@
 
     /// Returns whether this instance watches the store for its zone.
     pub fn watches_store(&self, gateway: &Gateway, now: Instant) -> bool {
-        if self.behind_since.is_some_and(|since| now >= since + MAX_BEHIND) {
+        if self.lag.is_overdue(now) {
             return true;
         }
         let mut nominees = self.nominees(gateway, now);
@@ -107,7 +125,7 @@
 
     /// Returns the milliseconds for which a peer of the zone has had newer data of the store.
     pub fn behind_ms(&self, now: Instant) -> u64 {
-        self.behind_since.map_or(0, |at| now.saturating_duration_since(at).as_millis() as u64)
+        self.lag.since().map_or(0, |at| now.saturating_duration_since(at).as_millis() as u64)
     }
 
     /// Returns the schedulers of this zone, best first.
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -48,10 +48,10 @@
         follow::expire_targets(gateway);
         let own_version = gateway.route_table().version;
         let mut state = gateway.state();
+        state.update_lag(own_version, now);
         let request = if state.store.listed && !state.watches_store(gateway, now) {
             request_unwatched(&mut state, own_version, now)
         } else {
-            state.behind_since = None;
             request_watched(&mut state, own_version, gateway.started, now)
         };
         let behind_ms = state.behind_ms(now);
@@ -78,20 +78,16 @@
     own_version: u64,
     now: Instant,
 ) -> Option<(SocketAddr, SnapshotRequest)> {
-    let known = state.store.progress.targets;
+    let known = state.known(own_version);
     let in_zone = state.peers.values().filter(|p| p.zone == state.scheduler.zone);
-    let orders = state.scheduler.fleet.evacuations.latest();
-    let has_newer =
-        |p: &Peer| p.config_version > own_version || p.targets > known || p.evacuations > orders;
-    let newer = in_zone.filter(|p| has_newer(p));
+    let newer = in_zone.filter(|p| known.lacks(&p.known()));
     // The peer whose datagram is the most recent is the least likely to have failed.
     let peer = newer.max_by_key(|p| p.last_heard).map(|p| p.addr);
-    state.behind_since = peer.and(state.behind_since.or(Some(now)));
     if !state.snapshot_requests.may_send(UNWATCHED_INTERVAL, now) {
         return None;
     }
     let digest = state.scheduler.fleet.digest();
-    Some((peer?, request(own_version, known, digest)))
+    Some((peer?, request(own_version, known.targets, digest)))
 }
 
 /// Returns the request of an instance that watches the store.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use mimosapass_core::edge::catch_up::Requests;
+use mimosapass_core::edge::catch_up::{Lag, Requests};
 use mimosapass_core::edge::changes::ChangeLog;
 use mimosapass_core::edge::clients::ClientRequests;
 use mimosapass_core::edge::cost::Engine;
@@ -110,9 +110,8 @@
     pub target_changes: ChangeLog,
     /// Since when a peer has had a newer configuration.
     pub outdated_since: Option<Instant>,
-    /// Since when a peer in the zone has had newer data of the store, while this
-    /// instance does not watch it.
-    pub behind_since: Option<Instant>,
+    /// Since when this instance lacks data of the store that a peer of the zone has.
+    pub lag: Lag,
     /// Parts of prompts that crash targets.
     pub quarantine: Quarantine,
     /// Whether peers are to be told at once of parts that were accused or cleared here.
@@ -332,7 +331,7 @@
             store: StoreStatus::default(),
             target_changes: ChangeLog::default(),
             outdated_since: None,
-            behind_since: None,
+            lag: Lag::default(),
             quarantine: Quarantine::default(),
             evidence_changed: false,
             snapshot_requests: Requests::default(),
