Logs: an instance that cannot connect to most targets of a service

Logs told of each target that was avoided, for whatever reason, and not whether the instance itself had lost its paths. The last connection to each target is recorded, and a line says when most of a service's targets cannot be connected to and when they can again; gateway_unreachable_targets counts them. No decision changes.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -32,6 +32,7 @@
 //! - [`backup`]: when a silent run of a request is backed up at another target.
 //! - [`transfer`]: how long an answer may take to arrive.
 //! - [`outage`]: whether an outage of the store affected all instances.
+//! - [`reach`]: which targets this instance cannot connect to.
 //! - [`outcomes`]: temporary exclusion of targets that fail or do not answer.
 
 pub mod audience;
@@ -55,6 +56,7 @@
 pub mod position;
 pub mod progress;
 pub mod quarantine;
+pub mod reach;
 pub mod remote;
 pub mod requirements;
 pub mod retry;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -48,13 +48,19 @@
 ///
 /// Fails when the target cannot be connected to.
 pub fn connect(gateway: &Gateway, grant: &Grant, idempotent: bool) -> Result<Connection, String> {
-    let addr = grant.placement.target.addr;
+    let target = &grant.placement.target;
+    let addr = target.addr;
     // An idle connection may be closed while a request is being sent, which leaves
     // unknown whether it ran: non-idempotent requests get a new connection.
     let pooled = if idempotent { gateway.connections.take(addr, Instant::now()) } else { None };
-    pooled.map_or_else(|| Connection::open(addr, CONNECT_TIMEOUT), Ok).map_err(|e| {
+    if let Some(connection) = pooled {
+        return Ok(connection);
+    }
+    let opened = Connection::open(addr, CONNECT_TIMEOUT);
+    gateway.record_connection(target, opened.is_ok(), Instant::now());
+    opened.map_err(|e| {
         gateway.connections.close_all(addr);
-        gateway.record_outcome(&grant.placement.target.id, Outcome::Silent, Instant::now());
+        gateway.record_outcome(&target.id, Outcome::Silent, Instant::now());
         gateway.metrics.attempts.with_label_values(&["unsent"]).inc();
         format!("cannot connect to {addr}: {e}")
     })
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -133,7 +133,7 @@
             target_id = &*id;
             "target: removed, its entry was not written again after an outage."
         );
-        state.scheduler.forget(&id);
+        state.forget_target(&id);
     }
 }
 
@@ -179,7 +179,7 @@
                 continue;
             }
             log::info!(target_id = &*id, revision = position.revision; "target: removed, the store does not list it.");
-            state.scheduler.forget(&id);
+            state.forget_target(&id);
         }
         let known = state.store.progress.targets;
         state.target_changes.reset(known);
@@ -328,7 +328,7 @@
             log::info!(target_id = id, revision, outage; "target: entry removed.");
         }
     }
-    state.scheduler.forget(id);
+    state.forget_target(id);
     state.announce = true;
     true
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -43,6 +43,8 @@
     pub targets: IntGauge,
     /// Targets that serve although their entry may have expired in an outage.
     pub lapsed_targets: IntGauge,
+    /// Targets to which the last connection failed.
+    pub unreachable_targets: IntGauge,
     /// Targets that asked for a pause, or get few requests after one.
     pub paused_targets: IntGauge,
     /// Targets that state a limit.
@@ -83,6 +85,10 @@
             queued: gauge("gateway_waiting", "Requests that wait for a place."),
             targets: gauge("gateway_targets", "Targets that take new work."),
             lapsed_targets: gauge("gateway_lapsed_targets", "Targets kept after an outage."),
+            unreachable_targets: gauge(
+                "gateway_unreachable_targets",
+                "Targets that cannot be connected to.",
+            ),
             paused_targets: gauge("gateway_paused_targets", "Targets that asked for a pause."),
             limited_targets: gauge("gateway_limited_targets", "Targets that state a limit."),
             limited_grants: counters(
@@ -108,7 +114,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 22] = [
+        let all: [Box<dyn Collector>; 23] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.silent_runs.clone()),
@@ -121,6 +127,7 @@
             Box::new(self.queued.clone()),
             Box::new(self.targets.clone()),
             Box::new(self.lapsed_targets.clone()),
+            Box::new(self.unreachable_targets.clone()),
             Box::new(self.paused_targets.clone()),
             Box::new(self.limited_targets.clone()),
             Box::new(self.limited_grants.clone()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! | `delegate` | delegates placements to the schedulers of the zone |
 //! | `request` | resolves the route and workspace of a request |
 //! | `queue` | queues requests until they are granted a target |
+//! | `reach` | which targets this instance can connect to |
 //! | `attempt` | connects to a target and encodes a request for it |
 //! | `run` | one run of a request at a target |
 //! | `runs` | the runs of one request: waits for them, and backs up a silent one |
@@ -42,6 +43,7 @@
 mod notices;
 mod peers;
 mod queue;
+mod reach;
 mod relay;
 mod request;
 mod reservations;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,6 +1,6 @@
 //! State shared by the threads of one gateway.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
@@ -16,6 +16,7 @@
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::progress::Progress;
 use mimosapass_core::edge::quarantine::Quarantine;
+use mimosapass_core::edge::reach::Reach;
 use mimosapass_core::edge::remote::RemoteRequests;
 use mimosapass_core::edge::retry::RetryWindow;
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
@@ -106,6 +107,10 @@
     pub announce: bool,
     /// Connection to the store.
     pub store: StoreStatus,
+    /// Targets that cannot be connected to.
+    pub reach: Reach,
+    /// Services of which most targets cannot be connected to.
+    pub cut_off: BTreeSet<ServiceId>,
     /// Recent changes of targets, for peers that do not watch the store.
     pub target_changes: ChangeLog,
     /// Since when a peer has had a newer configuration.
@@ -329,6 +334,8 @@
             observations: Observations::default(),
             announce: false,
             store: StoreStatus::default(),
+            reach: Reach::default(),
+            cut_off: BTreeSet::new(),
             target_changes: ChangeLog::default(),
             outdated_since: None,
             lag: Lag::default(),
