Tests: an instance that cannot connect to targets which its peer reaches

Connections to all targets hang or are refused at one of two instances. Its callers get 503 and 504, streams and calls alike (six cases), and a request that has failed at all targets of its service is refused after seconds in the queue. The stand-ins learn paths that admit no new connections, and a store that names a path in place of a target's address.

--- a/crates/standin/src/metastore.rs
+++ b/crates/standin/src/metastore.rs
@@ -78,13 +78,23 @@
     /// Address.
     pub addr: SocketAddr,
     fault: Arc<Mutex<Fault>>,
+    paths: Paths,
 }
 
+/// Addresses in values, and what stands in their place at one endpoint.
+type Paths = Arc<Mutex<BTreeMap<String, String>>>;
+
 impl Endpoint {
     /// Returns the same endpoint as reached at another address.
     #[must_use]
     pub fn via(&self, addr: SocketAddr) -> Self {
-        Self { addr, fault: Arc::clone(&self.fault) }
+        Self { addr, ..self.clone() }
+    }
+
+    /// Tells those who use this endpoint that what is at `target` is at `path`.
+    pub fn set_path(&self, target: SocketAddr, path: SocketAddr) {
+        let mut paths = self.paths.lock().unwrap_or_else(PoisonError::into_inner);
+        paths.insert(target.to_string(), path.to_string());
     }
 
     /// Sets the fault.
@@ -101,14 +111,15 @@
     /// Panics when no address can be bound.
     pub fn open_endpoint(&self) -> Endpoint {
         let fault = Arc::new(Mutex::new(Fault::None));
-        let (store, shared) = (self.clone(), Arc::clone(&fault));
+        let paths = Paths::default();
+        let (store, shared, told) = (self.clone(), Arc::clone(&fault), Arc::clone(&paths));
         let handler = move |exchange: &mut Exchange<'_>| {
             let current = *shared.lock().unwrap_or_else(PoisonError::into_inner);
-            store.serve(exchange, current);
+            store.serve(exchange, current, &told);
         };
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Server::start(any, Limits::default(), Arc::new(handler)).expect("an address");
-        Endpoint { addr: server.addr(), fault }
+        Endpoint { addr: server.addr(), fault, paths }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -169,7 +180,7 @@
         state.items.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
     }
 
-    fn serve(&self, exchange: &mut Exchange<'_>, fault: Fault) {
+    fn serve(&self, exchange: &mut Exchange<'_>, fault: Fault, paths: &Paths) {
         match fault {
             Fault::Reject(status) => return self.respond(exchange, status, &json!({})),
             Fault::Hang => {
@@ -185,7 +196,8 @@
             thread::sleep(Duration::from_secs(4));
             return;
         }
-        self.respond(exchange, status, &body);
+        let paths = paths.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        self.respond(exchange, status, &with_paths(body, &paths));
     }
 
     fn respond(&self, exchange: &mut Exchange<'_>, status: u16, body: &Value) {
@@ -353,6 +365,33 @@
     }
 }
 
+/// Replaces the addresses in the values of an answer.
+fn with_paths(mut body: Value, paths: &BTreeMap<String, String>) -> Value {
+    if paths.is_empty() {
+        return body;
+    }
+    let lists = ["entries", "events"].into_iter().filter_map(|name| body.get(name)?.as_array());
+    let items: Vec<Value> = lists.flatten().cloned().map(|item| with_path(item, paths)).collect();
+    for name in ["entries", "events"] {
+        if body.get(name).is_some() {
+            body[name] = items.clone().into();
+        }
+    }
+    body
+}
+
+fn with_path(mut item: Value, paths: &BTreeMap<String, String>) -> Value {
+    let decoded = item["value"].as_str().and_then(|text| BASE64_STANDARD.decode(text).ok());
+    let Some(mut text) = decoded.and_then(|bytes| String::from_utf8(bytes).ok()) else {
+        return item;
+    };
+    for (target, path) in paths {
+        text = text.replace(target.as_str(), path);
+    }
+    item["value"] = BASE64_STANDARD.encode(text).into();
+    item
+}
+
 fn item_json(key: &str, item: &Item) -> Value {
     json!({
         "key": key,
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -1,4 +1,5 @@
-//! Stand-in for a network path: forwards TCP connections until it is cut or silent.
+//! Stand-in for a network path: forwards TCP connections until it is cut, silent or closed
+//! to new ones.
 
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -7,6 +8,8 @@
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
 /// A path from its own address to a target address.
 #[derive(Clone, Debug)]
 pub struct Relay {
@@ -15,6 +18,23 @@
     rate: Rate,
 }
 
+/// What becomes of new connections.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Admission {
+    /// They are forwarded.
+    #[default]
+    Open,
+    /// They are refused.
+    Refused,
+    /// They are neither established nor refused.
+    Hanging,
+}
+
+/// Interval between checks for new connections, and of their admission.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 128;
+
 /// Bandwidth of one direction of a connection in bytes a second; 0 for no limit.
 type Rate = Arc<AtomicUsize>;
 
@@ -22,6 +42,7 @@
 struct State {
     cut: bool,
     silent: bool,
+    admission: Admission,
     links: Vec<Link>,
 }
 
@@ -44,11 +65,7 @@
         let addr = listener.local_addr()?;
         let relay = Self { addr, state: Arc::default(), rate: Arc::default() };
         let (state, rate) = (Arc::clone(&relay.state), Arc::clone(&relay.rate));
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                connect(stream, target, &state, &rate).unwrap_or_default();
-            }
-        });
+        thread::spawn(move || accept(listener, target, &state, &rate));
         Ok(relay)
     }
 
@@ -76,6 +93,13 @@
         }
     }
 
+    /// Sets what becomes of new connections; open ones live on.
+    pub fn set_admission(&self, admission: Admission) {
+        lock(&self.state).admission = admission;
+        // Until the thread that accepts has seen it.
+        thread::sleep(POLL_INTERVAL * 5);
+    }
+
     /// Makes all open connections silent for good; they stay open, and new ones work.
     pub fn silence_open(&self) {
         for link in lock(&self.state).links.drain(..) {
@@ -97,6 +121,49 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Accepts connections as far as they are admitted.
+fn accept(listener: TcpListener, target: SocketAddr, state: &Mutex<State>, rate: &Rate) {
+    let addr = listener.local_addr().expect("an address");
+    let open = || TcpListener::bind(addr).expect("the address is free");
+    let mut listener = Some(listener);
+    // They fill the backlog of a listener that accepts nothing, so that others hang.
+    let mut waiting = Vec::new();
+    loop {
+        let admission = lock(state).admission;
+        match admission {
+            Admission::Refused => listener = None,
+            Admission::Hanging if waiting.is_empty() => {
+                set_backlog(listener.get_or_insert_with(open), 0);
+                let connect = || TcpStream::connect_timeout(&addr, POLL_INTERVAL * 10);
+                waiting = std::iter::repeat_with(connect).map_while(Result::ok).collect();
+            }
+            Admission::Hanging => {}
+            Admission::Open => {
+                let listener = listener.get_or_insert_with(open);
+                if !waiting.is_empty() {
+                    set_backlog(listener, BACKLOG);
+                    waiting.clear();
+                }
+                accept_waiting(listener, target, state, rate);
+            }
+        }
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+fn set_backlog(listener: &TcpListener, backlog: i32) {
+    SockRef::from(listener).listen(backlog).expect("it listens");
+}
+
+/// Accepts the connections that wait.
+fn accept_waiting(listener: &TcpListener, target: SocketAddr, state: &Mutex<State>, rate: &Rate) {
+    listener.set_nonblocking(true).expect("set");
+    while let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(false).unwrap_or_default();
+        connect(stream, target, state, rate).unwrap_or_default();
+    }
+}
+
 fn connect(
     client: TcpStream,
     target: SocketAddr,
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod backups;
 mod behind;
+mod cut_off;
 mod delegation;
 mod endless;
 mod endless_streams;
