--- a/crates/standin/src/metastore.rs
+++ b/crates/standin/src/metastore.rs
@@ -174,6 +174,11 @@
         self.lock().calls
     }
 
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.lock().revision
+    }
+
     /// Returns the keys under a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.lock();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -82,7 +82,9 @@
     /// Returns what this instance knows of the store's data, with its configuration.
     pub fn known(&self, config: u64) -> Known {
         let evacuations = self.scheduler.fleet.evacuations.latest();
-        Known { config, targets: self.store.progress.targets, evacuations }
+        // A watch has delivered all changes of targets up to its position.
+        let targets = self.store.progress.targets.max(self.store.progress.watched);
+        Known { config, targets, evacuations }
     }
 
     /// Records since when this instance lacks what a peer of its zone has.
@@ -114,11 +116,13 @@
         std::iter::once(own).chain(peers)
     }
 
-    /// Returns whether this instance watches the store for its zone.
+    /// Returns whether this instance watches the store, for its zone or for itself.
     pub fn watches_store(&self, gateway: &Gateway, now: Instant) -> bool {
-        if self.lag.is_overdue(now) {
-            return true;
-        }
+        self.lag.is_overdue(now) || self.is_elected_watcher(gateway, now)
+    }
+
+    /// Returns whether this instance is one of those that watch the store for their zone.
+    pub fn is_elected_watcher(&self, gateway: &Gateway, now: Instant) -> bool {
         let mut nominees = self.nominees(gateway, now);
         nominees.next().is_none_or(|own| election::should_watch(own, nominees))
     }
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -49,7 +49,7 @@
         let own_version = gateway.route_table().version;
         let mut state = gateway.state();
         state.update_lag(own_version, now);
-        let request = if state.store.listed && !state.watches_store(gateway, now) {
+        let request = if state.store.listed && !state.is_elected_watcher(gateway, now) {
             request_unwatched(&mut state, own_version, now)
         } else {
             request_watched(&mut state, own_version, gateway.started, now)
@@ -72,7 +72,7 @@
     }
 }
 
-/// Returns the request of an instance that does not watch the store.
+/// Returns the request of an instance that does not watch the store for its zone.
 fn request_unwatched(
     state: &mut State,
     own_version: u64,
@@ -90,7 +90,7 @@
     Some((peer?, request(own_version, known.targets, digest)))
 }
 
-/// Returns the request of an instance that watches the store.
+/// Returns the request of an instance that watches the store for its zone.
 fn request_watched(
     state: &mut State,
     own_version: u64,
--- a/tests/suite/gateway/behind.rs
+++ b/tests/suite/gateway/behind.rs
@@ -35,6 +35,28 @@
     begun.elapsed()
 }
 
+/// Guards against an instance that watches the store for good although it misses nothing: what
+/// others have listed later names no change of a target.
+#[test]
+fn instance_that_has_watched_everything_is_not_behind() {
+    let cluster = Cluster::start(1);
+    cluster.ready(0);
+    for number in 0..5 {
+        cluster.store.set(&format!("other/{number}"), b"");
+    }
+    cluster.configure(&config(9, &[KEY], &["new"]));
+    cluster.logged(0, &["config: now in force", "version=9"]);
+    let mut peers: Vec<FakePeer> =
+        (0..3).map(|n| FakePeer::start(&format!("peer-{n}"), LARGE)).collect();
+    for peer in &mut peers {
+        peer.revision = cluster.store.revision();
+    }
+    announce_until(&cluster, &mut peers, 9, CHANGE_TIME * 2, || false);
+    let log = cluster.log(0);
+    let last = log.lines().rfind(|line| line.contains("started or stopped watching"));
+    assert!(last.is_some_and(|line| line.contains("watches=false")), "{last:?}");
+}
+
 /// Guards against changes that were in force after five seconds on dokaz-zapad-grown: an
 /// instance whose peers did not answer should have watched the store, and never began to.
 #[test]
--- a/tests/suite/gateway/fake_peer.rs
+++ b/tests/suite/gateway/fake_peer.rs
@@ -19,6 +19,8 @@
     inbox: Receiver<Incoming>,
     links: Links,
     seq: u64,
+    /// Revision of the latest change of targets that it states.
+    pub revision: u64,
 }
 
 impl FakePeer {
@@ -29,7 +31,7 @@
         let (sink, inbox) = sync_channel(INBOX_LENGTH);
         let links = Links::start(&identity, addr, sink).expect("it starts");
         let socket = DatagramSocket::bind(addr).expect("an address");
-        Self { name: name.to_owned(), capacity, socket, inbox, links, seq: 0 }
+        Self { name: name.to_owned(), capacity, socket, inbox, links, seq: 0, revision: 0 }
     }
 
     /// Tells the gateway at `to` of a configuration.
@@ -43,6 +45,7 @@
             config_version,
             watching: true,
             capacity: self.capacity,
+            revision: self.revision,
             zone: "a".to_owned(),
             ..Datagram::default()
         };
