Detours: requests go over a peer while their targets cannot be connected to

Callers of instances that had lost their paths to all targets were refused after four connections of 150 ms, or found no target in time, although peers reached all targets.

An instance now judges its paths by the targets that it has and has not connected to since the first failure that lasts (core::edge::reach). While it is cut off from a service it sends requests over a peer that is not (core::edge::detour), which gets them at the callers' address as from the caller, with the key, the time that is left and a bound on attempts; so the peer decides all else, refuses truly, and no second hop follows. The run over a peer is a run like those at targets: the caller's leaving ends it, and it backs up a silent one. Peers tell each other of which services they are cut off, do not elect such an instance as a scheduler, and probes find the paths when they are back.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -33,6 +33,7 @@
 //! - [`transfer`]: how long an answer may take to arrive.
 //! - [`outage`]: whether an outage of the store affected all instances.
 //! - [`reach`]: which targets this instance cannot connect to.
+//! - [`detour`]: over which peer a request goes whose targets cannot be connected to.
 //! - [`outcomes`]: temporary exclusion of targets that fail or do not answer.
 
 pub mod audience;
@@ -42,6 +43,7 @@
 pub mod clients;
 pub mod cost;
 pub mod currency;
+pub mod detour;
 pub mod election;
 pub mod evacuation;
 pub mod fleet;
--- a/crates/core/src/edge/outcomes.rs
+++ b/crates/core/src/edge/outcomes.rs
@@ -89,6 +89,13 @@
         Some(record.pause)
     }
 
+    /// Records that a target can be connected to again.
+    pub fn reconnected(&mut self, id: &str) {
+        if let Some(record) = self.records.get_mut(id) {
+            (record.until, record.pause) = (None, Duration::ZERO);
+        }
+    }
+
     /// Returns whether a target is excluded at `now`.
     pub fn is_avoided(&self, id: &str, now: Instant) -> bool {
         self.records.get(id).and_then(|r| r.until).is_some_and(|until| now < until)
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -130,6 +130,12 @@
     /// with `exchange`.
     #[prost(message, repeated, tag = "31")]
     pub limited_queues: Vec<LimitedQueue>,
+    /// Services of which the sender cannot connect to most targets.
+    #[prost(string, repeated, tag = "32")]
+    pub cut_off: Vec<String>,
+    /// Whether the sender takes requests that come over peers; former versions do not.
+    #[prost(bool, tag = "33")]
+    pub takes_detours: bool,
 }
 
 /// Requests that wait for a service of which all targets state limits.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
 use mimosapass_platform::header;
 use mimosapass_target::http::{Connection, ResponseHead};
 
+use super::detour;
 use super::request::Request;
 use super::reservations::Reservations;
 use super::state::Gateway;
@@ -17,14 +18,14 @@
 /// A round trip to another zone takes about a millisecond. A lost first packet is
 /// retransmitted only after a second, so waiting longer rarely succeeds. What remains of
 /// the time limit of a short prompt is enough for another target.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Keep-alive time of a target that states none in its response.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// Margin before the end of the keep-alive time in which a connection is not reused.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
 /// Hop-by-hop headers and headers that the gateway sets itself.
-const DROPPED_HEADERS: [&str; 15] = [
+const DROPPED_HEADERS: [&str; 16] = [
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -40,6 +41,7 @@
     header::PRIORITY,
     header::HELPERS,
     header::LAST_EVENT,
+    detour::ATTEMPTS,
 ];
 
 /// Opens a connection for a request to its granted target, or takes an idle one.
@@ -86,6 +88,38 @@
     grant: &Grant,
     reservations: &Reservations,
     now: Instant,
+) -> Vec<u8> {
+    let mut headers = vec![(header::EXPECTED_TARGET, grant.placement.target.id.to_string())];
+    headers.extend(request.workspace.as_ref().map(|w| (header::WORKSPACE, w.name.to_string())));
+    if !grant.placement.helpers.is_empty() {
+        let helper = |h: &Helper| {
+            let reservation = (h.kept_tokens > 0).then_some(reservations.id.as_str());
+            header::helper(h.target.addr, reservation)
+        };
+        let helpers: Vec<String> = grant.placement.helpers.iter().map(helper).collect();
+        headers.push((header::HELPERS, helpers.join(",")));
+    }
+    let hides_key = request.workspace.is_some();
+    encode_with(exchange, request, &headers, hides_key, now)
+}
+
+/// Encodes a request for a peer, which gets it as from the caller.
+pub fn encode_detour(
+    exchange: &Exchange<'_>,
+    request: &Request,
+    attempts: u32,
+    now: Instant,
+) -> Vec<u8> {
+    encode_with(exchange, request, &[(detour::ATTEMPTS, attempts.to_string())], false, now)
+}
+
+/// Encodes a request with headers that this instance sets.
+fn encode_with(
+    exchange: &Exchange<'_>,
+    request: &Request,
+    headers: &[(&str, String)],
+    hides_key: bool,
+    now: Instant,
 ) -> Vec<u8> {
     let (head, body): (&Head, &[u8]) = (&exchange.head, &exchange.body);
     let mut bytes = Vec::with_capacity(1024 + body.len());
@@ -98,28 +132,19 @@
     let connection_options = head.header("connection").unwrap_or_default().to_ascii_lowercase();
     let hop_by_hop = |name: &str| connection_options.split(',').any(|n| n.trim() == name);
     for (name, value) in &head.headers {
-        let hidden = name == header::AUTHORIZATION && request.workspace.is_some();
+        let hidden = name == header::AUTHORIZATION && hides_key;
         if !hidden && !DROPPED_HEADERS.contains(&name.as_str()) && !hop_by_hop(name) {
             write([name, ": ", value, "\r\n"]);
         }
     }
     let left_ms = request.deadline.saturating_duration_since(now).as_millis().to_string();
     write([header::DEADLINE, ": ", &left_ms, "\r\n"]);
-    write([header::EXPECTED_TARGET, ": ", &grant.placement.target.id, "\r\n"]);
-    if let Some(workspace) = &request.workspace {
-        write([header::WORKSPACE, ": ", &workspace.name, "\r\n"]);
+    for (name, value) in headers {
+        write([name, ": ", value, "\r\n"]);
     }
     if let Some(event) = &request.last_event {
         write([header::LAST_EVENT, ": ", event, "\r\n"]);
     }
-    if !grant.placement.helpers.is_empty() {
-        let helper = |h: &Helper| {
-            let reservation = (h.kept_tokens > 0).then_some(reservations.id.as_str());
-            header::helper(h.target.addr, reservation)
-        };
-        let helpers: Vec<String> = grant.placement.helpers.iter().map(helper).collect();
-        write([header::HELPERS, ": ", &helpers.join(","), "\r\n"]);
-    }
     let has_body = head.header("content-length").is_some()
         || head.header("transfer-encoding").is_some()
         || !body.is_empty();
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -94,7 +94,8 @@
         if run.is_settled(now) {
             return;
         }
-        let target = &run.grant().placement.target;
+        // A peer finds out about its own targets.
+        let Some(target) = run.target() else { return };
         let state = self.state();
         let suspects = state.quarantine.suspects(&request.parts, now);
         // The end of a target that leaves is no crash.
--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -5,9 +5,12 @@
 use mimosapass_caller::exchange::{Departure, Exchange};
 use mimosapass_caller::head::Head;
 use mimosapass_core::edge::route_table::RouteTable;
-use mimosapass_core::error::Failure;
+use mimosapass_core::error::{Failure, Kind};
 use mimosapass_platform::header;
+use mimosapass_target::http::ResponseHead;
 
+use super::attempt;
+use super::flow::Flow;
 use super::state::Gateway;
 
 /// Longest part of a host or path that is logged.
@@ -79,3 +82,65 @@
         log::debug!("request: the response could not be sent to the caller: {e}.");
     }
 }
+
+impl Flow<'_, '_> {
+    /// Relays a complete response.
+    pub(super) fn relay_response(&mut self, response: &ResponseHead, body: &[u8]) -> RequestEnd {
+        let outcome = match response.status {
+            ..400 => "served",
+            400..500 => Kind::Rejected.row().code,
+            _ => Kind::TargetFailed.row().code,
+        };
+        match self.exchange.relay(
+            response.status,
+            &attempt::end_to_end_headers(response),
+            &[],
+            body,
+        ) {
+            Ok(()) => RequestEnd { outcome, detail: format!("status {}", response.status) },
+            Err(_) => RequestEnd::caller_gone(self.exchange),
+        }
+    }
+
+    /// Ends the request with the most specific failure known.
+    pub(super) fn respond_last_failure(&mut self) -> RequestEnd {
+        if self.progress.begun {
+            // The connection is closed without an end of the body, so that the caller
+            // does not take the stream for complete.
+            return RequestEnd { outcome: "cut", detail: self.last_error.clone() };
+        }
+        if let Some((response, body)) = self.last_response.take() {
+            return self.relay_response(&response, &body);
+        }
+        let kind = if self.may_have_run { Kind::TargetFailed } else { Kind::Refused };
+        let failure = Failure::new(kind, self.last_error.clone());
+        let failure = match self.retry_after {
+            Some(after) if !self.may_have_run => failure.after(after),
+            _ => failure,
+        };
+        self.refuse(&failure)
+    }
+
+    /// Ends the request at its deadline.
+    pub(super) fn expire(&mut self) -> RequestEnd {
+        self.may_have_run = true;
+        if self.progress.begun {
+            "the deadline passed during the stream".clone_into(&mut self.last_error);
+            return RequestEnd { outcome: "cut", detail: self.last_error.clone() };
+        }
+        if let Some((response, body)) = self.last_response.take() {
+            return self.relay_response(&response, &body);
+        }
+        "the deadline passed before the target responded".clone_into(&mut self.last_error);
+        self.refuse(&Failure::new(Kind::RunTimeout, self.last_error.clone()))
+    }
+
+    /// Responds with a failure of this instance.
+    pub(super) fn refuse(&mut self, failure: &Failure) -> RequestEnd {
+        if failure.kind == Kind::CallerGone {
+            return RequestEnd::caller_gone(self.exchange);
+        }
+        respond_failure(self.exchange, failure);
+        RequestEnd { outcome: failure.kind.row().code, detail: failure.to_string() }
+    }
+}
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -12,13 +12,14 @@
 use mimosapass_core::ids::TargetId;
 use mimosapass_target::http::ResponseHead;
 
-use super::attempt;
+use super::detour::Tried;
 use super::ending::{CALLER_GONE, RequestEnd, log_refusal, respond_failure};
 use super::metrics::band;
+use super::prepared::{NotStarted, Prepared};
 use super::queue;
 use super::relay::{self, Progress};
 use super::request::{self, Request};
-use super::run::{NotStarted, Prepared, Run, Step};
+use super::run::{Run, Step};
 use super::runs::Runs;
 use super::state::Gateway;
 
@@ -31,25 +32,32 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A request being served.
-struct Flow<'a, 'e> {
-    gateway: &'a Arc<Gateway>,
-    exchange: &'a mut Exchange<'e>,
-    request: Request,
-    runs: Runs<'a>,
-    /// Targets to which something was sent.
-    sends: u32,
-    /// Targets to which nothing could be sent.
-    not_sent: u32,
+#[derive(Debug)]
+pub struct Flow<'a, 'e> {
+    pub(super) gateway: &'a Arc<Gateway>,
+    pub(super) exchange: &'a mut Exchange<'e>,
+    pub(super) request: Request,
+    pub(super) runs: Runs<'a>,
+    /// Targets and peers to which something was sent.
+    pub(super) sends: u32,
+    /// Targets and peers to which nothing could be sent.
+    pub(super) not_sent: u32,
     /// Whether the request may have run.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     /// Last complete response, which reported a failure.
-    last_response: Option<(ResponseHead, Vec<u8>)>,
+    pub(super) last_response: Option<(ResponseHead, Vec<u8>)>,
     /// Part of the stream that was sent to the caller.
-    progress: Progress,
+    pub(super) progress: Progress,
     /// Why the last run failed.
-    last_error: String,
-    /// Target of the last grant, or the one whose response is relayed.
-    target: Option<TargetId>,
+    pub(super) last_error: String,
+    /// Target of the last grant, or the target or peer whose response is relayed.
+    place: Option<String>,
+    /// Peers that it went over.
+    pub(super) tried: Tried,
+    /// Whether a peer refused it.
+    pub(super) refused_by_peer: bool,
+    /// Time after which it may come again, as that peer states.
+    pub(super) retry_after: Option<Duration>,
 }
 
 /// Serves one request and responds on the exchange.
@@ -81,7 +89,10 @@
         }
     };
     exchange.set_deadline(request.deadline);
-    gateway.record_request(&request.requirements.service, arrived);
+    // The instance that it comes over has counted it.
+    if !request.detoured {
+        gateway.record_request(&request.requirements.service, arrived);
+    }
     let runs = Runs::new(gateway, &request.route);
     let mut flow = Flow {
         gateway,
@@ -94,7 +105,10 @@
         last_response: None,
         progress: Progress::default(),
         last_error: String::new(),
-        target: None,
+        place: None,
+        tried: Tried::default(),
+        refused_by_peer: false,
+        retry_after: None,
     };
     let end = flow.serve();
     flow.report(&end, &table, arrived);
@@ -115,7 +129,8 @@
             route = &*self.request.route.name,
             prompt = self.request.requirements.prompt,
             sends = self.sends,
-            target_id = self.target.as_deref().unwrap_or("none"),
+            target_id = self.place.as_deref().unwrap_or("none"),
+            peers = self.tried.count(),
             took_ms = arrived.elapsed().as_millis() as u64,
             pause_ms = self.progress.max_gap.as_millis() as u64,
             version = table.version;
@@ -138,6 +153,13 @@
         if self.sends + self.not_sent > 0 && !self.may_retry() {
             return Some(self.respond_last_failure());
         }
+        if let Some(peer) = self.detour() {
+            self.start_detour(peer);
+            return None;
+        }
+        if self.refused_by_peer && self.gateway.is_cut_off(&self.request) {
+            return Some(self.respond_last_failure());
+        }
         let granted = queue::wait(self.gateway, &self.request.requirements, || self.obstacle());
         match granted {
             Ok(grant) => {
@@ -150,16 +172,30 @@
                 self.start(Prepared::new(self.gateway, grant, idempotent));
                 None
             }
-            Err(failure) => Some(self.fail(&failure)),
+            Err(failure) => self.leave_queue(&failure),
         }
     }
 
+    /// Goes over a peer, or ends the request for want of a target.
+    fn leave_queue(&mut self, failure: &Failure) -> Option<RequestEnd> {
+        let no_target = matches!(failure.kind, Kind::NoTarget | Kind::QueueTimeout);
+        if let Some(peer) = self.detour().filter(|_| no_target) {
+            self.start_detour(peer);
+            return None;
+        }
+        Some(self.fail(failure))
+    }
+
     /// Returns why the request need not wait for a target any longer.
     fn obstacle(&self) -> Option<Failure> {
         if self.exchange.caller_gone() {
             return Some(Failure::new(Kind::CallerGone, "the caller disconnected while queued"));
         }
-        self.gateway.check_parts(&self.request)
+        let cut_off = || {
+            let detail = "the targets cannot be connected to from here";
+            self.detour().map(|_| Failure::new(Kind::NoTarget, detail))
+        };
+        self.gateway.check_parts(&self.request).or_else(cut_off)
     }
 
     /// Ends the request for want of a target.
@@ -172,11 +208,12 @@
     }
 
     /// Starts a run at a prepared target.
-    fn start(&mut self, prepared: Result<Prepared, NotStarted>) {
+    pub(super) fn start(&mut self, prepared: Result<Prepared, NotStarted>) {
         match prepared {
             Ok(prepared) => {
+                let run = Run::new(prepared, self.exchange, &self.request, self.sends);
                 self.sends += 1;
-                self.runs.add(Run::new(prepared, self.exchange, &self.request));
+                self.runs.add(run);
             }
             Err(NotStarted { engine, error }) => {
                 self.not_sent += 1;
@@ -194,7 +231,7 @@
         let waited = grant.at.saturating_duration_since(requirements.entry.arrived);
         let histogram = &self.gateway.metrics.wait_time;
         histogram.with_label_values(&[band(requirements.prompt)]).observe(waited.as_secs_f64());
-        self.target = Some(TargetId::clone(&grant.placement.target.id));
+        self.place = Some(target.to_string());
         self.gateway.count_limited(grant, self.runs.kind(self.sends));
         let scheduler = self.gateway.state().remote.scheduler_of(grant.id);
         log::debug!(
@@ -249,14 +286,18 @@
         if self.backup_due().is_some_and(|due| now >= due) {
             self.prepare_resume();
             if self.gateway.may_retry_parts(&self.request) {
-                self.runs.ask_backup(&self.request, now);
+                let peer = self.detour();
+                if let Some(peer) = &peer {
+                    self.record_detour(peer);
+                }
+                self.runs.ask_backup(&self.request, peer, now);
             } else {
                 self.runs.deny("it may crash targets", &self.request, now);
             }
         }
         if let Some((grant, retried)) = self.runs.take_grant(&self.request, now) {
             self.record_grant(&grant);
-            self.runs.prepare(grant, retried, &self.request);
+            self.runs.prepare_target(grant, retried, &self.request);
         }
         let Some(prepared) = self.runs.take_prepared(&self.request) else { return };
         self.start(prepared);
@@ -278,14 +319,19 @@
             Step::End(events) => Some(self.relay_end(index, &events)),
             Step::Response(response, body) => self.take_response(index, response, body),
             Step::NotSent(error) => {
-                self.gateway
-                    .connections
-                    .close_all(self.runs.get(index).grant().placement.target.addr);
+                if let Some(target) = self.runs.get(index).target() {
+                    self.gateway.connections.close_all(target.addr);
+                }
                 self.sends -= 1;
                 self.not_sent += 1;
                 self.end_run(index, error)
             }
-            Step::NotRun(error) | Step::Gone(error) => self.end_run(index, error),
+            Step::NotRun(error) | Step::Gone(error) => {
+                if self.runs.get(index).target().is_none() {
+                    self.record_peer_refusal(index);
+                }
+                self.end_run(index, error)
+            }
             Step::Failed(error) => {
                 self.may_have_run = true;
                 self.gateway.examine_failure(&self.request, self.runs.get(index));
@@ -323,16 +369,15 @@
         if run.last_event.is_none() {
             self.gateway.metrics.attempts.with_label_values(&[step.label()]).inc();
         }
-        if let Some(outcome) = step.outcome() {
-            let target = &run.grant().placement.target.id;
-            self.gateway.record_outcome(target, outcome, Instant::now());
+        if let (Some(outcome), Some(target)) = (step.outcome(), run.target()) {
+            self.gateway.record_outcome(&target.id, outcome, Instant::now());
         }
     }
 
     /// Keeps one run and cancels the others.
     fn keep(&mut self, index: usize) -> &mut Run {
         let run = self.runs.keep(index, &self.request);
-        self.target = Some(TargetId::clone(&run.grant().placement.target.id));
+        self.place = Some(run.name().to_owned());
         run
     }
 
@@ -357,12 +402,14 @@
             self.gateway.clear_parts(&self.request, now);
         }
         let run = self.runs.get(0);
-        match gap {
-            None => record_first_event(self.gateway, &self.request, run.grant()),
-            Some(gap) => {
+        match (run.grant(), gap) {
+            (Some(grant), None) => record_first_event(self.gateway, &self.request, grant),
+            (Some(grant), Some(gap)) => {
                 let engine = self.request.requirements.engine.as_ref();
-                self.gateway.record_event(run.grant(), engine, gap);
+                self.gateway.record_event(grant, engine, gap);
             }
+            // The peer records what its targets do.
+            (None, _) => {}
         }
         let response = run.response()?;
         let sent = relay::send_events(self.exchange, response, &mut self.progress, events);
@@ -423,59 +470,6 @@
         }
         allowed
     }
-
-    fn relay_response(&mut self, response: &ResponseHead, body: &[u8]) -> RequestEnd {
-        let outcome = match response.status {
-            ..400 => "served",
-            400..500 => Kind::Rejected.row().code,
-            _ => Kind::TargetFailed.row().code,
-        };
-        match self.exchange.relay(
-            response.status,
-            &attempt::end_to_end_headers(response),
-            &[],
-            body,
-        ) {
-            Ok(()) => RequestEnd { outcome, detail: format!("status {}", response.status) },
-            Err(_) => RequestEnd::caller_gone(self.exchange),
-        }
-    }
-
-    /// Ends the request with the most specific failure known.
-    fn respond_last_failure(&mut self) -> RequestEnd {
-        if self.progress.begun {
-            // The connection is closed without an end of the body, so that the caller
-            // does not take the stream for complete.
-            return RequestEnd { outcome: "cut", detail: self.last_error.clone() };
-        }
-        if let Some((response, body)) = self.last_response.take() {
-            return self.relay_response(&response, &body);
-        }
-        let kind = if self.may_have_run { Kind::TargetFailed } else { Kind::Refused };
-        self.refuse(&Failure::new(kind, self.last_error.clone()))
-    }
-
-    /// Ends the request at its deadline.
-    fn expire(&mut self) -> RequestEnd {
-        self.may_have_run = true;
-        if self.progress.begun {
-            "the deadline passed during the stream".clone_into(&mut self.last_error);
-            return RequestEnd { outcome: "cut", detail: self.last_error.clone() };
-        }
-        if let Some((response, body)) = self.last_response.take() {
-            return self.relay_response(&response, &body);
-        }
-        "the deadline passed before the target responded".clone_into(&mut self.last_error);
-        self.refuse(&Failure::new(Kind::RunTimeout, self.last_error.clone()))
-    }
-
-    fn refuse(&mut self, failure: &Failure) -> RequestEnd {
-        if failure.kind == Kind::CallerGone {
-            return RequestEnd::caller_gone(self.exchange);
-        }
-        respond_failure(self.exchange, failure);
-        RequestEnd { outcome: failure.kind.row().code, detail: failure.to_string() }
-    }
 }
 
 /// Records the first event of a stream.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -193,10 +193,11 @@
         order_era: evacuations.era,
         watching: state.watches_store(gateway, now),
         delegating: !places,
-        // Peers do not rely on a scheduler that is about to exit.
-        capacity: if gateway.is_stopping() { 0 } else { gateway.settings.capacity },
+        capacity: state.capacity(gateway),
         instances: state.known_instances() as u32,
         leaving_targets: state.leaving_targets(),
+        cut_off: state.cut_off.iter().map(ToString::to_string).collect(),
+        takes_detours: !gateway.is_stopping(),
         ..Datagram::default()
     }
 }
@@ -386,6 +387,7 @@
 fn decode_peer(state: &State, datagram: &Datagram, addr: SocketAddr, now: Instant) -> Peer {
     let known = state.peers.get(&*datagram.from);
     let outage = known.and_then(|p| p.outage);
+    let cut_off = || datagram.cut_off.iter().map(|s| ServiceId::from(s.as_str())).collect();
     let schedulers = match datagram.schedulers.as_slice() {
         [] => known.map(|p| p.schedulers.clone()).unwrap_or_default(),
         // An address that cannot be read names nobody.
@@ -406,6 +408,7 @@
         capacity: datagram.capacity,
         instances: datagram.instances,
         schedulers,
+        cut_off: datagram.takes_detours.then(cut_off),
         zone: ZoneId::from(datagram.zone.as_str()),
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,9 +1,9 @@
 //! Metrics of a gateway.
 
 use prometheus::core::Collector;
-use prometheus::{HistogramVec, IntCounterVec, IntGauge, Registry};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
 
-use crate::metrics::{counters, gauge, histograms, register};
+use crate::metrics::{counter, counters, gauge, histograms, register};
 
 /// Histogram bounds: the time limits of chats, summaries and reviews, and fractions
 /// of them.
@@ -45,6 +45,8 @@
     pub lapsed_targets: IntGauge,
     /// Targets to which the last connection failed.
     pub unreachable_targets: IntGauge,
+    /// Requests that were sent over a peer.
+    pub detours: IntCounter,
     /// Targets that asked for a pause, or get few requests after one.
     pub paused_targets: IntGauge,
     /// Targets that state a limit.
@@ -89,6 +91,7 @@
                 "gateway_unreachable_targets",
                 "Targets that cannot be connected to.",
             ),
+            detours: counter("gateway_detours", "Requests that went over a peer."),
             paused_targets: gauge("gateway_paused_targets", "Targets that asked for a pause."),
             limited_targets: gauge("gateway_limited_targets", "Targets that state a limit."),
             limited_grants: counters(
@@ -114,7 +117,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 23] = [
+        let all: [Box<dyn Collector>; 24] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.silent_runs.clone()),
@@ -128,6 +131,7 @@
             Box::new(self.targets.clone()),
             Box::new(self.lapsed_targets.clone()),
             Box::new(self.unreachable_targets.clone()),
+            Box::new(self.detours.clone()),
             Box::new(self.paused_targets.clone()),
             Box::new(self.limited_targets.clone()),
             Box::new(self.limited_grants.clone()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,8 +15,10 @@
 //! | `delegate` | delegates placements to the schedulers of the zone |
 //! | `request` | resolves the route and workspace of a request |
 //! | `queue` | queues requests until they are granted a target |
+//! | `detour` | sends requests over a peer while their targets cannot be connected to |
 //! | `reach` | which targets this instance can connect to |
 //! | `attempt` | connects to a target and encodes a request for it |
+//! | `prepared` | prepares a run: reserves memory and connects |
 //! | `run` | one run of a request at a target |
 //! | `runs` | the runs of one request: waits for them, and backs up a silent one |
 //! | `reservations` | reserves memory for a prompt that one engine cannot hold |
@@ -33,6 +35,7 @@
 mod attempt;
 mod crashes;
 mod delegate;
+mod detour;
 mod ending;
 mod evacuation;
 mod flow;
@@ -42,6 +45,7 @@
 mod metrics;
 mod notices;
 mod peers;
+mod prepared;
 mod queue;
 mod reach;
 mod relay;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,6 +16,7 @@
 use mimosapass_core::edge::order::Turn;
 use mimosapass_core::edge::outage::Outage;
 use mimosapass_core::edge::position::Position;
+use mimosapass_core::edge::route_table::ServiceId;
 use mimosapass_core::edge::shared_rate::Senders;
 use mimosapass_core::ids::{InstanceId, ZoneId};
 
@@ -57,6 +58,9 @@
     pub instances: u32,
     /// Addresses of the schedulers of its zone, if it last named them.
     pub schedulers: Vec<SocketAddr>,
+    /// Services of which it cannot connect to most targets; `None` if it takes no requests
+    /// that come over peers.
+    pub cut_off: Option<Vec<ServiceId>>,
     /// Availability zone.
     pub zone: ZoneId,
 }
@@ -102,7 +106,7 @@
     ) -> impl Iterator<Item = Nominee<'a>> {
         let own = Nominee {
             name: &gateway.name,
-            capacity: gateway.settings.capacity,
+            capacity: self.capacity(gateway),
             silence: Duration::ZERO,
             cut_off: false,
         };
@@ -116,6 +120,16 @@
         std::iter::once(own).chain(peers)
     }
 
+    /// Returns the processor share of this machine; 0 if it places no requests of others.
+    ///
+    /// Peers do not rely on a scheduler that is about to exit, or that is cut off from targets
+    /// which they may reach.
+    pub fn capacity(&self, gateway: &Gateway) -> u32 {
+        let targets = self.scheduler.fleet.all().map(|t| &t.id);
+        let excluded = gateway.is_stopping() || self.reach.paths(targets).is_cut_off();
+        if excluded { 0 } else { gateway.settings.capacity }
+    }
+
     /// Returns whether this instance watches the store, for its zone or for itself.
     pub fn watches_store(&self, gateway: &Gateway, now: Instant) -> bool {
         self.lag.is_overdue(now) || self.is_elected_watcher(gateway, now)
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -13,6 +13,7 @@
 use mimosapass_platform::header;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
+use super::detour;
 use super::state::Gateway;
 
 /// A request that the configuration allows.
@@ -36,6 +37,8 @@
     pub digest: u64,
     /// How it was admitted in spite of these.
     pub admission: Admission,
+    /// Whether it comes over a peer.
+    pub detoured: bool,
 }
 
 impl Request {
@@ -65,6 +68,8 @@
     let route =
         route.ok_or_else(|| Failure::new(Kind::NotFound, "no route matches the host and path"))?;
     let workspace = workspace(table, route, head)?;
+    let attempts: Option<u32> = head.header(detour::ATTEMPTS).and_then(|v| v.parse().ok());
+    let route = &bound_attempts(route, attempts);
     let draw = (xxh3_64(attempt_id.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
     let service = route.service(draw).or_else(|| route.split.first().map(|s| &s.service));
     let service =
@@ -96,9 +101,20 @@
         parts,
         digest,
         admission: Admission::Free,
+        detoured: attempts.is_some(),
     })
 }
 
+/// Returns the route with at most as many attempts as are stated.
+fn bound_attempts(route: &Arc<Route>, stated: Option<u32>) -> Arc<Route> {
+    match stated {
+        Some(attempts) if attempts < route.attempts => {
+            Arc::new(Route { attempts: attempts.max(1), ..Route::clone(route) })
+        }
+        _ => Arc::clone(route),
+    }
+}
+
 /// Returns a digest of the path, the caller and the body of a request.
 fn digest(exchange: &Exchange<'_>) -> u64 {
     let (head, mut hash) = (&exchange.head, Xxh3::new());
--- a/src/gateway/reservations.rs
+++ b/src/gateway/reservations.rs
@@ -18,7 +18,7 @@
 use mimosapass_platform::{header, reservation};
 use mimosapass_target::http::{Connection, post};
 
-use super::run::NotStarted;
+use super::prepared::NotStarted;
 use super::state::Gateway;
 
 /// Unused memory has to be free again within four seconds.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,4 +1,4 @@
-//! One run of a request at a target: sends it and reads the response without waiting.
+//! One run of a request, at a target or over a peer: sends it and reads the response without waiting.
 //!
 //! The thread of a request waits for all its runs and its caller at once, and lets each run
 //! take what has arrived.
@@ -7,17 +7,19 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_caller::exchange::Exchange;
+use mimosapass_core::edge::fleet::Target;
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::quarantine::SETTLE_TIME;
 use mimosapass_core::edge::schedule::Grant;
-use mimosapass_core::ids::TargetId;
 use mimosapass_platform::header;
 use mimosapass_target::http::{Awaited, BodyPart, Connection, Framing, ReadError, ResponseHead};
 
 use super::attempt;
+use super::detour;
+use super::prepared::{Place, Prepared};
 use super::relay::complete_length;
 use super::request::Request;
-use super::reservations::{MISDIRECTED, Reservations};
+use super::reservations::MISDIRECTED;
 use super::state::Gateway;
 use crate::held_bytes::HeldBytes;
 
@@ -60,34 +62,6 @@
     Stream(ResponseHead, Vec<u8>),
 }
 
-/// A granted placement; its targets are released when it is dropped.
-#[derive(Debug)]
-struct Placed {
-    gateway: Arc<Gateway>,
-    grant: Grant,
-}
-
-impl Drop for Placed {
-    fn drop(&mut self) {
-        self.gateway.finish(&self.grant, Instant::now());
-    }
-}
-
-/// Why a run was not started.
-#[derive(Clone, Debug)]
-pub struct NotStarted {
-    /// The engine that refused a reservation or did not answer.
-    pub engine: Option<TargetId>,
-    /// What happened.
-    pub error: String,
-}
-
-impl From<String> for NotStarted {
-    fn from(error: String) -> Self {
-        Self { engine: None, error }
-    }
-}
-
 /// A run of a request at a target.
 #[derive(Debug)]
 pub struct Run {
@@ -110,45 +84,27 @@
     held: HeldBytes,
     /// The response, once it is complete.
     complete: Option<ResponseHead>,
-    // Memory is released before the targets are.
-    reservations: Reservations,
-    placed: Placed,
-}
-
-/// A target with its memory reserved and a connection open.
-#[derive(Debug)]
-pub struct Prepared {
-    connection: Connection,
-    reservations: Reservations,
-    placed: Placed,
-}
-
-impl Prepared {
-    /// Reserves memory at the granted targets and connects; this may take most of a second.
-    ///
-    /// # Errors
-    ///
-    /// Fails when an engine does not reserve memory, or the target has left or cannot be
-    /// connected to.
-    pub fn new(gateway: &Arc<Gateway>, grant: Grant, idempotent: bool) -> Result<Self, NotStarted> {
-        let placed = Placed { gateway: Arc::clone(gateway), grant };
-        let grant = &placed.grant;
-        let reservations = Reservations::reserve(gateway, grant)?;
-        if !gateway.accepts(grant) {
-            return Err("the target has left since it was granted".to_owned().into());
-        }
-        let connection = attempt::connect(gateway, grant, idempotent)?;
-        Ok(Self { connection, reservations, placed })
-    }
+    gateway: Arc<Gateway>,
+    place: Place,
 }
 
 impl Run {
-    /// Encodes the request for a prepared target; the first step sends it.
-    pub fn new(prepared: Prepared, exchange: &Exchange<'_>, request: &Request) -> Self {
-        let Prepared { mut connection, reservations, placed } = prepared;
+    /// Encodes the request for a prepared target or peer; the first step sends it.
+    ///
+    /// `sends` counts the targets and peers that got it before.
+    pub fn new(prepared: Prepared, exchange: &Exchange<'_>, request: &Request, sends: u32) -> Self {
+        let Prepared { mut connection, gateway, place } = prepared;
         connection.begin();
         let now = Instant::now();
-        let bytes = attempt::encode(exchange, request, &placed.grant, &reservations, now);
+        let bytes = match &place {
+            Place::Target { reservations, placed } => {
+                attempt::encode(exchange, request, &placed.grant, reservations, now)
+            }
+            Place::Peer(_) => {
+                let attempts = request.route.attempts.saturating_sub(sends).max(1);
+                attempt::encode_detour(exchange, request, attempts, now)
+            }
+        };
         Self {
             heard: now,
             first_event: None,
@@ -160,16 +116,32 @@
             began: now,
             reading: Reading::Head,
             skipped: 0,
-            held: HeldBytes::new(&placed.gateway.response_bytes),
+            held: HeldBytes::new(&gateway.response_bytes),
             complete: None,
-            reservations,
-            placed,
+            gateway,
+            place,
         }
     }
 
-    /// Returns the grant of the run.
-    pub fn grant(&self) -> &Grant {
-        &self.placed.grant
+    /// Returns the grant of a run at a target.
+    pub fn grant(&self) -> Option<&Grant> {
+        match &self.place {
+            Place::Target { placed, .. } => Some(&placed.grant),
+            Place::Peer(_) => None,
+        }
+    }
+
+    /// Returns the target; `None` if the run goes over a peer.
+    pub fn target(&self) -> Option<&Arc<Target>> {
+        self.grant().map(|grant| &grant.placement.target)
+    }
+
+    /// Returns the name of the target or peer.
+    pub fn name(&self) -> &str {
+        match &self.place {
+            Place::Target { placed, .. } => &placed.grant.placement.target.id,
+            Place::Peer(peer) => &peer.name,
+        }
     }
 
     /// Returns what to wait for.
@@ -184,7 +156,7 @@
 
     /// Sends and reads as far as possible.
     pub fn advance(&mut self, method: &str, request: &Request) -> Step {
-        if self.reservations.is_lost() {
+        if matches!(&self.place, Place::Target { reservations, .. } if reservations.is_lost()) {
             return Step::Failed("an engine of the prompt has restarted".to_owned());
         }
         let failed = self.write();
@@ -235,8 +207,9 @@
             Ok(None) => return Some(Step::Pending),
             Err(e) => return Some(read_failure(e)),
         };
-        let gateway = &self.placed.gateway;
-        gateway.read_notices(&self.grant().placement.target, &response);
+        if let Some(target) = self.target() {
+            self.gateway.read_notices(target, &response);
+        }
         let echoed = response.header(header::ATTEMPT_ID);
         if echoed.is_some_and(|id| id != request.attempt_id) {
             self.skipped += 1;
@@ -248,10 +221,11 @@
             return None;
         }
         let success = (200..300).contains(&response.status);
-        let signed = response.header(header::SIGNATURE).is_some()
+        let signed = is_signed(&response)
             && echoed.is_some()
             && response.header("content-encoding").is_none();
-        if !signed && !states_not_run(&response) {
+        let not_run = self.states_not_run(&response);
+        if !signed && !not_run && !self.is_rejection(&response) {
             let error = if success {
                 "the response has no signature of the target".to_owned()
             } else {
@@ -259,8 +233,9 @@
             };
             return Some(Step::Failed(error));
         }
-        let ran = !states_not_run(&response);
-        gateway.read_limit(&self.grant().placement.target, &response, ran.then_some(self.began));
+        if let Some(target) = self.target() {
+            self.gateway.read_limit(target, &response, (!not_run).then_some(self.began));
+        }
         self.heard = Instant::now();
         self.reading = if success && request.route.streaming {
             Reading::Stream(response, Vec::new())
@@ -291,15 +266,28 @@
         }
     }
 
+    /// Returns whether a response states that the request has not run.
+    fn states_not_run(&self, response: &ResponseHead) -> bool {
+        match &self.place {
+            Place::Target { .. } => states_not_run(response),
+            Place::Peer(_) => !is_signed(response) && detour::is_refusal(response),
+        }
+    }
+
+    /// Returns whether a peer itself finds the request wrong.
+    fn is_rejection(&self, response: &ResponseHead) -> bool {
+        self.grant().is_none() && (400..500).contains(&response.status)
+    }
+
     fn read_body(&mut self) -> Option<Step> {
+        let Reading::Body(response, _) = &self.reading else { return None };
+        let not_run = self.states_not_run(response);
         let Reading::Body(response, body) = &mut self.reading else { return None };
         loop {
             let part = self.connection.next_part(&mut response.framing);
-            let not_run = states_not_run(response);
             match part {
                 Ok(BodyPart::Data(data)) if body.len() + data.len() <= MAX_BODY_BYTES => {
-                    let gateway = &self.placed.gateway;
-                    if !self.held.grow(data.len(), gateway.max_response_bytes()) {
+                    if !self.held.grow(data.len(), self.gateway.max_response_bytes()) {
                         let error = "the responses of other requests hold too much memory";
                         return Some(Step::Failed(error.to_owned()));
                     }
@@ -378,9 +366,11 @@
     /// Ends the run: keeps its connection if that can be used again, else cancels the work.
     pub fn release(self) {
         let sent = self.written == self.request.len();
-        match self.complete.filter(|_| sent) {
-            Some(response) => attempt::reuse(&self.placed.gateway, self.connection, &response),
-            None => self.connection.abort(),
+        match self.complete.clone().filter(|_| sent) {
+            Some(response) if self.grant().is_some() => {
+                attempt::reuse(&self.gateway, self.connection, &response);
+            }
+            _ => self.connection.abort(),
         }
     }
 }
@@ -415,6 +405,10 @@
     if response.status == MISDIRECTED { Step::Gone(error) } else { Step::NotRun(error) }
 }
 
+fn is_signed(response: &ResponseHead) -> bool {
+    response.header(header::SIGNATURE).is_some()
+}
+
 /// Returns whether a target states in a response that it did not run the request.
 fn states_not_run(response: &ResponseHead) -> bool {
     let success = (200..300).contains(&response.status);
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -16,9 +16,11 @@
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_target::http::{Awaited, WaitOutcome, wait_any};
 
+use super::detour::Peer;
+use super::prepared::{NotStarted, Prepared};
 use super::queue::Queued;
 use super::request::Request;
-use super::run::{NotStarted, Prepared, Run, Step};
+use super::run::{Run, Step};
 use super::state::Gateway;
 
 /// Interval between checks whether the instance aborts its requests.
@@ -116,8 +118,9 @@
         if let Some(since) = run.silent_since.take() {
             self.gateway.metrics.silent_runs.with_label_values(&["went_on"]).inc();
             log_silence(request, run, since, "request: the silent target went on.");
-            let target = &run.grant().placement.target.id;
-            self.gateway.record_outcome(target, Outcome::Answered, Instant::now());
+            if let Some(target) = run.target() {
+                self.gateway.record_outcome(&target.id, Outcome::Answered, Instant::now());
+            }
         }
         run
     }
@@ -144,10 +147,11 @@
         let silent =
             |run: &&mut Run| run.silent_since.is_none() && backup.is_silent(run.heard, now);
         for run in self.active.iter_mut().filter(silent) {
+            // A peer backs up its own runs.
+            let Some(target) = run.target().cloned() else { continue };
             run.silent_since = Some(run.heard);
             log_silence(request, run, run.heard, "request: the target is silent.");
-            let id = &run.grant().placement.target.id;
-            self.gateway.record_outcome(id, Outcome::Silent, now);
+            self.gateway.record_outcome(&target.id, Outcome::Silent, now);
         }
     }
 
@@ -155,14 +159,17 @@
     /// other target may get the request, which `sends` targets have got.
     pub fn backup_due(&self, sends: u32) -> Option<Instant> {
         match (&self.backup, &*self.active, &self.pending) {
-            (Some(backup), [run], None) => backup.due(run.heard, sends),
+            (Some(backup), [run], None) if run.target().is_some() => backup.due(run.heard, sends),
             _ => None,
         }
     }
 
-    /// Asks for a second target, if the limits on retries allow it.
-    pub fn ask_backup(&mut self, request: &Request, now: Instant) {
+    /// Asks for a second target, or goes over a peer, if the limits on retries allow it.
+    pub fn ask_backup(&mut self, request: &Request, peer: Option<Peer>, now: Instant) {
         if self.gateway.try_retry(&request.requirements.service, now) {
+            if let Some(peer) = peer {
+                return self.prepare(now, request, move |gateway| Prepared::over(gateway, peer));
+            }
             let requirements = request.requirements.clone();
             let queued = Queued::enqueue(self.gateway, requirements);
             self.pending = Some((Pending::Queued(Box::new(queued)), now));
@@ -188,13 +195,24 @@
         late.map(|grant| (grant, retried))
     }
 
-    /// Prepares a granted second target on a thread, so that the first one is relayed meanwhile.
-    pub fn prepare(&mut self, grant: Grant, retried: Instant, request: &Request) {
+    /// Prepares a granted second target.
+    pub fn prepare_target(&mut self, grant: Grant, retried: Instant, request: &Request) {
+        let idempotent = request.is_idempotent();
+        self.prepare(retried, request, move |gateway| Prepared::new(gateway, grant, idempotent));
+    }
+
+    /// Prepares a second run on a thread, so that the first one is relayed meanwhile.
+    fn prepare(
+        &mut self,
+        retried: Instant,
+        request: &Request,
+        prepare: impl FnOnce(&Arc<Gateway>) -> Result<Prepared, NotStarted> + Send + 'static,
+    ) {
         let (sender, prepared) = channel();
-        let (gateway, idempotent) = (Arc::clone(self.gateway), request.is_idempotent());
+        let gateway = Arc::clone(self.gateway);
         let work = move || {
             // Without a receiver the first target went on; the grant and the memory are released.
-            drop(sender.send(Prepared::new(&gateway, grant, idempotent)));
+            drop(sender.send(prepare(&gateway)));
         };
         let builder = thread::Builder::new().name("backup".to_owned()).stack_size(STACK_BYTES);
         match builder.spawn(work) {
@@ -282,7 +300,7 @@
     let silent_ms = since.elapsed().as_millis() as u64;
     log::info!(
         id = request.attempt_id.as_str(),
-        target_id = &*run.grant().placement.target.id,
+        target_id = run.name(),
         silent_ms;
         "{text}"
     );
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -17,7 +17,7 @@
 
 use super::settings::{self, Settings};
 use super::state::{ABORT_MARGIN, Gateway, STOP_NOTICE};
-use super::{flow, follow, gossip, member, snapshot};
+use super::{flow, follow, gossip, member, reach, snapshot};
 
 /// Stack size of the threads started here.
 const STACK_BYTES: usize = 512 * 1024;
@@ -61,6 +61,7 @@
     log::info!(name, zone, boot; "gateway: started.");
     spawn(&gateway, "follow", follow::run)?;
     spawn(&gateway, "member", member::run)?;
+    spawn(&gateway, "probe", reach::probe)?;
     let sender = Arc::clone(&socket);
     spawn(&gateway, "tell", move |g| gossip::send_updates(g, &sender))?;
     spawn(&gateway, "hear", move |g| gossip::receive_updates(g, &socket))?;
