--- a/crates/core/tests/edge_detour.rs
+++ b/crates/core/tests/edge_detour.rs
@@ -7,7 +7,7 @@
 use mimosapass_core::ids::InstanceId;
 
 /// A zone of other zones and the own one, by the first letter of a name.
-fn candidate<'a>(name: &'a InstanceId, able: bool, silence_ms: Option<u64>) -> Candidate<'a> {
+fn candidate(name: &InstanceId, able: bool, silence_ms: Option<u64>) -> Candidate<'_> {
     let silence = silence_ms.map(Duration::from_millis);
     Candidate { name, in_zone: name.starts_with('a'), silence, able }
 }
--- a/crates/core/tests/edge_reach.rs
+++ b/crates/core/tests/edge_reach.rs
@@ -19,8 +19,8 @@
         fn $name() {
             let (ids, begun) = (ids($all), Instant::now());
             let mut reach = Reach::default();
-            for (n, outcome) in $outcomes.chars().enumerate() {
-                reach.record(&ids[n % $all], outcome == '.', begun + MS * n as u32);
+            for (n, (id, outcome)) in ids.iter().cycle().zip($outcomes.chars()).enumerate() {
+                reach.record(id, outcome == '.', begun + MS * n as u32);
             }
             let paths = reach.paths(ids.iter());
             assert_eq!(paths.is_cut_off(), $cut_off, "{paths:?}");
