--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 mod generate;
 pub mod memory;
+pub mod mesh;
 pub mod metastore;
 pub mod orders;
 pub mod platform;
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -16,6 +16,21 @@
     addr: SocketAddr,
     state: Arc<Mutex<State>>,
     rate: Rate,
+    rewrites: Rewrites,
+}
+
+/// Texts and those of the same length that are forwarded in their place.
+pub type Rewrites = Arc<Mutex<Vec<(String, String)>>>;
+
+/// Replaces texts in bytes.
+pub fn rewrite(bytes: &mut [u8], rewrites: &Rewrites) {
+    for (from, to) in &*rewrites.lock().unwrap_or_else(PoisonError::into_inner) {
+        let (from, to) = (from.as_bytes(), to.as_bytes());
+        let found = |bytes: &[u8]| bytes.windows(from.len()).position(|w| w == from);
+        while let Some(at) = found(bytes) {
+            bytes[at..at + to.len()].copy_from_slice(to);
+        }
+    }
 }
 
 /// What becomes of new connections.
@@ -61,11 +76,20 @@
     ///
     /// Fails when no port can be bound.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), target, Rewrites::default())
+    }
+
+    /// As [`Self::start`], at an address, and with texts that are replaced.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn start_at(addr: SocketAddr, target: SocketAddr, rewrites: Rewrites) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr)?;
         let addr = listener.local_addr()?;
-        let relay = Self { addr, state: Arc::default(), rate: Arc::default() };
-        let (state, rate) = (Arc::clone(&relay.state), Arc::clone(&relay.rate));
-        thread::spawn(move || accept(listener, target, &state, &rate));
+        let relay = Self { addr, state: Arc::default(), rate: Arc::default(), rewrites };
+        let accepting = relay.clone();
+        thread::spawn(move || accepting.accept(listener, target));
         Ok(relay)
     }
 
@@ -121,88 +145,87 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Accepts connections as far as they are admitted.
-fn accept(listener: TcpListener, target: SocketAddr, state: &Mutex<State>, rate: &Rate) {
-    let addr = listener.local_addr().expect("an address");
-    let open = || TcpListener::bind(addr).expect("the address is free");
-    let mut listener = Some(listener);
-    // They fill the backlog of a listener that accepts nothing, so that others hang.
-    let mut waiting = Vec::new();
-    loop {
-        let admission = lock(state).admission;
-        match admission {
-            Admission::Refused => listener = None,
-            Admission::Hanging if waiting.is_empty() => {
-                set_backlog(listener.get_or_insert_with(open), 0);
-                let connect = || TcpStream::connect_timeout(&addr, POLL_INTERVAL * 10);
-                waiting = std::iter::repeat_with(connect).map_while(Result::ok).collect();
-            }
-            Admission::Hanging => {}
-            Admission::Open => {
-                let listener = listener.get_or_insert_with(open);
-                if !waiting.is_empty() {
-                    set_backlog(listener, BACKLOG);
-                    waiting.clear();
+fn set_backlog(listener: &TcpListener, backlog: i32) {
+    SockRef::from(listener).listen(backlog).expect("it listens");
+}
+
+impl Relay {
+    /// Accepts connections as far as they are admitted.
+    fn accept(&self, listener: TcpListener, target: SocketAddr) {
+        let addr = listener.local_addr().expect("an address");
+        let open = || TcpListener::bind(addr).expect("the address is free");
+        let mut listener = Some(listener);
+        // They fill the backlog of a listener that accepts nothing, so that others hang.
+        let mut waiting = Vec::new();
+        loop {
+            let admission = lock(&self.state).admission;
+            match admission {
+                Admission::Refused => listener = None,
+                Admission::Hanging if waiting.is_empty() => {
+                    set_backlog(listener.get_or_insert_with(open), 0);
+                    let connect = || TcpStream::connect_timeout(&addr, POLL_INTERVAL * 10);
+                    waiting = std::iter::repeat_with(connect).map_while(Result::ok).collect();
+                }
+                Admission::Hanging => {}
+                Admission::Open => {
+                    let listener = listener.get_or_insert_with(open);
+                    if !waiting.is_empty() {
+                        set_backlog(listener, BACKLOG);
+                        waiting.clear();
+                    }
+                    self.accept_waiting(listener, target);
                 }
-                accept_waiting(listener, target, state, rate);
             }
+            thread::sleep(POLL_INTERVAL);
         }
-        thread::sleep(POLL_INTERVAL);
     }
-}
-
-fn set_backlog(listener: &TcpListener, backlog: i32) {
-    SockRef::from(listener).listen(backlog).expect("it listens");
-}
 
-/// Accepts the connections that wait.
-fn accept_waiting(listener: &TcpListener, target: SocketAddr, state: &Mutex<State>, rate: &Rate) {
-    listener.set_nonblocking(true).expect("set");
-    while let Ok((stream, _)) = listener.accept() {
-        stream.set_nonblocking(false).unwrap_or_default();
-        connect(stream, target, state, rate).unwrap_or_default();
+    /// Accepts the connections that wait.
+    fn accept_waiting(&self, listener: &TcpListener, target: SocketAddr) {
+        listener.set_nonblocking(true).expect("set");
+        while let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).unwrap_or_default();
+            self.connect(stream, target).unwrap_or_default();
+        }
     }
-}
 
-fn connect(
-    client: TcpStream,
-    target: SocketAddr,
-    state: &Mutex<State>,
-    rate: &Rate,
-) -> io::Result<()> {
-    let mut state = lock(state);
-    if state.cut {
-        return client.shutdown(Shutdown::Both);
+    fn connect(&self, client: TcpStream, target: SocketAddr) -> io::Result<()> {
+        let mut state = lock(&self.state);
+        if state.cut {
+            return client.shutdown(Shutdown::Both);
+        }
+        let server = TcpStream::connect(target)?;
+        let silent = Arc::new(AtomicBool::new(state.silent));
+        let ends = [client.try_clone()?, server.try_clone()?];
+        state.links.push(Link { ends, silent: Arc::clone(&silent) });
+        drop(state);
+        self.copy(client.try_clone()?, server.try_clone()?, Arc::clone(&silent));
+        self.copy(server, client, silent);
+        Ok(())
     }
-    let server = TcpStream::connect(target)?;
-    let silent = Arc::new(AtomicBool::new(state.silent));
-    let ends = [client.try_clone()?, server.try_clone()?];
-    state.links.push(Link { ends, silent: Arc::clone(&silent) });
-    drop(state);
-    copy(client.try_clone()?, server.try_clone()?, Arc::clone(&silent), Arc::clone(rate));
-    copy(server, client, silent, Arc::clone(rate));
-    Ok(())
-}
 
-/// Forwards what `from` sends, until either end closes.
-fn copy(mut from: TcpStream, mut to: TcpStream, silent: Arc<AtomicBool>, rate: Rate) {
-    thread::spawn(move || {
-        let mut buffer = [0; 16 * 1024];
-        while let Ok(read @ 1..) = from.read(&mut buffer) {
-            if !silent.load(Ordering::SeqCst) && to.write_all(&buffer[..read]).is_err() {
-                break;
-            }
-            let bytes_per_s = rate.load(Ordering::SeqCst);
-            if bytes_per_s > 0 {
-                thread::sleep(Duration::from_secs(1).mul_f64(read as f64 / bytes_per_s as f64));
+    /// Forwards what `from` sends, until either end closes.
+    fn copy(&self, mut from: TcpStream, mut to: TcpStream, silent: Arc<AtomicBool>) {
+        let (rate, rewrites) = (Arc::clone(&self.rate), Arc::clone(&self.rewrites));
+        thread::spawn(move || {
+            let mut buffer = [0; 16 * 1024];
+            while let Ok(read @ 1..) = from.read(&mut buffer) {
+                rewrite(&mut buffer[..read], &rewrites);
+                if !silent.load(Ordering::SeqCst) && to.write_all(&buffer[..read]).is_err() {
+                    break;
+                }
+                let bytes_per_s = rate.load(Ordering::SeqCst);
+                if bytes_per_s > 0 {
+                    thread::sleep(Duration::from_secs(1).mul_f64(read as f64 / bytes_per_s as f64));
+                }
             }
-        }
-        if silent.load(Ordering::SeqCst) {
-            // The other end never learns that this one closed.
-            loop {
-                thread::park();
+            if silent.load(Ordering::SeqCst) {
+                // The other end never learns that this one closed.
+                loop {
+                    thread::park();
+                }
             }
-        }
-        to.shutdown(Shutdown::Write).unwrap_or_default();
-    });
+            to.shutdown(Shutdown::Write).unwrap_or_default();
+        });
+    }
 }
--- a/tests/suite/gateway/behind.rs
+++ b/tests/suite/gateway/behind.rs
@@ -5,10 +5,12 @@
 use mimosapass_standin::target::Reply;
 
 use super::fake_peer::FakePeer;
-use super::{Cluster, KEY, call, config, head, start_target};
+use super::{Cluster, KEY, call, config, eventually, head, start_target};
 
 /// Time after a change is known in the zone within which it has to be in force.
 const CHANGE_TIME: Duration = Duration::from_millis(1_500);
+/// Time after the loss of its connections from which an instance counts as in touch.
+const IN_TOUCH: Duration = Duration::from_secs(3);
 /// Interval between datagrams of schedulers.
 const DATAGRAM_INTERVAL: Duration = Duration::from_millis(100);
 /// Processor share of a machine that is larger than the gateway's.
@@ -35,6 +37,48 @@
     begun.elapsed()
 }
 
+/// Guards against requests on atlas-loc that were run as only an older version allows, at the one
+/// instance of a zone that does not watch the store: its links to the others had fallen silent.
+#[test]
+fn change_is_in_force_in_time_after_links_between_instances_fell_silent() {
+    let (cluster, mesh) = Cluster::start_meshed(5);
+    let target = start_target("i-0", Reply::Complete(200, "yes"));
+    cluster.register(&target, "desk");
+    for number in 0..5 {
+        cluster.ready(number);
+    }
+    for number in [3, 4] {
+        cluster.logged(number, &["started or stopped watching", "watches=false"]);
+    }
+    let status = |number: usize, path: &str| {
+        call(cluster.callers(number), &head(path, "id-1", KEY, ""), b"question").response.status
+    };
+    // Until each has a link to and from each instance that watches.
+    let requested = |number: usize, peer: usize| {
+        let names = format!("peer={}", cluster.second_addr(peer));
+        cluster.log(number).lines().any(|l| l.contains("snapshot: requested") && l.contains(&names))
+    };
+    let linked = || [3, 4].iter().all(|n| (0..3).all(|peer| requested(*n, peer)));
+    let last = (9..60).find(|version| {
+        cluster.configure(&config(*version, &[KEY], &["look", &format!("v{version}")]));
+        for number in [3, 4] {
+            let path = format!("/v{version}/1");
+            eventually("the change is in force", || status(number, &path) == 200);
+        }
+        linked()
+    });
+    let last = last.expect("each asks each that watches");
+    (0..5).for_each(|number| mesh.silence(number));
+    std::thread::sleep(IN_TOUCH);
+    cluster.configure(&config(last + 1, &[KEY], &["look", "next"]));
+    let begun = Instant::now();
+    for number in 0..5 {
+        eventually("the next change is in force", || status(number, "/next/1") == 200);
+        assert_eq!(status(number, &format!("/v{last}/1")), 404);
+    }
+    assert!(begun.elapsed() <= CHANGE_TIME, "in force after {:?}", begun.elapsed());
+}
+
 /// Guards against an instance that watches the store for good although it misses nothing: what
 /// others have listed later names no change of a target.
 #[test]
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -28,6 +28,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use mimosapass_standin::mesh::Mesh;
 use mimosapass_standin::metastore::{Endpoint, Metastore};
 use mimosapass_standin::target::{Reply, ScriptedTarget};
 use mimosapass_target::http::{BodyPart, Connection, ResponseHead, WaitOutcome};
@@ -45,6 +46,8 @@
     pub store: Metastore,
     pub endpoint: Endpoint,
     gateways: Vec<Gateway>,
+    /// Addresses by which gateways in a network know each other.
+    second_addrs: Vec<SocketAddr>,
 }
 
 /// One gateway process.
@@ -104,7 +107,7 @@
     pub fn start(count: usize) -> Self {
         let store = Metastore::default();
         let endpoint = store.open_endpoint();
-        let mut cluster = Self { store, endpoint, gateways: Vec::new() };
+        let mut cluster = Self { store, endpoint, gateways: Vec::new(), second_addrs: Vec::new() };
         cluster.configure(&config(3, &[KEY], &["chat", "look", "book"]));
         for _ in 0..count {
             let endpoint = cluster.endpoint.clone();
@@ -137,6 +140,33 @@
         number
     }
 
+    /// Starts `count` gateways that reach each other over a network of the test's own.
+    pub fn start_meshed(count: usize) -> (Self, Mesh) {
+        let (mut cluster, mesh) = (Self::start(0), Mesh::default());
+        let endpoints: Vec<Endpoint> = (0..count).map(|_| cluster.store.open_endpoint()).collect();
+        for endpoint in &endpoints {
+            cluster.add_meshed(endpoint, &endpoints, &mesh);
+        }
+        (cluster, mesh)
+    }
+
+    /// Starts a gateway in a network; those that use `endpoints` know it by its second address.
+    fn add_meshed(&mut self, own: &Endpoint, endpoints: &[Endpoint], mesh: &Mesh) -> usize {
+        let number = self.add(own, &[]);
+        let addr =
+            mesh.add(self.peers(number), std::iter::repeat_with(unique_ip)).expect("an address");
+        for endpoint in endpoints {
+            endpoint.set_path(self.peers(number), addr);
+        }
+        self.second_addrs.push(addr);
+        number
+    }
+
+    /// Returns the address by which others know a gateway in a network.
+    pub fn second_addr(&self, number: usize) -> SocketAddr {
+        self.second_addrs[number]
+    }
+
     /// Writes a configuration to the store.
     pub fn configure(&self, config: &Value) {
         self.store.set("op/config", config.to_string().as_bytes());
