Soak: changes that take something away, and links that fall silent

The soak's changes of the configuration added routes alone, so what a change takes away was never checked, and it silenced connections to the store alone. A route now moves between services, another one and a key come and go, in series too; a request sent two seconds after the acknowledgement has to be handled by the new version at instances in touch (config). Links between instances fall silent.

--- a/tests/suite/gateway/soak/callers.rs
+++ b/tests/suite/gateway/soak/callers.rs
@@ -9,6 +9,8 @@
 use mimosapass_target::http::{BodyPart, Connection, WaitOutcome};
 
 use super::super::{HOST, KEY};
+use super::allowed::{EXTRA, KEYED, MOVED, SECOND_KEY};
+use super::plan::Change;
 use super::promises::{Answer, Promises, Seen};
 use super::world::World;
 
@@ -54,29 +56,46 @@
         let open = || Connection::open(addr, Duration::from_millis(300)).ok();
         let Some(mut current) = connection.take().or_else(open) else { continue };
         let route = if number % 5 == 4 { promises.route() } else { None };
-        let kind = route.map_or_else(|| PATHS[number % 4].to_owned(), |r| format!("new-{r}"));
-        let parts = parts(caller, number);
-        let deadly = kind == "look" && number % DEADLY_CALL_INTERVAL == 10 * (caller % 2);
+        let change = (number % 5 == 2).then(|| Change::ALL[number / 5 % Change::ALL.len()]);
+        let kind = match (route, change) {
+            (Some(route), _) => format!("new-{route}"),
+            (None, Some(Change::Reroute)) => MOVED.to_owned(),
+            (None, Some(Change::Route)) => EXTRA.to_owned(),
+            (None, Some(Change::Keys)) => KEYED.to_owned(),
+            (None, None) => PATHS[number % 4].to_owned(),
+        };
+        let key = if change == Some(Change::Keys) { SECOND_KEY } else { KEY };
+        // A call that an engine answers would show that the deadly part is sound.
+        let parts = if change.is_none() { parts(caller, number) } else { String::new() };
+        let deadly = change.is_none()
+            && kind == "look"
+            && number % DEADLY_CALL_INTERVAL == 10 * (caller % 2);
         let query = if deadly { format!("?{DEADLY_CALL}") } else { String::new() };
         let id = format!("{instance}-{caller}-{number}-{kind}");
         let path = format!("/{kind}/1{query}");
         number += 1;
         promises.send(&id, instance);
         let sent = Instant::now();
-        let answer = ask(&mut current, &id, &path, &parts);
+        let answer = ask(&mut current, &id, &path, key, &parts);
         answers += usize::from(answer.as_ref().is_some_and(|a| a.complete));
         connection = answer.as_ref().is_some_and(|a| a.reusable).then_some(current);
-        promises.seen(instance, &Seen { id: &id, path: &path, route, sent, answer });
+        promises.seen(instance, &Seen { id: &id, path: &path, route, change, sent, answer });
     }
     answers
 }
 
 /// Sends a request and reads what comes; `None` without the head of an answer.
-fn ask(connection: &mut Connection, id: &str, path: &str, parts: &str) -> Option<Answer> {
+fn ask(
+    connection: &mut Connection,
+    id: &str,
+    path: &str,
+    key: &str,
+    parts: &str,
+) -> Option<Answer> {
     let end = Instant::now() + PATIENCE;
     let head = format!(
         "GET {path} HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: {id}\r\nx-deadline-ms: 6000\r\n\
-         x-token-usage: 100,50\r\n{parts}authorization: Token {KEY}\r\n\r\n"
+         x-token-usage: 100,50\r\n{parts}authorization: Token {key}\r\n\r\n"
     );
     connection.send(head.as_bytes(), end).ok()?;
     let response = loop {
--- a/tests/suite/gateway/soak/mod.rs
+++ b/tests/suite/gateway/soak/mod.rs
@@ -5,6 +5,7 @@
 //! size of the fleet; the same ones give the same schedule. A failed run prints the seed, the schedule and what was broken, and keeps the
 //! logs of all gateways in one folder.
 
+mod allowed;
 mod bounds;
 mod callers;
 mod plan;
--- a/tests/suite/gateway/soak/plan.rs
+++ b/tests/suite/gateway/soak/plan.rs
@@ -26,6 +26,17 @@
 const LIMIT_MS: std::ops::Range<u64> = 4_000..12_000;
 /// Limits of targets, in requests a second.
 const LIMITS: [f64; 4] = [0.5, 1.0, 2.6, 8.0];
+/// Least and greatest time between two changes of what the configuration allows, and the share
+/// of them that come in a series.
+const CHANGE_GAP_MS: std::ops::Range<u64> = 400..4_000;
+const SERIES_GAP_MS: std::ops::Range<u64> = 20..400;
+const SERIES_RATIO: f64 = 0.4;
+/// Makes the draws of changes independent of the others.
+const CHANGE_SEED: u64 = 0x6368_616e;
+/// Least and greatest time between two losses of links between instances.
+const SEVER_GAP_MS: std::ops::Range<u64> = 4_000..12_000;
+/// Makes the draws of lost links independent of the others.
+const SEVER_SEED: u64 = 0x7365_7665;
 /// Makes the draws of limits independent of the others.
 const LIMIT_SEED: u64 = 0x6c69_6d69;
 /// Makes the draws of what targets do independent of the others.
@@ -129,6 +140,21 @@
     pub time: Duration,
 }
 
+/// A change of what the configuration allows.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Change {
+    /// A route moves to another service, or back.
+    Reroute,
+    /// A route is dropped, or added again.
+    Route,
+    /// An API key is revoked, or added again.
+    Keys,
+}
+
+impl Change {
+    pub const ALL: [Self; 3] = [Self::Reroute, Self::Route, Self::Keys];
+}
+
 /// Something that happens to the fleet.
 #[derive(Clone, Copy, Debug)]
 pub enum Event {
@@ -150,6 +176,8 @@
     Renew,
     /// A configuration with another new route.
     Configure,
+    /// A configuration that takes away what the last one allowed, or allows it again.
+    Change(Change),
     /// A target drains and a new one takes its place.
     Drain(usize),
     /// As `Drain`, but the entry is removed without draining.
@@ -160,6 +188,8 @@
     Pause(usize),
     /// A target states a limit, in requests a second, or none any more.
     Limit(usize, Option<f64>),
+    /// Open links of an instance to the others, or of others to it, fall silent.
+    Sever(usize),
     /// A process is killed and started again.
     Kill(usize),
     /// A process gets SIGTERM; it is started again when it has ended.
@@ -197,6 +227,22 @@
         events.push(((at + random.random_range(LIMIT_MS)).min(end), Event::Limit(target, None)));
         at += random.random_range(LIMIT_GAP_MS);
     }
+    let mut random = StdRng::seed_from_u64(seed ^ CHANGE_SEED);
+    let mut at = 1_000;
+    while at < end {
+        events.push((at, Event::Change(Change::ALL[random.random_range(0..Change::ALL.len())])));
+        let series = random.random_bool(SERIES_RATIO);
+        at += random.random_range(if series { SERIES_GAP_MS } else { CHANGE_GAP_MS });
+    }
+    let mut random = StdRng::seed_from_u64(seed ^ SEVER_SEED);
+    let mut at = random.random_range(SEVER_GAP_MS);
+    while at < end {
+        let first = random.random_range(0..instances);
+        let count = random.random_range(1..=instances);
+        let severed = (first..first + count).map(|n| (at, Event::Sever(n % instances)));
+        events.extend(severed);
+        at += random.random_range(SEVER_GAP_MS);
+    }
     events.sort_by_key(|(at, _)| *at);
     events.into_iter().map(|(at, event)| (Duration::from_millis(at), event)).collect()
 }
--- a/tests/suite/gateway/soak/promises.rs
+++ b/tests/suite/gateway/soak/promises.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use super::super::events;
+use super::allowed::Allowed;
 use super::bounds::{Cause, Crashes, Limited};
-use super::plan::{Place, Point};
+use super::plan::{Change, Place, Point};
 use super::script::{BODY, EVENTS};
 
 /// Time after a fault from which an instance counts as in touch.
@@ -15,7 +16,7 @@
 /// Time after its leave from which a target gets no requests.
 const DRAIN: Duration = Duration::from_secs(2);
 /// Time after its acknowledgement in which a configuration is in force.
-const CONFIG: Duration = Duration::from_secs(2);
+pub const CONFIG: Duration = Duration::from_secs(2);
 /// Time in which requests that cross the statement of a pause may still arrive.
 const PAUSE_SLACK: Duration = Duration::from_millis(500);
 /// Requests that may reach a target within its pause.
@@ -59,6 +60,8 @@
     crashes: HashMap<Cause, Crashes>,
     /// Targets that state a limit.
     limits: HashMap<String, Limited>,
+    /// What the configuration allows.
+    allowed: Allowed,
 }
 
 /// A request that a caller sent.
@@ -104,6 +107,8 @@
     pub path: &'a str,
     /// Version of the route, if it is the latest one.
     pub route: Option<u64>,
+    /// What decides whether it is allowed, if that changes.
+    pub change: Option<Change>,
     pub sent: Instant,
     /// `None` without the head of an answer.
     pub answer: Option<Answer>,
@@ -193,6 +198,21 @@
         self.state().route = route.map(|route| (route, Instant::now()));
     }
 
+    /// Returns what the configuration now allows.
+    pub fn allows(&self, change: Change) -> bool {
+        self.state().allowed.current(change)
+    }
+
+    /// Notes that the store has acknowledged a change.
+    pub fn changed(&self, change: Change, value: bool) {
+        self.state().allowed.set(change, value);
+    }
+
+    /// Notes the service of a target.
+    pub fn serves(&self, target: &str, service: &'static str) {
+        self.state().allowed.serves(target, service);
+    }
+
     pub fn route(&self) -> Option<u64> {
         let state = self.state();
         state.route.filter(|(_, at)| at.elapsed() > CONFIG).map(|(route, _)| route)
@@ -236,6 +256,8 @@
             let late = sent.saturating_duration_since(told);
             state.broken.push(format!("drain: {id} reached {target}, {late:?} after its answer"));
         }
+        let wrong = state.allowed.check_run(target, id, sent).filter(|_| calm);
+        state.broken.extend(wrong);
         state.count_limited(target, boot, calm);
         let mut over = None;
         if let Some((from, until, count)) = state.pauses.get_mut(&(target.to_owned(), boot)) {
@@ -391,6 +413,12 @@
             Some((429 | 503 | 408 | 421, _)) if runs > 0 && path.contains("book") => {
                 Some(format!("refused: {id} was refused and has run"))
             }
+            Some((status, _)) if seen.change.is_some() && matches!(status, 200 | 401 | 404) => {
+                let allowed =
+                    seen.change.and_then(|c| state.allowed.at(c, seen.sent)).filter(|_| calm);
+                let wrong = allowed.is_some_and(|allowed| allowed != (status == 200));
+                wrong.then(|| format!("config: {id} {path} got {status} at instance {instance}"))
+            }
             Some((status @ 400..500, _)) if !matches!(status, 408 | 421 | 429) => {
                 let latest = seen.route.is_none_or(|r| state.route.is_some_and(|now| now.0 == r));
                 let counts = seen.route.is_none() || calm && latest;
--- a/tests/suite/gateway/soak/targets.rs
+++ b/tests/suite/gateway/soak/targets.rs
@@ -48,6 +48,7 @@
         let script = Script::new(&id, &self.promises);
         let answering = script.clone();
         let target = ScriptedTarget::start(&id, move |head| answering.answer(head));
+        self.promises.serves(&id, service);
         cluster.register(&target, service);
         self.all.push(Registered { target, script, service, state: Some("ready"), seq: 1 });
     }
--- a/tests/suite/gateway/soak/world.rs
+++ b/tests/suite/gateway/soak/world.rs
@@ -7,11 +7,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use mimosapass_standin::mesh::Mesh;
 use mimosapass_standin::metastore::{Copy, Endpoint, Fault};
 use mimosapass_standin::relay::Relay;
 
 use super::super::{Cluster, KEY, config, eventually, spawn};
-use super::plan::Event;
+use super::allowed::{EXTRA, MOVED, SECOND_KEY};
+use super::plan::{Change, Event, SERVICES};
 use super::promises::Promises;
 use super::targets::Targets;
 
@@ -24,10 +26,19 @@
     endpoint: Endpoint,
 }
 
+impl Way {
+    fn start(cluster: &Cluster) -> Self {
+        let endpoint = cluster.store.open_endpoint();
+        let path = Relay::start(endpoint.addr).expect("a port");
+        Self { path, endpoint }
+    }
+}
+
 pub struct World {
     cluster: Cluster,
     promises: Arc<Promises>,
     ways: Vec<Way>,
+    mesh: Mesh,
     targets: Targets,
     version: u64,
     copy: Copy,
@@ -43,12 +54,12 @@
 impl World {
     pub fn start(promises: &Arc<Promises>, instances: usize) -> Self {
         let mut cluster = Cluster::start(0);
-        let mut ways = Vec::new();
-        for _ in 0..instances {
-            let endpoint = cluster.store.open_endpoint();
-            let path = Relay::start(endpoint.addr).expect("a port");
-            cluster.add(&endpoint.via(path.addr()), &[]);
-            ways.push(Way { path, endpoint });
+        let ways: Vec<Way> = (0..instances).map(|_| Way::start(&cluster)).collect();
+        let mesh = Mesh::default();
+        let endpoints: Vec<Endpoint> =
+            ways.iter().map(|way| way.endpoint.via(way.path.addr())).collect();
+        for endpoint in &endpoints {
+            cluster.add_meshed(endpoint, &endpoints, &mesh);
         }
         let targets = Targets::start(&cluster, promises);
         let mut world = Self {
@@ -56,6 +67,7 @@
             cluster,
             promises: Arc::clone(promises),
             ways,
+            mesh,
             targets,
             version: 3,
             outage: false,
@@ -69,6 +81,10 @@
             world.cluster.ready(number);
         }
         world.configure();
+        // The first configuration had no such route and key.
+        for change in Change::ALL {
+            world.promises.changed(change, true);
+        }
         world.copy = world.cluster.store.copy();
         world
     }
@@ -102,6 +118,10 @@
                 self.promises.shock(instance);
                 self.ways[instance].path.silence_open();
             }
+            Event::Sever(instance) => {
+                self.shock_all();
+                self.mesh.silence(instance);
+            }
             Event::Compact => self.cluster.store.compact(),
             Event::Copy => self.copy = self.cluster.store.copy(),
             Event::Restore => {
@@ -114,6 +134,7 @@
                 self.targets.renew(&self.cluster);
             }
             Event::Configure => self.configure(),
+            Event::Change(change) => self.change(change),
             Event::Drain(n) => self.targets.replace(&self.cluster, n, Some("draining")),
             Event::Remove(n) => self.targets.replace(&self.cluster, n, None),
             Event::Leave(n) => self.targets.leave(&self.cluster, n),
@@ -158,10 +179,30 @@
         self.write_config();
     }
 
+    /// Takes away what the configuration allows, or allows it again.
+    fn change(&mut self, change: Change) {
+        self.version += 1;
+        let value = !self.promises.allows(change);
+        // From here on either may be in force, and from its acknowledgement on for a while.
+        self.promises.changed(change, value);
+        self.write_config();
+        self.promises.changed(change, value);
+    }
+
     fn write_config(&self) {
+        let allows = |change| self.promises.allows(change);
         let route = format!("new-{}", self.version);
-        let paths = ["chat", "look", "book", route.as_str()];
-        self.cluster.configure(&config(self.version, &[KEY], &paths));
+        let mut paths = vec!["chat", "look", "book", route.as_str(), MOVED];
+        paths.extend(allows(Change::Route).then_some(EXTRA));
+        let keys: &[&str] = if allows(Change::Keys) { &[KEY, SECOND_KEY] } else { &[KEY] };
+        let mut config = config(self.version, keys, &paths);
+        let service = SERVICES[usize::from(!allows(Change::Reroute))];
+        for route in config["routes"].as_array_mut().expect("routes") {
+            if route["name"] == MOVED {
+                route["service"] = service.into();
+            }
+        }
+        self.cluster.configure(&config);
         self.promises.configured(Some(self.version));
     }
 
