Detours: targets are counted only while connections fail

Whether an instance places requests is asked for each event of a stream, and since detours that counted all targets each time. The result is kept, and nothing is counted while no connection has failed. Decisions are the same; edge_reach and cut_off pass.

--- a/crates/core/src/edge/reach.rs
+++ b/crates/core/src/edge/reach.rs
@@ -46,6 +46,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
     paths: HashMap<TargetId, Path>,
+    /// Number of paths that have failed.
+    failed: usize,
 }
 
 impl Reach {
@@ -56,8 +58,11 @@
     pub fn record(&mut self, id: &TargetId, connected: bool, now: Instant) -> bool {
         let known = self.paths.get(id).filter(|path| path.failed);
         let since = known.filter(|_| !connected).map_or(now, |path| path.since);
+        let had_failed = known.is_some();
         let path = Path { failed: !connected, at: now, since };
-        self.paths.insert(TargetId::clone(id), path).is_some_and(|p| p.failed) && connected
+        self.paths.insert(TargetId::clone(id), path);
+        self.failed = self.failed - usize::from(had_failed) + usize::from(!connected);
+        had_failed && connected
     }
 
     /// Counts the targets of a service by what the last connection to them came to.
@@ -90,11 +95,12 @@
 
     /// Removes what is known of a target that is gone or has restarted.
     pub fn forget(&mut self, id: &str) {
-        self.paths.remove(id);
+        let known = self.paths.remove(id);
+        self.failed -= usize::from(known.is_some_and(|path| path.failed));
     }
 
     /// Returns the number of targets that cannot be connected to.
     pub fn count_unreachable(&self) -> usize {
-        self.paths.values().filter(|path| path.failed).count()
+        self.failed
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -125,9 +125,7 @@
     /// Peers do not rely on a scheduler that is about to exit, or that is cut off from targets
     /// which they may reach.
     pub fn capacity(&self, gateway: &Gateway) -> u32 {
-        let targets = self.scheduler.fleet.all().map(|t| &t.id);
-        let excluded = gateway.is_stopping() || self.reach.paths(targets).is_cut_off();
-        if excluded { 0 } else { gateway.settings.capacity }
+        if gateway.is_stopping() || self.isolated { 0 } else { gateway.settings.capacity }
     }
 
     /// Returns whether this instance watches the store, for its zone or for itself.
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -67,6 +67,13 @@
     /// Updates whether this instance is cut off from a service, and logs a change; returns
     /// whether there is one.
     fn update_cut_off(&mut self, service: &str) -> bool {
+        // Nearly always, so that targets are counted only while there are failures.
+        if self.reach.count_unreachable() == 0 && self.cut_off.is_empty() {
+            self.isolated = false;
+            return false;
+        }
+        let all = self.scheduler.fleet.all().map(|t| &t.id);
+        self.isolated = self.reach.paths(all).is_cut_off();
         let paths = self.reach.paths(self.scheduler.fleet.serving(service).map(|t| &t.id));
         let cut_off = paths.is_cut_off();
         if cut_off == self.cut_off.contains(service) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -111,6 +111,8 @@
     pub reach: Reach,
     /// Services of which most targets cannot be connected to.
     pub cut_off: BTreeSet<ServiceId>,
+    /// Whether this instance is cut off from the targets of all services taken together.
+    pub isolated: bool,
     /// Recent changes of targets, for peers that do not watch the store.
     pub target_changes: ChangeLog,
     /// Since when a peer has had a newer configuration.
@@ -336,6 +338,7 @@
             store: StoreStatus::default(),
             reach: Reach::default(),
             cut_off: BTreeSet::new(),
+            isolated: false,
             target_changes: ChangeLog::default(),
             outdated_since: None,
             lag: Lag::default(),
