Queue: only a request that was sent to nobody is refused for want of paths

The refusal of requests that had been tried at all targets was wrong: a request that has run, or a stream that was cut, may still be saved by a target that joins.

--- a/crates/core/src/edge/grant.rs
+++ b/crates/core/src/edge/grant.rs
@@ -28,8 +28,6 @@
 /// Why a waiting request is refused.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Refusal {
-    /// It has been tried at all targets, and is not sent to one of them twice.
-    Tried,
     /// It can no longer be served before its caller gives up, or all targets are in evacuated
     /// zones.
     Late,
--- a/crates/core/src/edge/reach.rs
+++ b/crates/core/src/edge/reach.rs
@@ -36,6 +36,11 @@
 }
 
 impl Paths {
+    /// Returns whether no target can be connected to.
+    pub fn is_closed(&self) -> bool {
+        self.targets > 0 && self.unreachable == self.targets
+    }
+
     /// Returns whether most targets cannot be connected to, as far as they were tried.
     pub fn is_cut_off(&self) -> bool {
         self.unreachable * 2 > self.targets.min(SAMPLE) && self.unreachable > self.reached
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -144,10 +144,6 @@
         if evacuated || requirements.entry.has_expired(now) {
             return Some(Refusal::Late);
         }
-        let mut targets = self.fleet.serving(&requirements.service).peekable();
-        if targets.peek().is_some() && targets.all(|t| requirements.avoid.contains(&t.id)) {
-            return Some(Refusal::Tried);
-        }
         if let Some(end) = self.pause_end(&requirements.service, now)
             && end >= requirements.entry.expires
         {
--- a/crates/core/tests/edge_reach.rs
+++ b/crates/core/tests/edge_reach.rs
@@ -45,6 +45,18 @@
     crash_after_an_old_one: 6, "x.....x.x..." => false;
 }
 
+#[test]
+fn no_target_is_reachable_only_if_all_have_failed() {
+    let (ids, now) = (ids(3), Instant::now());
+    let mut reach = Reach::default();
+    assert!(!reach.paths([].into_iter()).is_closed(), "a service without targets");
+    for (n, id) in ids.iter().enumerate() {
+        assert!(!reach.paths(ids.iter()).is_closed(), "{n} have failed");
+        reach.record(id, false, now);
+    }
+    assert!(reach.paths(ids.iter()).is_closed());
+}
+
 #[test]
 fn a_connection_after_a_failure_is_news() {
     let (ids, now) = (ids(1), Instant::now());
--- a/crates/emulator/src/simulation/instance.rs
+++ b/crates/emulator/src/simulation/instance.rs
@@ -245,7 +245,7 @@
         record.queue_id = None;
         self.queued.remove(&id);
         let after = match refusal {
-            Refusal::Late | Refusal::Tried => Duration::ZERO,
+            Refusal::Late => Duration::ZERO,
             Refusal::Limited(left) | Refusal::Paused(left) => left,
             Refusal::Pressure(_) => retry_after(id),
         };
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -138,9 +138,7 @@
     match reply {
         Reply::Queued => empty,
         // A pause of a target for this instance says nothing of the client.
-        Reply::Refused(Refusal::Late | Refusal::Tried | Refusal::Paused(_)) => {
-            wire::Reply { late: true, ..empty }
-        }
+        Reply::Refused(Refusal::Late | Refusal::Paused(_)) => wire::Reply { late: true, ..empty },
         Reply::Refused(Refusal::Limited(left)) => {
             wire::Reply { limited_ms: ms(left).max(1), ..empty }
         }
--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -71,6 +71,13 @@
 }
 
 impl Gateway {
+    /// Returns whether no target of a request's service can be connected to.
+    pub fn reaches_none(&self, request: &Request) -> bool {
+        let state = self.state();
+        let serving = state.scheduler.fleet.serving(&request.requirements.service);
+        state.reach.paths(serving.map(|t| &t.id)).is_closed()
+    }
+
     /// Returns whether most targets of a request's service cannot be connected to.
     pub fn is_cut_off(&self, request: &Request) -> bool {
         self.state().cut_off.contains(&request.requirements.service)
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -121,10 +121,6 @@
                 );
                 Failure::new(Kind::NoTarget, detail).after(left)
             }
-            Refusal::Tried => {
-                let detail = format!("all targets of {} were tried", requirements.service);
-                Failure::new(Kind::NoTarget, detail)
-            }
             Refusal::Late => no_target_in_time(state, requirements, now),
             Refusal::Pressure(pressure) => {
                 let detail = format!(
