Detours: what a peer refuses is tried here while a target may be reached

Callers of an instance saw 503 for a sound request after several targets had crashed: targets that refuse connections, and none that was connected to meanwhile, look like lost paths, so the request went over a peer, and the peer's refusal was final although other targets could be reached.

Cause: the end of such a request was tied to 'most targets cannot be connected to'.

--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -77,11 +77,6 @@
         let serving = state.scheduler.fleet.serving(&request.requirements.service);
         state.reach.paths(serving.map(|t| &t.id)).is_closed()
     }
-
-    /// Returns whether most targets of a request's service cannot be connected to.
-    pub fn is_cut_off(&self, request: &Request) -> bool {
-        self.state().cut_off.contains(&request.requirements.service)
-    }
 }
 
 impl Flow<'_, '_> {
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -157,10 +157,9 @@
             self.start_detour(peer);
             return None;
         }
-        let refused = self.refused_by_peer && self.gateway.is_cut_off(&self.request);
         // A request that has run may still be saved by a target that joins.
         let unsent = self.sends == 0 && self.not_sent > 0;
-        if refused || unsent && self.gateway.reaches_none(&self.request) {
+        if (self.refused_by_peer || unsent) && self.gateway.reaches_none(&self.request) {
             return Some(self.respond_last_failure());
         }
         let granted = queue::wait(self.gateway, &self.request.requirements, || self.obstacle());
--- a/tests/suite/gateway/behind.rs
+++ b/tests/suite/gateway/behind.rs
@@ -67,7 +67,9 @@
         }
         linked()
     });
-    let last = last.expect("each asks each that watches");
+    let last = last.unwrap_or_else(|| {
+        panic!("one asked not each that watches:\n{}\n{}", cluster.log(3), cluster.log(4))
+    });
     (0..5).for_each(|number| mesh.silence(number));
     std::thread::sleep(IN_TOUCH);
     cluster.configure(&config(last + 1, &[KEY], &["look", "next"]));
--- a/tests/suite/gateway/cut_off.rs
+++ b/tests/suite/gateway/cut_off.rs
@@ -173,3 +173,39 @@
     let key = requests.iter().any(|r| r.head.header("authorization").is_some());
     assert!(!key, "the key reached a target");
 }
+
+/// Guards against a refusal of a sound request after several targets have crashed: they look like
+/// lost paths, and what a peer cannot serve may still be served from here.
+#[rstest]
+#[case::first(0)]
+#[case::second(1)]
+#[case::third(2)]
+fn refusal_of_a_peer_is_not_final_while_a_target_may_be_reached(#[case] sound: usize) {
+    let mut cluster = Cluster::start(0);
+    let apart = cluster.store.open_endpoint();
+    let (mut targets, mut paths) = (Vec::new(), Vec::new());
+    for number in 0..TARGETS {
+        let target = start_target(&format!("i-{number}"), Reply::Complete(200, "yes"));
+        let path = Relay::start(target.addr).expect("a port");
+        path.set_admission(Admission::Refused);
+        apart.set_path(target.addr, path.addr());
+        cluster.register(&target, "desk");
+        targets.push(target);
+        paths.push(path);
+    }
+    let direct = cluster.endpoint.clone();
+    cluster.add(&direct, &[]);
+    cluster.add(&apart, &[]);
+    for number in 0..2 {
+        cluster.ready(number);
+        cluster.knows_targets(number, TARGETS);
+    }
+    cluster.logged(0, &["first datagram received", "gate-1"]);
+    for (number, target) in targets.iter().enumerate() {
+        if number != sound {
+            target.crash();
+        }
+    }
+    let answer = cluster.ask(0, "/book/1", "sound");
+    assert_eq!((answer.response.status, answer.complete), (200, true), "{}", cluster.log(0));
+}
--- a/tests/suite/gateway/quarantine.rs
+++ b/tests/suite/gateway/quarantine.rs
@@ -99,7 +99,9 @@
         cluster.store.delete(&format!("servers/{}", engine.id));
     }
     // The sound part that was beside it is cleared.
-    assert_eq!(ask(&cluster, 0, "5a:20").response.status, 200);
+    let sound = ask(&cluster, 0, "5a:20");
+    let logs = [0, 1].map(|number| cluster.log(number));
+    assert_eq!(sound.response.status, 200, "{sound:?}\n{}\n{}", logs[0], logs[1]);
     let endpoint: Endpoint = cluster.endpoint.clone();
     let started = cluster.add(&endpoint, &[]);
     cluster.ready(started).logged(started, &["part: quarantined", "part=dead"]);
