Price of engine time learned from what requests ask for and bring

Cause: the price was a constant times the square of the share of engines with a backlog. Now it is the value per second of the first request that does not fit into the free engine time of the next two seconds, times the root of that share; all prompts pay it. Schedulers tell each other one number a service in what they send already.

--- a/crates/core/src/edge/grant.rs
+++ b/crates/core/src/edge/grant.rs
@@ -33,6 +33,8 @@
     Late,
     /// Engines have requests of more value; carries the pressure, 0 to 1.
     Pressure(f64),
+    /// A second of an engine brings more elsewhere; carries that value.
+    Price(f64),
     /// All targets state limits, and the requests before it take them up until its caller gives
     /// up; carries the time that these take.
     Limited(Duration),
--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -21,6 +21,8 @@
 //! - [`progress`]: how far an instance has followed the store.
 //! - [`placement`]: the choice of a target for one request.
 //! - [`order`]: the order in which schedulers fill engines.
+//! - [`price`]: what a second of an engine brings at the margin.
+//! - [`pricing`]: the price that a scheduler puts on the time of engines.
 //! - [`wait`]: the order of waiting requests, and when they are refused.
 //! - [`requirements`]: what the placement of a request depends on.
 //! - [`schedule`]: the state of an instance, and the rounds that place waiting requests.
@@ -56,6 +58,8 @@
 pub mod pauses;
 pub mod placement;
 pub mod position;
+pub mod price;
+pub mod pricing;
 pub mod progress;
 pub mod quarantine;
 pub mod reach;
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -15,7 +15,9 @@
 use crate::edge::order::{Excluded, Lineup, Member, Turn};
 use crate::edge::outcomes::{Outcome, Outcomes, ZoneReachability};
 use crate::edge::pauses::Pauses;
-use crate::edge::placement::{Candidate, MIN_BACKLOG, Placement, PlacementRequest, choose};
+use crate::edge::placement::{Candidate, Placement, PlacementRequest, choose};
+use crate::edge::price::Price;
+use crate::edge::pricing::Pricing;
 use crate::edge::remote::Orphan;
 use crate::edge::route_table::{RouteTable, ServiceId};
 use crate::edge::slowdown::Slowdowns;
@@ -25,8 +27,6 @@
 pub use crate::edge::grant::{Grant, Refusal};
 pub use crate::edge::requirements::{Requirements, TokenCounts};
 
-/// Least time between two samples of the pressure: half a pass.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
 /// Least time between two rounds without a new request in the queue.
 const ROUND_INTERVAL: Duration = Duration::from_millis(5);
 /// Failed placements per service after which a round stops trying: requests further
@@ -78,9 +78,12 @@
     pub changed_targets: BTreeSet<TargetId>,
     /// Whether the waiting long prompts changed since the last datagram to peers.
     pub long_changed: bool,
-    queue: BTreeMap<RequestNumber, Requirements>,
+    /// How the price of engine time is found.
+    pub pricing: Pricing,
+    pub(super) queue: BTreeMap<RequestNumber, Requirements>,
     lineups: HashMap<ServiceId, Lineup>,
-    pressure: HashMap<ServiceId, Pressure>,
+    pub(super) pressure: HashMap<ServiceId, Pressure>,
+    pub(super) prices: HashMap<ServiceId, Price>,
     last_round: Option<Instant>,
 }
 
@@ -101,15 +104,18 @@
             peer_waiting: HashMap::new(),
             changed_targets: BTreeSet::new(),
             long_changed: false,
+            pricing: Pricing::default(),
             queue: BTreeMap::new(),
             lineups: HashMap::new(),
             pressure: HashMap::new(),
+            prices: HashMap::new(),
             last_round: None,
         }
     }
 
     /// Adds a request to the queue; the next round starts without delay.
     pub fn enqueue(&mut self, id: RequestNumber, requirements: Requirements) {
+        self.record_asked(&requirements);
         self.queue.insert(id, requirements);
         self.last_round = None;
     }
@@ -152,9 +158,9 @@
         if let Some(left) = self.limited_for(requirements, now) {
             return Some(Refusal::Limited(left));
         }
-        let pressure = self.pressure(&requirements.service);
-        let shed = requirements.long && requirements.entry.should_shed(pressure, now);
-        shed.then_some(Refusal::Pressure(pressure))
+        let price = self.price(requirements);
+        let shed = requirements.entry.should_shed(price, now);
+        shed.then(|| self.price_refusal(&requirements.service, price))
     }
 
     /// Returns when the first pause ends, if all targets of a service asked for one.
@@ -310,7 +316,7 @@
         candidates: &[Candidate<'_>],
         now: Instant,
     ) -> Option<Placement> {
-        let pressure = if requirements.long { self.pressure(&requirements.service) } else { 0.0 };
+        let price = self.price(requirements);
         let request = PlacementRequest {
             prompt: requirements.prompt,
             answer: requirements.answer,
@@ -326,7 +332,7 @@
             let untried: Vec<Candidate<'_>> = untried.cloned().collect();
             choose(&request, engine, &untried, &self.load, now)
         };
-        chosen.filter(|p| requirements.entry.accepts(p, pressure, now))
+        chosen.filter(|p| requirements.entry.accepts(p, price, now))
     }
 
     /// Updates the lineups of services after a change of targets.
@@ -450,31 +456,4 @@
         }
         if count > 0.0 { sum / count } else { 0.0 }
     }
-
-    /// Samples the share of each service's engines that have a backlog.
-    fn sample(&mut self, table: &RouteTable, now: Instant) {
-        // An instance that delegates its placements knows of no load.
-        if self.load.is_empty() && self.pressure.is_empty() {
-            return;
-        }
-        for (service, engine) in table.services().filter_map(|s| s.engine.map(|e| (&s.name, e))) {
-            let sampled = self.pressure.get(service).and_then(Pressure::at);
-            if sampled.is_some_and(|at| now < at + SAMPLE_INTERVAL) {
-                continue;
-            }
-            let (mut backlogged, mut count) = (0.0, 0.0);
-            for target in self.fleet.serving(service) {
-                let prediction = self.load.predict(&target.id, Some(&engine), now);
-                count += 1.0;
-                backlogged += f64::from(u8::from(prediction.prefill_time > MIN_BACKLOG));
-            }
-            let share = if count > 0.0 { backlogged / count } else { 0.0 };
-            self.pressure.entry(ServiceId::clone(service)).or_default().observe(share, now);
-        }
-    }
-
-    /// Returns the share of a service's engines with a backlog, as a running mean.
-    pub fn pressure(&self, service: &str) -> f64 {
-        self.pressure.get(service).map_or(0.0, Pressure::mean)
-    }
 }
--- a/crates/core/src/edge/wait.rs
+++ b/crates/core/src/edge/wait.rs
@@ -10,6 +10,7 @@
 
 use crate::edge::load::RequestNumber;
 use crate::edge::placement::Placement;
+use crate::edge::price::Ask;
 
 /// Least time for which callers wait for an event before they give up.
 const MIN_CALLER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -50,6 +51,11 @@
     MIN_RETRY_DELAY + MIN_RETRY_DELAY.mul_f64((id % RETRY_SLOTS) as f64 / RETRY_SLOTS as f64)
 }
 
+/// Returns the price of a second of an engine at a pressure of 0 to 1.
+pub fn pressure_price(pressure: f64) -> f64 {
+    pressure * pressure * ENGINE_SECOND_PRICE
+}
+
 /// Returns how long a caller of a stream waits for an event.
 pub fn caller_timeout(goal: Duration, gap: Duration) -> Duration {
     MIN_CALLER_TIMEOUT.max(goal * 4).max(gap * 8)
@@ -109,8 +115,9 @@
     /// Returns whether a placement is good enough to take now.
     ///
     /// A placement that is on time is taken at once, a late one only after a short
-    /// wait, in which a better one may become available.
-    pub fn accepts(&self, placement: &Placement, pressure: f64, now: Instant) -> bool {
+    /// wait, in which a better one may become available. `price` is what a second of an engine
+    /// brings elsewhere.
+    pub fn accepts(&self, placement: &Placement, price: f64, now: Instant) -> bool {
         let on_time = now + placement.first_event <= self.due;
         let gain = self.value * if on_time { ON_TIME_SHARE } else { LATE_SHARE };
         let ready =
@@ -118,7 +125,7 @@
         let useful = now + placement.first_event < self.expires;
         useful
             && ready
-            && self.price(pressure) <= gain
+            && self.cost(price) <= gain
             && placement.interference <= gain * MAX_INTERFERENCE
     }
 
@@ -129,24 +136,34 @@
 
     /// Returns the value that other requests lose to the work of this one.
     ///
-    /// `pressure` is the share of engines with a backlog, 0 to 1.
-    fn price(&self, pressure: f64) -> f64 {
-        let work = self.work.as_secs_f64().min(self.value * MAX_PRICED);
-        pressure * pressure * work * ENGINE_SECOND_PRICE
+    /// `price` is what a second of an engine brings elsewhere.
+    fn cost(&self, price: f64) -> f64 {
+        self.priced_work() * price
+    }
+
+    /// Returns the seconds of work that are priced.
+    fn priced_work(&self) -> f64 {
+        self.work.as_secs_f64().min(self.value * MAX_PRICED)
+    }
+
+    /// Returns the engine time that it asks for, and what it brings.
+    pub fn ask(&self) -> Ask {
+        let density = self.value * ON_TIME_SHARE / self.priced_work().max(0.001);
+        Ask { work: self.work, density }
     }
 
     /// Returns whether the request is worth its price under the best placement.
-    pub fn is_worthwhile(&self, pressure: f64, now: Instant) -> bool {
+    pub fn is_worthwhile(&self, price: f64, now: Instant) -> bool {
         let share = if now > self.due { LATE_SHARE } else { ON_TIME_SHARE };
-        self.price(pressure) <= self.value * share
+        self.cost(price) <= self.value * share
     }
 
     /// Returns whether the request is refused because it is not worth its price.
     ///
-    /// It waits for a fraction of its allowed time first, in which pressure may fall.
-    pub fn should_shed(&self, pressure: f64, now: Instant) -> bool {
+    /// It waits for a fraction of its allowed time first, in which the price may fall.
+    pub fn should_shed(&self, price: f64, now: Instant) -> bool {
         let grace = self.due.saturating_duration_since(self.arrived) / SHED_FRACTION;
-        now >= self.arrived + grace && !self.is_worthwhile(pressure, now)
+        now >= self.arrived + grace && !self.is_worthwhile(price, now)
     }
 
     /// Returns whether the request can no longer be served before its caller gives up.
--- a/crates/core/tests/edge_wait.rs
+++ b/crates/core/tests/edge_wait.rs
@@ -5,7 +5,7 @@
 
 use mimosapass_core::edge::fleet::Target;
 use mimosapass_core::edge::placement::Placement;
-use mimosapass_core::edge::wait::{QueueEntry, caller_timeout};
+use mimosapass_core::edge::wait::{QueueEntry, caller_timeout, pressure_price};
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -138,18 +138,27 @@
     let largest = entry(now, 25_000, 71.0, 3_000);
     let large = entry(now, 6_000, 33.0, 3_000);
     let usual = entry(now, 3_300, 22.0, 3_000);
-    assert!(largest.is_worthwhile(0.2, now) && usual.is_worthwhile(0.2, now));
     assert!(
-        !largest.is_worthwhile(0.44, now)
-            && !large.is_worthwhile(0.44, now)
-            && usual.is_worthwhile(0.44, now)
+        largest.is_worthwhile(pressure_price(0.2), now)
+            && usual.is_worthwhile(pressure_price(0.2), now)
     );
-    assert!(largest.is_worthwhile(0.42, now), "it is refused no sooner than others of its density");
     assert!(
-        !largest.should_shed(0.44, now + ms(200)),
+        !largest.is_worthwhile(pressure_price(0.44), now)
+            && !large.is_worthwhile(pressure_price(0.44), now)
+            && usual.is_worthwhile(pressure_price(0.44), now)
+    );
+    assert!(
+        largest.is_worthwhile(pressure_price(0.42), now),
+        "it is refused no sooner than others of its density"
+    );
+    assert!(
+        !largest.should_shed(pressure_price(0.44), now + ms(200)),
         "it waits for an eighth of its allowed time"
     );
-    assert!(largest.should_shed(0.44, now + ms(400)), "then it is refused, early for its caller");
+    assert!(
+        largest.should_shed(pressure_price(0.44), now + ms(400)),
+        "then it is refused, early for its caller"
+    );
 }
 
 #[test]
--- a/crates/emulator/examples/experiment.rs
+++ b/crates/emulator/examples/experiment.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use mimosapass_emulator::pattern::{Pattern, all_patterns};
+use mimosapass_emulator::pattern::{Pattern, all_patterns, uneven_patterns};
 use mimosapass_emulator::policy::{ALL_POLICIES, Policy};
 use mimosapass_emulator::report::{Metrics, metrics, on_time, short_p95_ms, table_head, table_row};
 use mimosapass_emulator::simulation::{CallRecord, replay, run};
@@ -23,6 +23,8 @@
     first: u64,
     /// Run only the gateway's own policy, without the baselines.
     own: bool,
+    /// Use the price by the backlog of engines in the gateway's own policy.
+    backlog: bool,
     /// Print each late or unserved call as CSV instead of tables.
     calls: bool,
     /// Measure the time of one decision over 18, 67, 200 and 600 engines instead.
@@ -77,12 +79,13 @@
     println!("{}", table_head().replacen('\n', " slowdown |\n|---", 1));
     let mut sum = 0.0;
     for pattern in patterns {
-        for policy in ALL_POLICIES.into_iter().filter(|p| !options.own || *p == Policy::Mimosapass)
-        {
+        for policy in ALL_POLICIES.into_iter().filter(|p| !options.own || p.queues()) {
+            let policy =
+                if options.backlog && policy.queues() { Policy::BacklogPrice } else { policy };
             let result = metrics(&run_seeds(pattern, policy, options));
             let slower = slowdown(pattern, policy, options, &result);
             println!("{} {slower:.2} |", table_row(pattern.name, policy.name(), &result));
-            if policy == Policy::Mimosapass {
+            if policy.queues() {
                 sum += result.worth;
             }
         }
@@ -109,8 +112,11 @@
 
 fn main() -> ExitCode {
     let options = options().run();
-    let patterns: Vec<Pattern> =
-        all_patterns().into_iter().filter(|p| p.name.contains(&options.name)).collect();
+    let patterns: Vec<Pattern> = all_patterns()
+        .into_iter()
+        .chain(uneven_patterns())
+        .filter(|p| p.name.contains(&options.name))
+        .collect();
     if patterns.is_empty() {
         eprintln!("no pattern name contains {:?}; omit NAME to run all patterns", options.name);
         return ExitCode::FAILURE;
--- a/crates/emulator/src/pattern.rs
+++ b/crates/emulator/src/pattern.rs
@@ -34,6 +34,10 @@
     Removed(usize),
     /// A removed engine starts again under a new identifier.
     Replaced(usize),
+    /// The operator evacuates a zone: its engines get no new requests.
+    Evacuate(usize),
+    /// The operator takes an evacuated zone back.
+    TakeBack(usize),
     /// All instances and engines of one zone fail.
     LoseZone(usize),
     /// All instances fail.
@@ -137,6 +141,28 @@
     }
 }
 
+/// Returns patterns in which demand and capacity are uneven: zones with peaks of their own,
+/// engines of unlike speed, a burst that ends, and capacity that shrinks while the load stays.
+pub fn uneven_patterns() -> Vec<Pattern> {
+    let steady = Pattern::steady;
+    let mut peaks = steady("peaks of zones", 1.0);
+    for zone in 0..ZONES {
+        let from = 5.0 + 10.0 * zone as f64;
+        let span_s = (from, from + 10.0);
+        peaks.load_changes.push(LoadChange { span_s, kind: None, zone: Some(zone), factor: 3.5 });
+    }
+    vec![
+        steady("shrinking capacity", 1.0)
+            .at(10.0, Fault::Evacuate(1))
+            .at(16.0, Fault::LoseZone(0))
+            .at(26.0, Fault::TakeBack(1)),
+        steady("evacuated zone", 1.2).at(10.0, Fault::Evacuate(1)).at(25.0, Fault::TakeBack(1)),
+        peaks,
+        steady("unlike engines", 1.3).at(0.0, Fault::Slow(3, 1.6)),
+        steady("short burst", 1.0).change_load((10.0, 13.0), None, 4.0),
+    ]
+}
+
 /// Index of the kind with the longest prompts.
 const REVIEW: usize = 2;
 
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -6,6 +6,7 @@
 use mimosapass_core::edge::fleet::Target;
 use mimosapass_core::edge::load::RequestNumber;
 use mimosapass_core::edge::placement::Placement;
+use mimosapass_core::edge::pricing::Pricing;
 use mimosapass_core::edge::schedule::{Grant, Requirements, Scheduler};
 use rand::RngExt;
 use rand::rngs::StdRng;
@@ -19,6 +20,8 @@
     TwoChoices,
     /// The gateway's own decision.
     Mimosapass,
+    /// The same with a price by the backlog of engines.
+    BacklogPrice,
 }
 
 /// All policies, the gateway's own last.
@@ -26,12 +29,23 @@
     [Policy::LeastInFlight, Policy::TwoChoices, Policy::Mimosapass];
 
 impl Policy {
+    /// Returns whether requests wait in the gateway's own queue.
+    pub fn queues(self) -> bool {
+        matches!(self, Self::Mimosapass | Self::BacklogPrice)
+    }
+
+    /// Returns how the price of engine time is found.
+    pub fn pricing(self) -> Pricing {
+        if self == Self::Mimosapass { Pricing::Learned } else { Pricing::Backlog }
+    }
+
     /// Returns the name that tables show.
     pub fn name(self) -> &'static str {
         match self {
             Self::LeastInFlight => "least in flight",
             Self::TwoChoices => "two choices",
             Self::Mimosapass => "mimosapass",
+            Self::BacklogPrice => "price by backlog",
         }
     }
 }
@@ -70,7 +84,7 @@
     let random = |rng: &mut StdRng| usable[rng.random_range(0..usable.len())];
     let considered = match policy {
         Policy::TwoChoices => vec![random(rng), random(rng)],
-        Policy::LeastInFlight | Policy::Mimosapass => {
+        Policy::LeastInFlight | Policy::Mimosapass | Policy::BacklogPrice => {
             let start = rng.random_range(0..usable.len());
             let (back, front) = usable.split_at(start);
             front.iter().chain(back).copied().collect()
--- a/crates/emulator/src/simulation/faults.rs
+++ b/crates/emulator/src/simulation/faults.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use mimosapass_core::edge::evacuation::Order;
+use mimosapass_core::edge::position::Position;
 use mimosapass_core::ids::TargetId;
 
-use super::engines::STALL_TIMEOUT;
+use super::engines::{STALL_TIMEOUT, zone};
 use super::{CallEnd, Event, Simulation};
 use crate::pattern::Fault;
 
@@ -31,6 +33,8 @@
             }
             Fault::Removed(i) => self.remove_engine(i),
             Fault::Replaced(i) => self.replace_engine(i),
+            Fault::Evacuate(zone) => self.order_zone(zone, true),
+            Fault::TakeBack(zone) => self.order_zone(zone, false),
             Fault::LoseZone(zone) => self.lose_zone(zone),
             Fault::LoseInstances => (0..self.instances.len()).for_each(|i| self.lose_instance(i)),
             Fault::RestartInstances => {
@@ -77,6 +81,14 @@
         self.report_engine(engine);
     }
 
+    /// Lets all instances know that a zone is evacuated, or taken back.
+    fn order_zone(&mut self, index: usize, evacuated: bool) {
+        let at = Position { era: 0, revision: self.next_number() };
+        for node in &mut self.instances {
+            node.scheduler.fleet.evacuations.record(&zone(index).1, Order { evacuated, at });
+        }
+    }
+
     fn lose_zone(&mut self, zone: usize) {
         for engine in 0..self.engines.len() {
             if self.engines[engine].zone == zone {
--- a/crates/emulator/src/simulation/instance.rs
+++ b/crates/emulator/src/simulation/instance.rs
@@ -16,7 +16,7 @@
 use super::{Dispatch, Event, Simulation};
 use crate::load::{COST, ZONES};
 use crate::pattern::Exchange;
-use crate::policy::{Policy, baseline};
+use crate::policy::baseline;
 
 /// Time in which an instance collects changes before it sends an update.
 const UPDATE_DELAY: Duration = Duration::from_millis(1);
@@ -60,6 +60,7 @@
     from: usize,
     targets: Vec<(TargetId, Vec<(RequestNumber, Assignment)>)>,
     waiting: Vec<(ServiceId, QueueEntry)>,
+    demand: Vec<(ServiceId, f64)>,
 }
 
 impl Simulation<'_> {
@@ -67,6 +68,7 @@
     pub fn new_instance(&self, index: usize) -> Instance {
         let zone = zone(index);
         let mut scheduler = Scheduler::new(zone.1);
+        scheduler.pricing = self.policy.pricing();
         for node in self.engines.iter().filter(|e| e.alive) {
             scheduler.fleet.report(node.target());
         }
@@ -122,7 +124,7 @@
         let instance = record.entry;
         record.instance = instance;
         record.queue_id = Some(id);
-        if self.policy == Policy::Mimosapass {
+        if self.policy.queues() {
             let placer = self.placer(instance);
             self.records[call].instance = placer;
             if placer == instance {
@@ -247,7 +249,7 @@
         let after = match refusal {
             Refusal::Late => Duration::ZERO,
             Refusal::Limited(left) | Refusal::Paused(left) => left,
-            Refusal::Pressure(_) => retry_after(id),
+            Refusal::Pressure(_) | Refusal::Price(_) => retry_after(id),
         };
         if started {
             self.mark_failed(call);
@@ -277,7 +279,8 @@
         let bytes = UPDATE_BYTES
             + targets.iter().map(target_bytes).sum::<u64>()
             + REQUEST_BYTES * waiting.len() as u64;
-        self.messages.push(Message { from: instance, targets, waiting });
+        let demand = scheduler.demand().map(|(s, d)| (ServiceId::clone(s), d)).collect();
+        self.messages.push(Message { from: instance, targets, waiting, demand });
         let message = self.messages.len() - 1;
         let mut peers: Vec<usize> = (0..ZONES).flat_map(|zone| self.schedulers(zone)).collect();
         peers.sort_unstable();
@@ -291,7 +294,7 @@
     /// Applies the update of a peer.
     pub fn receive_update(&mut self, instance: usize, message: usize) {
         let instant = self.instant();
-        let Message { from, targets, waiting } = &self.messages[message];
+        let Message { from, targets, waiting, demand } = &self.messages[message];
         let peer = InstanceId::clone(&self.instances[*from].name);
         let node = &mut self.instances[instance];
         if !node.alive {
@@ -301,6 +304,9 @@
         for (target, assignments) in targets {
             node.scheduler.load.replace(&peer, target, assignments.clone(), Some(&COST));
         }
+        for (service, demand) in demand {
+            node.scheduler.record_peer_demand(&peer, service, *demand, instant);
+        }
         node.scheduler.peer_queues.insert(peer, waiting.clone());
         self.dispatch_waiting(instance);
     }
--- a/crates/emulator/tests/patterns.rs
+++ b/crates/emulator/tests/patterns.rs
@@ -8,7 +8,7 @@
 use mimosapass_emulator::fleets;
 use mimosapass_emulator::load;
 use mimosapass_emulator::load::KINDS;
-use mimosapass_emulator::pattern::{Exchange, Pattern, all_patterns};
+use mimosapass_emulator::pattern::{Exchange, Pattern, all_patterns, uneven_patterns};
 use mimosapass_emulator::policy::{ALL_POLICIES, Policy};
 use mimosapass_emulator::report::{metrics, served_by_size, short_p95_ms};
 use mimosapass_emulator::simulation::{CallEnd, CallRecord, replay, run};
@@ -16,7 +16,8 @@
 const SEED: u64 = 1;
 
 fn pattern(name: &str) -> Pattern {
-    all_patterns().into_iter().find(|p| p.name == name).expect("the pattern is listed")
+    let mut patterns = all_patterns().into_iter().chain(uneven_patterns());
+    patterns.find(|p| p.name == name).expect("the pattern is listed")
 }
 
 /// Returns the share of calls served, without those whose callers left early.
@@ -69,6 +70,17 @@
     }
 }
 
+/// Checks that a learned price of engine time earns no less than one by the backlog of engines.
+fn check_price(name: &str) {
+    let pattern = pattern(name);
+    let worth = |policy| {
+        let runs = (0..SEEDS).map(|i| run(&pattern, policy, SEED + i));
+        metrics(&runs.flat_map(|r| r.records).collect::<Vec<_>>()).worth
+    };
+    let (learned, backlog) = (worth(Policy::Mimosapass), worth(Policy::BacklogPrice));
+    assert!(learned >= backlog, "worth {learned:.4}, by the backlog {backlog:.4}");
+}
+
 /// Defines the tests of each pattern.
 macro_rules! replays {
     ($($test:ident: $name:expr;)+) => {
@@ -83,6 +95,13 @@
                 super::check_sizes($name);
             })+
         }
+
+        mod prices {
+            $(#[test]
+            fn $test() {
+                super::check_price($name);
+            })+
+        }
     };
 }
 
@@ -107,11 +126,16 @@
     all_instances_restarted: "all restarted";
     few_instances: "few instances";
     many_instances: "many instances";
+    shrinking_capacity: "shrinking capacity";
+    evacuated_zone: "evacuated zone";
+    peaks_of_zones: "peaks of zones";
+    unlike_engines: "unlike engines";
+    short_burst: "short burst";
 }
 
 #[test]
 fn all_patterns_are_tested() {
-    assert_eq!(all_patterns().len(), 20);
+    assert_eq!((all_patterns().len(), uneven_patterns().len()), (20, 5));
 }
 
 #[test]
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -136,6 +136,20 @@
     /// Whether the sender takes requests that come over peers; former versions do not.
     #[prost(bool, tag = "33")]
     pub takes_detours: bool,
+    /// Engine time that the sender's requests ask for; stated with `exchange`.
+    #[prost(message, repeated, tag = "34")]
+    pub demands: Vec<ServiceDemand>,
+}
+
+/// Engine time that requests for a service ask for.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ServiceDemand {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Milliseconds of an engine in a second.
+    #[prost(uint32, tag = "2")]
+    pub ms_per_s: u32,
 }
 
 /// Requests that wait for a service of which all targets state limits.
--- a/crates/instance/src/delegation.rs
+++ b/crates/instance/src/delegation.rs
@@ -136,4 +136,8 @@
     /// state limits, in milliseconds; 0 if it is not.
     #[prost(uint32, tag = "9")]
     pub limited_ms: u32,
+    /// Value that a second of an engine brings elsewhere, if the request is refused for it; 0 if
+    /// it is not. Receivers that do not know it take the request for refused under pressure.
+    #[prost(double, tag = "10")]
+    pub price: f64,
 }
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -145,6 +145,7 @@
         Reply::Refused(Refusal::Pressure(pressure)) => {
             wire::Reply { shed: true, pressure, ..empty }
         }
+        Reply::Refused(Refusal::Price(price)) => wire::Reply { shed: true, price, ..empty },
         Reply::Granted(Grant { placement, .. }) => {
             let first = wire::PlacedTarget { id: placement.target.id.to_string(), kept_tokens: 0 };
             let helpers = placement.helpers.iter().map(|helper| wire::PlacedTarget {
@@ -233,6 +234,7 @@
         if reply.late || reply.shed || reply.limited_ms > 0 {
             let refusal = match reply {
                 wire::Reply { late: true, .. } => Refusal::Late,
+                wire::Reply { shed: true, price, .. } if *price > 0.0 => Refusal::Price(*price),
                 wire::Reply { shed: true, pressure, .. } => Refusal::Pressure(*pressure),
                 wire::Reply { limited_ms, .. } => {
                     Refusal::Limited(Duration::from_millis(u64::from(*limited_ms)))
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -17,7 +17,7 @@
 use mimosapass_core::edge::wait::QueueEntry;
 use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
 use mimosapass_instance::datagram::{
-    self, Datagram, DatagramSocket, LimitedQueue, TargetRequests, split_targets,
+    self, Datagram, DatagramSocket, LimitedQueue, ServiceDemand, TargetRequests, split_targets,
 };
 
 use super::peers::Peer;
@@ -67,6 +67,7 @@
         metrics.paused_targets.set(scheduler.pauses.closed(now).count() as i64);
         metrics.limited_targets.set(scheduler.limits.count() as i64);
         metrics.leaving_targets.set(scheduler.fleet.told_leaving().count() as i64);
+        metrics.engine_price.set((scheduler.highest_price() * 1000.0) as i64);
         metrics.quarantined_parts.set(state.quarantine.count(now) as i64);
         drop(state);
         for (mut datagram, addrs) in outgoing {
@@ -240,6 +241,7 @@
     let limited_queues: Vec<LimitedQueue> = queues
         .map(|(service, n)| LimitedQueue { service: service.to_string(), waiting: n as u32 })
         .collect();
+    let demands: Vec<ServiceDemand> = state.scheduler.demand().map(encode_demand).collect();
     let groups = split_targets(targets.iter().map(target_requests).collect());
     let single = groups.len() == 1;
     let datagram = |targets| Datagram {
@@ -248,6 +250,7 @@
         targets,
         waiting: waiting.clone(),
         limited_queues: limited_queues.clone(),
+        demands: demands.clone(),
         ..base.clone()
     };
     groups.into_iter().map(datagram).collect()
@@ -302,6 +305,10 @@
     (ServiceId::from(wire.service), waiting)
 }
 
+fn encode_demand((service, seconds): (&ServiceId, f64)) -> ServiceDemand {
+    ServiceDemand { service: service.to_string(), ms_per_s: (seconds * 1000.0) as u32 }
+}
+
 fn encode_request(id: RequestNumber, assignment: &Assignment, now: Instant) -> datagram::Request {
     datagram::Request {
         id,
@@ -435,6 +442,13 @@
     let queues = std::mem::take(&mut datagram.limited_queues).into_iter();
     let queues = queues.map(|q| (ServiceId::from(q.service), q.waiting as usize)).collect();
     state.scheduler.peer_waiting.insert(InstanceId::clone(name), queues);
+    for ServiceDemand { service, ms_per_s } in std::mem::take(&mut datagram.demands) {
+        let service = ServiceId::from(service);
+        if table.engine(&service).is_some() {
+            let demand = f64::from(ms_per_s) / 1000.0;
+            state.scheduler.record_peer_demand(name, &service, demand, now);
+        }
+    }
     for TargetRequests { target, requests, sent_ms } in std::mem::take(&mut datagram.targets) {
         let sends = sent_ms.into_iter().map(|ms| ago(ms, now)).collect();
         state.scheduler.limits.replace_sends(name, &target, sends, now);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -57,6 +57,8 @@
     pub leaving_targets: IntGauge,
     /// Parts of prompts whose requests are refused.
     pub quarantined_parts: IntGauge,
+    /// Highest price of a second of an engine, in thousandths of the value of a short answer.
+    pub engine_price: IntGauge,
     /// Refused requests by quarantined part.
     pub quarantine_refusals: IntCounterVec,
     /// Zones that the operator has evacuated.
@@ -101,6 +103,10 @@
             ),
             leaving_targets: gauge("gateway_leaving_targets", "Targets that said they leave."),
             quarantined_parts: gauge("gateway_quarantined_parts", "Parts that are refused."),
+            engine_price: gauge(
+                "gateway_engine_price",
+                "Highest price of a second of an engine, in thousandths of a short answer's value.",
+            ),
             quarantine_refusals: counters(
                 "gateway_quarantine_refusals",
                 "Requests refused for a part.",
@@ -117,7 +123,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 24] = [
+        let all: [Box<dyn Collector>; 25] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.silent_runs.clone()),
@@ -137,6 +143,7 @@
             Box::new(self.limited_grants.clone()),
             Box::new(self.leaving_targets.clone()),
             Box::new(self.quarantined_parts.clone()),
+            Box::new(self.engine_price.clone()),
             Box::new(self.quarantine_refusals.clone()),
             Box::new(self.evacuated_zones.clone()),
             Box::new(self.peers.clone()),
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -128,6 +128,12 @@
                 );
                 Failure::new(Kind::TooLate, detail).after(retry_after(self.id))
             }
+            Refusal::Price(price) => {
+                let worth = requirements.entry.ask().density;
+                let detail =
+                    format!("a second of an engine brings {price:.1} elsewhere, {worth:.1} here");
+                Failure::new(Kind::TooLate, detail).after(retry_after(self.id))
+            }
         }
     }
 
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use mimosapass_core::config::Fault;
+use mimosapass_core::edge::pricing::Pricing;
 use mimosapass_core::edge::retry::RetryLimits;
 use mimosapass_operator::yaml::{self, Faults};
 use serde::Deserialize;
@@ -34,6 +35,26 @@
     memory_mb: usize,
     #[serde(default = "default_cores")]
     cores: f64,
+    #[serde(default)]
+    pricing: PricingName,
+}
+
+/// How the price of engine time is found.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum PricingName {
+    #[default]
+    Backlog,
+    Learned,
+}
+
+impl From<PricingName> for Pricing {
+    fn from(name: PricingName) -> Self {
+        match name {
+            PricingName::Backlog => Self::Backlog,
+            PricingName::Learned => Self::Learned,
+        }
+    }
 }
 
 /// Addresses on which a gateway listens.
@@ -105,6 +126,8 @@
     pub memory_mb: usize,
     /// Processor share of the machine, in thousandths of a core; 1 or more.
     pub capacity: u32,
+    /// How the price of engine time is found.
+    pub pricing: Pricing,
 }
 
 /// Reads and checks a settings file.
@@ -113,7 +136,7 @@
 ///
 /// Returns every fault found.
 pub fn load(path: &Path) -> Result<Settings, Faults> {
-    let File { name, zone, listen, store, seeds, stop, repeats, memory_mb, cores } =
+    let File { name, zone, listen, store, seeds, stop, repeats, memory_mb, cores, pricing } =
         yaml::load(path, check)?;
     Ok(Settings {
         name,
@@ -129,6 +152,7 @@
         },
         memory_mb,
         capacity: (cores * 1000.0) as u32,
+        pricing: pricing.into(),
     })
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use mimosapass_core::edge::load::RequestNumber;
 use mimosapass_core::edge::outage::{self, MIN_OUTAGE};
 use mimosapass_core::edge::outcomes::Outcome;
+use mimosapass_core::edge::pricing::Pricing;
 use mimosapass_core::edge::progress::Progress;
 use mimosapass_core::edge::quarantine::Quarantine;
 use mimosapass_core::edge::reach::Reach;
@@ -168,7 +169,7 @@
             metrics: Metrics::new(),
             response_bytes: Arc::default(),
             load_changed: Condvar::new(),
-            state: Mutex::new(State::new(settings.zone.as_str().into())),
+            state: Mutex::new(State::new(settings.zone.as_str().into(), settings.pricing)),
             route_table: RwLock::default(),
             config_text: Mutex::default(),
             stopping_since: OnceLock::new(),
@@ -324,9 +325,11 @@
 }
 
 impl State {
-    fn new(zone: ZoneId) -> Self {
+    fn new(zone: ZoneId, pricing: Pricing) -> Self {
+        let mut scheduler = Scheduler::new(zone);
+        scheduler.pricing = pricing;
         Self {
-            scheduler: Scheduler::new(zone),
+            scheduler,
             grant_slots: HashMap::new(),
             retry_windows: HashMap::new(),
             peers: HashMap::new(),
