--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -13,6 +13,7 @@
 //! - [`cost`]: cost model of an engine's prefill and decoding.
 //! - [`load`]: requests in flight at each target, from all instances.
 //! - [`slowdown`]: how much slower an engine decodes than its peers.
+//! - [`helpers`]: targets that do not help with the prompts of others.
 //! - [`pauses`]: pauses that targets ask this instance for.
 //! - [`limits`]: limits that targets state in their answers.
 //! - [`shared_rate`]: a rate that several instances share.
@@ -50,6 +51,7 @@
 pub mod evacuation;
 pub mod fleet;
 pub mod grant;
+pub mod helpers;
 pub mod limits;
 pub mod load;
 pub mod order;
--- a/crates/core/src/edge/order.rs
+++ b/crates/core/src/edge/order.rs
@@ -84,6 +84,8 @@
     pub targets: BTreeSet<TargetId>,
     /// All targets of availability zones.
     pub zones: BTreeSet<ZoneId>,
+    /// Targets that do not help with the prompts of others; they get no long prompts.
+    pub helpers: BTreeSet<TargetId>,
     /// Targets that asked for a pause, or have got as many requests as they take; they get
     /// nothing, also if no other one is there.
     pub closed: BTreeSet<TargetId>,
@@ -124,6 +126,9 @@
             .collect();
         let by_place = |a: &Member, b: &Member| a.position.in_block.total_cmp(&b.position.in_block);
         let mut long = short.clone();
+        if long.iter().any(|m| !excluded.helpers.contains(&m.target.id)) {
+            long.retain(|m| !excluded.helpers.contains(&m.target.id));
+        }
         long.sort_by(|a, b| by_place(b, a));
         short.sort_by(|a, b| b.position.own.cmp(&a.position.own).then(by_place(a, b)));
         Self { short, long, generation: fleet.generation(), turn, excluded: excluded.clone() }
--- a/crates/core/src/edge/placement.rs
+++ b/crates/core/src/edge/placement.rs
@@ -60,6 +60,8 @@
     pub time_left: Duration,
     /// Whether prefill of the whole prompt would exceed the smallest allowed gap.
     pub long: bool,
+    /// Whether one target is preferred to several, as long as it is on time.
+    pub whole: bool,
 }
 
 /// A target that may serve a request.
@@ -195,7 +197,8 @@
     };
     let mut prospects = Prospects { source: prospects.filter(is_open), seen: Vec::new() };
     let mut best = place_on_one(request, engine, &mut prospects, load);
-    if request.long {
+    let suffices = |p: &Placement| request.whole && p.first_event <= request.time_left;
+    if request.long && !best.as_ref().is_some_and(suffices) {
         for parts in [2, 3, 4, 6, 8, 12, MAX_PARTS] {
             if let Some(placement) = place_on_several(request, engine, &mut prospects, load, parts)
                 && best.as_ref().is_none_or(|b| placement.loss < b.loss)
--- a/crates/core/src/edge/requirements.rs
+++ b/crates/core/src/edge/requirements.rs
@@ -31,6 +31,9 @@
     pub max_gap: Duration,
     /// Whether prefill of the whole prompt would exceed the smallest allowed gap.
     pub long: bool,
+    /// Whether one target is preferred to several, as long as it is on time: a target refused
+    /// to help.
+    pub whole: bool,
     /// Its entry in the queue.
     pub entry: QueueEntry,
     /// Targets that have already failed this request.
@@ -76,6 +79,7 @@
             answer: size.answer_hint.unwrap_or(expected).min(size.max_answer),
             max_gap: route.max_gap,
             long,
+            whole: false,
             entry: QueueEntry {
                 arrived,
                 due: arrived + route.latency_goal,
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -10,6 +10,7 @@
 
 use crate::edge::cost::Engine;
 use crate::edge::fleet::{Fleet, TargetId};
+use crate::edge::helpers::Helpers;
 use crate::edge::limits::Limits;
 use crate::edge::load::{Assignment, Load, Pressure, RequestNumber};
 use crate::edge::order::{Excluded, Lineup, Member, Turn};
@@ -64,6 +65,8 @@
     pub outcomes: Outcomes,
     /// Pauses that targets asked this instance for.
     pub pauses: Pauses,
+    /// Targets that do not help with the prompts of others.
+    pub helpers: Helpers,
     /// Limits that targets state.
     pub limits: Limits,
     /// How much slower engines decode than their peers.
@@ -97,6 +100,7 @@
             load: Load::default(),
             outcomes: Outcomes::default(),
             pauses: Pauses::default(),
+            helpers: Helpers::default(),
             limits: Limits::default(),
             slowdowns: Slowdowns::default(),
             reachability: ZoneReachability::default(),
@@ -322,6 +326,7 @@
             answer: requirements.answer,
             value: requirements.entry.value,
             long: requirements.long,
+            whole: requirements.whole,
             time_left: requirements.entry.due.saturating_duration_since(now),
         };
         let engine = requirements.engine.as_ref();
@@ -340,6 +345,7 @@
         let excluded = Excluded {
             targets: self.outcomes.avoided(now).cloned().collect(),
             zones: self.reachability.cut_off(now).cloned().collect(),
+            helpers: self.helpers.paused(now).map(|(id, _)| TargetId::clone(id)).collect(),
             closed: self.pauses.closed(now).chain(self.limits.closed(now)).cloned().collect(),
         };
         let waiting: BTreeSet<&ServiceId> = self.queue.values().map(|r| &r.service).collect();
@@ -442,6 +448,7 @@
         self.outcomes.forget(target);
         self.slowdowns.forget(target);
         self.pauses.forget(target);
+        self.helpers.forget(target);
         self.limits.forget(target);
     }
 
--- a/crates/core/tests/edge_delegation.rs
+++ b/crates/core/tests/edge_delegation.rs
@@ -40,6 +40,7 @@
         answer: 0,
         max_gap: ms(200),
         long: false,
+        whole: false,
         entry: QueueEntry {
             arrived: now,
             due: now + due,
--- a/crates/core/tests/edge_evacuation.rs
+++ b/crates/core/tests/edge_evacuation.rs
@@ -151,6 +151,7 @@
         answer: 0,
         max_gap: Duration::from_millis(200),
         long: prompt > 0,
+        whole: false,
         entry: QueueEntry {
             arrived: now,
             due: now + time,
--- a/crates/core/tests/edge_placement.rs
+++ b/crates/core/tests/edge_placement.rs
@@ -71,6 +71,7 @@
         value: 1.0 + prompt as f64 / 10_000.0,
         time_left: Duration::from_millis(goal_ms),
         long: is_long(&engine(), prompt, STRICT),
+        whole: false,
     }
 }
 
--- a/crates/emulator/src/timing.rs
+++ b/crates/emulator/src/timing.rs
@@ -50,6 +50,7 @@
         value: 1.0 + prompt as f64 / 10_000.0,
         time_left: Duration::from_millis(if prompt < 10_000 { 300 } else { 3_000 }),
         long: is_long(&COST, prompt, STRICTEST_GAP),
+        whole: false,
     };
     let mut fleet = Fleet::default();
     for target in &targets {
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -139,6 +139,23 @@
     /// Engine time that the sender's requests ask for; stated with `exchange`.
     #[prost(message, repeated, tag = "34")]
     pub demands: Vec<ServiceDemand>,
+    /// Targets that do not help with the prompts of others.
+    #[prost(message, repeated, tag = "35")]
+    pub refusing_helpers: Vec<RefusingHelper>,
+}
+
+/// A target that gets no parts of prompts for a while.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RefusingHelper {
+    /// Identifier of the target.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Unix millisecond of its start.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
+    /// Time that is left, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub left_ms: u32,
 }
 
 /// Engine time that requests for a service ask for.
--- a/crates/instance/src/delegation.rs
+++ b/crates/instance/src/delegation.rs
@@ -51,6 +51,9 @@
     /// Targets that have already failed the request.
     #[prost(string, repeated, tag = "14")]
     pub avoid: Vec<String>,
+    /// Whether one target is preferred to several, as long as it is on time.
+    #[prost(bool, tag = "15")]
+    pub whole: bool,
 }
 
 /// Requests that the sender still has at the receiver.
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -99,6 +99,7 @@
         answer_tokens: requirements.answer,
         gap_ms: ms(requirements.max_gap),
         long: requirements.long,
+        whole: requirements.whole,
         waited_ms: ms(now.saturating_duration_since(entry.arrived)),
         due_in_ms: to_due_ms(entry.due, now),
         expires_in_ms: ms(entry.expires.saturating_duration_since(now)),
@@ -119,6 +120,7 @@
         answer: ask.answer_tokens,
         max_gap: Duration::from_millis(u64::from(ask.gap_ms)),
         long: ask.long,
+        whole: ask.whole,
         entry: QueueEntry {
             arrived: ago(ask.waited_ms, now),
             due: from_due_ms(ask.due_in_ms, now),
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -197,6 +197,7 @@
         capacity: state.capacity(gateway),
         instances: state.known_instances() as u32,
         leaving_targets: state.leaving_targets(),
+        refusing_helpers: state.refusing_helpers(now),
         cut_off: state.cut_off.iter().map(ToString::to_string).collect(),
         takes_detours: !gateway.is_stopping(),
         ..Datagram::default()
@@ -379,6 +380,7 @@
         apply_load(gateway, &mut state, &name, &mut datagram, now);
     }
     state.apply_leaving(&name, &datagram.leaving_targets);
+    state.apply_refusing(gateway, &datagram.refusing_helpers, now);
     state.apply_part_reports(gateway, &name, &datagram.parts, now);
     state.apply_limits(gateway, &name, &datagram.limits, now);
     state.apply_client(gateway, &mut datagram, now);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -57,6 +57,8 @@
     pub leaving_targets: IntGauge,
     /// Parts of prompts whose requests are refused.
     pub quarantined_parts: IntGauge,
+    /// Targets that refused to help with the prompts of others.
+    pub refused_help: IntCounter,
     /// Highest price of a second of an engine, in thousandths of the value of a short answer.
     pub engine_price: IntGauge,
     /// Refused requests by quarantined part.
@@ -93,6 +95,10 @@
                 "gateway_unreachable_targets",
                 "Targets that cannot be connected to.",
             ),
+            refused_help: counter(
+                "gateway_refused_help",
+                "Targets that refused to help with the prompts of others.",
+            ),
             detours: counter("gateway_detours", "Requests that went over a peer."),
             paused_targets: gauge("gateway_paused_targets", "Targets that asked for a pause."),
             limited_targets: gauge("gateway_limited_targets", "Targets that state a limit."),
@@ -123,7 +129,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 25] = [
+        let all: [Box<dyn Collector>; 26] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.silent_runs.clone()),
@@ -144,6 +150,7 @@
             Box::new(self.leaving_targets.clone()),
             Box::new(self.quarantined_parts.clone()),
             Box::new(self.engine_price.clone()),
+            Box::new(self.refused_help.clone()),
             Box::new(self.quarantine_refusals.clone()),
             Box::new(self.evacuated_zones.clone()),
             Box::new(self.peers.clone()),
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -1,16 +1,17 @@
 //! What targets state about themselves in their answers.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use mimosapass_core::edge::fleet::{Change, Target};
 use mimosapass_core::edge::limits::{Report, Statement};
 use mimosapass_core::edge::pauses::DEFAULT_PAUSE;
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_core::ids::TargetId;
-use mimosapass_instance::datagram::{LeavingTarget, TargetLimit};
+use mimosapass_instance::datagram::{LeavingTarget, RefusingHelper, TargetLimit};
 use mimosapass_platform::header;
 use mimosapass_target::http::ResponseHead;
 
+use super::gossip::ms;
 use super::reservations::MISDIRECTED;
 use super::state::{Gateway, State};
 
@@ -18,6 +19,8 @@
 const MAX_LEAVING: usize = 16;
 /// Most limits that one datagram names; the others are named in the next ones.
 const MAX_LIMITS: usize = 16;
+/// Most targets that do not help with prompts that one datagram names.
+const MAX_REFUSING: usize = 32;
 
 impl Gateway {
     /// Applies what an answer of `target` states about it.
@@ -36,6 +39,26 @@
         }
     }
 
+    /// Applies what a refusal states of another target of the prompt, and returns that target.
+    pub fn read_fault(&self, grant: &Grant, response: &ResponseHead) -> Option<TargetId> {
+        let named = header::target_at_fault(|name| response.header(name))?;
+        let mut helpers = grant.placement.helpers.iter().map(|h| &h.target);
+        let helper = helpers.find(|t| *t.id == *named || t.addr.to_string() == named)?;
+        let mut state = self.state();
+        if let Some(pause) = state.scheduler.helpers.refused(&helper.id, Instant::now()) {
+            let pause_ms = pause.as_millis() as u64;
+            let by = &*grant.placement.target.id;
+            log::info!(
+                target_id = &*helper.id, by, pause_ms;
+                "target: gets no parts of prompts, it refused to help."
+            );
+            self.metrics.refused_help.inc();
+            state.announce = true;
+            self.load_changed.notify_all();
+        }
+        Some(TargetId::clone(&helper.id))
+    }
+
     /// Applies the limit that an answer states, or that it states none.
     ///
     /// `sent_at` is when its request was sent, if it ran. Other answers do not end a limit: they
@@ -181,6 +204,34 @@
             .collect()
     }
 
+    /// Applies what a peer tells of targets that do not help with prompts.
+    ///
+    /// Schedulers pass it on to other zones; in a zone it is told to all.
+    pub fn apply_refusing(&mut self, gateway: &Gateway, helpers: &[RefusingHelper], now: Instant) {
+        for RefusingHelper { id, started_ms, left_ms } in helpers {
+            let Some(target) = self.scheduler.fleet.get(id) else { continue };
+            if target.started_ms != *started_ms {
+                continue;
+            }
+            let (id, left) =
+                (TargetId::clone(&target.id), Duration::from_millis((*left_ms).into()));
+            if self.scheduler.helpers.learn(&id, left, now) && self.places_own(gateway, now) {
+                self.announce = true;
+                gateway.load_changed.notify_all();
+            }
+        }
+    }
+
+    /// Returns the targets that do not help with prompts, for peers.
+    pub fn refusing_helpers(&self, now: Instant) -> Vec<RefusingHelper> {
+        let paused = self.scheduler.helpers.paused(now).take(MAX_REFUSING);
+        let report = |(id, left): (&TargetId, Duration)| {
+            let started_ms = self.scheduler.fleet.get(id)?.started_ms;
+            Some(RefusingHelper { id: id.to_string(), started_ms, left_ms: ms(left) })
+        };
+        paused.filter_map(report).collect()
+    }
+
     /// Returns the leaving targets that peers are told of.
     pub fn leaving_targets(&self) -> Vec<LeavingTarget> {
         let told = self.scheduler.fleet.told_leaving().take(MAX_LEAVING);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -11,6 +11,7 @@
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::quarantine::SETTLE_TIME;
 use mimosapass_core::edge::schedule::Grant;
+use mimosapass_core::ids::TargetId;
 use mimosapass_platform::header;
 use mimosapass_target::http::{Awaited, BodyPart, Connection, Framing, ReadError, ResponseHead};
 
@@ -80,6 +81,8 @@
     written: usize,
     reading: Reading,
     skipped: u32,
+    /// Target on account of which the request was refused, if it is another one of its prompt.
+    pub at_fault: Option<TargetId>,
     /// Memory of the body.
     held: HeldBytes,
     /// The response, once it is complete.
@@ -116,6 +119,7 @@
             began: now,
             reading: Reading::Head,
             skipped: 0,
+            at_fault: None,
             held: HeldBytes::new(&gateway.response_bytes),
             complete: None,
             gateway,
@@ -225,6 +229,9 @@
             && echoed.is_some()
             && response.header("content-encoding").is_none();
         let not_run = self.states_not_run(&response);
+        if not_run {
+            self.at_fault = self.grant().and_then(|g| self.gateway.read_fault(g, &response));
+        }
         if !signed && !not_run && !self.is_rejection(&response) {
             let error = if success {
                 "the response has no signature of the target".to_owned()
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod evacuation;
 mod explain;
 mod fake_peer;
+mod helpers;
 mod large_changes;
 mod limits;
 mod notices;
