Emulator: progress of a pass is applied before the next one begins

Cause: when one pass ended the prefill of several prompts, the first of them began the next pass, so that the others missed it and sent their first event two passes later.

--- a/crates/emulator/src/simulation/engines.rs
+++ b/crates/emulator/src/simulation/engines.rs
@@ -61,6 +61,7 @@
 
 /// An engine with its identity and condition.
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each is a condition of its own")]
 pub struct EngineNode {
     pub id: TargetId,
     pub zone: usize,
@@ -72,6 +73,8 @@
     pub failure_rate: f64,
     /// Number of times it was started.
     pub starts: u64,
+    /// Whether a pass has ended whose progress is not applied yet.
+    ending_pass: bool,
     index: usize,
 }
 
@@ -86,6 +89,7 @@
             draining: false,
             failure_rate: 0.0,
             starts: 1,
+            ending_pass: false,
             index,
         }
     }
@@ -150,7 +154,7 @@
     /// Begins a pass unless one is running.
     fn begin_pass(&mut self, engine: usize) {
         let node = &mut self.engines[engine];
-        if node.model.in_pass || node.is_unresponsive() {
+        if node.model.in_pass || node.ending_pass || node.is_unresponsive() {
             return;
         }
         let epoch = node.model.epoch;
@@ -167,9 +171,11 @@
         }
         let progress = node.model.end_pass();
         node.model.in_pass = false;
+        node.ending_pass = true;
         for change in progress {
             self.apply_progress(change);
         }
+        self.engines[engine].ending_pass = false;
         self.begin_pass(engine);
     }
 
