Costs of requests and speeds of targets are learned, and decide where requests go

The operators' wish: requests that look alike cost servers very different amounts of work. Every call counted for 60 ms, an answer without an estimate for half its largest length, and a target for as fast as the others unless it was twice as slow.

Schedulers learn what requests of a route and workspace have cost (middle and spread of the logarithm, callers' estimates weighed by how far off they were), and how long each target takes against its peers. A target's remaining work is the sum of those; calls go where they are answered first. Reports go along in datagrams that are sent anyway.

--- a/crates/core/src/edge/load.rs
+++ b/crates/core/src/edge/load.rs
@@ -11,6 +11,9 @@
 use crate::edge::fleet::TargetId;
 use crate::ids::InstanceId;
 
+/// Share of a call's expected time that is left while it takes longer than expected.
+const OVERDUE_SHARE: f64 = 0.5;
+
 /// Number of a request, unique in one instance.
 pub type RequestNumber = u64;
 
@@ -31,6 +34,8 @@
     pub max_gap: Duration,
     /// Value of an answer on time.
     pub value: f64,
+    /// Expected time of a call at a service.
+    pub work: Duration,
     /// When it was sent.
     pub sent_at: Instant,
     /// Time of its first event.
@@ -233,6 +238,18 @@
         self.targets.get(target).into_iter().flat_map(|load| &load.entries).map(|e| &e.assignment)
     }
 
+    /// Returns the time that the calls at a service's target are expected to take still, one
+    /// after the other.
+    pub fn remaining_work(&self, target: &str, slowdown: f64, now: Instant) -> Duration {
+        let left = |a: &Assignment| {
+            let whole = a.work.mul_f64(slowdown);
+            let elapsed = now.saturating_duration_since(a.sent_at);
+            // A call that takes longer than expected may take much longer.
+            whole.saturating_sub(elapsed).max(whole.mul_f64(OVERDUE_SHARE))
+        };
+        self.assignments(target).map(left).sum()
+    }
+
     /// Returns whether no request is in flight.
     pub fn is_empty(&self) -> bool {
         self.targets.is_empty()
--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -14,6 +14,9 @@
 //! - [`load`]: requests in flight at each target, from all instances.
 //! - [`slowdown`]: how much slower an engine decodes than its peers.
 //! - [`helpers`]: targets that do not help with the prompts of others.
+//! - [`history`]: what requests have cost, by route and workspace.
+//! - [`learning`]: what a scheduler learns of requests and targets.
+//! - [`speed`]: how fast each target works, against its peers.
 //! - [`pauses`]: pauses that targets ask this instance for.
 //! - [`limits`]: limits that targets state in their answers.
 //! - [`shared_rate`]: a rate that several instances share.
@@ -52,6 +55,8 @@
 pub mod fleet;
 pub mod grant;
 pub mod helpers;
+pub mod history;
+pub mod learning;
 pub mod limits;
 pub mod load;
 pub mod order;
@@ -72,5 +77,6 @@
 pub mod schedule;
 pub mod shared_rate;
 pub mod slowdown;
+pub mod speed;
 pub mod transfer;
 pub mod wait;
--- a/crates/core/src/edge/placement.rs
+++ b/crates/core/src/edge/placement.rs
@@ -56,6 +56,8 @@
     pub answer: u64,
     /// Value of an answer on time, relative to a mean answer.
     pub value: f64,
+    /// Expected time of a call at a service; `None` if it is not known.
+    pub work: Option<Duration>,
     /// Time from now within which the first event is on time.
     pub time_left: Duration,
     /// Whether prefill of the whole prompt would exceed the smallest allowed gap.
@@ -69,7 +71,7 @@
 pub struct Candidate<'a> {
     /// Target.
     pub target: &'a Arc<Target>,
-    /// Factor by which it is slower than its peers, 1 or more.
+    /// Factor by which it takes longer than its peers.
     pub slowdown: f64,
     /// Additional network latency to it.
     pub extra_latency: Duration,
@@ -137,10 +139,53 @@
 ) -> Option<Placement> {
     match engine {
         Some(engine) => choose_engine(request, engine, candidates, load, now),
-        None => choose_service(request, candidates, load, now),
+        None => match request.work {
+            Some(work) => choose_by_work(request, work, candidates, load, now),
+            None => choose_service(request, candidates, load, now),
+        },
     }
 }
 
+/// Returns the time until a call would be answered by a target, `None` if it has no free slot.
+fn expected_time(
+    work: Duration,
+    candidate: &Candidate<'_>,
+    load: &Load,
+    now: Instant,
+) -> Option<f64> {
+    let target = candidate.target;
+    let used = load.predict(&target.id, None, now).requests;
+    let slots = target.slots.max(1);
+    let remaining = load.remaining_work(&target.id, candidate.slowdown, now).as_secs_f64();
+    let own = work.as_secs_f64() * candidate.slowdown;
+    let time = own + remaining / f64::from(slots) + candidate.extra_latency.as_secs_f64();
+    (used < slots as usize).then_some(time)
+}
+
+/// Chooses the target that is expected to answer first, by what is known of its calls and speed.
+fn choose_by_work(
+    request: &PlacementRequest,
+    work: Duration,
+    candidates: &[Candidate<'_>],
+    load: &Load,
+    now: Instant,
+) -> Option<Placement> {
+    let timed = candidates.iter().filter_map(|c| Some((expected_time(work, c, load, now)?, c)));
+    let (time, best) = timed.min_by(|a, b| a.0.total_cmp(&b.0))?;
+    // Waiting does not help a call that takes longer than its time limit by itself.
+    let hopeless = work >= request.time_left;
+    let time = Duration::from_secs_f64(time);
+    let first_event = if hopeless { time.min(request.time_left) } else { time };
+    Some(Placement {
+        target: Arc::clone(best.target),
+        helpers: Vec::new(),
+        memory_tokens: 0,
+        first_event,
+        loss: 0.0,
+        interference: 0.0,
+    })
+}
+
 /// Chooses the target with the fewest requests per slot.
 fn choose_service(
     request: &PlacementRequest,
--- a/crates/core/src/edge/requirements.rs
+++ b/crates/core/src/edge/requirements.rs
@@ -1,9 +1,11 @@
 //! What the placement of a request depends on.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::edge::cost::Engine;
 use crate::edge::fleet::TargetId;
+use crate::edge::history::Kind;
 use crate::edge::placement::{MAX_PARTS, is_long};
 use crate::edge::route_table::{Route, RouteTable, ServiceId};
 use crate::edge::wait::{QueueEntry, caller_timeout};
@@ -34,6 +36,14 @@
     /// Whether one target is preferred to several, as long as it is on time: a target refused
     /// to help.
     pub whole: bool,
+    /// Requests with which its cost is compared.
+    pub kind: Kind,
+    /// The caller's estimate of the answer's tokens.
+    pub stated: Option<u64>,
+    /// Most tokens of the answer.
+    pub max_answer: u64,
+    /// Expected time of a call at a service.
+    pub call_time: Duration,
     /// Its entry in the queue.
     pub entry: QueueEntry,
     /// Targets that have already failed this request.
@@ -80,6 +90,10 @@
             max_gap: route.max_gap,
             long,
             whole: false,
+            kind: Kind { route: Arc::clone(&route.name), workspace: None },
+            stated: size.answer_hint,
+            max_answer: size.max_answer,
+            call_time: SERVICE_WORK,
             entry: QueueEntry {
                 arrived,
                 due: arrived + route.latency_goal,
--- a/crates/core/src/edge/schedule.rs
+++ b/crates/core/src/edge/schedule.rs
@@ -11,6 +11,7 @@
 use crate::edge::cost::Engine;
 use crate::edge::fleet::{Fleet, TargetId};
 use crate::edge::helpers::Helpers;
+use crate::edge::learning::Learning;
 use crate::edge::limits::Limits;
 use crate::edge::load::{Assignment, Load, Pressure, RequestNumber};
 use crate::edge::order::{Excluded, Lineup, Member, Turn};
@@ -83,6 +84,8 @@
     pub long_changed: bool,
     /// How the price of engine time is found.
     pub pricing: Pricing,
+    /// What is learned of costs and speeds; `None` to take what is stated.
+    pub learning: Option<Learning>,
     pub(super) queue: BTreeMap<RequestNumber, Requirements>,
     lineups: HashMap<ServiceId, Lineup>,
     pub(super) pressure: HashMap<ServiceId, Pressure>,
@@ -109,6 +112,7 @@
             changed_targets: BTreeSet::new(),
             long_changed: false,
             pricing: Pricing::default(),
+            learning: None,
             queue: BTreeMap::new(),
             lineups: HashMap::new(),
             pressure: HashMap::new(),
@@ -118,7 +122,11 @@
     }
 
     /// Adds a request to the queue; the next round starts without delay.
-    pub fn enqueue(&mut self, id: RequestNumber, requirements: Requirements) {
+    pub fn enqueue(&mut self, id: RequestNumber, mut requirements: Requirements) {
+        if let Some(learning) = &self.learning {
+            let arrived = requirements.entry.arrived;
+            learning.estimate(&mut requirements, arrived);
+        }
         self.record_asked(&requirements);
         self.queue.insert(id, requirements);
         self.last_round = None;
@@ -240,10 +248,12 @@
             if *count >= MAX_MISSES || requirements.long && self.yields(requirements, now) {
                 continue;
             }
-            let usable =
-                candidates.entry((ServiceId::clone(service), requirements.long)).or_insert_with(
-                    || self.candidates(lineups[service].members(requirements.long), median, now),
-                );
+            let usable = candidates
+                .entry((ServiceId::clone(service), requirements.long))
+                .or_insert_with(|| {
+                    let members = lineups[service].members(requirements.long);
+                    self.candidates(service, members, median, now)
+                });
             match self.place(requirements, usable, now) {
                 Some(placement) => {
                     let requirements = self.dequeue(id);
@@ -296,17 +306,28 @@
     /// Returns the candidates of a service in the order of its lineup.
     fn candidates<'a>(
         &self,
+        service: &str,
         members: &'a [Member],
         median: f64,
         now: Instant,
     ) -> Vec<Candidate<'a>> {
         let extra_latency =
             |zone: &ZoneId| if *zone == self.zone { Duration::ZERO } else { CROSS_ZONE_LATENCY };
+        let learning = self.learning.as_ref();
+        let usual = learning.map_or(1.0, |l| l.median(&self.fleet, service, now));
+        let slowdown = |id: &TargetId| {
+            let factor = self.slowdowns.factor(id, median, now);
+            // A target that has become slow shows sooner in its last gaps.
+            match learning {
+                Some(learning) if factor <= 1.0 => learning.speeds.factor(id, usual, now),
+                _ => factor,
+            }
+        };
         members
             .iter()
             .map(|Member { target, position }| Candidate {
                 target,
-                slowdown: self.slowdowns.factor(&target.id, median, now),
+                slowdown: slowdown(&target.id),
                 extra_latency: extra_latency(&target.zone),
                 position: *position,
             })
@@ -325,6 +346,7 @@
             prompt: requirements.prompt,
             answer: requirements.answer,
             value: requirements.entry.value,
+            work: self.learning.is_some().then_some(requirements.call_time),
             long: requirements.long,
             whole: requirements.whole,
             time_left: requirements.entry.due.saturating_duration_since(now),
@@ -373,6 +395,7 @@
             answer: requirements.answer,
             max_gap: requirements.max_gap,
             value: requirements.entry.value,
+            work: requirements.call_time,
             sent_at: now,
             decoding_since: None,
         };
@@ -419,6 +442,10 @@
         let prediction = self.load.predict(target, None, now);
         let predicted = engine.pass_time(prediction.decoding.max(1), prediction.context_tokens);
         self.slowdowns.record(target, gap, predicted, now);
+        // Prefill between events would make the target look slow.
+        if let (Some(learning), 0) = (&mut self.learning, prediction.prefilling) {
+            learning.speeds.record(target, gap, predicted, now);
+        }
     }
 
     /// Removes a request that has ended from the load of its targets.
@@ -447,6 +474,9 @@
     pub fn forget(&mut self, target: &str) {
         self.outcomes.forget(target);
         self.slowdowns.forget(target);
+        if let Some(learning) = &mut self.learning {
+            learning.speeds.forget(target);
+        }
         self.pauses.forget(target);
         self.helpers.forget(target);
         self.limits.forget(target);
--- a/crates/core/tests/edge_delegation.rs
+++ b/crates/core/tests/edge_delegation.rs
@@ -5,6 +5,7 @@
 
 use mimosapass_core::edge::clients::{ClientRequests, Reply};
 use mimosapass_core::edge::fleet::Target;
+use mimosapass_core::edge::history::Kind;
 use mimosapass_core::edge::remote::{Outgoing, RemoteRequests};
 use mimosapass_core::edge::route_table::{RouteTable, Service};
 use mimosapass_core::edge::schedule::{Grant, Refusal, Requirements, Scheduler};
@@ -41,6 +42,10 @@
         max_gap: ms(200),
         long: false,
         whole: false,
+        kind: Kind::default(),
+        stated: None,
+        max_answer: 0,
+        call_time: Duration::from_millis(60),
         entry: QueueEntry {
             arrived: now,
             due: now + due,
--- a/crates/core/tests/edge_evacuation.rs
+++ b/crates/core/tests/edge_evacuation.rs
@@ -5,6 +5,7 @@
 use mimosapass_core::edge::cost::Engine;
 use mimosapass_core::edge::evacuation::{Evacuations, Order};
 use mimosapass_core::edge::fleet::Target;
+use mimosapass_core::edge::history::Kind;
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::position::Position;
 use mimosapass_core::edge::route_table::{RouteTable, Service};
@@ -152,6 +153,10 @@
         max_gap: Duration::from_millis(200),
         long: prompt > 0,
         whole: false,
+        kind: Kind::default(),
+        stated: None,
+        max_answer: 0,
+        call_time: Duration::from_millis(60),
         entry: QueueEntry {
             arrived: now,
             due: now + time,
--- a/crates/core/tests/edge_load.rs
+++ b/crates/core/tests/edge_load.rs
@@ -32,6 +32,7 @@
         answer: 0,
         max_gap: Duration::from_millis(200),
         value: 1.0,
+        work: Duration::ZERO,
         sent_at,
         decoding_since: None,
     }
--- a/crates/core/tests/edge_placement.rs
+++ b/crates/core/tests/edge_placement.rs
@@ -66,6 +66,7 @@
 
 fn request(prompt: u64, goal_ms: u64) -> PlacementRequest {
     PlacementRequest {
+        work: None,
         prompt,
         answer: 800,
         value: 1.0 + prompt as f64 / 10_000.0,
@@ -104,6 +105,7 @@
             answer: request.answer,
             max_gap: if request.long { LOOSE } else { STRICT },
             value: request.value,
+            work: Duration::ZERO,
             sent_at: self.now,
             decoding_since: decoding.then_some(self.now),
         };
--- a/crates/emulator/examples/experiment.rs
+++ b/crates/emulator/examples/experiment.rs
@@ -25,6 +25,8 @@
     own: bool,
     /// Use the price by the backlog of engines in the gateway's own policy.
     backlog: bool,
+    /// Use what callers and operators state in the gateway's own policy, nothing learned of costs.
+    stated: bool,
     /// Print each late or unserved call as CSV instead of tables.
     calls: bool,
     /// Measure the time of one decision over 18, 67, 200 and 600 engines instead.
@@ -82,6 +84,8 @@
         for policy in ALL_POLICIES.into_iter().filter(|p| !options.own || p.queues()) {
             let policy =
                 if options.backlog && policy.queues() { Policy::BacklogPrice } else { policy };
+            let policy =
+                if options.stated && policy.queues() { Policy::StatedCosts } else { policy };
             let result = metrics(&run_seeds(pattern, policy, options));
             let slower = slowdown(pattern, policy, options, &result);
             println!("{} {slower:.2} |", table_row(pattern.name, policy.name(), &result));
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use mimosapass_core::edge::fleet::Target;
+use mimosapass_core::edge::learning::Learning;
 use mimosapass_core::edge::load::RequestNumber;
 use mimosapass_core::edge::placement::Placement;
 use mimosapass_core::edge::pricing::Pricing;
@@ -20,7 +21,9 @@
     TwoChoices,
     /// The gateway's own decision.
     Mimosapass,
-    /// The same with a price by the backlog of engines.
+    /// The same without what is learned of costs and speeds.
+    StatedCosts,
+    /// The same as that with a price by the backlog of engines.
     BacklogPrice,
 }
 
@@ -31,12 +34,17 @@
 impl Policy {
     /// Returns whether requests wait in the gateway's own queue.
     pub fn queues(self) -> bool {
-        matches!(self, Self::Mimosapass | Self::BacklogPrice)
+        matches!(self, Self::Mimosapass | Self::StatedCosts | Self::BacklogPrice)
     }
 
     /// Returns how the price of engine time is found.
     pub fn pricing(self) -> Pricing {
-        if self == Self::Mimosapass { Pricing::Learned } else { Pricing::Backlog }
+        if self == Self::BacklogPrice { Pricing::Backlog } else { Pricing::Learned }
+    }
+
+    /// Returns what a scheduler starts to learn with, if it learns.
+    pub fn learning(self) -> Option<Learning> {
+        (self == Self::Mimosapass).then(Learning::default)
     }
 
     /// Returns the name that tables show.
@@ -45,6 +53,7 @@
             Self::LeastInFlight => "least in flight",
             Self::TwoChoices => "two choices",
             Self::Mimosapass => "mimosapass",
+            Self::StatedCosts => "stated costs",
             Self::BacklogPrice => "price by backlog",
         }
     }
@@ -84,7 +93,7 @@
     let random = |rng: &mut StdRng| usable[rng.random_range(0..usable.len())];
     let considered = match policy {
         Policy::TwoChoices => vec![random(rng), random(rng)],
-        Policy::LeastInFlight | Policy::Mimosapass | Policy::BacklogPrice => {
+        Policy::LeastInFlight | Policy::Mimosapass | Policy::StatedCosts | Policy::BacklogPrice => {
             let start = rng.random_range(0..usable.len());
             let (back, front) = usable.split_at(start);
             front.iter().chain(back).copied().collect()
--- a/crates/emulator/src/simulation/instance.rs
+++ b/crates/emulator/src/simulation/instance.rs
@@ -69,6 +69,7 @@
         let zone = zone(index);
         let mut scheduler = Scheduler::new(zone.1);
         scheduler.pricing = self.policy.pricing();
+        scheduler.learning = self.policy.learning();
         for node in self.engines.iter().filter(|e| e.alive) {
             scheduler.fleet.report(node.target());
         }
--- a/crates/emulator/src/timing.rs
+++ b/crates/emulator/src/timing.rs
@@ -33,6 +33,7 @@
                 answer: 1_500,
                 max_gap: STRICTEST_GAP,
                 value: 1.5,
+                work: Duration::ZERO,
                 sent_at: now,
                 decoding_since: Some(now),
             };
@@ -45,6 +46,7 @@
         }
     }
     let request = PlacementRequest {
+        work: None,
         prompt,
         answer: 800,
         value: 1.0 + prompt as f64 / 10_000.0,
--- a/crates/emulator/tests/patterns.rs
+++ b/crates/emulator/tests/patterns.rs
@@ -10,7 +10,7 @@
 use mimosapass_emulator::load::KINDS;
 use mimosapass_emulator::pattern::{Exchange, Pattern, all_patterns, uneven_patterns};
 use mimosapass_emulator::policy::{ALL_POLICIES, Policy};
-use mimosapass_emulator::report::{metrics, served_by_size, short_p95_ms};
+use mimosapass_emulator::report::{metrics, on_time, served_by_size, short_p95_ms};
 use mimosapass_emulator::simulation::{CallEnd, CallRecord, replay, run};
 
 const SEED: u64 = 1;
@@ -77,7 +77,7 @@
         let runs = (0..SEEDS).map(|i| run(&pattern, policy, SEED + i));
         metrics(&runs.flat_map(|r| r.records).collect::<Vec<_>>()).worth
     };
-    let (learned, backlog) = (worth(Policy::Mimosapass), worth(Policy::BacklogPrice));
+    let (learned, backlog) = (worth(Policy::StatedCosts), worth(Policy::BacklogPrice));
     assert!(learned >= backlog, "worth {learned:.4}, by the backlog {backlog:.4}");
 }
 
@@ -138,6 +138,21 @@
     assert_eq!((all_patterns().len(), uneven_patterns().len()), (20, 5));
 }
 
+/// Guards against engines of unlike speed that are taken for alike: every third one takes 1.6
+/// times as long, which is too little to be avoided as slow.
+#[test]
+fn learned_speeds_make_fewer_short_prompts_late_on_unlike_engines() {
+    let pattern = pattern("unlike engines");
+    let late = |policy| {
+        let runs = (0..SEEDS).flat_map(|i| run(&pattern, policy, SEED + i).records);
+        let chats: Vec<CallRecord> = runs.filter(|r| r.call.kind == 0).collect();
+        let late = chats.iter().filter(|r| r.end != Some(CallEnd::Served) || !on_time(r)).count();
+        late as f64 / chats.len() as f64
+    };
+    let (learned, stated) = (late(Policy::Mimosapass), late(Policy::StatedCosts));
+    assert!(learned < stated * 0.75, "late {learned:.3}, with stated costs {stated:.3}");
+}
+
 #[test]
 fn runs_with_equal_seeds_are_equal() {
     let pattern = pattern("retry abuse");
--- a/crates/instance/src/datagram.rs
+++ b/crates/instance/src/datagram.rs
@@ -9,7 +9,7 @@
 
 use prost::Message;
 
-use crate::delegation::{Ask, Held, Observation, Reply};
+use crate::delegation::{Ask, CostReport, Held, Observation, Reply};
 
 /// Protocol version; a datagram of any other version is dropped.
 pub const VERSION: u32 = 1;
@@ -142,6 +142,9 @@
     /// Targets that do not help with the prompts of others.
     #[prost(message, repeated, tag = "35")]
     pub refusing_helpers: Vec<RefusingHelper>,
+    /// What requests have cost; to a scheduler of the sender's zone.
+    #[prost(message, repeated, tag = "36")]
+    pub costs: Vec<CostReport>,
 }
 
 /// A target that gets no parts of prompts for a while.
@@ -296,6 +299,9 @@
     /// Time since it was sent, in milliseconds.
     #[prost(uint32, tag = "7")]
     pub since_sent_ms: u32,
+    /// Expected time of a call at a service, in milliseconds; 0 from former versions.
+    #[prost(uint32, tag = "12")]
+    pub work_ms: u32,
     /// Time since its first event in milliseconds, plus 1; 0 before that event.
     #[prost(uint32, tag = "8")]
     pub streaming_ms: u32,
--- a/crates/instance/src/delegation.rs
+++ b/crates/instance/src/delegation.rs
@@ -54,6 +54,18 @@
     /// Whether one target is preferred to several, as long as it is on time.
     #[prost(bool, tag = "15")]
     pub whole: bool,
+    /// Route of the request.
+    #[prost(string, tag = "16")]
+    pub route: String,
+    /// Workspace of the request; empty if it has none.
+    #[prost(string, tag = "17")]
+    pub workspace: String,
+    /// The caller's estimate of the answer's tokens; 0 if there is none.
+    #[prost(uint64, tag = "18")]
+    pub stated_tokens: u64,
+    /// Most tokens of the answer.
+    #[prost(uint64, tag = "19")]
+    pub max_tokens: u64,
 }
 
 /// Requests that the sender still has at the receiver.
@@ -79,6 +91,26 @@
     pub gap_us: u64,
 }
 
+/// What a request has cost that has ended well.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CostReport {
+    /// Identifier of the target that ran it.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Route of the request.
+    #[prost(string, tag = "2")]
+    pub route: String,
+    /// Workspace of the request; empty if it has none.
+    #[prost(string, tag = "3")]
+    pub workspace: String,
+    /// Tokens of the answer, or seconds of a call at a service.
+    #[prost(double, tag = "4")]
+    pub cost: f64,
+    /// What its caller stated, in the same unit; 0 if nothing.
+    #[prost(double, tag = "5")]
+    pub stated: f64,
+}
+
 /// Outcome of an attempt at a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, prost::Enumeration)]
 #[repr(i32)]
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -7,6 +7,8 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_core::edge::clients::Reply;
+use mimosapass_core::edge::history::Kind;
+use mimosapass_core::edge::learning::Outlay;
 use mimosapass_core::edge::load::RequestNumber;
 use mimosapass_core::edge::outcomes::Outcome;
 use mimosapass_core::edge::placement::{Helper, Placement};
@@ -14,7 +16,7 @@
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
 use mimosapass_core::edge::schedule::{Grant, Refusal, Requirements};
 use mimosapass_core::edge::wait::QueueEntry;
-use mimosapass_core::ids::{InstanceId, TargetId};
+use mimosapass_core::ids::{InstanceId, TargetId, WorkspaceId};
 use mimosapass_instance::datagram::Datagram;
 use mimosapass_instance::delegation::{self as wire, AttemptOutcome, MAX_MESSAGES, Observation};
 
@@ -30,6 +32,7 @@
     outcomes: Vec<(TargetId, Outcome)>,
     /// Shortest gap between events, by target.
     gaps: BTreeMap<TargetId, Duration>,
+    outlays: Vec<Outlay>,
 }
 
 impl Observations {
@@ -40,6 +43,17 @@
         }
     }
 
+    /// Adds what a request has cost; the oldest ones are kept when there are too many.
+    pub fn add_outlay(&mut self, outlay: Outlay) {
+        if self.outlays.len() < MAX_OUTCOMES {
+            self.outlays.push(outlay);
+        }
+    }
+
+    fn take_outlays(&mut self) -> Vec<wire::CostReport> {
+        self.outlays.drain(..).map(|outlay| encode_outlay(&outlay)).collect()
+    }
+
     /// Adds a gap between two events of a target.
     pub fn add_gap(&mut self, target: &TargetId, gap: Duration) {
         let shortest = self.gaps.entry(TargetId::clone(target)).or_insert(gap);
@@ -100,6 +114,15 @@
         gap_ms: ms(requirements.max_gap),
         long: requirements.long,
         whole: requirements.whole,
+        route: requirements.kind.route.to_string(),
+        workspace: requirements
+            .kind
+            .workspace
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        stated_tokens: requirements.stated.unwrap_or_default(),
+        max_tokens: requirements.max_answer,
         waited_ms: ms(now.saturating_duration_since(entry.arrived)),
         due_in_ms: to_due_ms(entry.due, now),
         expires_in_ms: ms(entry.expires.saturating_duration_since(now)),
@@ -112,7 +135,7 @@
 }
 
 fn decode_ask(ask: wire::Ask, table: &RouteTable, now: Instant) -> (RequestNumber, Requirements) {
-    let service = ServiceId::from(ask.service);
+    let service = ServiceId::from(ask.service.as_str());
     let requirements = Requirements {
         engine: table.engine(&service),
         service,
@@ -121,6 +144,10 @@
         max_gap: Duration::from_millis(u64::from(ask.gap_ms)),
         long: ask.long,
         whole: ask.whole,
+        kind: decode_kind(&ask.route, &ask.workspace),
+        stated: Some(ask.stated_tokens).filter(|tokens| *tokens > 0),
+        max_answer: ask.max_tokens,
+        call_time: Duration::from_micros(ask.work_us),
         entry: QueueEntry {
             arrived: ago(ask.waited_ms, now),
             due: from_due_ms(ask.due_in_ms, now),
@@ -135,6 +162,31 @@
     (ask.id, requirements)
 }
 
+fn decode_kind(route: &str, workspace: &str) -> Kind {
+    let workspace = Some(workspace).filter(|name| !name.is_empty()).map(WorkspaceId::from);
+    Kind { route: route.into(), workspace }
+}
+
+fn encode_outlay(outlay: &Outlay) -> wire::CostReport {
+    let Outlay { target, kind, cost, stated } = outlay;
+    wire::CostReport {
+        target: target.to_string(),
+        route: kind.route.to_string(),
+        workspace: kind.workspace.as_ref().map(ToString::to_string).unwrap_or_default(),
+        cost: *cost,
+        stated: stated.unwrap_or_default(),
+    }
+}
+
+fn decode_outlay(report: &wire::CostReport) -> Outlay {
+    Outlay {
+        target: TargetId::from(report.target.as_str()),
+        kind: decode_kind(&report.route, &report.workspace),
+        cost: report.cost,
+        stated: Some(report.stated).filter(|stated| *stated > 0.0),
+    }
+}
+
 fn encode_reply(id: RequestNumber, reply: Reply) -> wire::Reply {
     let empty = wire::Reply { id, ..wire::Reply::default() };
     match reply {
@@ -197,6 +249,9 @@
         for observation in std::mem::take(&mut datagram.observations) {
             self.apply_observation(&table, &observation, now);
         }
+        for report in std::mem::take(&mut datagram.costs) {
+            self.record_outlay(&table, &decode_outlay(&report), now);
+        }
         for id in std::mem::take(&mut datagram.started) {
             self.clients.first_event(&mut self.scheduler, &client, id, now);
         }
@@ -224,6 +279,14 @@
         }
     }
 
+    /// Records what a request has cost at a target that is known.
+    pub fn record_outlay(&mut self, table: &RouteTable, outlay: &Outlay, now: Instant) {
+        if self.scheduler.fleet.get(&outlay.target).is_some() {
+            let is_engine = self.engine_at(table, &outlay.target).is_some();
+            self.scheduler.record_outlay(outlay, is_engine, now);
+        }
+    }
+
     /// Applies the answer of a scheduler to a request of this instance.
     pub fn apply_reply(&mut self, scheduler: &InstanceId, reply: &wire::Reply, now: Instant) {
         let id = reply.id;
@@ -308,11 +371,12 @@
         let mut datagrams = Vec::new();
         for (scheduler, changes) in outgoing {
             let held = confirm.then(|| wire::Held { ids: self.remote.held_by(&scheduler) });
-            let observations = if observer.as_ref() == Some(&scheduler) {
-                self.observations.take()
+            let (observations, costs) = if observer.as_ref() == Some(&scheduler) {
+                (self.observations.take(), self.observations.take_outlays())
             } else {
-                Vec::new()
+                (Vec::new(), Vec::new())
             };
+            let base = &Datagram { costs, ..base.clone() };
             for datagram in split_outgoing(changes, held, &observations, base, |id, r| {
                 encode_ask(id, r, &closed, now)
             }) {
@@ -332,12 +396,13 @@
     encode: impl Fn(RequestNumber, &Requirements) -> wire::Ask,
 ) -> Vec<Datagram> {
     let asks: Vec<wire::Ask> = changes.asks.iter().map(|(id, r)| encode(*id, r)).collect();
+    let rest = Datagram { costs: Vec::new(), ..base.clone() };
     let first = Datagram { started: changes.started, ended: changes.ended, held, ..base.clone() };
     let parts = asks.len().max(observations.len()).div_ceil(MAX_MESSAGES).max(1);
     let (mut asks, mut observations) =
         (asks.chunks(MAX_MESSAGES), observations.chunks(MAX_MESSAGES));
     let part = |index: usize| {
-        let start = if index == 0 { &first } else { base };
+        let start = if index == 0 { &first } else { &rest };
         Datagram {
             asks: asks.next().unwrap_or_default().to_vec(),
             observations: observations.next().unwrap_or_default().to_vec(),
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -357,6 +357,9 @@
         let error = format!("status {}", response.status);
         // Within a stream no other response can follow.
         if !self.progress.begun && !retried && !other_run {
+            if response.status < 400 {
+                self.record_cost(index);
+            }
             self.keep(index);
             // The caller's next request may come at once, and use the same connection.
             self.runs.cancel();
@@ -432,6 +435,7 @@
 
     /// Relays the end of a stream.
     fn relay_end(&mut self, index: usize, events: &[u8]) -> RequestEnd {
+        self.record_cost(index);
         self.keep(index);
         self.gateway.record_end(&self.request, self.runs.get(0));
         let response = self.runs.get(0).response();
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -68,6 +68,8 @@
         metrics.limited_targets.set(scheduler.limits.count() as i64);
         metrics.leaving_targets.set(scheduler.fleet.told_leaving().count() as i64);
         metrics.engine_price.set((scheduler.highest_price() * 1000.0) as i64);
+        let kinds = scheduler.learning.as_ref().map_or(0, |learning| learning.history.count());
+        metrics.learned_kinds.set(kinds as i64);
         metrics.quarantined_parts.set(state.quarantine.count(now) as i64);
         drop(state);
         for (mut datagram, addrs) in outgoing {
@@ -320,6 +322,7 @@
         answer_tokens: assignment.answer,
         gap_ms: ms(assignment.max_gap),
         worth: assignment.value as f32,
+        work_ms: ms(assignment.work),
         since_sent_ms: ms(now.saturating_duration_since(assignment.sent_at)),
         streaming_ms: assignment
             .decoding_since
@@ -336,6 +339,7 @@
         answer: wire.answer_tokens,
         max_gap: Duration::from_millis(u64::from(wire.gap_ms)),
         value: f64::from(wire.worth),
+        work: Duration::from_millis(u64::from(wire.work_ms)),
         sent_at: ago(wire.since_sent_ms, now),
         decoding_since: wire.streaming_ms.checked_sub(1).map(|ms| ago(ms, now)),
     };
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -57,6 +57,8 @@
     pub leaving_targets: IntGauge,
     /// Parts of prompts whose requests are refused.
     pub quarantined_parts: IntGauge,
+    /// Kinds of request whose costs are known here.
+    pub learned_kinds: IntGauge,
     /// Targets that refused to help with the prompts of others.
     pub refused_help: IntCounter,
     /// Highest price of a second of an engine, in thousandths of the value of a short answer.
@@ -109,6 +111,10 @@
             ),
             leaving_targets: gauge("gateway_leaving_targets", "Targets that said they leave."),
             quarantined_parts: gauge("gateway_quarantined_parts", "Parts that are refused."),
+            learned_kinds: gauge(
+                "gateway_learned_kinds",
+                "Routes, and workspaces on them, whose costs are known here.",
+            ),
             engine_price: gauge(
                 "gateway_engine_price",
                 "Highest price of a second of an engine, in thousandths of a short answer's value.",
@@ -129,7 +135,7 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 26] = [
+        let all: [Box<dyn Collector>; 27] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.silent_runs.clone()),
@@ -150,6 +156,7 @@
             Box::new(self.leaving_targets.clone()),
             Box::new(self.quarantined_parts.clone()),
             Box::new(self.engine_price.clone()),
+            Box::new(self.learned_kinds.clone()),
             Box::new(self.refused_help.clone()),
             Box::new(self.quarantine_refusals.clone()),
             Box::new(self.evacuated_zones.clone()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod member;
 mod metrics;
 mod notices;
+mod outlays;
 mod peers;
 mod prepared;
 mod queue;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -37,6 +37,19 @@
     cores: f64,
     #[serde(default)]
     pricing: PricingName,
+    #[serde(default)]
+    costs: Costs,
+}
+
+/// What the costs of requests and the speeds of targets are taken from.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum Costs {
+    /// From what callers and operators state.
+    #[default]
+    Stated,
+    /// From what was seen.
+    Learned,
 }
 
 /// How the price of engine time is found.
@@ -128,6 +141,8 @@
     pub capacity: u32,
     /// How the price of engine time is found.
     pub pricing: Pricing,
+    /// What costs of requests and speeds of targets are taken from.
+    pub costs: Costs,
 }
 
 /// Reads and checks a settings file.
@@ -136,7 +151,7 @@
 ///
 /// Returns every fault found.
 pub fn load(path: &Path) -> Result<Settings, Faults> {
-    let File { name, zone, listen, store, seeds, stop, repeats, memory_mb, cores, pricing } =
+    let File { name, zone, listen, store, seeds, stop, repeats, memory_mb, cores, pricing, costs } =
         yaml::load(path, check)?;
     Ok(Settings {
         name,
@@ -153,6 +168,7 @@
         memory_mb,
         capacity: (cores * 1000.0) as u32,
         pricing: pricing.into(),
+        costs,
     })
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,10 +11,10 @@
 use mimosapass_core::edge::clients::ClientRequests;
 use mimosapass_core::edge::cost::Engine;
 use mimosapass_core::edge::fleet::LAPSE_GRACE;
+use mimosapass_core::edge::learning::{Learning, Outlay};
 use mimosapass_core::edge::load::RequestNumber;
 use mimosapass_core::edge::outage::{self, MIN_OUTAGE};
 use mimosapass_core::edge::outcomes::Outcome;
-use mimosapass_core::edge::pricing::Pricing;
 use mimosapass_core::edge::progress::Progress;
 use mimosapass_core::edge::quarantine::Quarantine;
 use mimosapass_core::edge::reach::Reach;
@@ -22,7 +22,7 @@
 use mimosapass_core::edge::retry::RetryWindow;
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
 use mimosapass_core::edge::schedule::{Exclusions, Grant, Scheduler};
-use mimosapass_core::ids::{InstanceId, TargetId, ZoneId};
+use mimosapass_core::ids::{InstanceId, TargetId};
 use mimosapass_instance::compression::compress;
 use mimosapass_platform::store::Store;
 use mimosapass_target::pool::ConnectionPool;
@@ -31,7 +31,7 @@
 use super::metrics::Metrics;
 use super::peers::{Member, Peer};
 use super::queue::GrantSlot;
-use super::settings::Settings;
+use super::settings::{Costs, Settings};
 
 /// Time after the stop signal in which new connections are still served. The load
 /// balancer checks every second and removes an instance after two failed checks.
@@ -169,7 +169,7 @@
             metrics: Metrics::new(),
             response_bytes: Arc::default(),
             load_changed: Condvar::new(),
-            state: Mutex::new(State::new(settings.zone.as_str().into(), settings.pricing)),
+            state: Mutex::new(State::new(&settings)),
             route_table: RwLock::default(),
             config_text: Mutex::default(),
             stopping_since: OnceLock::new(),
@@ -313,6 +313,19 @@
         state.dispatch(self, now);
     }
 
+    /// Records what a request has cost that has ended well.
+    pub fn record_outlay(&self, outlay: Outlay, now: Instant) {
+        if self.settings.costs == Costs::Stated {
+            return;
+        }
+        let mut state = self.state();
+        if state.places_own(self, now) {
+            state.record_outlay(&self.route_table(), &outlay, now);
+        } else {
+            state.observations.add_outlay(outlay);
+        }
+    }
+
     /// Records the outcome of an attempt at a target.
     pub fn record_outcome(&self, target: &TargetId, outcome: Outcome, now: Instant) {
         let mut state = self.state();
@@ -325,9 +338,10 @@
 }
 
 impl State {
-    fn new(zone: ZoneId, pricing: Pricing) -> Self {
-        let mut scheduler = Scheduler::new(zone);
-        scheduler.pricing = pricing;
+    fn new(settings: &Settings) -> Self {
+        let mut scheduler = Scheduler::new(settings.zone.as_str().into());
+        scheduler.pricing = settings.pricing;
+        scheduler.learning = (settings.costs == Costs::Learned).then(Learning::default);
         Self {
             scheduler,
             grant_slots: HashMap::new(),
