--- a/crates/core/src/edge/helpers.rs
+++ b/crates/core/src/edge/helpers.rs
@@ -37,6 +37,8 @@
         if known.is_some_and(|r| now < r.until) {
             return None;
         }
+        let known = known.copied();
+        self.records.retain(|_, r| now < r.until + LONGEST_PAUSE);
         let recent = known.filter(|r| now < r.until + LONGEST_PAUSE);
         let pause = recent.map_or(FIRST_PAUSE, |r| (r.pause * 2).min(LONGEST_PAUSE));
         self.records.insert(TargetId::clone(id), Record { until: now + pause, pause });
--- a/crates/core/src/edge/history.rs
+++ b/crates/core/src/edge/history.rs
@@ -24,6 +24,10 @@
 /// Smallest and largest factor by which estimates of callers are found to be off.
 const MAX_BIAS: f64 = 4.0;
 
+/// Largest value that counts, and the inverse of the smallest: no token count or time in
+/// seconds is beyond it, and none of it is too long for a duration.
+const MAX_VALUE: f64 = 1e9;
+
 /// Requests that are taken together: those of a workspace on a route, or all of a route.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub struct Kind {
@@ -51,9 +55,9 @@
 }
 
 impl LogMean {
-    /// Adds a value above 0; others are ignored.
+    /// Adds a value within bounds; others are ignored.
     pub fn add(&mut self, value: f64) {
-        if !(value.is_finite() && value > 0.0) {
+        if !(MAX_VALUE.recip()..=MAX_VALUE).contains(&value) {
             return;
         }
         self.count = (self.count + 1.0).min(MEMORY);
--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -23,6 +23,7 @@
 //! - [`quarantine`]: parts of prompts that crash the targets that serve them.
 //! - [`position`]: the order of what was read from the store.
 //! - [`progress`]: how far an instance has followed the store.
+//! - [`calls`]: the choice of a target for a call at a service.
 //! - [`placement`]: the choice of a target for one request.
 //! - [`order`]: the order in which schedulers fill engines.
 //! - [`price`]: what a second of an engine brings at the margin.
@@ -44,6 +45,7 @@
 
 pub mod audience;
 pub mod backup;
+pub mod calls;
 pub mod catch_up;
 pub mod changes;
 pub mod clients;
--- a/crates/core/src/edge/speed.rs
+++ b/crates/core/src/edge/speed.rs
@@ -21,6 +21,9 @@
 /// Part of a factor's distance from 1 that lies within the spread of the samples of one target.
 const TOLERANCE: f64 = 0.1;
 
+/// Number of targets from which on those without a recent sample are dropped.
+const MAX_TARGETS: usize = 4_096;
+
 /// Ratios of the times that targets took to predicted ones.
 #[derive(Clone, Debug, Default)]
 pub struct Speeds {
@@ -33,6 +36,9 @@
         if predicted.is_zero() {
             return;
         }
+        if self.records.len() >= MAX_TARGETS {
+            self.records.retain(|_, (_, at)| now.saturating_duration_since(*at) <= EXPIRY);
+        }
         let record = self.records.entry(TargetId::clone(id)).or_insert((LogMean::default(), now));
         if now.saturating_duration_since(record.1) > EXPIRY {
             record.0 = LogMean::default();
--- a/crates/core/tests/edge_history.rs
+++ b/crates/core/tests/edge_history.rs
@@ -113,7 +113,7 @@
 #[test]
 fn values_that_are_no_costs_are_ignored() {
     let (mut history, now) = (History::default(), Instant::now());
-    for cost in [f64::NAN, f64::INFINITY, 0.0, -5.0] {
+    for cost in [f64::NAN, f64::INFINITY, 0.0, -5.0, 1e18, f64::MAX, f64::MIN_POSITIVE] {
         history.record(&kind("chat", "a"), cost, Some(f64::NAN), now);
     }
     assert_eq!(history.estimate(&kind("chat", "a"), Some(3.0), now), None);
--- a/crates/core/tests/edge_learning.rs
+++ b/crates/core/tests/edge_learning.rs
@@ -150,6 +150,19 @@
     assert_eq!(waiting.entry.work, MS * 60);
 }
 
+/// Guards against times from a peer that are too long for a duration.
+#[test]
+fn cost_beyond_all_bounds_is_ignored() {
+    let (mut learning, now) = (Learning::default(), Instant::now());
+    let reads = kind("call", "reads");
+    for _ in 0..20 {
+        let outlay = Outlay { cost: 1.8e19, ..outlay("i-0", &reads, 1) };
+        learning.record(&outlay, false, now);
+    }
+    let mut scheduler = scheduler(Some(learning), &["i-0"]);
+    assert_eq!(send(&mut scheduler, &[&reads, &reads], now).len(), 2);
+}
+
 /// Guards against answers without an estimate that are all taken for half the largest length.
 #[test]
 fn answer_without_an_estimate_is_as_long_as_those_of_its_workspace() {
--- a/src/gateway/delegate.rs
+++ b/src/gateway/delegate.rs
@@ -23,7 +23,7 @@
 use super::gossip::{ago, from_due_ms, ms, to_due_ms};
 use super::state::{Gateway, State};
 
-/// Most outcomes that wait to be reported to a scheduler.
+/// Most outcomes, and most costs of requests, that wait to be reported to a scheduler.
 const MAX_OUTCOMES: usize = 64;
 
 /// What this instance observed of targets and has not reported yet.
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -369,17 +369,6 @@
         self.end_run(index, error)
     }
 
-    /// Avoids the target on account of which another one refused the request.
-    ///
-    /// The last attempt needs no help if it can be on time so: others may refuse it as well.
-    fn avoid_helper(&mut self, index: usize) {
-        let Some(helper) = self.runs.get(index).at_fault.clone() else { return };
-        let last = self.sends + 1 >= self.request.route.attempts;
-        let requirements = &mut self.request.requirements;
-        requirements.avoid.push(helper);
-        requirements.whole |= last;
-    }
-
     /// Records in metrics and for placement what a step says of the target.
     fn record_step(&self, index: usize, step: &Step) {
         let run = self.runs.get(index);
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -11,6 +11,7 @@
 use mimosapass_platform::header;
 use mimosapass_target::http::ResponseHead;
 
+use super::flow::Flow;
 use super::gossip::ms;
 use super::reservations::MISDIRECTED;
 use super::state::{Gateway, State};
@@ -130,6 +131,19 @@
     }
 }
 
+impl Flow<'_, '_> {
+    /// Avoids the target on account of which another one refused the request.
+    ///
+    /// The last attempt needs no help if it can be on time so: others may refuse it as well.
+    pub(super) fn avoid_helper(&mut self, index: usize) {
+        let Some(helper) = self.runs.get(index).at_fault.clone() else { return };
+        let last = self.sends + 1 >= self.request.route.attempts;
+        let requirements = &mut self.request.requirements;
+        requirements.avoid.push(helper);
+        requirements.whole |= last;
+    }
+}
+
 /// Logs a change of the limit of a target; `peer` told of it, or `none`.
 fn log_limit(target_id: &str, stated: Statement, peer: &str) {
     match stated {
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -147,14 +147,20 @@
         let (mut cluster, mesh) = (Self::start(0), Mesh::default());
         let endpoints: Vec<Endpoint> = (0..count).map(|_| cluster.store.open_endpoint()).collect();
         for endpoint in &endpoints {
-            cluster.add_meshed(endpoint, &endpoints, &mesh);
+            cluster.add_meshed(endpoint, &endpoints, &mesh, "");
         }
         (cluster, mesh)
     }
 
     /// Starts a gateway in a network; those that use `endpoints` know it by its second address.
-    fn add_meshed(&mut self, own: &Endpoint, endpoints: &[Endpoint], mesh: &Mesh) -> usize {
-        let number = self.add(own, &[]);
+    fn add_meshed(
+        &mut self,
+        own: &Endpoint,
+        endpoints: &[Endpoint],
+        mesh: &Mesh,
+        more: &str,
+    ) -> usize {
+        let number = self.add_with(own, &[], more);
         let addr =
             mesh.add(self.peers(number), std::iter::repeat_with(unique_ip)).expect("an address");
         for endpoint in endpoints {
--- a/tests/suite/gateway/soak/world.rs
+++ b/tests/suite/gateway/soak/world.rs
@@ -20,6 +20,9 @@
 /// Most memory that an instance may use, in KiB.
 const MAX_MEMORY_KIB: u64 = 160 * 1024;
 
+/// Settings of every second instance; the others take prices and costs as stated.
+const LEARNED: &str = "pricing: learned\ncosts: learned\n";
+
 /// Way of one instance to the store.
 struct Way {
     path: Relay,
@@ -58,8 +61,9 @@
         let mesh = Mesh::default();
         let endpoints: Vec<Endpoint> =
             ways.iter().map(|way| way.endpoint.via(way.path.addr())).collect();
-        for endpoint in &endpoints {
-            cluster.add_meshed(endpoint, &endpoints, &mesh);
+        for (number, endpoint) in endpoints.iter().enumerate() {
+            let more = if number % 2 == 0 { LEARNED } else { "" };
+            cluster.add_meshed(endpoint, &endpoints, &mesh, more);
         }
         let targets = Targets::start(&cluster, promises);
         let mut world = Self {
