--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -357,9 +357,7 @@
         let error = format!("status {}", response.status);
         // Within a stream no other response can follow.
         if !self.progress.begun && !retried && !other_run {
-            if response.status < 400 {
-                self.record_cost(index);
-            }
+            self.record_cost(index);
             self.keep(index);
             // The caller's next request may come at once, and use the same connection.
             self.runs.cancel();
--- a/src/gateway/outlays.rs
+++ b/src/gateway/outlays.rs
@@ -12,6 +12,9 @@
     pub(super) fn record_cost(&self, index: usize) {
         let run = self.runs.get(index);
         let (Some(grant), 1) = (run.grant(), self.sends) else { return };
+        if run.response().is_none_or(|response| response.status >= 400) {
+            return;
+        }
         let (requirements, now) = (&self.request.requirements, Instant::now());
         let (cost, stated) = match requirements.engine {
             // Each event holds the tokens of one pass.
