--- a/crates/core/src/edge/history.rs
+++ b/crates/core/src/edge/history.rs
@@ -13,7 +13,7 @@
 
 /// Number of samples that count in a mean; older ones fade.
 const MEMORY: f64 = 50.0;
-/// Number of samples from which on a workspace's own costs count more than those of its route.
+/// Number of samples at which a workspace's own costs count as much as those of its route.
 const TRUSTED: f64 = 8.0;
 /// Spread of the logarithm before anything was seen: a factor of two.
 const UNKNOWN_SPREAD: f64 = 0.7;
--- a/crates/core/src/edge/speed.rs
+++ b/crates/core/src/edge/speed.rs
@@ -18,7 +18,7 @@
 /// Smallest and largest factor.
 const LEAST_FACTOR: f64 = 0.5;
 const MOST_FACTOR: f64 = 10.0;
-/// Part of a factor's distance from 1 that lies within the spread of the samples of one target.
+/// Distance of a factor from 1 that is taken for the spread of the samples.
 const TOLERANCE: f64 = 0.1;
 
 /// Number of targets from which on those without a recent sample are dropped.
