Pricing: targets that are left out are looked up once a sample

Each sample looked up every target among the avoided ones and predicted loads that an instance without any cannot have.

--- a/crates/core/src/edge/pricing.rs
+++ b/crates/core/src/edge/pricing.rs
@@ -1,7 +1,10 @@
 //! The price that a scheduler puts on the time of engines.
 
+use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
+use crate::edge::cost::Engine;
+use crate::edge::fleet::{Target, TargetId};
 use crate::edge::grant::Refusal;
 use crate::edge::load::Pressure;
 use crate::edge::placement::MIN_BACKLOG;
@@ -10,7 +13,7 @@
 use crate::edge::route_table::{RouteTable, ServiceId};
 use crate::edge::schedule::Scheduler;
 use crate::edge::wait::pressure_price;
-use crate::ids::InstanceId;
+use crate::ids::{InstanceId, ZoneId};
 
 /// Least time between two samples: half a pass.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
@@ -32,22 +35,37 @@
         if self.load.is_empty() && self.pressure.is_empty() {
             return;
         }
+        let sampled = |service: &ServiceId| self.pressure.get(service).and_then(Pressure::at);
+        let is_due =
+            |service: &ServiceId| sampled(service).is_none_or(|at| now >= at + SAMPLE_INTERVAL);
+        let engines = table.services().filter_map(|s| s.engine.map(|e| (&s.name, e)));
+        let due: Vec<(&ServiceId, Engine)> =
+            engines.filter(|(service, _)| is_due(service)).collect();
+        if due.is_empty() {
+            return;
+        }
         self.prices.retain(|service, _| table.engine(service).is_some());
-        for (service, engine) in table.services().filter_map(|s| s.engine.map(|e| (&s.name, e))) {
-            let sampled = self.pressure.get(service).and_then(Pressure::at);
-            if sampled.is_some_and(|at| now < at + SAMPLE_INTERVAL) {
-                continue;
-            }
+        // Looked up here, since fleets are large and few targets are avoided.
+        let avoided: HashSet<&TargetId> = self.outcomes.avoided(now).collect();
+        let cut_off: HashSet<&ZoneId> = self.reachability.cut_off(now).collect();
+        let excluded = |target: &Target| {
+            !avoided.is_empty() && avoided.contains(&target.id)
+                || !cut_off.is_empty() && cut_off.contains(&target.zone)
+        };
+        let idle = self.load.is_empty();
+        for (service, engine) in due {
             let (mut backlogged, mut count) = (0.0, 0.0);
             let mut capacity = Capacity::default();
             for target in self.fleet.serving(service) {
-                let prediction = self.load.predict(&target.id, Some(&engine), now);
+                let backlog = if idle {
+                    Duration::ZERO
+                } else {
+                    self.load.predict(&target.id, Some(&engine), now).prefill_time
+                };
                 count += 1.0;
-                backlogged += f64::from(u8::from(prediction.prefill_time > MIN_BACKLOG));
-                let excluded = self.outcomes.is_avoided(&target.id, now)
-                    || self.reachability.is_cut_off(&target.zone, now);
-                if !excluded {
-                    capacity.add(prediction.prefill_time);
+                backlogged += f64::from(u8::from(backlog > MIN_BACKLOG));
+                if !excluded(target) {
+                    capacity.add(backlog);
                 }
             }
             let share = if count > 0.0 { backlogged / count } else { 0.0 };
