--- a/crates/core/src/edge/history.rs
+++ b/crates/core/src/edge/history.rs
@@ -185,9 +185,4 @@
         // Logistic approximation of the normal distribution.
         1.0 / (1.0 + (1.702 * z).exp())
     }
-
-    /// Returns the share of requests that cost more than `end` among those above `begin`.
-    pub fn share_left(&self, begin: f64, end: f64) -> f64 {
-        (self.share_above(end) / self.share_above(begin).max(f64::MIN_POSITIVE)).min(1.0)
-    }
 }
