review: a script that fails itself ends with code 2

Cause: an error of the script ended it with code 1, as a broken rule does. Change: every such error, and a signal, ends with code 2 and ends what was started.

--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -16,6 +16,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -520,22 +521,26 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+VERDICTS = {0: "the rule held", 1: "the rule was broken", 2: "could not run"}
+
+
 def main(folder, case, **options):
     """Runs `case(fleet, trouble)`, which returns whether the rule held."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    fleet = None
+    fleet, code = None, 2
+
+    def ended(number, _frame):
+        raise CannotRun(f"ended by {signal.Signals(number).name}")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, ended)
     try:
         fleet = Fleet(folder, **options)
-        held = case(fleet, trouble)
-        code = 0 if held else 1
-    except CannotRun as error:
-        print("cannot run:", error)
-        code = 2
-    finally:
-        if fleet is not None:
-            fleet.stop()
+        code = 0 if case(fleet, trouble) else 1
+    except Exception:  # Whatever fails here says nothing of the rule.
+        traceback.print_exc()
     if fleet is not None:
-        verdict = {0: "the rule held", 1: "the rule was broken", 2: "could not run"}[code]
-        fleet.record.write(f"verdict: {verdict}")
-        print(verdict)
+        fleet.stop()
+        fleet.record.write(f"verdict: {VERDICTS[code]}")
+    print(VERDICTS[code], flush=True)
     os._exit(code)
