--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,7 @@
 """The platform restarts a process after a bound in its settings became a fraction.
 
 DEPLOY.md: bounds are "whole numbers, fractions, or true or false". The stand-in of the platform
-fills in the template again, sends SIGHUP, and restarts the process with the settings in effect,
+fills in the template again, and restarts the process with the settings in effect,
 first as planned work, and again each time that the process ends by itself.
 """
 
@@ -10,13 +10,15 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import kit  # noqa: E402
 
 HOST = "photos.example"
 GATEWAYS = 2
 STABLE_S = 4.0
 RESTART_S = 0.5
+# `roll_term` of the site file: share 1.0, gap_s 2.0.
+GAP_S = 2.0
 WATCH_S = 15.0
 CONFIG = {
     "version": 3,
@@ -53,13 +55,12 @@
     starts, ends = [0] * GATEWAYS, [0] * GATEWAYS
     for number in range(GATEWAYS):
         fleet.settings(number)
-        fleet.signal(number, signal.SIGHUP)
-        time.sleep(1.0)
         fleet.signal(number, signal.SIGTERM)
         fleet.processes[number].wait(12)
         time.sleep(RESTART_S)
         fleet.start(number)
         starts[number] += 1
+        time.sleep(GAP_S)
     end = time.monotonic() + WATCH_S
     while time.monotonic() < end:
         for number, process in fleet.processes.items():
@@ -78,7 +79,7 @@
     for line in fleet.log_lines(0, "invalid")[-1:]:
         record.write("gateway 0 wrote: " + line.split("boot-0.conf:")[-1])
     record.write(f"starts {starts}, ends by themselves {ends}, served {served} of {sent}")
-    return not (all(count >= 3 for count in ends) or served == 0)
+    return not all(count >= 3 for count in ends)
 
 
 kit.main(os.path.dirname(os.path.abspath(__file__)), case, zones=("zapad-a",) * GATEWAYS)
--- a/review/common/kit.py
+++ b/review/kit.py
@@ -19,7 +19,7 @@
 import traceback
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(ROOT, "target", "release", "mimosapass")
 TEMPLATE = os.path.join(ROOT, "deploy", "gateway.yaml")
 
