Gateway: each request that is sent once more is logged and counted with its account

What the limits on retries allowed an instance, and why, was in no log line and no metric, so that the hypotheses of the incident could not be told apart. Each repeat has a line with its cause, the requests and retries that count, the limit of this instance and the count of instances that it was divided by; `gateway_retries{service,cause}`, `gateway_denied_retries{service}` and `gateway_retry_account{service,figure}` have the same. A request that goes elsewhere after a peer refused it has `counted=false`. What is decided is as before.

--- a/crates/core/src/edge/retry.rs
+++ b/crates/core/src/edge/retry.rs
@@ -23,6 +23,17 @@
     pub window: Duration,
 }
 
+/// What an instance has used of the limits at one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usage {
+    /// Requests of callers that count.
+    pub requests: usize,
+    /// Retries that count.
+    pub retries: usize,
+    /// Retries that this instance may send.
+    pub limit: f64,
+}
+
 /// Recent requests and retries of one instance at one service.
 #[derive(Clone, Debug, Default)]
 pub struct RetryWindow {
@@ -38,18 +49,24 @@
 
     /// Consumes one retry; returns whether the limits allow it.
     pub fn try_retry(&mut self, limits: &RetryLimits, instances: usize, now: Instant) -> bool {
+        let usage = self.usage(limits, instances, now);
+        let allowed = (usage.retries as f64) < usage.limit;
+        if allowed {
+            self.retries.push_back(now);
+        }
+        allowed
+    }
+
+    /// Returns what is used of the limits.
+    pub fn usage(&mut self, limits: &RetryLimits, instances: usize, now: Instant) -> Usage {
         for times in [&mut self.requests, &mut self.retries] {
             while times.front().is_some_and(|at| now.duration_since(*at) > limits.window) {
                 times.pop_front();
             }
         }
-        let limit =
-            limits.slack / instances.max(1) as f64 + limits.ratio * self.requests.len() as f64;
-        let allowed = (self.retries.len() as f64) < USED_SHARE * limit;
-        if allowed {
-            self.retries.push_back(now);
-        }
-        allowed
+        let (requests, retries) = (self.requests.len(), self.retries.len());
+        let limit = limits.slack / instances.max(1) as f64 + limits.ratio * requests as f64;
+        Usage { requests, retries, limit: USED_SHARE * limit }
     }
 
     /// Gives back the retry that was consumed at `at`: it was not sent.
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -24,7 +24,7 @@
 use super::state::Gateway;
 
 /// Most attempts of a request that may fail before anything was sent.
-const MAX_NOT_SENT: u32 = 4;
+pub(super) const MAX_NOT_SENT: u32 = 4;
 /// Time for which a request waits for the first configuration. A starting instance
 /// loads it within a few hundred milliseconds when the store is healthy.
 const CONFIG_WAIT: Duration = Duration::from_millis(500);
@@ -50,6 +50,8 @@
     pub(super) progress: Progress,
     /// Why the last run failed.
     pub(super) last_error: String,
+    /// The same, as a label.
+    pub(super) last_cause: &'static str,
     /// Target of the last grant, or the target or peer whose response is relayed.
     place: Option<String>,
     /// Peers that it went over.
@@ -105,6 +107,7 @@
         last_response: None,
         progress: Progress::default(),
         last_error: String::new(),
+        last_cause: "unsent",
         place: None,
         tried: Tried::default(),
         refused_by_peer: false,
@@ -127,6 +130,8 @@
             level,
             id = self.request.attempt_id.as_str(),
             route = &*self.request.route.name,
+            service = &*self.request.requirements.service,
+            detoured = self.request.detoured,
             prompt = self.request.requirements.prompt,
             sends = self.sends,
             target_id = self.place.as_deref().unwrap_or("none"),
@@ -214,6 +219,7 @@
         match prepared {
             Ok(prepared) => {
                 let run = Run::new(prepared, self.exchange, &self.request, self.sends);
+                self.record_retry(run.name());
                 self.sends += 1;
                 self.runs.add(run);
             }
@@ -315,6 +321,7 @@
     /// Takes a step of a run; `None` while the request goes on.
     fn take(&mut self, index: usize, step: Step) -> Option<RequestEnd> {
         self.record_step(index, &step);
+        self.last_cause = step.label();
         match step {
             Step::Pending => None,
             Step::Events(events) => self.relay_events(index, &events),
@@ -451,30 +458,6 @@
             .min(last_sent + caller_timeout(route.latency_goal, route.max_gap));
         entry.due = entry.expires;
     }
-
-    /// Returns whether the request may be attempted once more.
-    fn may_retry(&mut self) -> bool {
-        let request = &self.request;
-        if self.not_sent >= MAX_NOT_SENT || self.sends >= request.route.attempts {
-            return false;
-        }
-        if self.may_have_run && !request.is_idempotent() {
-            return false;
-        }
-        if !self.progress.is_resumable() {
-            return false;
-        }
-        if self.sends > 0 && !self.gateway.may_retry_parts(request) {
-            self.last_error = format!("{}; it may crash targets", self.last_error);
-            return false;
-        }
-        let allowed = self.sends == 0
-            || self.gateway.try_retry(&request.requirements.service, Instant::now());
-        if !allowed {
-            self.last_error = format!("{}; the retry budget is used up", self.last_error);
-        }
-        allowed
-    }
 }
 
 /// Records the first event of a stream.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,9 +1,9 @@
 //! Metrics of a gateway.
 
 use prometheus::core::Collector;
-use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 
-use crate::metrics::{counter, counters, gauge, histograms, register};
+use crate::metrics::{counter, counters, gauge, gauges, histograms, register};
 
 /// Histogram bounds: the time limits of chats, summaries and reviews, and fractions
 /// of them.
@@ -25,6 +25,12 @@
     pub attempts: IntCounterVec,
     /// Runs at silent targets by what became of them.
     pub silent_runs: IntCounterVec,
+    /// Requests that were sent once more, by service and cause.
+    pub retries: IntCounterVec,
+    /// Retries denied by the limits, by service.
+    pub denied_retries: IntCounterVec,
+    /// The account of retries, by service and figure.
+    pub retry_account: IntGaugeVec,
     /// Failed calls to the store by reason.
     pub store_failures: IntCounterVec,
     /// Snapshots requested from peers, and configurations received in them, by outcome.
@@ -84,6 +90,13 @@
             requests: counters("gateway_requests", "Ended requests.", &["band", "outcome"]),
             attempts: counters("gateway_attempts", "Sends to targets.", &["outcome"]),
             silent_runs: counters("gateway_silent_runs", "Silent targets.", &["outcome"]),
+            retries: counters("gateway_retries", "Repeated sends.", &["service", "cause"]),
+            denied_retries: counters("gateway_denied_retries", "Denied retries.", &["service"]),
+            retry_account: gauges(
+                "gateway_retry_account",
+                "Requests, retries and the limit of this instance in a window, and instances.",
+                &["service", "figure"],
+            ),
             store_failures: counters("gateway_store_failures", "Failed store calls.", &["reason"]),
             snapshots: counters("gateway_snapshots", "Snapshots of peers.", &["outcome"]),
             first_event_time: times("gateway_first_seconds", "Time to the first byte."),
@@ -135,10 +148,13 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 27] = [
+        let all: [Box<dyn Collector>; 30] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.silent_runs.clone()),
+            Box::new(self.retries.clone()),
+            Box::new(self.denied_retries.clone()),
+            Box::new(self.retry_account.clone()),
             Box::new(self.store_failures.clone()),
             Box::new(self.snapshots.clone()),
             Box::new(self.first_event_time.clone()),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 //! | `prepared` | prepares a run: reserves memory and connects |
 //! | `run` | one run of a request at a target |
 //! | `runs` | the runs of one request: waits for them, and backs up a silent one |
+//! | `retries` | asks for retries within the operator's limits, and records them |
 //! | `reservations` | reserves memory for a prompt that one engine cannot hold |
 //! | `relay` | relays event streams |
 //! | `crashes` | which parts of prompts crash targets, and what peers are told of it |
@@ -52,6 +53,7 @@
 mod relay;
 mod request;
 mod reservations;
+mod retries;
 mod run;
 mod runs;
 mod snapshot;
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -12,7 +12,7 @@
 use mimosapass_caller::exchange::{Departure, Exchange};
 use mimosapass_core::edge::backup::Backup;
 use mimosapass_core::edge::outcomes::Outcome;
-use mimosapass_core::edge::route_table::{Route, ServiceId};
+use mimosapass_core::edge::route_table::Route;
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_target::http::{Awaited, WaitOutcome, wait_any};
 
@@ -305,29 +305,3 @@
         "{text}"
     );
 }
-
-impl Gateway {
-    /// Counts a caller's request, which raises the retry limit of its service.
-    pub fn record_request(&self, service: &ServiceId, now: Instant) {
-        self.state()
-            .retry_windows
-            .entry(ServiceId::clone(service))
-            .or_default()
-            .record_request(now);
-    }
-
-    /// Uses one retry; returns whether the limits allow it.
-    pub fn try_retry(&self, service: &ServiceId, now: Instant) -> bool {
-        let mut state = self.state();
-        let instances = state.instance_count();
-        let window = state.retry_windows.entry(ServiceId::clone(service)).or_default();
-        window.try_retry(&self.settings.retry_limits, instances, now)
-    }
-
-    /// Gives back the retry that was consumed at `at`: it was not sent.
-    fn give_back_retry(&self, service: &ServiceId, at: Instant) {
-        if let Some(window) = self.state().retry_windows.get_mut(service) {
-            window.give_back(at);
-        }
-    }
-}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use prometheus::core::Collector;
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
 };
 
 /// Histogram bounds of the time to first token, in seconds.
@@ -37,6 +37,11 @@
     IntGauge::new(name, help).expect("metric declaration is valid")
 }
 
+/// Builds gauges by label.
+pub fn gauges(name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    IntGaugeVec::new(Opts::new(name, help), labels).expect("metric declaration is valid")
+}
+
 /// Builds histograms of durations, in seconds, by a label.
 pub fn histograms(name: &str, help: &str, label: &str, bounds: &[f64]) -> HistogramVec {
     let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
