Retries: parts of the limit that add up, whatever instances know of each other

Cause: a limit for all was applied by each instance on what it believed. The slack was divided by the instances that one happens to know (one less than there are; one after a start; those of the zone while entries are missing after an outage), a process that started again had an empty account, a retry counted when it was asked for and arrived seconds later with others, sliding windows of different times were added up, and each part was rounded up.

Now retries since any moment are set against the own requests of the window before it, which adds up for any load; a retry counts until it is sent; parts are rounded down, so that 0.7 of the limit is not the bound any more; a process that has just started retries nothing for the time for which what the one before it sent counts; and the part of the slack is held like a lease: for as long as others count this instance, divided by the highest count of the last two terms, and not before all others count it. An instance that stops leaves its entry to expire, so that the next process finds it. The memory of a ledger is bounded. Tests of gateways state that their fleet starts for the first time, as the platform's settings do.

--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -32,6 +32,7 @@
 //! - [`requirements`]: what the placement of a request depends on.
 //! - [`schedule`]: the state of an instance, and the rounds that place waiting requests.
 //! - [`retry`]: how many retries an instance may send.
+//! - [`retry_share`]: which part of the retries that all share an instance may use.
 //! - [`election`]: which instances of an availability zone act for the others.
 //! - [`audience`]: which instances get which datagrams.
 //! - [`remote`]: requests of this instance that a scheduler of its zone places.
@@ -75,6 +76,7 @@
 pub mod remote;
 pub mod requirements;
 pub mod retry;
+pub mod retry_share;
 pub mod route_table;
 pub mod schedule;
 pub mod shared_rate;
--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -19,6 +19,8 @@
 
 /// Number of targets to which a request that comes over a peer may be sent.
 pub const ATTEMPTS: &str = "x-mimosapass-attempts";
+/// Number of targets that got a request which a peer refuses: each of them counts as a send.
+pub const SENDS: &str = "x-mimosapass-sends";
 /// Statuses with which a peer states that a request has not run and will not.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -93,7 +95,7 @@
         self.start(Prepared::over(self.gateway, peer));
     }
 
-    /// Records that the peer of a run refused the request: no target has got it.
+    /// Records that the peer of a run refused the request: no target has run it.
     pub(super) fn record_peer_refusal(&mut self, index: usize) {
         self.sends -= 1;
         self.not_sent += 1;
--- a/src/gateway/ending.rs
+++ b/src/gateway/ending.rs
@@ -10,6 +10,7 @@
 use mimosapass_target::http::ResponseHead;
 
 use super::attempt;
+use super::detour;
 use super::flow::Flow;
 use super::state::Gateway;
 
@@ -72,9 +73,12 @@
 }
 
 /// Responds with a failure of the gateway itself.
-pub fn respond_failure(exchange: &mut Exchange<'_>, failure: &Failure) {
+///
+/// `sends` is the number of targets that got the request, if a peer is to be told.
+pub fn respond_failure(exchange: &mut Exchange<'_>, failure: &Failure, sends: Option<u32>) {
     let row = failure.kind.row();
     let mut headers = vec![("content-type", "text/plain".to_owned())];
+    headers.extend(sends.map(|sends| (detour::SENDS, sends.to_string())));
     if let (true, Some(after)) = (row.not_run, failure.retry_after()) {
         headers.push((header::RETRY_AFTER, header::retry_after(after)));
     }
@@ -140,7 +144,8 @@
         if failure.kind == Kind::CallerGone {
             return RequestEnd::caller_gone(self.exchange);
         }
-        respond_failure(self.exchange, failure);
+        let told = self.request.detoured.then_some(self.sends);
+        respond_failure(self.exchange, failure, told);
         RequestEnd { outcome: failure.kind.row().code, detail: failure.to_string() }
     }
 }
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -12,13 +12,14 @@
 use mimosapass_core::ids::TargetId;
 use mimosapass_target::http::ResponseHead;
 
-use super::detour::Tried;
+use super::detour::{self, Tried};
 use super::ending::{CALLER_GONE, RequestEnd, log_refusal, respond_failure};
 use super::metrics::band;
 use super::prepared::{NotStarted, Prepared};
 use super::queue;
 use super::relay::{self, Progress};
 use super::request::{self, Request};
+use super::retries::Retry;
 use super::run::{Run, Step};
 use super::runs::Runs;
 use super::state::Gateway;
@@ -40,6 +41,10 @@
     pub(super) runs: Runs<'a>,
     /// Targets and peers to which something was sent.
     pub(super) sends: u32,
+    /// Targets that got it from peers which refused it then.
+    pub(super) sent_by_peers: u32,
+    /// The retry that is reserved for the next run.
+    pub(super) retry: Option<Retry>,
     /// Targets and peers to which nothing could be sent.
     pub(super) not_sent: u32,
     /// Whether the request may have run.
@@ -69,6 +74,7 @@
         thread::sleep(POLL_INTERVAL);
     }
     let table = gateway.route_table();
+    let detoured = exchange.head.header(detour::ATTEMPTS).is_some();
     let resolved = request::resolve(&table, exchange, arrived);
     let resolved = resolved.map_err(|f| request::doubt(gateway, f, table.version, arrived));
     let resolved = resolved.and_then(|request| {
@@ -87,7 +93,8 @@
         Ok(request) => request,
         Err(failure) => {
             log_refusal(gateway, &table, &exchange.head, &failure, arrived);
-            return respond_failure(exchange, &failure);
+            // Refused on arrival, by a peer's request too: no target has got it.
+            return respond_failure(exchange, &failure, Some(0).filter(|_| detoured));
         }
     };
     exchange.set_deadline(request.deadline);
@@ -102,6 +109,8 @@
         request,
         runs,
         sends: 0,
+        sent_by_peers: 0,
+        retry: None,
         not_sent: 0,
         may_have_run: false,
         last_response: None,
@@ -219,11 +228,12 @@
         match prepared {
             Ok(prepared) => {
                 let run = Run::new(prepared, self.exchange, &self.request, self.sends);
-                self.record_retry(run.name());
+                self.record_send(run.name());
                 self.sends += 1;
                 self.runs.add(run);
             }
             Err(NotStarted { engine, error }) => {
+                self.retry = None;
                 self.not_sent += 1;
                 self.last_error = error;
                 self.request.requirements.avoid.extend(engine);
@@ -303,11 +313,12 @@
                 self.runs.deny("it may crash targets", &self.request, now);
             }
         }
-        if let Some((grant, retried)) = self.runs.take_grant(&self.request, now) {
+        if let Some((grant, retry)) = self.runs.take_grant(&self.request, now) {
             self.record_grant(&grant);
-            self.runs.prepare_target(grant, retried, &self.request);
+            self.runs.prepare_target(grant, retry, &self.request);
         }
-        let Some(prepared) = self.runs.take_prepared(&self.request) else { return };
+        let Some((prepared, retry)) = self.runs.take_prepared() else { return };
+        self.retry = Some(retry);
         self.start(prepared);
         if self.not_sent >= MAX_NOT_SENT {
             self.runs.deny("too many targets cannot be reached", &self.request, now);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -120,6 +120,7 @@
     if full {
         schedule.full = now + FULL_INTERVAL;
         remove_silent(state, now);
+        state.observe_fleet(now);
         state.scheduler.turn = state.turn(gateway, now);
         let senders = state.senders(gateway, now);
         state.scheduler.limits.set_senders(senders, now);
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -1,13 +1,15 @@
 //! Registers this instance in the store, and reads the entries of its peers.
 //!
 //! The entry is bound to a lease, so that it is deleted when the instance fails. An
-//! instance that cannot register is found by its datagrams.
+//! instance that cannot register is found by its datagrams. One that stops leaves its entry to
+//! expire: the process that takes its place finds it, and knows that others count it already.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use mimosapass_core::edge::retry_share::{Found, REGISTRATION_TTL};
 use mimosapass_core::ids::{InstanceId, ZoneId};
 use mimosapass_platform::store::{LeaseId, StoreError};
 
@@ -19,7 +21,7 @@
 pub const PREFIX: &str = "mimosapass/instances/";
 /// Bounds how long heartbeats are sent to the address of a failed peer. The failure
 /// itself is detected much earlier, by missing datagrams.
-const LEASE_TTL: Duration = Duration::from_mins(2);
+const LEASE_TTL: Duration = REGISTRATION_TTL;
 /// Allows three failed renewals before the lease expires. The calls of the whole fleet
 /// are renewals most of the time, so they are as rare as the lease allows.
 const RENEW_INTERVAL: Duration = Duration::from_secs(30);
@@ -60,25 +62,37 @@
             }
         }
     }
-    if let Some(lease) = lease
-        && let Err(e) = gateway.store.revoke_lease(lease)
-    {
-        log::info!("member: the lease could not be revoked and will expire: {e}.");
-    }
 }
 
 fn register_or_renew(gateway: &Gateway, lease: Option<LeaseId>) -> Result<LeaseId, StoreError> {
+    let begun = Instant::now();
     if let Some(lease) = lease {
         gateway.store.renew_lease(lease)?;
+        confirm(gateway, Found::Own, begun);
         return Ok(lease);
     }
-    let lease = gateway.store.grant_lease(LEASE_TTL)?;
     let key = format!("{PREFIX}{}/{}", gateway.settings.zone, gateway.name);
+    let former = gateway.store.get(&key)?.is_some();
+    let begun = Instant::now();
+    let lease = gateway.store.grant_lease(LEASE_TTL)?;
     let addr = gateway.settings.listen.peers.to_string();
     gateway.store.put(&key, addr.as_bytes(), lease)?;
+    confirm(gateway, if former { Found::Former } else { Found::Missing }, begun);
     Ok(lease)
 }
 
+/// Records that a call that began at `begun` confirmed the registration.
+fn confirm(gateway: &Gateway, found: Found, begun: Instant) {
+    let mut state = gateway.state();
+    let before = state.retry_share;
+    state.retry_share.confirm(found, gateway.settings.retry_limits.memory(), begun);
+    if before.usable_from() != state.retry_share.usable_from() {
+        let wait = state.retry_share.usable_from().map(|at| at.saturating_duration_since(begun));
+        let wait_ms = wait.unwrap_or_default().as_millis() as u64;
+        log::info!(found:? = found, wait_ms; "member: registered, shared retries may be used later.");
+    }
+}
+
 /// Applies a change of a peer's entry.
 pub fn apply_entry(gateway: &Gateway, path: &str, value: Option<&[u8]>) {
     let (zone, name) = match path.split_once('/') {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -25,6 +25,8 @@
 /// Silence after which a scheduler is not asked any more: three of its datagrams are
 /// missing.
 const SCHEDULER_SILENCE: Duration = Duration::from_secs(1);
+/// Time since the last answer of the store after which the entries known here may be old.
+const STORE_SILENCE: Duration = Duration::from_secs(3);
 
 /// What is known of a peer from its datagrams.
 #[derive(Clone, Debug)]
@@ -157,7 +159,7 @@
     }
 
     /// Returns which instances send to targets, as far as this one knows their requests.
-    pub fn senders(&self, gateway: &Gateway, now: Instant) -> Senders {
+    pub fn senders(&mut self, gateway: &Gateway, now: Instant) -> Senders {
         let heard = self
             .peers
             .iter()
@@ -165,7 +167,7 @@
         let mut others: Vec<InstanceId> = heard.map(|(name, _)| InstanceId::clone(name)).collect();
         others.sort_unstable();
         let share = if others.is_empty() || !self.places_own(gateway, now) {
-            1.0 / self.instance_count() as f64
+            1.0 / self.instance_count(now) as f64
         } else {
             self.heard_zones(&others)
         };
@@ -243,15 +245,28 @@
         currency::is_current(version, self.store.last_success.map(age), peers)
     }
 
-    /// Returns the number of live instances, including this one.
-    pub fn instance_count(&self) -> usize {
-        let told = self.peers.values().map(|p| p.instances as usize).max().unwrap_or_default();
-        self.known_instances().max(told)
+    /// Returns the number of instances, including this one.
+    pub fn instance_count(&mut self, now: Instant) -> usize {
+        let known = self.known_instances();
+        self.fleet_size.count(now).map_or(known, |count| count.max(known))
     }
 
     /// Returns the number of instances that are registered or heard, including this one.
     pub fn known_instances(&self) -> usize {
-        (self.peers.len() + 1).max(self.members.len())
+        let heard = self.peers.keys().filter(|name| !self.members.contains_key(*name)).count();
+        self.members.len() + heard + 1
+    }
+
+    /// Records the count of instances if it is that of the store: as this instance sees it, or a
+    /// peer that watches it.
+    pub fn observe_fleet(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now < at + STORE_SILENCE;
+        let own = self.store.last_success.is_some_and(is_recent).then(|| self.known_instances());
+        let watching = self.peers.values().filter(|p| p.watching && !p.store_unreachable);
+        let told = watching.map(|p| p.instances as usize).max();
+        if let Some(count) = own.max(told) {
+            self.fleet_size.record(count, now);
+        }
     }
 
     /// Returns the receivers of datagrams. All instances use the same port for them.
--- a/src/gateway/runs.rs
+++ b/src/gateway/runs.rs
@@ -20,6 +20,7 @@
 use super::prepared::{NotStarted, Prepared};
 use super::queue::Queued;
 use super::request::Request;
+use super::retries::Retry;
 use super::run::{Run, Step};
 use super::state::Gateway;
 
@@ -41,8 +42,8 @@
     active: Vec<Run>,
     /// When a silent run is backed up, if the request may be repeated.
     backup: Option<Backup>,
-    /// The second target that is asked for, and when its retry was consumed.
-    pending: Option<(Pending<'g>, Instant)>,
+    /// The second target that is asked for, and the retry that is reserved for it.
+    pending: Option<(Pending<'g>, Retry)>,
 }
 
 /// A second target that is asked for.
@@ -105,7 +106,7 @@
 
     /// Cancels all runs but one, and the request for a backup.
     pub fn keep(&mut self, index: usize, request: &Request) -> &mut Run {
-        self.cancel_backup(request);
+        self.pending = None;
         let run = self.active.swap_remove(index);
         for other in std::mem::replace(&mut self.active, vec![run]) {
             if let Some(since) = other.silent_since {
@@ -166,45 +167,43 @@
 
     /// Asks for a second target, or goes over a peer, if the limits on retries allow it.
     pub fn ask_backup(&mut self, request: &Request, peer: Option<Peer>, now: Instant) {
-        if self.gateway.try_retry(&request.requirements.service, now) {
-            if let Some(peer) = peer {
-                return self.prepare(now, request, move |gateway| Prepared::over(gateway, peer));
-            }
-            let requirements = request.requirements.clone();
-            let queued = Queued::enqueue(self.gateway, requirements);
-            self.pending = Some((Pending::Queued(Box::new(queued)), now));
-        } else {
-            self.deny("the limits on retries are reached", request, now);
+        let Some(retry) = self.gateway.reserve_retry(&request.requirements.service, now) else {
+            return self.deny("the limits on retries are reached", request, now);
+        };
+        if let Some(peer) = peer {
+            return self.prepare(retry, request, move |gateway| Prepared::over(gateway, peer));
         }
+        let requirements = request.requirements.clone();
+        let queued = Queued::enqueue(self.gateway, requirements);
+        self.pending = Some((Pending::Queued(Box::new(queued)), retry));
     }
 
-    /// Returns the grant of a second target, once there is one, and when its retry was consumed.
-    pub fn take_grant(&mut self, request: &Request, now: Instant) -> Option<(Grant, Instant)> {
-        let Some((Pending::Queued(queued), retried)) = &mut self.pending else { return None };
-        let (granted, retried) = (queued.poll(Duration::ZERO)?, *retried);
-        let Some((Pending::Queued(queued), _)) = self.pending.take() else { return None };
+    /// Returns the grant of a second target, once there is one, and the retry for it.
+    pub fn take_grant(&mut self, request: &Request, now: Instant) -> Option<(Grant, Retry)> {
+        let Some((Pending::Queued(queued), _)) = &mut self.pending else { return None };
+        let granted = queued.poll(Duration::ZERO)?;
+        let Some((Pending::Queued(queued), retry)) = self.pending.take() else { return None };
         let failure = match granted {
-            Ok(grant) => return Some((grant, retried)),
+            Ok(grant) => return Some((grant, retry)),
             Err(failure) => failure,
         };
         let late = queued.leave();
         if late.is_none() {
-            self.gateway.give_back_retry(&request.requirements.service, retried);
             self.deny(&failure.to_string(), request, now);
         }
-        late.map(|grant| (grant, retried))
+        late.map(|grant| (grant, retry))
     }
 
     /// Prepares a granted second target.
-    pub fn prepare_target(&mut self, grant: Grant, retried: Instant, request: &Request) {
+    pub fn prepare_target(&mut self, grant: Grant, retry: Retry, request: &Request) {
         let idempotent = request.is_idempotent();
-        self.prepare(retried, request, move |gateway| Prepared::new(gateway, grant, idempotent));
+        self.prepare(retry, request, move |gateway| Prepared::new(gateway, grant, idempotent));
     }
 
     /// Prepares a second run on a thread, so that the first one is relayed meanwhile.
     fn prepare(
         &mut self,
-        retried: Instant,
+        retry: Retry,
         request: &Request,
         prepare: impl FnOnce(&Arc<Gateway>) -> Result<Prepared, NotStarted> + Send + 'static,
     ) {
@@ -216,24 +215,22 @@
         };
         let builder = thread::Builder::new().name("backup".to_owned()).stack_size(STACK_BYTES);
         match builder.spawn(work) {
-            Ok(_) => self.pending = Some((Pending::Preparing(prepared), retried)),
-            Err(e) => self.deny(&format!("no thread can be started: {e}"), request, retried),
+            Ok(_) => self.pending = Some((Pending::Preparing(prepared), retry)),
+            Err(e) => {
+                self.deny(&format!("no thread can be started: {e}"), request, Instant::now());
+            }
         }
     }
 
-    /// Returns the second target once it is prepared, or why it could not be.
-    pub fn take_prepared(&mut self, request: &Request) -> Option<Result<Prepared, NotStarted>> {
+    /// Returns the second target once it is prepared, or why it could not be, and the retry.
+    pub fn take_prepared(&mut self) -> Option<(Result<Prepared, NotStarted>, Retry)> {
         let Some((Pending::Preparing(prepared), _)) = &self.pending else { return None };
         let result = match prepared.try_recv() {
             Err(TryRecvError::Empty) => return None,
             Err(TryRecvError::Disconnected) => Err("the thread has ended".to_owned().into()),
             Ok(result) => result,
         };
-        if result.is_err() {
-            self.cancel_backup(request);
-        }
-        self.pending = None;
-        Some(result)
+        self.pending.take().map(|(_, retry)| (result, retry))
     }
 
     /// Records that a backup could not be had.
@@ -248,12 +245,6 @@
         );
     }
 
-    fn cancel_backup(&mut self, request: &Request) {
-        if let Some((_, retried)) = self.pending.take() {
-            self.gateway.give_back_retry(&request.requirements.service, retried);
-        }
-    }
-
     fn count(&self, outcome: &str) {
         self.gateway.metrics.silent_runs.with_label_values(&[outcome]).inc();
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -102,11 +102,12 @@
     ratio: f64,
     slack: f64,
     window_ms: u64,
+    first_start: bool,
 }
 
 impl Default for Repeats {
     fn default() -> Self {
-        Self { ratio: 0.2, slack: 100.0, window_ms: 10_000 }
+        Self { ratio: 0.2, slack: 100.0, window_ms: 10_000, first_start: false }
     }
 }
 
@@ -135,6 +136,8 @@
     pub stop_limit: Duration,
     /// Limits on retries, shared by all instances.
     pub retry_limits: RetryLimits,
+    /// Whether no instance ran before the fleet that this one starts with.
+    pub first_start: bool,
     /// Memory of the machine, in megabytes.
     pub memory_mb: usize,
     /// Processor share of the machine, in thousandths of a core; 1 or more.
@@ -165,6 +168,7 @@
             slack: repeats.slack,
             window: Duration::from_millis(repeats.window_ms),
         },
+        first_start: repeats.first_start,
         memory_mb,
         capacity: (cores * 1000.0) as u32,
         pricing: pricing.into(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,7 +19,8 @@
 use mimosapass_core::edge::quarantine::Quarantine;
 use mimosapass_core::edge::reach::Reach;
 use mimosapass_core::edge::remote::RemoteRequests;
-use mimosapass_core::edge::retry::RetryWindow;
+use mimosapass_core::edge::retry::RetryLedger;
+use mimosapass_core::edge::retry_share::{FleetSize, RetryShare};
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
 use mimosapass_core::edge::schedule::{Exclusions, Grant, Scheduler};
 use mimosapass_core::ids::{InstanceId, TargetId};
@@ -93,7 +94,11 @@
     /// Slots in which threads wait for a grant, by request.
     pub grant_slots: HashMap<RequestNumber, Arc<GrantSlot>>,
     /// Recent requests and retries by service.
-    pub retry_windows: HashMap<ServiceId, RetryWindow>,
+    pub retry_ledgers: HashMap<ServiceId, RetryLedger>,
+    /// Whether this instance may use its part of the retries that all share.
+    pub retry_share: RetryShare,
+    /// How many instances there are.
+    pub fleet_size: FleetSize,
     /// Peers by name, from their datagrams.
     pub peers: HashMap<InstanceId, Peer>,
     /// Addresses of peers from the store, by name.
@@ -345,7 +350,9 @@
         Self {
             scheduler,
             grant_slots: HashMap::new(),
-            retry_windows: HashMap::new(),
+            retry_ledgers: HashMap::new(),
+            retry_share: RetryShare::new(settings.first_start),
+            fleet_size: FleetSize::default(),
             peers: HashMap::new(),
             members: HashMap::new(),
             remote: RemoteRequests::default(),
--- a/tests/suite/gateway/backups.rs
+++ b/tests/suite/gateway/backups.rs
@@ -15,7 +15,7 @@
 /// Time in which a request that is backed up is served.
 const BACKED_UP: Duration = Duration::from_secs(4);
 /// Limits on retries that are never reached.
-const MANY_RETRIES: &str = "repeats: {ratio: 1, slack: 500, window_ms: 10000}\n";
+const MANY_RETRIES: &str = "repeats: {first_start: true, ratio: 1, slack: 500, window_ms: 10000}\n";
 
 fn cluster(targets: &[&ScriptedTarget], service: &str, settings: &str) -> Cluster {
     let mut cluster = Cluster::start(0);
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -128,9 +128,11 @@
         let number = self.gateways.len();
         let ip = unique_ip();
         let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
+        // Without it a process sends no retry in its first window.
+        let repeats = if more.contains("repeats:") { "" } else { "repeats: {first_start: true}\n" };
         let text = format!(
             "name: gate-{number}\nzone: a\nlisten:\n  callers: {ip}:8080\n  ready: {ip}:8081\n  \
-             peers: {ip}:8082\n  metrics: {ip}:8083\nstore: {}\nseeds: [{}]\n{more}",
+             peers: {ip}:8082\n  metrics: {ip}:8083\nstore: {}\nseeds: [{}]\n{repeats}{more}",
             endpoint.addr,
             seeds.join(", ")
         );
--- a/tests/suite/gateway/quarantine.rs
+++ b/tests/suite/gateway/quarantine.rs
@@ -15,7 +15,7 @@
 /// Time between an event and the crash of its target.
 const SHORT: Duration = Duration::from_millis(20);
 /// Limits on retries that are never reached.
-const MANY_RETRIES: &str = "repeats: {ratio: 1, slack: 500, window_ms: 10000}\n";
+const MANY_RETRIES: &str = "repeats: {first_start: true, ratio: 1, slack: 500, window_ms: 10000}\n";
 
 fn stream() -> Reply {
     Reply::Stream { last: 4, pause: Duration::from_millis(200), cut_at: None }
--- a/tests/suite/gateway/repeated_crashes.rs
+++ b/tests/suite/gateway/repeated_crashes.rs
@@ -12,7 +12,7 @@
 /// Header by which targets tell the request that crashes them.
 const DEADLY: &str = "x-note: deadly\r\n";
 /// Limits on retries that are never reached.
-const MANY_RETRIES: &str = "repeats: {ratio: 1, slack: 500, window_ms: 10000}\n";
+const MANY_RETRIES: &str = "repeats: {first_start: true, ratio: 1, slack: 500, window_ms: 10000}\n";
 
 fn start_target(id: &str) -> ScriptedTarget {
     ScriptedTarget::start(id, |head| {
--- a/tests/suite/gateway/streams.rs
+++ b/tests/suite/gateway/streams.rs
@@ -195,7 +195,7 @@
     let other = start_target("i-1", stream(3, None));
     cluster.register(&other, service);
     let endpoint = cluster.endpoint.clone();
-    let none = "repeats: {ratio: 0, slack: 0, window_ms: 10000}\n";
+    let none = "repeats: {first_start: true, ratio: 0, slack: 0, window_ms: 10000}\n";
     cluster.add_with(&endpoint, &[], none);
     cluster.ready(0);
     (cluster, target)
