Detours: targets that refused a request at a peer count as sends

A request whose targets could not be connected to went over a peer, targets refused it there, and it went over the next peer, or to a target of its own, as if no target had got it: no limit on retries knew of these sends.

A peer that refuses a request states how many targets got it, and the next send needs a retry if any did.

refusals_at_peers_count_as_sends failed before, with 2 sends where the limits allow one, and passes.

--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -100,7 +100,10 @@
         self.sends -= 1;
         self.not_sent += 1;
         self.refused_by_peer = true;
-        self.retry_after = self.runs.get(index).response().and_then(retry_after);
+        let response = self.runs.get(index).response();
+        self.retry_after = response.and_then(retry_after);
+        // A former version states no number.
+        self.sent_by_peers += response.and_then(sends).unwrap_or(1);
     }
 
     /// Records the peer that the request goes over; it does not go over that one again.
@@ -144,3 +147,8 @@
     let seconds: f64 = response.header("retry-after")?.trim().parse().ok()?;
     Duration::try_from_secs_f64(seconds).ok()
 }
+
+/// Returns how many targets got a request that a peer refused, as it states.
+fn sends(response: &ResponseHead) -> Option<u32> {
+    response.header(SENDS)?.trim().parse().ok()
+}
--- a/tests/suite/gateway/cut_off.rs
+++ b/tests/suite/gateway/cut_off.rs
@@ -36,6 +36,11 @@
 
     /// Starts it with targets of `desk` that reply in this way.
     fn start_with(reply: &Reply) -> Self {
+        Self::start_more(reply, 1, "")
+    }
+
+    /// As [`Self::start_with`], with a number of peers and more lines of settings.
+    fn start_more(reply: &Reply, peers: usize, more: &str) -> Self {
         let mut cluster = Cluster::start(0);
         let apart = cluster.store.open_endpoint();
         let (mut targets, mut paths) = (Vec::new(), Vec::new());
@@ -50,14 +55,18 @@
             paths.push(path);
         }
         let direct = cluster.endpoint.clone();
-        cluster.add(&apart, &[]);
-        cluster.add(&direct, &[]);
-        for number in 0..2 {
+        cluster.add_with(&apart, &[], more);
+        for _ in 0..peers {
+            cluster.add_with(&direct, &[], more);
+        }
+        for number in 0..=peers {
             cluster.ready(number);
             cluster.knows_targets(number, 2 * TARGETS);
         }
-        cluster.logged(0, &["first datagram received", "gate-1"]);
-        cluster.logged(1, &["first datagram received", "gate-0"]);
+        for peer in 1..=peers {
+            cluster.logged(0, &["first datagram received", &format!("gate-{peer}")]);
+            cluster.logged(peer, &["first datagram received", "gate-0"]);
+        }
         Self { cluster, paths, targets }
     }
 
@@ -160,6 +169,22 @@
     assert!(left.elapsed() < LEAVE_TIME, "after {:?}", left.elapsed());
 }
 
+/// Guards against sends that no limit knows: targets refused a request at one peer, it went over the
+/// next one, and each of the targets there counted as the first.
+#[rstest]
+#[case::call("/look/1")]
+#[case::call_that_runs_once("/book/1")]
+fn refusals_at_peers_count_as_sends(#[case] path: &str) {
+    let none = "repeats: {first_start: true, ratio: 0, slack: 0, window_ms: 10000}\n";
+    let fixture = Fixture::start_more(&Reply::NotExecuted(503), 2, none);
+    fixture.cut(Admission::Refused);
+    for number in 0..6 {
+        let id = format!("cut-{number}");
+        assert_eq!(fixture.ask(path, &id), 503);
+        assert_eq!(fixture.runs(&id), 1, "request {number}");
+    }
+}
+
 /// Guards against headers of the installation's own that reach targets, or that callers set.
 #[test]
 fn targets_see_nothing_of_the_way_of_a_request() {
