Member list: an odd entry is skipped, and hides no other

An instance of `mimosapass serve` stopped following the platform's list as long as it had one entry that could not be decoded: a role it does not know, a field of another type, a number too large, nesting over 128 levels, bytes that are no UTF-8. An address without a sound port was taken for a target.

Cause: the list was decoded as a whole. Each entry is decoded by itself now, from text that is cut into entries without recursion; invalid ones are logged in one line of bounded length.

--- a/src/background/listing.rs
+++ b/src/background/listing.rs
@@ -10,7 +10,7 @@
 use mimosapass_core::config::TargetKind;
 use mimosapass_core::target_table::ListedTarget;
 use mimosapass_instance::message::{self, Body};
-use mimosapass_keyvalue::members::{Member, MembersClient, Role};
+use mimosapass_keyvalue::members::{self, Member, MembersClient, Role};
 
 use crate::node::Node;
 
@@ -29,10 +29,10 @@
             Ok(None) => node.state().listed_at = Some(Instant::now()),
             // An empty list lacks even this instance: the platform has lost it or
             // has just restarted.
-            Ok(Some(members)) if members.is_empty() => {
+            Ok(Some(list)) if list.is_empty() => {
                 log::warn!("listing: ignored an empty member list of the platform.");
             }
-            Ok(Some(members)) => install(node, members, Instant::now()),
+            Ok(Some(list)) => install(node, list, Instant::now()),
             // The last list stays in use, so that a zone that is cut off still serves.
             Err(e) => {
                 log::warn!("listing: cannot read the member list: {e}.");
@@ -86,7 +86,7 @@
 
 /// Installs the list of a peer unless this instance has a newer one.
 pub fn receive_list(node: &Node, list: &message::MemberList) {
-    let Ok(members) = serde_json::from_slice::<Vec<Member>>(&list.json) else {
+    let Ok(members) = members::decode(&list.json) else {
         log::warn!("listing: cannot parse the member list of a peer.");
         return;
     };
