--- a/tests/suite/gateway/views.rs
+++ b/tests/suite/gateway/views.rs
@@ -96,6 +96,53 @@
     });
 }
 
+/// Guards against instances that end or stop following for one odd entry, listed or changed.
+#[test]
+fn odd_entries_of_targets_cost_nothing_else() {
+    let deep = |depth: usize| format!("{}1{}", "[".repeat(depth), "]".repeat(depth));
+    let entry = |address: &str, slots: &str, zone: &str| {
+        format!(
+            "{{\"service\":\"desk\",\"address\":\"{address}\",\"zone\":{zone},\"slots\":{slots},\
+             \"state\":\"ready\",\"seq\":1,\"born\":1}}"
+        )
+    };
+    let odd = [
+        deep(100_000),
+        "[".repeat(200_000),
+        entry("127.0.0.1:9", "1", &deep(50_000)),
+        entry("127.0.0.1:9", "1e999", "\"a\""),
+        entry("127.0.0.1:9", "123456789012345678901234567890", "\"a\""),
+        entry("127.0.0.1:65536", "1", "\"a\""),
+        entry("127.0.0.1:-1", "1", "\"a\""),
+        entry("127.0.0.1:0", "1", "\"a\""),
+        entry("127.0.0.1:9", "1", "\"a\",\"zone\":\"b\""),
+        entry("0.0.0.0:9", "1", &format!("\"{}\"", "z".repeat(500_000))),
+    ];
+    let write = |cluster: &Cluster| {
+        for (number, value) in odd.iter().enumerate() {
+            cluster.store.set(&format!("servers/odd-{number}"), value.as_bytes());
+        }
+    };
+    // In the first listing, and then as changes.
+    let mut cluster = Cluster::start(0);
+    write(&cluster);
+    let endpoint = cluster.endpoint.clone();
+    cluster.add(&endpoint, &[]);
+    cluster.ready(0);
+    for number in 0..3 {
+        write(&cluster);
+        let target = start_target(&format!("i-{number}"), Reply::Complete(200, "yes"));
+        cluster.register(&target, "desk");
+        cluster.knows_targets(0, 1);
+        for _ in 0..5 {
+            assert_eq!(status(&cluster, 0, "/book/1", KEY), 200);
+        }
+        cluster.store.delete(&format!("servers/i-{number}"));
+        cluster.knows_targets(0, 0);
+    }
+    assert_eq!(cluster.log(0).matches("gateway: started").count(), 1);
+}
+
 #[test]
 fn compacted_history_leads_to_a_new_listing() {
     let (cluster, _target) = start_with_target(1);
