Model requests: one that may not be repeated gets a connection of its own

A model request of `mimosapass serve` that is not idempotent ran at two engines: on a kept connection an engine wrote an earlier refusal once more, it was taken for the answer, and the request was sent to the next engine while the first one ran it.

Cause: `ureq` takes the next response on a connection for the answer, and a refusal of an engine names no request. Calls of services that may not be repeated have had connections of their own; streams had not.

What may be repeated still uses kept connections: there such a refusal leads to a second run.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -5,8 +5,8 @@
 //! attempt is cancelled: a broken connection frees nothing, since the stream could be
 //! resumed, and neither does an expiry.
 
-use std::collections::BTreeMap;
-use std::io;
+use std::collections::{BTreeMap, HashSet};
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -79,6 +79,8 @@
     pub leaving: bool,
     /// Refuse new requests without running them.
     pub refuse: bool,
+    /// On a connection that was used before, write a refusal before each answer.
+    pub repeat_refusal: bool,
     /// Send the identifier of another attempt in every event.
     pub crossed: bool,
     /// Omit the end event.
@@ -117,6 +119,8 @@
     pub(crate) bands: [u64; BAND_COUNT],
     pub(crate) memory: Memory,
     pub(crate) runs: u64,
+    /// Callers whose connections have carried a call.
+    callers: HashSet<SocketAddr>,
     report_count: u64,
     last_report: Option<(Instant, Load)>,
     cache_events: Vec<(Instant, CacheEvent)>,
@@ -226,6 +230,7 @@
         let faults = self.wait_while(|f| f.frozen);
         std::thread::sleep(Duration::from_millis(faults.delay_ms));
         if let Some(call) = Call::from_path(&exchange.head.path) {
+            self.write_former_refusal(exchange, &faults);
             return self.generate(exchange, call, &faults);
         }
         match exchange.head.path.as_str() {
@@ -242,6 +247,17 @@
         }
     }
 
+    /// Writes a refusal that belongs to no request of the connection.
+    fn write_former_refusal(&self, exchange: &Exchange<'_>, faults: &Faults) {
+        let Ok(caller) = exchange.socket().peer_addr() else { return };
+        let is_kept = !self.state().callers.insert(caller);
+        if faults.repeat_refusal && is_kept {
+            let refusal =
+                format!("HTTP/1.1 503 Busy\r\n{REFUSED}: full\r\ncontent-length: 0\r\n\r\n");
+            exchange.socket().write_all(refusal.as_bytes()).unwrap_or_default();
+        }
+    }
+
     fn set_faults(&self, exchange: &mut Exchange<'_>) {
         match serde_json::from_slice(&exchange.body) {
             Ok(faults) => {
--- a/src/request/generation.rs
+++ b/src/request/generation.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Returns whether the request may run more than once.
+    fn is_repeatable(&self) -> bool {
+        self.admitted.class.idempotent != Some(false)
+    }
+
     /// Runs the request until its answer is complete.
     ///
     /// # Errors
@@ -127,7 +132,7 @@
     /// Fails when there is no complete answer; part of it may have been streamed.
     pub fn run(mut self, explanation: &mut Explanation) -> Result<(), Failure> {
         let node = Arc::clone(self.node);
-        let repeatable = self.admitted.class.idempotent != Some(false);
+        let repeatable = self.is_repeatable();
         let peer_hop = self.group_tokens.is_some() && groups::led_by_peer(&node);
         let limits = RetryLimits {
             max_attempts: MAX_ATTEMPTS,
@@ -209,7 +214,7 @@
             tracked: TrackedAttempt::new(self.node, &choice.target, self.tokens)
                 .with_prefix(self.prefix()),
             group,
-            reader: StreamReader::new(self.node, &choice.addr),
+            reader: StreamReader::new(self.node, &choice.addr, self.is_repeatable()),
             _claim: ClaimGuard::new(self.node, &choice.addr, &id),
             id,
         }
--- a/src/request/stream_reader.rs
+++ b/src/request/stream_reader.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_core::error::{Failure, Kind};
+use mimosapass_target::client;
 use mimosapass_target::engine::{self, Event, Generate};
 use mimosapass_target::error::CallError;
 use ureq::Agent;
@@ -40,12 +41,12 @@
 
 impl StreamReader {
     /// Builds a reader for the engine at `addr`.
-    pub fn new(node: &Arc<Node>, addr: &str) -> Self {
-        Self {
-            node: Arc::clone(node),
-            agent: node.stream_agents.take(addr),
-            abandoned: Arc::default(),
-        }
+    ///
+    /// A request that may not be repeated gets a connection of its own: on one that was used
+    /// before, an earlier refusal might be taken for its answer.
+    pub fn new(node: &Arc<Node>, addr: &str, repeatable: bool) -> Self {
+        let agent = if repeatable { node.stream_agents.take(addr) } else { client::agent(1) };
+        Self { node: Arc::clone(node), agent, abandoned: Arc::default() }
     }
 
     /// Starts the thread, which sends messages for attempt `number`.
--- a/tests/suite/idempotency.rs
+++ b/tests/suite/idempotency.rs
@@ -346,3 +346,21 @@
     assert_eq!(error_code(&check(&fleet, 1, &[])), first);
     assert_eq!(runs(), 2);
 }
+
+/// Guards against an earlier refusal that is taken for the answer of the next request on a kept
+/// connection: the request ran, and once more at a second engine.
+#[test]
+fn earlier_refusal_on_a_kept_connection_is_not_taken_for_an_answer() {
+    let mut fleet = Fleet::new(&[("zone-a", Settings::default()), ("zone-a", Settings::default())]);
+    fleet.apply(&CONFIG.replacen("services:\n  - name: bookings", CHECKS_CLASS, 1));
+    fleet.start("zone-a", "");
+    fleet.wait_ready();
+    let faults = engine::Faults { repeat_refusal: true, ..engine::Faults::default() };
+    fleet.engines.iter().for_each(|(_, e)| e.set(faults.clone()));
+    let runs = || fleet.engines.iter().map(|(_, e)| e.runs()).sum::<u64>();
+    for number in 1..=8 {
+        let id = format!("p-{number}");
+        assert_eq!(error_code(&check(&fleet, 0, &[("idempotency-key", &id)])), "ok", "{id}");
+        assert_eq!(runs(), number, "{id}");
+    }
+}
