Answers of targets: a refusal that names no request promises nothing

Callers were told 'not run' (503, 429) of requests that their target had run: it had written a refusal on the connection before the request came, or with it, or an earlier one once more.

Cause: a refusal without the identifier of a request was taken for that of the request under way. Now what comes before the request is sent ends the connection, nothing is sent on it then, and a refusal that names no request lets a request go elsewhere only if it may be repeated; the caller is not told that it has not run.

With it, the tests wait until a gateway has registered: in one run a retry came before that.

--- a/crates/keyvalue/tests/odd_members.rs
+++ b/crates/keyvalue/tests/odd_members.rs
@@ -80,7 +80,7 @@
 #[case::bytes_that_are_no_text(with("role", "\"\u{1}\"").iter().map(|b| if *b == 1 { 0xff } else { *b }).collect())]
 fn odd_entry_is_skipped(#[case] odd: Vec<u8>) {
     assert_eq!(names(between(&odd)).expect("a list"), ["sound", "sound"]);
-    assert!(names([b"[", &odd[..], b"]"].concat()).expect("a list").is_empty());
+    assert!(names([b"[", &*odd, b"]"].concat()).expect("a list").is_empty());
     let listed = serve(between(&odd)).read().expect("a list");
     assert_eq!(listed.len(), 2, "{listed:?}");
 }
@@ -126,7 +126,7 @@
         drop(names(bytes.clone()));
         // Within a string, so that they stay an entry.
         let text: Vec<u8> = bytes.into_iter().filter(|b| !b"\"\\".contains(b) && *b >= 0x20).collect();
-        let odd = [br#"{"name":""#, &text[..], br#""}"#].concat();
+        let odd = [br#"{"name":""#, &*text, br#""}"#].concat();
         let found = names(between(&odd)).expect("a list");
         prop_assert_eq!(found.len(), 2);
     }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -339,7 +339,8 @@
             }
             Reply::NotExecuted(status) => {
                 let text = format!(
-                    "HTTP/1.1 {status} No\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+                    "HTTP/1.1 {status} No\r\nx-attempt-id: {id}\r\nx-not-executed: 1\r\n\
+                     content-length: 0\r\n\r\n"
                 );
                 write(stream, text.as_bytes())
             }
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -347,6 +347,7 @@
                 self.end_run(index, error)
             }
             Step::NotRun(error) | Step::Gone(error) => {
+                self.may_have_run |= self.runs.get(index).is_doubtful();
                 if self.runs.get(index).target().is_none() {
                     self.record_peer_refusal(index);
                 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -194,6 +194,7 @@
         log::info!(targets, revision = position.revision; "store: listed for the first time.");
     }
     state.store.listed = true;
+    state.observe_fleet(now);
     count_targets(gateway, &state);
     state.dispatch(gateway, now);
     gateway.load_changed.notify_all();
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -84,6 +84,7 @@
 /// Records that a call that began at `begun` confirmed the registration.
 fn confirm(gateway: &Gateway, found: Found, begun: Instant) {
     let mut state = gateway.state();
+    state.observe_fleet(Instant::now());
     let before = state.retry_share;
     state.retry_share.confirm(found, gateway.settings.retry_limits.memory(), begun);
     if before.usable_from() != state.retry_share.usable_from() {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -81,6 +81,8 @@
     written: usize,
     reading: Reading,
     skipped: u32,
+    /// Whether the refusal may belong to another request.
+    doubtful: bool,
     /// Target on account of which the request was refused, if it is another one of its prompt.
     pub at_fault: Option<TargetId>,
     /// Memory of the body.
@@ -119,6 +121,7 @@
             began: now,
             reading: Reading::Head,
             skipped: 0,
+            doubtful: false,
             at_fault: None,
             held: HeldBytes::new(&gateway.response_bytes),
             complete: None,
@@ -191,6 +194,11 @@
         if rest.is_empty() {
             return None;
         }
+        // What came before the request does not answer it, and would be taken for its answer.
+        if self.written == 0 && !self.connection.reusable(Instant::now()) {
+            let error = format!("{} sent something unrequested, or left", self.connection.addr());
+            return Some(Step::NotSent(error));
+        }
         match self.connection.write(rest) {
             Ok(count) => {
                 self.written += count;
@@ -229,6 +237,8 @@
             && echoed.is_some()
             && response.header("content-encoding").is_none();
         let not_run = self.states_not_run(&response);
+        // Targets name the request in all answers; one that names none may belong to another one.
+        self.doubtful = not_run && echoed.is_none() && self.grant().is_some();
         if not_run {
             self.at_fault = self.grant().and_then(|g| self.gateway.read_fault(g, &response));
         }
@@ -358,6 +368,11 @@
         }
     }
 
+    /// Returns whether the refusal of the target may belong to another request.
+    pub fn is_doubtful(&self) -> bool {
+        self.doubtful
+    }
+
     /// Returns whether the target has gone on with its answer for a while.
     pub fn is_settled(&self, now: Instant) -> bool {
         self.first_event.is_some_and(|at| now >= at + SETTLE_TIME)
--- a/tests/suite/gateway/endless.rs
+++ b/tests/suite/gateway/endless.rs
@@ -169,7 +169,7 @@
 
 const FAILED: &str = "HTTP/1.1 500 No\r\nx-attempt-id: id-1\r\nx-server-seal: s\r\n\r\n";
 const REJECTED: &str = "HTTP/1.1 400 No\r\nx-attempt-id: id-1\r\nx-server-seal: s\r\n\r\n";
-const NOT_RUN: &str = "HTTP/1.1 503 No\r\nx-not-executed: 1\r\n\r\n";
+const NOT_RUN: &str = "HTTP/1.1 503 No\r\nx-attempt-id: id-1\r\nx-not-executed: 1\r\n\r\n";
 
 endless_failures! {
     endless_failure_is_retried: "/look/1", FAILED, 200, 2;
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod restore;
 mod silence;
 mod soak;
+mod stale_refusals;
 mod streams;
 mod unframed;
 mod views;
@@ -229,6 +230,12 @@
             try_call(addr, "GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n", b"")
                 .is_some_and(|a| a.response.status == 200)
         });
+        // Before it is registered it sends no retry; one without a log is not waited for.
+        let registered = ["member: registered", "member: registration or renewal failed"];
+        eventually("the gateway has registered", || {
+            let log = self.log(number);
+            log.is_empty() || registered.iter().any(|line| log.contains(line))
+        });
         self
     }
 
