Streams: what does not go on with a stream that broke off is not relayed

A stream had begun and broke off, and the next target answered with something else: callers found it in the middle of their stream, or an event twice, or the stream ended as if it were complete.

Cause: the answer to a resumed request was relayed as soon as it was signed and successful.

Now the first event of the next target must have an identifier after the last one that the caller got, and its status must be 200; else its run has failed, and the stream ends as cut if no other target goes on.

--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -7,7 +7,6 @@
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_core::edge::route_table::RouteTable;
 use mimosapass_core::edge::schedule::Grant;
-use mimosapass_core::edge::wait::caller_timeout;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
 use mimosapass_target::http::ResponseHead;
@@ -331,6 +330,7 @@
 
     /// Takes a step of a run; `None` while the request goes on.
     fn take(&mut self, index: usize, step: Step) -> Option<RequestEnd> {
+        let step = self.check_resumed(index, step);
         self.record_step(index, &step);
         self.last_cause = step.label();
         match step {
@@ -454,22 +454,6 @@
         self.exchange.finish();
         RequestEnd { outcome: "served", detail: format!("{} chunks", self.progress.chunks) }
     }
-
-    /// Prepares a failed stream for resumption after its last event.
-    ///
-    /// The caller's timeout counts from that event; the time limit of the first event
-    /// no longer applies.
-    fn prepare_resume(&mut self) {
-        let Some(last_sent) = self.progress.last_sent else { return };
-        self.request.last_event.clone_from(&self.progress.last_event);
-        let route = &self.request.route;
-        let entry = &mut self.request.requirements.entry;
-        entry.expires = self
-            .request
-            .deadline
-            .min(last_sent + caller_timeout(route.latency_goal, route.max_gap));
-        entry.due = entry.expires;
-    }
 }
 
 /// Records the first event of a stream.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 //! | `retries` | asks for retries within the operator's limits, and records them |
 //! | `reservations` | reserves memory for a prompt that one engine cannot hold |
 //! | `relay` | relays event streams |
+//! | `resume` | streams that go on at another target |
 //! | `crashes` | which parts of prompts crash targets, and what peers are told of it |
 //! | `notices` | what targets state about themselves in their answers |
 //! | `ending` | how a request ends: log line, metrics, responses of the gateway itself |
@@ -53,6 +54,7 @@
 mod relay;
 mod request;
 mod reservations;
+mod resume;
 mod retries;
 mod run;
 mod runs;
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod backups;
 mod behind;
+mod broken_streams;
 mod costs;
 mod cut_off;
 mod delegation;
