--- a/tests/suite/gateway/broken_streams.rs
+++ b/tests/suite/gateway/broken_streams.rs
@@ -11,7 +11,7 @@
 use mimosapass_standin::target::{Reply, ScriptedTarget, Step};
 use rstest::rstest;
 
-use super::{Cluster, KEY, events, eventually, head};
+use super::{Cluster, KEY, events, head};
 
 const SHORT_PROMPT: &str = "x-token-usage: 100,50\r\n";
 const MANY_RETRIES: &str = "repeats: {first_start: true, ratio: 1, slack: 500, window_ms: 10000}\n";
