--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -198,7 +198,7 @@
         watching: state.watches_store(gateway, now),
         delegating: !places,
         capacity: state.capacity(gateway),
-        instances: state.known_instances() as u32,
+        instances: state.known_instances,
         leaving_targets: state.leaving_targets(),
         refusing_helpers: state.refusing_helpers(now),
         cut_off: state.cut_off.iter().map(ToString::to_string).collect(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -260,8 +260,10 @@
     /// Records the count of instances if it is that of the store: as this instance sees it, or a
     /// peer that watches it.
     pub fn observe_fleet(&mut self, now: Instant) {
+        let known = self.known_instances();
+        self.known_instances = known as u32;
         let is_recent = |at: Instant| now < at + STORE_SILENCE;
-        let own = self.store.last_success.is_some_and(is_recent).then(|| self.known_instances());
+        let own = self.store.last_success.is_some_and(is_recent).then_some(known);
         let watching = self.peers.values().filter(|p| p.watching && !p.store_unreachable);
         let told = watching.map(|p| p.instances as usize).max();
         if let Some(count) = own.max(told) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -99,6 +99,8 @@
     pub retry_share: RetryShare,
     /// How many instances there are.
     pub fleet_size: FleetSize,
+    /// Number of instances that were registered or heard at the last full state.
+    pub known_instances: u32,
     /// Peers by name, from their datagrams.
     pub peers: HashMap<InstanceId, Peer>,
     /// Addresses of peers from the store, by name.
@@ -353,6 +355,7 @@
             retry_ledgers: HashMap::new(),
             retry_share: RetryShare::new(settings.first_start),
             fleet_size: FleetSize::default(),
+            known_instances: 1,
             peers: HashMap::new(),
             members: HashMap::new(),
             remote: RemoteRequests::default(),
