--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod platform;
 pub mod relay;
 pub mod reply;
+mod script;
 pub mod service;
 pub mod target;
