--- a/crates/core/src/edge/retry.rs
+++ b/crates/core/src/edge/retry.rs
@@ -40,8 +40,8 @@
 }
 
 impl RetryLimits {
-    /// Returns the time after which what was sent before counts no longer.
-    pub fn memory(&self) -> Duration {
+    /// Returns the time for which a retry counts after it was sent.
+    pub fn retention(&self) -> Duration {
         self.window * (WINDOW_SLOTS + DELAY_SLOTS + 1) / WINDOW_SLOTS
     }
 }
--- a/crates/core/src/edge/retry_share.rs
+++ b/crates/core/src/edge/retry_share.rs
@@ -16,7 +16,8 @@
 
 /// Time for which a registration is valid after it was last renewed.
 pub const REGISTRATION_TTL: Duration = Duration::from_mins(2);
-/// Time for which a count of instances holds.
+/// Time for which a count of instances holds: an instance whose entry expired has written it again
+/// within [`REGISTRATION_TTL`], and another one may use a count that it saw before for as long.
 const COUNT_HOLD: Duration = Duration::from_mins(4);
 
 /// The highest count of instances of late.
@@ -73,14 +74,14 @@
 
     /// Records that the store confirmed the registration in a call that began at `at`.
     ///
-    /// `memory` is the time for which what was sent counts.
-    pub fn confirm(&mut self, found: Found, memory: Duration, at: Instant) {
+    /// `retention` is the time for which a retry counts after it was sent.
+    pub fn confirm(&mut self, found: Found, retention: Duration, at: Instant) {
         let expired = self.confirmed.is_some_and(|last| at >= last + REGISTRATION_TTL);
         if self.confirmed.is_none() || expired {
             let wait = match found {
                 _ if self.first_start && !expired => Duration::ZERO,
-                Found::Former => memory,
-                Found::Missing | Found::Own => REGISTRATION_TTL + memory,
+                Found::Former => retention,
+                Found::Missing | Found::Own => REGISTRATION_TTL + retention,
             };
             self.usable_from = Some(at + wait);
         }
--- a/crates/core/tests/edge_retry.rs
+++ b/crates/core/tests/edge_retry.rs
@@ -55,7 +55,7 @@
     let taken = (0..200).filter(|_| retry(&mut ledger, LIMITS.slack, now)).count();
     assert_eq!(taken, 100);
     assert!(!retry(&mut ledger, LIMITS.slack, now + LIMITS.window));
-    let later = now + LIMITS.memory();
+    let later = now + LIMITS.retention();
     assert!(retry(&mut ledger, LIMITS.slack, later));
 }
 
@@ -96,7 +96,7 @@
     assert!(!ledger.reserve(1.0, late));
     ledger.send(late);
     assert!(!ledger.reserve(1.0, late + LIMITS.window));
-    assert!(ledger.reserve(1.0, late + LIMITS.memory()));
+    assert!(ledger.reserve(1.0, late + LIMITS.retention()));
 }
 
 /// Guards against a process that does not know what the one before it has sent.
@@ -133,9 +133,9 @@
     let (mut share, start) = (RetryShare::new(first), Instant::now());
     assert!(!share.is_usable(start), "not registered");
     let at = |seconds: u64| start + Duration::from_secs(seconds);
-    share.confirm(found, LIMITS.memory(), start);
+    share.confirm(found, LIMITS.retention(), start);
     for second in (30..seconds).step_by(30) {
-        share.confirm(Found::Own, LIMITS.memory(), at(second));
+        share.confirm(Found::Own, LIMITS.retention(), at(second));
     }
     assert!(seconds == 0 || !share.is_usable(at(seconds - 2)));
     assert!(share.is_usable(at(seconds)));
@@ -144,14 +144,14 @@
 #[test]
 fn part_is_lost_and_regained_with_the_registration() {
     let (mut share, start) = (RetryShare::new(true), Instant::now());
-    share.confirm(Found::Missing, LIMITS.memory(), start);
+    share.confirm(Found::Missing, LIMITS.retention(), start);
     let expired = start + REGISTRATION_TTL;
     assert!(!share.is_usable(expired));
-    share.confirm(Found::Missing, LIMITS.memory(), expired);
-    assert!(!share.is_usable(expired + LIMITS.memory()));
-    share.confirm(Found::Own, LIMITS.memory(), expired + REGISTRATION_TTL / 2);
-    share.confirm(Found::Own, LIMITS.memory(), expired + REGISTRATION_TTL);
-    assert!(share.is_usable(expired + REGISTRATION_TTL + LIMITS.memory()));
+    share.confirm(Found::Missing, LIMITS.retention(), expired);
+    assert!(!share.is_usable(expired + LIMITS.retention()));
+    share.confirm(Found::Own, LIMITS.retention(), expired + REGISTRATION_TTL / 2);
+    share.confirm(Found::Own, LIMITS.retention(), expired + REGISTRATION_TTL);
+    assert!(share.is_usable(expired + REGISTRATION_TTL + LIMITS.retention()));
 }
 
 /// Entries that expire with their leases are written again within a minute.
--- a/crates/core/tests/edge_retry_sum.rs
+++ b/crates/core/tests/edge_retry_sum.rs
@@ -83,7 +83,7 @@
             (true, false) => Found::Former,
             (false, _) => Found::Missing,
         };
-        self.share.confirm(found, LIMITS.memory(), now);
+        self.share.confirm(found, LIMITS.retention(), now);
         (self.registered, self.own) = (true, true);
         self.renewal = now + RENEWAL;
     }
--- a/crates/keyvalue/src/members.rs
+++ b/crates/keyvalue/src/members.rs
@@ -12,7 +12,7 @@
 
 /// Maximum size of the list.
 const MAX_LIST_BYTES: u64 = 4 * 1024 * 1024;
-/// Maximum size of one entry.
+/// Maximum size of one entry; most of it is for labels.
 const MAX_MEMBER_BYTES: usize = 64 * 1024;
 /// Longest part of an error that is logged.
 const MAX_ERROR_CHARS: usize = 200;
--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -103,7 +103,8 @@
         let response = self.runs.get(index).response();
         self.retry_after = response.and_then(retry_after);
         // A former version states no number.
-        self.sent_by_peers += response.and_then(sends).unwrap_or(1);
+        let sends = response.and_then(sends).unwrap_or(1);
+        self.sent_by_peers = self.sent_by_peers.saturating_add(sends);
     }
 
     /// Records the peer that the request goes over; it does not go over that one again.
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -99,7 +99,7 @@
         if !self.progress.is_resumable() {
             return false;
         }
-        let was_sent = self.sends + self.sent_by_peers > 0;
+        let was_sent = self.sends > 0 || self.sent_by_peers > 0;
         if was_sent && !self.gateway.may_retry_parts(request) {
             self.last_error = format!("{}; it may crash targets", self.last_error);
             return false;
