Deploy: whether a fleet starts for the first time is told on the command line

The cases of review/ ended with 2, could not run: their stand-in of the platform gives no `bootstrap`, which the template of the settings asked for (KeyError before any gateway started). The settings hold without that field, so it moves to the words of `run`, where DEPLOY.md allows a placeholder too. Weighed: `env` (seen nowhere in the list of processes, and a second way to configure the program), a section of the template (needs the field as well).

It is a fact of one start: `run` is filled in at each one. Anything but `true` counts as false, also no text at all: such a process retries nothing until what a former one may have sent counts no longer.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -27,6 +27,13 @@
         /// Settings of this gateway, a YAML file.
         #[bpaf(long, argument("FILE"))]
         config: PathBuf,
+        /// `true` if no instance of the fleet ran before; it overrides `repeats.first_start`.
+        ///
+        ///
+        /// Any other text, also none, means false: this instance retries nothing until what
+        /// a former process may have sent counts no longer.
+        #[bpaf(long, argument("TEXT"), optional)]
+        first_start: Option<String>,
         /// Only checks the settings and lists every fault.
         #[bpaf(long)]
         check: bool,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -58,7 +58,8 @@
     let socket = Arc::new(DatagramSocket::bind(settings.listen.peers)?);
     let gateway = Arc::new(Gateway::new(settings, boot));
     let (name, zone) = (&*gateway.name, gateway.settings.zone.as_str());
-    log::info!(name, zone, boot; "gateway: started.");
+    let first_start = gateway.settings.first_start;
+    log::info!(name, zone, boot, first_start; "gateway: started.");
     spawn(&gateway, "follow", follow::run)?;
     spawn(&gateway, "member", member::run)?;
     spawn(&gateway, "probe", reach::probe)?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -49,13 +49,19 @@
 fn run(command: cli::Command) -> Result<(), Box<dyn Error>> {
     match command {
         cli::Command::Serve { config } => Ok(serve::run(settings::load(&config)?)?),
-        cli::Command::Gateway { config, check } => {
-            let settings = gateway::settings::load(&config)?;
+        cli::Command::Gateway { config, first_start, check } => {
+            let mut settings = gateway::settings::load(&config)?;
             if check {
                 println!("{}: no faults", config.display());
                 return Ok(());
             }
             logs::start()?;
+            if let Some(text) = first_start {
+                if !matches!(text.as_str(), "true" | "false") {
+                    log::warn!(text = text.as_str(); "gateway: --first-start counts as false.");
+                }
+                settings.first_start = text == "true";
+            }
             Ok(gateway::serve::run(settings, &config)?)
         }
         cli::Command::Check { file } => {
