Stand-ins: an address at which connections are refused stays taken

broken_streams over a peer failed in most runs: "no next target was asked". The stream was not cut though other targets were free: it had gone to the target of another test.

Cause: a path that refuses connections, and a target that has crashed, closed their listener, which frees the port. Tests run in one process and ask for any free port, so that another one's target or path got it at times, and answered the gateway that was to be refused.

The log of gate-0 in one of them: three targets, all paths refused, and yet "request: first event. targets=i-ended" 4 ms after the request came, "reach: cut off ... unreachable=2 reached=1", while no target of this test had received anything. That send counted, so that gate-1 got the request with the one attempt that was left, and rightly ended the stream after it.

Both stand-ins now hold their address with a second socket that never listens. The test of the streams is as strict as it was, and prints the logs of both gateways.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod metastore;
 pub mod orders;
 pub mod platform;
+pub mod port;
 pub mod relay;
 pub mod reply;
 mod script;
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -10,6 +10,8 @@
 
 use socket2::SockRef;
 
+use crate::port::Port;
+
 /// A path from its own address to a target address.
 #[derive(Clone, Debug)]
 pub struct Relay {
@@ -85,11 +87,12 @@
     ///
     /// Fails when the address cannot be bound.
     pub fn start_at(addr: SocketAddr, target: SocketAddr, rewrites: Rewrites) -> io::Result<Self> {
-        let listener = TcpListener::bind(addr)?;
-        let addr = listener.local_addr()?;
-        let relay = Self { addr, state: Arc::default(), rate: Arc::default(), rewrites };
+        let port = Port::bind(addr)?;
+        let listener = port.listen()?;
+        let relay =
+            Self { addr: port.addr(), state: Arc::default(), rate: Arc::default(), rewrites };
         let accepting = relay.clone();
-        thread::spawn(move || accepting.accept(listener, target));
+        thread::spawn(move || accepting.accept(&port, listener, target));
         Ok(relay)
     }
 
@@ -151,9 +154,9 @@
 
 impl Relay {
     /// Accepts connections as far as they are admitted.
-    fn accept(&self, listener: TcpListener, target: SocketAddr) {
-        let addr = listener.local_addr().expect("an address");
-        let open = || TcpListener::bind(addr).expect("the address is free");
+    fn accept(&self, port: &Port, listener: TcpListener, target: SocketAddr) {
+        let addr = port.addr();
+        let open = || port.listen().expect("the address is held");
         let mut listener = Some(listener);
         // They fill the backlog of a listener that accepts nothing, so that others hang.
         let mut waiting = Vec::new();
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -11,6 +11,7 @@
 use serde_json::{Value, json};
 use socket2::SockRef;
 
+use crate::port::Port;
 pub use crate::script::{Hook, Reply, Step};
 
 /// Interval of checks for a disconnect while a target does not answer.
@@ -61,6 +62,8 @@
     pub addr: SocketAddr,
     script: Script,
     state: Arc<Mutex<State>>,
+    /// Keeps the address taken once it has crashed.
+    _port: Arc<Port>,
 }
 
 impl std::fmt::Debug for ScriptedTarget {
@@ -76,10 +79,15 @@
     ///
     /// Panics when no address can be bound.
     pub fn start(id: &str, script: impl Fn(&Head) -> Reply + Send + Sync + 'static) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
-        let addr = listener.local_addr().expect("an address");
-        let target =
-            Self { id: id.to_owned(), addr, script: Arc::new(script), state: Arc::default() };
+        let port = Port::bind(([127, 0, 0, 1], 0).into()).expect("an address");
+        let listener = port.listen().expect("it listens");
+        let target = Self {
+            id: id.to_owned(),
+            addr: port.addr(),
+            script: Arc::new(script),
+            state: Arc::default(),
+            _port: Arc::new(port),
+        };
         let accepting = target.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
--- a/tests/suite/gateway/broken_streams.rs
+++ b/tests/suite/gateway/broken_streams.rs
@@ -205,5 +205,6 @@
     let received = ask(cluster.callers(0), version);
     assert_cut(&received, version, &cluster.log(last));
     let runs: usize = targets.iter().map(|t| t.requests().len()).sum();
-    assert!(runs >= 2, "no next target was asked\n{}", cluster.log(last));
+    let logs = || (0..=last).map(|number| cluster.log(number)).collect::<Vec<_>>().join("\n\n");
+    assert!(runs >= 2, "no next target was asked: {received:?}\n{}", logs());
 }
