Figures: entries, configurations and headers in any form that a number may have

What callers saw: a target whose entry says `"slots": 3.0` got no request, a configuration with `"version": 3.0` was not in force, and `X-Deadline-Ms: 1500.0` counted as none.

Cause: whole numbers were parsed as such, so that the form of another writer was refused. There were five places that parsed times of headers, each in its own way. A time too large for a clock could end the thread that adds it.

One way of reading a figure now, in core: `figure` for texts, `whole` for bodies; a time is 31 years at most. It serves the platform's entries and headers, the key-value service, load reports and events of engines, and the deadline of callers of `serve`.

--- a/crates/core/src/edge/cost.rs
+++ b/crates/core/src/edge/cost.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use crate::figure::millis;
+
 /// Cost model of one kind of engine, as configured by the operator.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Engine {
@@ -61,8 +63,3 @@
         self.pass_time(decoding, context).mul_f64(passes.max(1.0))
     }
 }
-
-/// Converts milliseconds to a duration; negative values give zero.
-pub fn millis(ms: f64) -> Duration {
-    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default()
-}
--- a/crates/emulator/src/engine.rs
+++ b/crates/emulator/src/engine.rs
@@ -8,8 +8,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use mimosapass_core::edge::cost::{Engine, millis};
+use mimosapass_core::edge::cost::Engine;
 use mimosapass_core::edge::load::RequestNumber;
+use mimosapass_core::figure::millis;
 
 /// Waiting requests at which an engine refuses more.
 const MAX_QUEUE: usize = 32;
--- a/crates/keyvalue/src/kv.rs
+++ b/crates/keyvalue/src/kv.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use mimosapass_core::whole;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use ureq::Agent;
@@ -25,6 +26,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
 pub struct Entry {
     /// Revision of the last write.
+    #[serde(deserialize_with = "whole::number")]
     pub revision: Revision,
     /// The value.
     pub value: String,
@@ -60,11 +62,13 @@
 
 #[derive(Deserialize)]
 struct RevisionBody {
+    #[serde(deserialize_with = "whole::number")]
     revision: Revision,
 }
 
 #[derive(Deserialize)]
 struct LeaseBody {
+    #[serde(deserialize_with = "whole::number")]
     id: LeaseId,
 }
 
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use mimosapass_core::{figure, whole};
 use serde::{Deserialize, Serialize};
 use ureq::Agent;
 
@@ -88,6 +89,7 @@
         /// Attempt that it belongs to.
         attempt: String,
         /// Index of the token in the complete output, from 0.
+        #[serde(deserialize_with = "whole::number")]
         index: u64,
         /// Text of the token.
         text: String,
@@ -97,8 +99,10 @@
         /// Attempt that it belongs to.
         attempt: String,
         /// Tokens in the complete output.
+        #[serde(deserialize_with = "whole::number")]
         tokens: u64,
         /// Tokens of the prompt.
+        #[serde(deserialize_with = "whole::number")]
         prompt: u64,
         /// Finish reason, such as `stop` or `length`.
         reason: String,
@@ -110,22 +114,31 @@
 #[serde(default)]
 pub struct Load {
     /// Boot number of the engine's process.
+    #[serde(deserialize_with = "whole::number")]
     pub boot: u64,
     /// Number of the report.
+    #[serde(deserialize_with = "whole::number")]
     pub number: u64,
     /// Prompt tokens that are accepted but not yet computed.
+    #[serde(deserialize_with = "whole::number")]
     pub prefill: u64,
     /// The same by band of prompt length, shortest first; empty if not reported.
+    #[serde(deserialize_with = "whole::list")]
     pub bands: Vec<u64>,
     /// Requests that are generating.
+    #[serde(deserialize_with = "whole::number")]
     pub running: u32,
     /// Maximum number of requests that generate at the same time.
+    #[serde(deserialize_with = "whole::number")]
     pub slots: u32,
     /// Free KV cache, in tokens.
+    #[serde(deserialize_with = "whole::number")]
     pub free: u64,
     /// Size of the KV cache, in tokens.
+    #[serde(deserialize_with = "whole::number")]
     pub capacity: u64,
     /// Prefill speed, in tokens per second.
+    #[serde(deserialize_with = "whole::number")]
     pub speed: u64,
     /// Whether the engine accepts no new work.
     pub leaving: bool,
@@ -183,7 +196,7 @@
 /// Returns whether the engine states that its output starts at token `offset`.
 fn starts_at(response: &ureq::http::Response<ureq::Body>, offset: u64) -> bool {
     let stated = response.headers().get(OFFSET).and_then(|v| v.to_str().ok());
-    stated.and_then(|v| v.parse().ok()) == Some(offset)
+    stated.and_then(figure::parse_whole) == Some(offset)
 }
 
 pub(crate) fn check_status(
--- a/crates/target/src/memory.rs
+++ b/crates/target/src/memory.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use mimosapass_core::whole;
 use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
 use ureq::Agent;
@@ -40,8 +41,10 @@
     #[serde(rename = "use")]
     pub purpose: Purpose,
     /// Size, in tokens.
+    #[serde(deserialize_with = "whole::number")]
     pub tokens: u64,
     /// Time since its expiry, in milliseconds; 0 if it has not expired.
+    #[serde(deserialize_with = "whole::number")]
     pub expired_ms: u64,
 }
 
@@ -49,6 +52,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Allocations {
     /// Boot number of the engine's process.
+    #[serde(deserialize_with = "whole::number")]
     pub boot: u64,
     /// The allocations.
     pub held: Vec<Allocation>,
@@ -80,6 +84,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Renewed {
     /// Boot number of the engine's process.
+    #[serde(deserialize_with = "whole::number")]
     pub boot: u64,
     /// Identifiers of which the holder has no allocation.
     pub unknown: Vec<String>,
@@ -119,6 +124,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Block {
     /// Size, in tokens.
+    #[serde(deserialize_with = "whole::number")]
     pub tokens: u64,
 }
 
@@ -138,10 +144,12 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CacheEvent {
     /// Number of the event; numbers may be missing.
+    #[serde(deserialize_with = "whole::number")]
     pub number: u64,
     /// Hash of the prompt's prefix.
     pub prefix: u64,
     /// Tokens cached for it; 0 if it was evicted.
+    #[serde(deserialize_with = "whole::number")]
     pub tokens: u64,
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -75,7 +75,7 @@
     }
     let stated = response.header("keep-alive").and_then(|v| {
         let timeout = v.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
-        timeout.and_then(|t| t.trim().parse().ok()).map(Duration::from_secs)
+        timeout.and_then(header::seconds)
     });
     let keep_alive = stated.unwrap_or(DEFAULT_KEEP_ALIVE).saturating_sub(KEEP_ALIVE_MARGIN);
     gateway.connections.keep(connection, keep_alive, Instant::now());
--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -10,6 +10,7 @@
 
 use mimosapass_core::edge::detour::{self, Candidate, MAX_DETOURS, MAX_FAILED};
 use mimosapass_core::ids::InstanceId;
+use mimosapass_platform::header;
 use mimosapass_target::http::ResponseHead;
 
 use super::flow::Flow;
@@ -145,8 +146,7 @@
 
 /// Returns the time after which a refused request may come again.
 fn retry_after(response: &ResponseHead) -> Option<Duration> {
-    let seconds: f64 = response.header("retry-after")?.trim().parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok()
+    header::seconds(response.header(header::RETRY_AFTER)?)
 }
 
 /// Returns how many targets got a request that a peer refused, as it states.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -9,6 +9,7 @@
 use mimosapass_core::edge::route_table::{RetryPolicy, Route, RouteTable, Workspace};
 use mimosapass_core::edge::schedule::{Requirements, TokenCounts};
 use mimosapass_core::error::{Failure, Kind};
+use mimosapass_core::figure;
 use mimosapass_core::ids::{PartId, WorkspaceId};
 use mimosapass_platform::header;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
@@ -79,7 +80,7 @@
     let deadline = arrived + timeout;
     let (prompt, max_answer) =
         head.header(header::TOKENS).and_then(header::tokens).unwrap_or((0, 0));
-    let hint = head.header(header::ANSWER_HINT).and_then(|v| v.trim().parse().ok());
+    let hint = head.header(header::ANSWER_HINT).and_then(figure::parse_whole);
     let tokens = TokenCounts { prompt, max_answer, answer_hint: hint };
     let mut requirements = Requirements::new(table, route, service, tokens, arrived, deadline);
     requirements.kind.workspace = workspace.as_ref().map(|w| WorkspaceId::clone(&w.name));
--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -8,6 +8,7 @@
 use mimosapass_core::classify::{RequestedWork, classify};
 use mimosapass_core::config::Class;
 use mimosapass_core::error::{Failure, Kind};
+use mimosapass_core::figure;
 use mimosapass_core::idempotency::MAX_DURATION;
 use mimosapass_core::ids::WorkspaceId;
 use mimosapass_operator::document::Document;
@@ -22,6 +23,8 @@
 pub const DEADLINE: &str = "mimosapass-deadline-ms";
 /// Header with the identifier that all tries of one request share.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Longest remaining time that counts, in milliseconds.
+const MAX_DEADLINE_MS: f64 = 86_400_000.0;
 /// Maximum length of an identifier.
 const MAX_ID_BYTES: usize = 128;
 
@@ -141,8 +144,8 @@
 
 fn requested_deadline(exchange: &Exchange<'_>) -> Result<Option<Duration>, Failure> {
     let Some(value) = exchange.head.header(DEADLINE) else { return Ok(None) };
-    match value.parse::<u64>() {
-        Ok(ms) if ms > 0 => Ok(Some(Duration::from_millis(ms.min(86_400_000)))),
+    match figure::parse(value) {
+        Some(ms) if ms > 0.0 => Ok(Some(figure::millis(ms.min(MAX_DEADLINE_MS)))),
         _ => {
             let text = format!("`{DEADLINE}` is not a positive number of milliseconds");
             Err(Failure::new(Kind::BadRequest, text))
