--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -35,7 +35,7 @@
 const MAX_DRAIN_BYTES: usize = 32 * 1024 * 1024;
 
 /// Limits of the server.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
     /// Maximum size of a request head.
     pub head_bytes: usize,
--- a/crates/core/src/edge/retry.rs
+++ b/crates/core/src/edge/retry.rs
@@ -27,6 +27,9 @@
 const REQUEST_SLOTS: usize = (WINDOW_SLOTS - DELAY_SLOTS) as usize - 1;
 /// Slots that are kept.
 const KEPT_SLOTS: usize = SENT_SLOTS + REQUEST_SLOTS;
+/// Shortest window within which requests are set against retries. In a shorter one, what was
+/// sent apart may arrive together.
+const MIN_WINDOW: Duration = Duration::from_secs(1);
 
 /// Limits on retries, as configured by the operator.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -40,6 +43,18 @@
 }
 
 impl RetryLimits {
+    /// Returns limits that can be kept to, and within which these ones hold.
+    ///
+    /// With a window of less than [`MIN_WINDOW`], also of none at all, the fixed number bounds the
+    /// retries within [`MIN_WINDOW`], and requests allow none.
+    #[must_use]
+    pub fn enforceable(self) -> Self {
+        if self.window >= MIN_WINDOW {
+            return self;
+        }
+        Self { ratio: 0.0, window: MIN_WINDOW, ..self }
+    }
+
     /// Returns the time for which a retry counts after it was sent.
     pub fn retention(&self) -> Duration {
         self.window * (WINDOW_SLOTS + DELAY_SLOTS + 1) / WINDOW_SLOTS
@@ -81,13 +96,28 @@
     slots: VecDeque<Slot>,
     /// Retries that are allowed and not sent yet.
     reserved: u32,
+    /// Until when nothing may be sent, since the window has changed.
+    paused_until: Option<Instant>,
 }
 
 impl RetryLedger {
     /// Creates an empty ledger.
     pub fn new(limits: RetryLimits, begin: Instant) -> Self {
         let slots = VecDeque::from([Slot::default(); KEPT_SLOTS]);
-        Self { limits, begin, number: 0, slots, reserved: 0 }
+        Self { limits, begin, number: 0, slots, reserved: 0, paused_until: None }
+    }
+
+    /// Puts other limits in force; what was sent still counts.
+    ///
+    /// Sends are known by slots of the former window, so that another window begins with a time in
+    /// which nothing may be sent: until what was sent counts no longer under either limits.
+    pub fn set_limits(&mut self, limits: RetryLimits, now: Instant) {
+        if limits.window != self.limits.window {
+            let pause = limits.retention().max(self.limits.retention());
+            let reserved = self.reserved;
+            *self = Self { reserved, paused_until: Some(now + pause), ..Self::new(limits, now) };
+        }
+        self.limits = limits;
     }
 
     /// Records a request of a caller.
@@ -122,12 +152,15 @@
         let counts = |from: usize| self.slots.range(from..from + REQUEST_SLOTS);
         let mut requests: u64 = counts(0).map(|slot| u64::from(slot.requests)).sum();
         let mut retries = u64::from(self.reserved);
+        let paused = self.paused_until.is_some_and(|until| now < until);
         let mut least: Option<Usage> = None;
         for index in 0..SENT_SLOTS {
             retries += u64::from(self.slots[index].retries);
             requests += u64::from(self.slots[index + REQUEST_SLOTS].requests);
             requests -= u64::from(self.slots[index].requests);
-            let limit = (share + self.limits.ratio * requests as f64) as u64;
+            // More than that many are never sent.
+            let limit = (share + self.limits.ratio * requests as f64).min(f64::from(u32::MAX));
+            let limit = if paused { 0 } else { limit as u64 };
             let usage = Usage { requests, retries, limit };
             if least.is_none_or(|least| usage.left() < least.left()) {
                 least = Some(usage);
--- a/crates/operator/src/yaml/deserialize.rs
+++ b/crates/operator/src/yaml/deserialize.rs
@@ -12,12 +12,20 @@
 const MAX_PASSES: usize = 1_000;
 
 /// Deserializes a tree; the value is `None` only if no placeholder fits the type.
-pub fn deserialize<T: DeserializeOwned>(tree: &Tree) -> (Option<T>, Vec<LocatedFault>) {
+///
+/// With `unset`, fields without a value take their defaults and are recorded there.
+pub fn deserialize<T: DeserializeOwned>(
+    tree: &Tree,
+    unset: Option<&RefCell<Vec<LocatedFault>>>,
+) -> (Option<T>, Vec<LocatedFault>) {
     let mut tree = tree.clone();
     let mut repaired = Vec::new();
     for _ in 0..MAX_PASSES {
         let faults = RefCell::new(Vec::new());
-        let root = NodeDeserializer { tree: &tree, path: String::new(), faults: &faults };
+        if let Some(unset) = unset {
+            unset.borrow_mut().clear();
+        }
+        let root = NodeDeserializer { tree: &tree, path: String::new(), faults: &faults, unset };
         let result = T::deserialize(root);
         let mut list = faults.into_inner();
         match result {
@@ -25,6 +33,13 @@
                 list.append(&mut repaired);
                 return (Some(value), list);
             }
+            Err(DeserializeError::Missing { path, field })
+                if set_absent(&mut tree, &path, field) =>
+            {
+                let text = "it has no value; write one".to_owned();
+                let path = join(&path, field);
+                repaired.push(LocatedFault { line: tree.line_of(&path), path, text });
+            }
             Err(DeserializeError::Missing { path, field })
                 if add_field(&mut tree, &path, field) =>
             {
@@ -72,6 +87,18 @@
     Some(current)
 }
 
+/// Replaces the value of a field that has none, and no default either, by a placeholder.
+fn set_absent(tree: &mut Tree, path: &str, field: &str) -> bool {
+    let Some(Node::Map(map)) = node_at(tree, path).map(|found| &mut found.node) else {
+        return false;
+    };
+    let empty = map.iter_mut().find(|(key, ..)| key == field);
+    empty.is_some_and(|(.., value)| {
+        value.node = Node::Absent;
+        true
+    })
+}
+
 /// Adds a placeholder for a missing field.
 fn add_field(tree: &mut Tree, path: &str, field: &str) -> bool {
     let Some(current) = node_at(tree, path) else { return false };
--- a/crates/operator/src/yaml/mod.rs
+++ b/crates/operator/src/yaml/mod.rs
@@ -10,6 +10,7 @@
 mod node;
 mod tree;
 
+use std::cell::RefCell;
 use std::fmt;
 use std::path::Path;
 
@@ -82,9 +83,17 @@
 pub fn parse<T: DeserializeOwned>(
     text: &str,
     check: impl FnOnce(&T) -> Vec<Fault>,
+) -> Result<T, Faults> {
+    parse_tree(text, check, None)
+}
+
+fn parse_tree<T: DeserializeOwned>(
+    text: &str,
+    check: impl FnOnce(&T) -> Vec<Fault>,
+    unset: Option<&RefCell<Vec<LocatedFault>>>,
 ) -> Result<T, Faults> {
     let tree = Tree::parse(text).map_err(|fault| sorted(vec![fault]))?;
-    let (value, mut found) = deserialize::deserialize::<T>(&tree);
+    let (value, mut found) = deserialize::deserialize::<T>(&tree, unset);
     if let Some(value) = &value {
         let checked = check(value).into_iter();
         let new = checked.filter(|f| found.iter().all(|known| known.path != f.path));
@@ -97,7 +106,18 @@
     }
 }
 
-/// Reads a file and parses it with [`parse`]; the faults name the file.
+/// A value, and the fields that are written without a value and took their defaults.
+#[derive(Clone, Debug)]
+pub struct Loaded<T> {
+    /// The value.
+    pub value: T,
+    /// The fields, sorted by line.
+    pub unset: Faults,
+}
+
+/// Reads a file and parses it like [`parse`]; fields without a value take their defaults.
+///
+/// The faults name the file.
 ///
 /// # Errors
 ///
@@ -105,11 +125,28 @@
 pub fn load<T: DeserializeOwned>(
     path: &Path,
     check: impl FnOnce(&T) -> Vec<Fault>,
-) -> Result<T, Faults> {
+) -> Result<Loaded<T>, Faults> {
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path)
         .map_err(|e| Faults::single(e.to_string()).in_file(name.as_str()))?;
-    parse(&text, check).map_err(|faults| faults.in_file(name))
+    parse_settings(&text, check, name)
+}
+
+/// As [`load`], with a text that was read from the file `name`.
+///
+/// # Errors
+///
+/// Lists every fault found in the text.
+pub fn parse_settings<T: DeserializeOwned>(
+    text: &str,
+    check: impl FnOnce(&T) -> Vec<Fault>,
+    name: String,
+) -> Result<Loaded<T>, Faults> {
+    let unset = RefCell::default();
+    match parse_tree(text, check, Some(&unset)) {
+        Ok(value) => Ok(Loaded { value, unset: sorted(unset.into_inner()).in_file(name) }),
+        Err(faults) => Err(faults.in_file(name)),
+    }
 }
 
 fn locate(tree: &Tree, fault: Fault) -> LocatedFault {
--- a/crates/operator/src/yaml/node.rs
+++ b/crates/operator/src/yaml/node.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::fmt;
 
+use mimosapass_core::figure;
 use serde::de::{Deserializer, Visitor};
 
 use crate::yaml::LocatedFault;
@@ -59,6 +60,8 @@
     pub tree: &'a Tree,
     pub path: String,
     pub faults: &'a RefCell<Vec<LocatedFault>>,
+    /// Where fields without a value are recorded, if they take their defaults.
+    pub unset: Option<&'a RefCell<Vec<LocatedFault>>>,
 }
 
 impl<'a> NodeDeserializer<'a> {
@@ -72,7 +75,7 @@
 
     /// Returns the deserializer of a child node.
     pub fn child(&self, tree: &'a Tree, path: String) -> Self {
-        Self { tree, path, faults: self.faults }
+        Self { tree, path, faults: self.faults, unset: self.unset }
     }
 
     /// Returns the text of a scalar; records a fault for any other node.
@@ -91,13 +94,13 @@
     fn number(&self, min: i128, max: i128) -> i128 {
         let expected = format!("a whole number from {min} to {max}");
         let Some(text) = self.text(&expected) else { return 1 };
-        match text.replace('_', "").parse::<i128>() {
-            Ok(number) if (min..=max).contains(&number) => number,
-            _ => {
-                self.record(format!("`{text}` is invalid; write {expected}"));
-                1
-            }
-        }
+        let digits = text.replace('_', "");
+        // Others write a whole number as 8.0 or 8e0.
+        let number = digits.parse().ok().or_else(|| figure::parse_whole(&digits).map(i128::from));
+        number.filter(|n| (min..=max).contains(n)).unwrap_or_else(|| {
+            self.record(format!("`{text}` is invalid; write {expected}"));
+            1
+        })
     }
 
     fn list(&self) -> &'a [Tree] {
@@ -124,6 +127,17 @@
         }
     }
 
+    /// Returns whether a field has no value and is to take its default; records that it does.
+    fn takes_default(&self, key: &str, field: &Tree) -> bool {
+        let Some(unset) = self.unset else { return false };
+        let empty = matches!(&field.node, Node::Scalar { text, plain: true } if is_null(text));
+        if empty {
+            let text = "it has no value and takes its default".to_owned();
+            unset.borrow_mut().push(LocatedFault { line: field.line, path: self.join(key), text });
+        }
+        empty
+    }
+
     fn entries(&self) -> Entries<'a> {
         let mut seen = HashSet::new();
         let mut unique: Vec<(&'a str, &'a Tree)> = Vec::new();
@@ -193,7 +207,7 @@
 
     fn deserialize_f64<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, DeserializeError> {
         let text = self.text("a number").unwrap_or("1");
-        let number = text.parse::<f64>().ok().filter(|n| n.is_finite());
+        let number = text.replace('_', "").parse::<f64>().ok().filter(|n| n.is_finite());
         if number.is_none() {
             self.record(format!("`{text}` is invalid; write a number"));
         }
@@ -253,7 +267,10 @@
             self.record_at(*line, self.join(key), text);
         }
         let mut entries = self.entries();
-        let known: Vec<_> = entries.remaining.filter(|(key, _)| fields.contains(key)).collect();
+        let known: Vec<_> = entries
+            .remaining
+            .filter(|(key, tree)| fields.contains(key) && !self.takes_default(key, tree))
+            .collect();
         entries.remaining = known.into_iter();
         visitor.visit_map(entries).map_err(|error| match error {
             DeserializeError::Missing { path, field } if path.is_empty() => {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,3 +18,4 @@
 mod script;
 pub mod service;
 pub mod target;
+pub mod template;
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -86,7 +86,8 @@
     let mut state = gateway.state();
     state.observe_fleet(Instant::now());
     let before = state.retry_share;
-    state.retry_share.confirm(found, gateway.settings.retry_limits.retention(), begun);
+    let retention = state.retry_limits.retention();
+    state.retry_share.confirm(found, retention, begun);
     if before.usable_from() != state.retry_share.usable_from() {
         let wait = state.retry_share.usable_from().map(|at| at.saturating_duration_since(begun));
         let wait_ms = wait.unwrap_or_default().as_millis() as u64;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 //! | `retries` | asks for retries within the operator's limits, and records them |
 //! | `reservations` | reserves memory for a prompt that one engine cannot hold |
 //! | `relay` | relays event streams |
+//! | `reload` | puts settings that changed in force while the process runs |
 //! | `resume` | streams that go on at another target |
 //! | `crashes` | which parts of prompts crash targets, and what peers are told of it |
 //! | `notices` | what targets state about themselves in their answers |
@@ -52,6 +53,7 @@
 mod queue;
 mod reach;
 mod relay;
+mod reload;
 mod request;
 mod reservations;
 mod resume;
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use mimosapass_core::edge::retry::{RetryLedger, Usage};
+use mimosapass_core::edge::retry::{RetryLedger, RetryLimits, Usage};
 use mimosapass_core::edge::route_table::ServiceId;
 
 use super::flow::{Flow, MAX_NOT_SENT};
@@ -43,7 +43,7 @@
     /// Reserves a retry, if the limits allow it.
     pub fn reserve_retry(self: &Arc<Self>, service: &ServiceId, now: Instant) -> Option<Retry> {
         let mut state = self.state();
-        let share = state.usable_slack(self, now);
+        let share = state.usable_slack(now);
         let allowed = state.retry_ledger(self, service).reserve(share, now);
         drop(state);
         if !allowed {
@@ -56,7 +56,7 @@
     /// Returns the account of a service, and the number of instances that share the slack.
     fn retry_account(&self, service: &ServiceId, now: Instant) -> (Usage, usize) {
         let mut state = self.state();
-        let (share, instances) = (state.usable_slack(self, now), state.instance_count(now));
+        let (share, instances) = (state.usable_slack(now), state.instance_count(now));
         let usage = state.retry_ledger(self, service).usage(share, now);
         drop(state);
         let figures = [
@@ -73,16 +73,24 @@
 }
 
 impl State {
+    /// Puts other limits on retries in force.
+    pub fn set_retry_limits(&mut self, limits: RetryLimits, now: Instant) {
+        for ledger in self.retry_ledgers.values_mut() {
+            ledger.set_limits(limits, now);
+        }
+        self.retry_limits = limits;
+    }
+
     fn retry_ledger(&mut self, gateway: &Gateway, service: &ServiceId) -> &mut RetryLedger {
-        let (limits, begin) = (gateway.settings.retry_limits, gateway.started);
+        let (limits, begin) = (self.retry_limits, gateway.started);
         let ledgers = self.retry_ledgers.entry(ServiceId::clone(service));
         ledgers.or_insert_with(|| RetryLedger::new(limits, begin))
     }
 
     /// Returns the part of the slack that this instance may use.
-    fn usable_slack(&mut self, gateway: &Gateway, now: Instant) -> f64 {
+    fn usable_slack(&mut self, now: Instant) -> f64 {
         let count = self.fleet_size.count(now).filter(|_| self.retry_share.is_usable(now));
-        count.map_or(0.0, |count| gateway.settings.retry_limits.slack / count as f64)
+        count.map_or(0.0, |count| self.retry_limits.slack / count as f64)
     }
 }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -15,9 +15,10 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use super::settings::{self, Settings};
+use super::settings::Settings;
 use super::state::{ABORT_MARGIN, Gateway, STOP_NOTICE};
-use super::{flow, follow, gossip, member, reach, snapshot};
+use super::{flow, follow, gossip, member, reach, reload, snapshot};
+use crate::settings_file::SettingsFile;
 
 /// Stack size of the threads started here.
 const STACK_BYTES: usize = 512 * 1024;
@@ -58,8 +59,16 @@
     let socket = Arc::new(DatagramSocket::bind(settings.listen.peers)?);
     let gateway = Arc::new(Gateway::new(settings, boot));
     let (name, zone) = (&*gateway.name, gateway.settings.zone.as_str());
-    let first_start = gateway.settings.first_start;
-    log::info!(name, zone, boot, first_start; "gateway: started.");
+    let Settings { stop_limit, retry_limits, first_start, memory_mb, capacity, .. } =
+        gateway.settings;
+    log::info!(
+        name, zone, boot, first_start, memory_mb, capacity,
+        stop_limit_ms = stop_limit.as_millis() as u64,
+        retry_ratio = retry_limits.ratio,
+        retry_slack = retry_limits.slack,
+        retry_window_ms = retry_limits.window.as_millis() as u64;
+        "gateway: started."
+    );
     spawn(&gateway, "follow", follow::run)?;
     spawn(&gateway, "member", member::run)?;
     spawn(&gateway, "probe", reach::probe)?;
@@ -74,29 +83,21 @@
     let server = serve_callers(&gateway)?;
     let ready = serve_ready(&gateway)?;
     let metrics = serve_metrics(&gateway)?;
+    let applying = Arc::clone(&gateway);
+    let apply = move |path: &Path, text: &str| reload::apply(&applying, path, text);
+    let settings_file = SettingsFile::follow(file, Box::new(apply))?;
     for signal in signals.forever() {
-        if signal == SIGHUP {
-            check_reload(file);
-            continue;
+        // A file that changed without a signal bounds the stop too.
+        settings_file.reload();
+        if signal != SIGHUP {
+            stop(&gateway, &server);
+            break;
         }
-        stop(&gateway, &server);
-        break;
     }
     drop((ready, metrics));
     Ok(())
 }
 
-/// Reads the settings file again and logs its faults.
-///
-/// The running process keeps its settings; a changed file takes effect at the next
-/// start.
-fn check_reload(file: &Path) {
-    match settings::load(file) {
-        Ok(_) => log::info!("gateway: settings file valid, in force from the next start."),
-        Err(faults) => log::error!("gateway: settings file invalid, not applied: {faults}"),
-    }
-}
-
 fn identity(gateway: &Gateway) -> Identity {
     Identity {
         name: gateway.name.to_string(),
@@ -169,7 +170,7 @@
     server.disable_keep_alive();
     thread::sleep(STOP_NOTICE);
     server.stop(IDLE_GRACE);
-    let abort_at = started + gateway.settings.stop_limit.saturating_sub(ABORT_MARGIN);
+    let abort_at = started + gateway.state().stop_limit.saturating_sub(ABORT_MARGIN);
     while !server.drained() && Instant::now() < abort_at {
         thread::sleep(POLL_INTERVAL);
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -7,16 +7,22 @@
 use mimosapass_core::config::Fault;
 use mimosapass_core::edge::pricing::Pricing;
 use mimosapass_core::edge::retry::RetryLimits;
-use mimosapass_operator::yaml::{self, Faults};
+use mimosapass_core::figure;
+use mimosapass_operator::yaml::{self, Faults, Loaded};
 use serde::Deserialize;
 
-/// Largest value of a setting in milliseconds.
-const MAX_TIME_MS: u64 = 3_600_000;
-/// Smallest memory in which a gateway runs.
-const MIN_MEMORY_MB: usize = 64;
-/// Smallest and largest processor share of a machine, in cores.
+/// Time from the stop signal until the process is killed, unless it is set.
+const STOP_LIMIT: Duration = Duration::from_secs(8);
+/// Window of the limits on retries, unless it is set.
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// Smallest memory in which a gateway runs, and the largest one that is used, in megabytes.
+const MIN_MEMORY_MB: f64 = 64.0;
+const MAX_MEMORY_MB: f64 = 16.0 * 1024.0 * 1024.0;
+/// Smallest and largest processor share that is told apart, in cores.
 const MIN_CORES: f64 = 0.001;
 const MAX_CORES: f64 = 1024.0;
+/// What to write for a figure that has no upper bound.
+const ANY_FIGURE: &str = "write a number, 0 or more";
 
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -32,7 +38,7 @@
     #[serde(default)]
     repeats: Repeats,
     #[serde(default = "default_memory_mb")]
-    memory_mb: usize,
+    memory_mb: f64,
     #[serde(default = "default_cores")]
     cores: f64,
     #[serde(default)]
@@ -84,16 +90,11 @@
     pub metrics: SocketAddr,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 struct Stop {
-    limit_ms: u64,
-}
-
-impl Default for Stop {
-    fn default() -> Self {
-        Self { limit_ms: 8_000 }
-    }
+    limit_s: Option<f64>,
+    limit_ms: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
@@ -101,18 +102,24 @@
 struct Repeats {
     ratio: f64,
     slack: f64,
-    window_ms: u64,
+    window_s: Option<f64>,
+    window_ms: Option<f64>,
     first_start: bool,
 }
 
 impl Default for Repeats {
     fn default() -> Self {
-        Self { ratio: 0.2, slack: 100.0, window_ms: 10_000, first_start: false }
+        Self { ratio: 0.2, slack: 100.0, window_s: None, window_ms: None, first_start: false }
     }
 }
 
-fn default_memory_mb() -> usize {
-    256
+/// Returns a time that is written in seconds or in milliseconds.
+fn time(seconds: Option<f64>, millis: Option<f64>) -> Option<Duration> {
+    seconds.map(figure::seconds).or_else(|| millis.map(figure::millis))
+}
+
+fn default_memory_mb() -> f64 {
+    256.0
 }
 
 fn default_cores() -> f64 {
@@ -120,7 +127,7 @@
 }
 
 /// Checked settings of one gateway.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of the instance, unique in the fleet.
     pub name: String,
@@ -153,27 +160,43 @@
 /// # Errors
 ///
 /// Returns every fault found.
-pub fn load(path: &Path) -> Result<Settings, Faults> {
+pub fn load(path: &Path) -> Result<Loaded<Settings>, Faults> {
+    let Loaded { value, unset } = yaml::load(path, check)?;
+    Ok(Loaded { value: settings(value), unset })
+}
+
+/// As [`load`], with the text of the file.
+///
+/// # Errors
+///
+/// Returns every fault found.
+pub fn parse(text: &str, path: &Path) -> Result<Loaded<Settings>, Faults> {
+    let Loaded { value, unset } = yaml::parse_settings(text, check, path.display().to_string())?;
+    Ok(Loaded { value: settings(value), unset })
+}
+
+fn settings(file: File) -> Settings {
     let File { name, zone, listen, store, seeds, stop, repeats, memory_mb, cores, pricing, costs } =
-        yaml::load(path, check)?;
-    Ok(Settings {
+        file;
+    Settings {
         name,
         zone,
         listen,
         store,
         seeds,
-        stop_limit: Duration::from_millis(stop.limit_ms),
+        stop_limit: time(stop.limit_s, stop.limit_ms).unwrap_or(STOP_LIMIT),
         retry_limits: RetryLimits {
             ratio: repeats.ratio,
             slack: repeats.slack,
-            window: Duration::from_millis(repeats.window_ms),
-        },
+            window: time(repeats.window_s, repeats.window_ms).unwrap_or(RETRY_WINDOW),
+        }
+        .enforceable(),
         first_start: repeats.first_start,
-        memory_mb,
-        capacity: (cores * 1000.0) as u32,
+        memory_mb: memory_mb.min(MAX_MEMORY_MB) as usize,
+        capacity: (cores.clamp(MIN_CORES, MAX_CORES) * 1000.0) as u32,
         pricing: pricing.into(),
         costs,
-    })
+    }
 }
 
 fn check(file: &File) -> Vec<Fault> {
@@ -194,15 +217,26 @@
     );
     require(!peers.ip().is_unspecified(), "listen.peers", "write the address that peers reach");
     require(file.store.port() > 0, "store", "write the port of the store");
-    let times =
-        [("stop.limit_ms", file.stop.limit_ms), ("repeats.window_ms", file.repeats.window_ms)];
-    for (path, time) in times {
-        require((1..=MAX_TIME_MS).contains(&time), path, "write milliseconds, 1 to 3600000");
+    let Stop { limit_s, limit_ms } = file.stop;
+    let Repeats { ratio, slack, window_s, window_ms, .. } = file.repeats;
+    require(limit_s.is_none() || limit_ms.is_none(), "stop.limit_ms", "remove it or `limit_s`");
+    require(
+        window_s.is_none() || window_ms.is_none(),
+        "repeats.window_ms",
+        "remove it or `window_s`",
+    );
+    let figures = [
+        ("stop.limit_s", limit_s),
+        ("stop.limit_ms", limit_ms),
+        ("repeats.ratio", Some(ratio)),
+        ("repeats.slack", Some(slack)),
+        ("repeats.window_s", window_s),
+        ("repeats.window_ms", window_ms),
+        ("cores", Some(file.cores)),
+    ];
+    for (path, figure) in figures {
+        require(figure.is_none_or(|figure| figure >= 0.0), path, ANY_FIGURE);
     }
-    require((0.0..=10.0).contains(&file.repeats.ratio), "repeats.ratio", "write 0 to 10");
-    require((0.0..=1e6).contains(&file.repeats.slack), "repeats.slack", "write 0 to 1000000");
     require(file.memory_mb >= MIN_MEMORY_MB, "memory_mb", "write megabytes, 64 or more");
-    let cores = MIN_CORES..=MAX_CORES;
-    require(cores.contains(&file.cores), "cores", "write processor cores, 0.001 to 1024");
     faults
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,7 +19,7 @@
 use mimosapass_core::edge::quarantine::Quarantine;
 use mimosapass_core::edge::reach::Reach;
 use mimosapass_core::edge::remote::RemoteRequests;
-use mimosapass_core::edge::retry::RetryLedger;
+use mimosapass_core::edge::retry::{RetryLedger, RetryLimits};
 use mimosapass_core::edge::retry_share::{FleetSize, RetryShare};
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
 use mimosapass_core::edge::schedule::{Exclusions, Grant, Scheduler};
@@ -95,6 +95,10 @@
     pub grant_slots: HashMap<RequestNumber, Arc<GrantSlot>>,
     /// Recent requests and retries by service.
     pub retry_ledgers: HashMap<ServiceId, RetryLedger>,
+    /// Limits on retries that are in force.
+    pub retry_limits: RetryLimits,
+    /// Time from a stop signal until the process is killed, as in force now.
+    pub stop_limit: Duration,
     /// Whether this instance may use its part of the retries that all share.
     pub retry_share: RetryShare,
     /// How many instances there are.
@@ -253,7 +257,7 @@
     /// Within [`STOP_NOTICE`] all requests are accepted, since the load balancer still
     /// sends callers here; after it only those that end before requests are aborted.
     pub fn too_late(&self, time: Duration, now: Instant) -> bool {
-        let limit = self.settings.stop_limit.saturating_sub(ABORT_MARGIN);
+        let limit = self.state().stop_limit.saturating_sub(ABORT_MARGIN);
         self.stopping_since
             .get()
             .is_some_and(|at| now >= *at + STOP_NOTICE && now + time > *at + limit)
@@ -353,6 +357,8 @@
             scheduler,
             grant_slots: HashMap::new(),
             retry_ledgers: HashMap::new(),
+            retry_limits: settings.retry_limits,
+            stop_limit: settings.stop_limit,
             retry_share: RetryShare::new(settings.first_start),
             fleet_size: FleetSize::default(),
             known_instances: 1,
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,7 @@
 mod request;
 mod serve;
 mod settings;
+mod settings_file;
 mod status;
 mod stop;
 mod timer;
@@ -22,7 +23,9 @@
 use std::error::Error;
 use std::process::ExitCode;
 
-use mimosapass_operator::yaml::Faults;
+use mimosapass_operator::yaml::{Faults, Loaded};
+
+use settings_file::log_unset;
 
 /// Exit code for invalid settings.
 const INVALID_SETTINGS: u8 = 2;
@@ -48,14 +51,19 @@
 
 fn run(command: cli::Command) -> Result<(), Box<dyn Error>> {
     match command {
-        cli::Command::Serve { config } => Ok(serve::run(settings::load(&config)?)?),
+        cli::Command::Serve { config } => {
+            let Loaded { value, unset } = settings::load(&config)?;
+            log_unset(&unset);
+            Ok(serve::run(value, &config)?)
+        }
         cli::Command::Gateway { config, first_start, check } => {
-            let mut settings = gateway::settings::load(&config)?;
+            let Loaded { value: mut settings, unset } = gateway::settings::load(&config)?;
             if check {
                 println!("{}: no faults", config.display());
                 return Ok(());
             }
             logs::start()?;
+            log_unset(&unset);
             if let Some(text) = first_start {
                 if !matches!(text.as_str(), "true" | "false") {
                     log::warn!(text = text.as_str(); "gateway: --first-start counts as false.");
--- a/src/node.rs
+++ b/src/node.rs
@@ -31,7 +31,7 @@
 use crate::explain::Explanations;
 use crate::metrics::Metrics;
 use crate::request::queue::RequestQueue;
-use crate::settings::Settings;
+use crate::settings::{Settings, StopTimes};
 use crate::timer::Timer;
 use crate::trace::Traces;
 
@@ -79,6 +79,8 @@
     pub in_flight: BTreeMap<WorkspaceId, usize>,
     /// Claims on engine memory.
     pub claims: Claims,
+    /// Times of a graceful shutdown that are in force.
+    pub stop: StopTimes,
 }
 
 /// One instance, shared by its threads.
@@ -163,6 +165,7 @@
             queue: RequestQueue::default(),
             in_flight: BTreeMap::new(),
             claims: Claims::default(),
+            stop: settings.stop,
         };
         let throttled_kv = ThrottledKv::new(kv.clone());
         Self {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,7 @@
 //! Starts the threads of an instance and runs it until a signal stops it.
 
 use std::io;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::mpsc::{channel, sync_channel};
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -8,14 +9,16 @@
 use mimosapass_caller::server::Server;
 use mimosapass_instance::link::{INBOX_LENGTH, Identity, Links};
 use mimosapass_operator::pages::{self, Sources};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use mimosapass_operator::yaml::Loaded;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use crate::background::records::{self, Records};
 use crate::background::{config_watch, listing, memory, orders, peers, poll, reclaim, spawn};
 use crate::node::Node;
 use crate::request::{dispatch, queue};
-use crate::settings::Settings;
+use crate::settings::{self, Settings};
+use crate::settings_file::{SettingsFile, log_invalid, log_unset};
 use crate::status::status;
 use crate::stop::stop;
 use crate::timer::Timer;
@@ -25,8 +28,8 @@
 /// # Errors
 ///
 /// Fails when an address cannot be bound or a thread cannot be started.
-pub fn run(settings: Settings) -> io::Result<()> {
-    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+pub fn run(settings: Settings, file: &Path) -> io::Result<()> {
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
     let timer = Timer::start()?;
     let (incoming, inbox) = sync_channel(INBOX_LENGTH);
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -60,13 +63,40 @@
         "serve: listening for callers on {} and for operators on {operators}.",
         server.addr()
     );
-    if signals.forever().next().is_some() {
+    let applying = Arc::clone(&node);
+    let apply = move |path: &Path, text: &str| reload(&applying, path, text);
+    let settings_file = SettingsFile::follow(file, Box::new(apply))?;
+    let is_stop = |signal: i32| {
+        // A file that changed without a signal bounds the stop too.
+        settings_file.reload();
+        signal != SIGHUP
+    };
+    if signals.forever().any(is_stop) {
         stop(&node, &server, &mut signals);
         node.traces.shutdown();
     }
     Ok(())
 }
 
+/// Puts the text of the settings file in force: the times of a shutdown at once, all others at the
+/// next start.
+fn reload(node: &Node, path: &Path, text: &str) {
+    let new = match settings::parse(text, path) {
+        Ok(Loaded { value, unset }) => {
+            log_unset(&unset);
+            value
+        }
+        Err(faults) => return log_invalid(&faults),
+    };
+    let before = std::mem::replace(&mut node.state().stop, new.stop);
+    if before != new.stop {
+        log::info!("settings: the times of a shutdown changed and are in force: {:?}.", new.stop);
+    }
+    if node.settings != (Settings { stop: node.settings.stop, ..new }) {
+        log::info!("settings: others changed too and are in force from the next start.");
+    }
+}
+
 fn serve_callers(node: &Arc<Node>) -> io::Result<Server> {
     let serving = Arc::clone(node);
     Server::start(
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,15 +6,16 @@
 
 use mimosapass_caller::server::Limits;
 use mimosapass_core::config::Fault;
-use mimosapass_operator::yaml::{self, Faults};
+use mimosapass_core::figure::millis;
+use mimosapass_operator::yaml::{self, Faults, Loaded};
 use serde::Deserialize;
 
 use crate::trace::Export;
 
 /// Maximum time limit in the settings, in milliseconds.
-const MAX_TIME_MS: u64 = 3_600_000;
+const MAX_TIME_MS: f64 = 3_600_000.0;
 /// Maximum time limit of a graceful shutdown, in milliseconds.
-const MAX_STOP_MS: u64 = 86_400_000;
+const MAX_STOP_MS: f64 = 86_400_000.0;
 /// Minimum size limit of a body.
 const MIN_BODY_BYTES: usize = 1024;
 /// Maximum size limit of a body.
@@ -64,13 +65,13 @@
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 struct Stop {
-    notice_ms: u64,
-    limit_ms: u64,
+    notice_ms: f64,
+    limit_ms: f64,
 }
 
 impl Default for Stop {
     fn default() -> Self {
-        Self { notice_ms: 3_000, limit_ms: 600_000 }
+        Self { notice_ms: 3_000.0, limit_ms: 600_000.0 }
     }
 }
 
@@ -78,13 +79,13 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 struct ClaimTimes {
-    period_ms: u64,
-    expiry_ms: u64,
+    period_ms: f64,
+    expiry_ms: f64,
 }
 
 impl Default for ClaimTimes {
     fn default() -> Self {
-        Self { period_ms: 10_000, expiry_ms: 30_000 }
+        Self { period_ms: 10_000.0, expiry_ms: 30_000.0 }
     }
 }
 
@@ -101,10 +102,10 @@
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 struct Callers {
-    head_ms: u64,
-    body_ms: u64,
-    idle_ms: u64,
-    write_ms: u64,
+    head_ms: f64,
+    body_ms: f64,
+    idle_ms: f64,
+    write_ms: f64,
     body_bytes: usize,
     bodies_bytes: usize,
     connections: usize,
@@ -114,10 +115,10 @@
     fn default() -> Self {
         let limits = Limits::default();
         Self {
-            head_ms: limits.head_timeout.as_millis() as u64,
-            body_ms: limits.body_timeout.as_millis() as u64,
-            idle_ms: limits.idle_timeout.as_millis() as u64,
-            write_ms: limits.write_timeout.as_millis() as u64,
+            head_ms: limits.head_timeout.as_secs_f64() * 1000.0,
+            body_ms: limits.body_timeout.as_secs_f64() * 1000.0,
+            idle_ms: limits.idle_timeout.as_secs_f64() * 1000.0,
+            write_ms: limits.write_timeout.as_secs_f64() * 1000.0,
             body_bytes: limits.body_bytes,
             bodies_bytes: limits.bodies_bytes,
             connections: limits.connections,
@@ -125,8 +126,17 @@
     }
 }
 
+/// Times of a graceful shutdown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StopTimes {
+    /// Time from announcing it until idle connections are closed.
+    pub notice: Duration,
+    /// Time limit.
+    pub limit: Duration,
+}
+
 /// Checked settings of one instance.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Name of the instance, unique in the fleet.
     pub name: String,
@@ -138,10 +148,8 @@
     pub platform: SocketAddr,
     /// Addresses of peers to contact if the platform does not answer.
     pub seeds: Vec<SocketAddr>,
-    /// Time from announcing a shutdown to refusing connections.
-    pub notice: Duration,
-    /// Time limit of a graceful shutdown.
-    pub stop_limit: Duration,
+    /// Times of a graceful shutdown.
+    pub stop: StopTimes,
     /// Limits for callers.
     pub limits: Limits,
     /// Destination of trace spans.
@@ -155,16 +163,27 @@
 /// # Errors
 ///
 /// Returns every fault that was found.
-pub fn load(path: &Path) -> Result<Settings, Faults> {
-    yaml::load(path, check).map(settings)
+pub fn load(path: &Path) -> Result<Loaded<Settings>, Faults> {
+    let Loaded { value, unset } = yaml::load(path, check)?;
+    Ok(Loaded { value: settings(value), unset })
+}
+
+/// As [`load`], with the text of the file.
+///
+/// # Errors
+///
+/// Returns every fault that was found.
+pub fn parse(text: &str, path: &Path) -> Result<Loaded<Settings>, Faults> {
+    let Loaded { value, unset } = yaml::parse_settings(text, check, path.display().to_string())?;
+    Ok(Loaded { value: settings(value), unset })
 }
 
 fn settings(file: File) -> Settings {
     let limits = Limits {
-        head_timeout: Duration::from_millis(file.callers.head_ms),
-        body_timeout: Duration::from_millis(file.callers.body_ms),
-        idle_timeout: Duration::from_millis(file.callers.idle_ms),
-        write_timeout: Duration::from_millis(file.callers.write_ms),
+        head_timeout: millis(file.callers.head_ms),
+        body_timeout: millis(file.callers.body_ms),
+        idle_timeout: millis(file.callers.idle_ms),
+        write_timeout: millis(file.callers.write_ms),
         body_bytes: file.callers.body_bytes,
         bodies_bytes: file.callers.bodies_bytes,
         connections: file.callers.connections,
@@ -176,12 +195,11 @@
         listen: file.listen,
         platform: file.platform,
         seeds: file.seeds,
-        notice: Duration::from_millis(file.stop.notice_ms),
-        stop_limit: Duration::from_millis(file.stop.limit_ms),
+        stop: StopTimes { notice: millis(file.stop.notice_ms), limit: millis(file.stop.limit_ms) },
         limits,
         claims: Claims {
-            period: Duration::from_millis(file.claims.period_ms),
-            expiry: Duration::from_millis(file.claims.expiry_ms),
+            period: millis(file.claims.period_ms),
+            expiry: millis(file.claims.expiry_ms),
         },
         trace: file.trace,
     }
@@ -218,19 +236,23 @@
         ("callers.write_ms", file.callers.write_ms),
     ];
     for (path, time) in times {
-        require((1..=MAX_TIME_MS).contains(&time), path, "write milliseconds, 1 to 3600000");
+        require((1.0..=MAX_TIME_MS).contains(&time), path, "write milliseconds, 1 to 3600000");
     }
     let ClaimTimes { period_ms, expiry_ms } = file.claims;
-    require((1..=MAX_TIME_MS).contains(&period_ms), "claims.period_ms", "write 1 to 3600000");
+    require((1.0..=MAX_TIME_MS).contains(&period_ms), "claims.period_ms", "write 1 to 3600000");
     require(
-        expiry_ms / 3 >= period_ms && expiry_ms <= MAX_TIME_MS,
+        expiry_ms / 3.0 >= period_ms && expiry_ms <= MAX_TIME_MS,
         "claims.expiry_ms",
         "write milliseconds, from three times `period_ms` to 3600000",
     );
     let Stop { notice_ms, limit_ms } = file.stop;
-    require(notice_ms <= MAX_TIME_MS, "stop.notice_ms", "write milliseconds, 0 to 3600000");
     require(
-        (notice_ms.max(1)..=MAX_STOP_MS).contains(&limit_ms),
+        (0.0..=MAX_TIME_MS).contains(&notice_ms),
+        "stop.notice_ms",
+        "write milliseconds, 0 to 3600000",
+    );
+    require(
+        (notice_ms.max(1.0)..=MAX_STOP_MS).contains(&limit_ms),
         "stop.limit_ms",
         "write milliseconds, from `notice_ms` to 86400000",
     );
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -10,10 +10,12 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_caller::server::Server;
+use signal_hook::consts::SIGHUP;
 use signal_hook::iterator::Signals;
 
 use crate::background::peers;
 use crate::node::Node;
+use crate::settings::StopTimes;
 
 /// Interval at which the progress of the shutdown is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -28,13 +30,14 @@
 
 /// Shuts the instance down; returns once the process may exit.
 pub fn stop(node: &Arc<Node>, server: &Server, signals: &mut Signals) {
-    log::info!("serve: graceful shutdown started, limit {:?}.", node.settings.stop_limit);
+    let StopTimes { notice, limit } = node.state().stop;
+    log::info!("serve: graceful shutdown started, limit {limit:?}.");
     node.set_stopping();
     server.disable_keep_alive();
     peers::announce_leaving(node);
     let begun = Instant::now();
-    let mut shutdown = Shutdown { node, signals, deadline: begun + node.settings.stop_limit };
-    let notice_over = || begun.elapsed() >= node.settings.notice;
+    let mut shutdown = Shutdown { node, signals, limit, deadline: begun + limit };
+    let notice_over = || begun.elapsed() >= notice;
     let complete = shutdown.wait(notice_over) && {
         server.stop(IDLE_GRACE);
         shutdown.wait(|| server.drained())
@@ -49,6 +52,7 @@
 struct Shutdown<'a> {
     node: &'a Node,
     signals: &'a mut Signals,
+    limit: Duration,
     deadline: Instant,
 }
 
@@ -56,12 +60,12 @@
     /// Waits until `done` holds; `false` if a signal or the deadline came first.
     fn wait(&mut self, done: impl Fn() -> bool) -> bool {
         while !done() {
-            if self.signals.pending().next().is_some() {
+            if self.signals.pending().any(|signal| signal != SIGHUP) {
                 log::warn!("serve: second signal received; aborting the graceful shutdown.");
                 return false;
             }
             if Instant::now() >= self.deadline {
-                let limit = self.node.settings.stop_limit;
+                let limit = self.limit;
                 log::warn!("serve: shutdown limit of {limit:?} reached; aborting requests.");
                 return false;
             }
--- a/tests/suite/common.rs
+++ b/tests/suite/common.rs
@@ -260,6 +260,14 @@
         self.instances.len() - 1
     }
 
+    /// Replaces a text in the settings file of an instance.
+    pub fn rewrite(&self, index: usize, from: &str, to: &str) {
+        let file = self.dir.join(format!("{}.yaml", self.instances[index].name));
+        let text = std::fs::read_to_string(&file).expect("settings");
+        assert!(text.contains(from), "{text}");
+        std::fs::write(file, text.replacen(from, to, 1)).expect("written");
+    }
+
     /// Returns the standard output of an instance, such as trace spans.
     pub fn output(&self, index: usize) -> String {
         let file = self.dir.join(format!("{}.out", self.instances[index].name));
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod notices;
 mod quarantine;
+mod reload;
 mod repeated_crashes;
 mod reservations;
 mod restore;
@@ -24,6 +25,7 @@
 mod soak;
 mod stale_refusals;
 mod streams;
+mod template;
 mod unframed;
 mod views;
 mod wire;
@@ -264,6 +266,14 @@
         eventually(&format!("{gauge} of gateway {number}"), || value().is_some_and(&accepts));
     }
 
+    /// Replaces a text in the settings file of a gateway.
+    pub fn rewrite(&self, number: usize, from: &str, to: &str) {
+        let file = &self.gateways[number].settings;
+        let text = std::fs::read_to_string(file).expect("settings");
+        assert!(text.contains(from), "{text}");
+        std::fs::write(file, text.replacen(from, to, 1)).expect("written");
+    }
+
     /// Returns the address of a gateway for callers.
     pub fn callers(&self, number: usize) -> SocketAddr {
         SocketAddr::from((self.gateways[number].ip, 8080))
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod deadlines;
 mod end_to_end;
 mod engine_groups;
+mod figures;
 mod gateway;
 mod idempotency;
 mod leaving;
--- a/tests/suite/settings.rs
+++ b/tests/suite/settings.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 
-const VALID: &str = "name: entry-1
+pub const VALID: &str = "name: entry-1
 zone: charguia
 platform: 127.0.0.1:7000
 listen:
@@ -17,7 +17,7 @@
 ";
 
 /// Runs `mimosapass check` and returns its exit code and output.
-fn check(text: &str, name: &str) -> (Option<i32>, String) {
+pub fn check(text: &str, name: &str) -> (Option<i32>, String) {
     let file = std::env::temp_dir().join(format!("mimosapass-{}-{name}.yaml", std::process::id()));
     std::fs::write(&file, text).expect("written");
     let output = Command::new(env!("CARGO_BIN_EXE_mimosapass")).arg("check").arg(&file).output();
