Tests: heads of responses that end in the middle, at each byte

Reported by another operator: a target stopped in the middle of its response's head and closed; callers got a 200 with an empty or short body, framed as whole.

It could not be shown here. Every prefix of a head, then a close, a reset or silence, is no response for any client of both programs, nor for the store's; a process of the gateway never relays a success, nor says "not run" of what was sent. docs/incidents/reports-of-other-operators.md has what was tried, and what cannot be told of a response without a length.

--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod behind;
 mod broken_streams;
 mod costs;
+mod cut_heads;
 mod cut_off;
 mod delegation;
 mod endless;
