--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -10,7 +10,7 @@
 
 use socket2::SockRef;
 
-use crate::port::Port;
+use crate::port;
 
 /// A path from its own address to a target address.
 #[derive(Clone, Debug)]
@@ -87,12 +87,11 @@
     ///
     /// Fails when the address cannot be bound.
     pub fn start_at(addr: SocketAddr, target: SocketAddr, rewrites: Rewrites) -> io::Result<Self> {
-        let port = Port::bind(addr)?;
-        let listener = port.listen()?;
-        let relay =
-            Self { addr: port.addr(), state: Arc::default(), rate: Arc::default(), rewrites };
+        let listener = port::listen(addr)?;
+        let addr = listener.local_addr()?;
+        let relay = Self { addr, state: Arc::default(), rate: Arc::default(), rewrites };
         let accepting = relay.clone();
-        thread::spawn(move || accepting.accept(&port, listener, target));
+        thread::spawn(move || accepting.accept(listener, target));
         Ok(relay)
     }
 
@@ -154,16 +153,20 @@
 
 impl Relay {
     /// Accepts connections as far as they are admitted.
-    fn accept(&self, port: &Port, listener: TcpListener, target: SocketAddr) {
-        let addr = port.addr();
-        let open = || port.listen().expect("the address is held");
+    fn accept(&self, listener: TcpListener, target: SocketAddr) {
+        let addr = self.addr;
+        let open = || port::listen(addr).expect("the address is held");
+        let mut held = None;
         let mut listener = Some(listener);
         // They fill the backlog of a listener that accepts nothing, so that others hang.
         let mut waiting = Vec::new();
         loop {
             let admission = lock(&self.state).admission;
             match admission {
-                Admission::Refused => listener = None,
+                Admission::Refused => {
+                    held.get_or_insert_with(|| port::hold(addr).expect("the address is shared"));
+                    listener = None;
+                }
                 Admission::Hanging if waiting.is_empty() => {
                     set_backlog(listener.get_or_insert_with(open), 0);
                     let connect = || TcpStream::connect_timeout(&addr, POLL_INTERVAL * 10);
@@ -179,6 +182,9 @@
                     self.accept_waiting(listener, target);
                 }
             }
+            if admission != Admission::Refused {
+                held = None;
+            }
             thread::sleep(POLL_INTERVAL);
         }
     }
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use socket2::SockRef;
 
-use crate::port::Port;
+use crate::port::{self, Held};
 pub use crate::script::{Hook, Reply, Step};
 
 /// Interval of checks for a disconnect while a target does not answer.
@@ -49,6 +49,8 @@
     restarted: bool,
     /// Whether new connections are refused.
     closed: bool,
+    /// Its address, once they are.
+    held: Option<Held>,
     /// Open connections by their number.
     streams: BTreeMap<usize, TcpStream>,
 }
@@ -62,8 +64,6 @@
     pub addr: SocketAddr,
     script: Script,
     state: Arc<Mutex<State>>,
-    /// Keeps the address taken once it has crashed.
-    _port: Arc<Port>,
 }
 
 impl std::fmt::Debug for ScriptedTarget {
@@ -79,15 +79,10 @@
     ///
     /// Panics when no address can be bound.
     pub fn start(id: &str, script: impl Fn(&Head) -> Reply + Send + Sync + 'static) -> Self {
-        let port = Port::bind(([127, 0, 0, 1], 0).into()).expect("an address");
-        let listener = port.listen().expect("it listens");
-        let target = Self {
-            id: id.to_owned(),
-            addr: port.addr(),
-            script: Arc::new(script),
-            state: Arc::default(),
-            _port: Arc::new(port),
-        };
+        let listener = port::listen(([127, 0, 0, 1], 0).into()).expect("an address");
+        let addr = listener.local_addr().expect("an address");
+        let target =
+            Self { id: id.to_owned(), addr, script: Arc::new(script), state: Arc::default() };
         let accepting = target.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -132,13 +127,24 @@
     }
 
     /// Refuses new connections; open ones stay in use.
+    ///
+    /// # Panics
+    ///
+    /// Panics when another socket has its address.
     pub fn stop_accepting(&self) {
-        self.lock().closed = true;
+        let mut state = self.lock();
+        state.closed = true;
+        state.held.get_or_insert_with(|| port::hold(self.addr).expect("the address is shared"));
+        drop(state);
         // Wakes the accepting thread, which then ends.
         drop(TcpStream::connect(self.addr));
     }
 
     /// Closes all connections and refuses new ones, for good.
+    ///
+    /// # Panics
+    ///
+    /// Panics when another socket has its address.
     pub fn crash(&self) {
         self.stop_accepting();
         while TcpStream::connect(self.addr).is_ok() {
