Stops: nothing is passed on that may not end in the grace, and nobody is left without an answer

What callers saw, reported by another operator and seen here: in a planned stop, requests that came late were taken, passed on, and cut at the end, also such as may run once; callers found a closed port while the process ran.

Causes: - A request was looked at once, when it arrived, and not in the first 2.5 s; never again when it left the queue, was sent once more, backed up or resumed. - The notice of 2.5 s and the margin of 0.4 s did not depend on the grace: with 1 or 2 s the process was still serving when it was to be killed. - The listener was closed 3.5 s after the signal. - Streams that had begun ended with the process, without a line; and the lines of the last moment were lost with the thread that writes them.

Now `core::edge::stop` decides: a request is passed on only if it can end before the margin, by its time limit at a service, by prefill and the longest answer on a full engine at an engine. That is asked before each send, also in the queue, of repeats, backups and resumes; its deadline at the target is within the stop. All else is told "not run" at once, to come back after 0.1 s, since another instance takes it right away. The port is open until no connection is left. Notice and margin fit the grace. What is left is answered at the margin; streams that cannot end are cut with a line, and the log is written before the process ends. `serve` refuses what its limit does not allow.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -21,6 +21,13 @@
 
 /// Stack size of a connection's thread.
 const STACK_BYTES: usize = 256 * 1024;
+/// Interval between checks whether a server that is stopping has no connection left.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time in which the first request on a connection that was accepted after the linger time has to
+/// begin: callers that have just connected send it at once.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// The same once the server aborts: the process is about to end.
+const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(50);
 /// Pause after a failed accept, for example when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Size of the read buffer.
@@ -150,9 +157,10 @@
         self.shared.keep_alive_disabled.store(true, Ordering::SeqCst);
     }
 
-    /// Closes idle connections and stops accepting new ones after `linger`.
+    /// Closes idle connections after `linger`, and stops accepting new ones once none is open.
     ///
-    /// Until then, requests on existing and new connections are served.
+    /// Until then, requests on existing and new connections are handled: a closed port would tell
+    /// a caller nothing.
     pub fn stop(&self, linger: Duration) {
         self.disable_keep_alive();
         self.shared.linger_end.get_or_init(|| Instant::now() + linger);
@@ -174,16 +182,42 @@
 }
 
 impl Shared {
+    /// Returns whether the linger time of a stop has passed and no connection is open.
+    fn is_over(&self) -> bool {
+        let passed = self.linger_end.get().is_some_and(|end| Instant::now() >= *end);
+        let passed = passed || self.abort_signal.is_raised();
+        passed && self.connections.load(Ordering::SeqCst) == 0
+    }
+
+    /// Returns whether a connection can be accepted; `false` to look at the stop again.
+    fn wait_acceptable(&self, listener: &TcpListener) -> io::Result<bool> {
+        if self.linger_end.get().is_none() {
+            return Ok(self.stop_signal.wait(listener, None)? == WaitOutcome::Ready);
+        }
+        let end = Some(Instant::now() + STOP_POLL_INTERVAL);
+        Ok(ShutdownSignal::wait_alone(listener, end)? == WaitOutcome::Ready)
+    }
+
     /// Returns whether `socket` becomes readable before the wait ends.
     ///
     /// The wait ends at `idle_end` or at the end of the linger time.
-    fn wait_readable(&self, socket: &impl AsFd, idle_end: Option<Instant>) -> io::Result<bool> {
+    ///
+    /// Before `least_end` a stop does not end it; an abort leaves [`LAST_REQUEST_TIMEOUT`] of that.
+    fn wait_readable(
+        &self,
+        socket: &impl AsFd,
+        idle_end: Instant,
+        least_end: Instant,
+    ) -> io::Result<bool> {
         loop {
             let outcome = match self.linger_end.get() {
-                None => self.stop_signal.wait(socket, idle_end)?,
+                Some(_) if self.abort_signal.is_raised() => {
+                    let end = least_end.min(Instant::now() + LAST_REQUEST_TIMEOUT);
+                    return Ok(ShutdownSignal::wait_alone(socket, Some(end))? == WaitOutcome::Ready);
+                }
+                None => self.stop_signal.wait(socket, Some(idle_end))?,
                 Some(end) => {
-                    let end = idle_end.map_or(*end, |idle_end| idle_end.min(*end));
-                    self.abort_signal.wait(socket, Some(end))?
+                    self.abort_signal.wait(socket, Some(idle_end.min((*end).max(least_end))))?
                 }
             };
             match outcome {
@@ -196,9 +230,14 @@
     }
 }
 
-/// Accepts connections until the linger time is over and none is pending.
+/// Accepts connections until the server stops and, after the linger time, none is open.
 fn accept_connections(listener: &TcpListener, shared: &Arc<Shared>) {
-    while shared.wait_readable(listener, None).unwrap_or(true) {
+    while !shared.is_over() {
+        match shared.wait_acceptable(listener) {
+            Ok(true) => {}
+            Ok(false) => continue,
+            Err(e) => log::warn!("caller: waiting for connections failed: {e}."),
+        }
         match listener.accept() {
             Ok((stream, _)) => start_connection(stream, shared),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
@@ -259,8 +298,11 @@
         return;
     }
     let mut buffered = Vec::new();
+    let mut least_end = Instant::now() + FIRST_REQUEST_TIMEOUT;
     loop {
-        match read_request(stream, &mut buffered, shared) {
+        let read = read_request(stream, &mut buffered, shared, least_end);
+        least_end = Instant::now();
+        match read {
             Ok(Some((head, body))) => {
                 let reusable = handle(head, body, stream, shared);
                 if !reusable {
@@ -346,8 +388,9 @@
     stream: &TcpStream,
     buffered: &mut Vec<u8>,
     shared: &Shared,
+    least_end: Instant,
 ) -> Result<Option<(Head, Body)>, Rejection> {
-    if buffered.is_empty() && !wait_for_request(stream, buffered, shared) {
+    if buffered.is_empty() && !wait_for_request(stream, buffered, shared, least_end) {
         return Ok(None);
     }
     shared.active_requests.fetch_add(1, Ordering::SeqCst);
@@ -371,9 +414,14 @@
     }
 }
 
-fn wait_for_request(stream: &TcpStream, buffered: &mut Vec<u8>, shared: &Shared) -> bool {
+fn wait_for_request(
+    stream: &TcpStream,
+    buffered: &mut Vec<u8>,
+    shared: &Shared,
+    least_end: Instant,
+) -> bool {
     let idle_end = Instant::now() + shared.limits.idle_timeout;
-    let read = match shared.wait_readable(stream, Some(idle_end)) {
+    let read = match shared.wait_readable(stream, idle_end, least_end) {
         Ok(true) => read_some(stream, buffered),
         Ok(false) => return false,
         Err(e) => Err(e),
--- a/crates/caller/src/shutdown_signal.rs
+++ b/crates/caller/src/shutdown_signal.rs
@@ -45,18 +45,29 @@
     /// If several hold, readable takes precedence over the signal, and the
     /// signal over the deadline.
     pub(crate) fn wait(&self, socket: &impl AsFd, end: Option<Instant>) -> io::Result<WaitOutcome> {
-        let mut fds =
-            [PollFd::new(socket, PollFlags::IN), PollFd::new(&self.reader, PollFlags::IN)];
-        loop {
-            let left = end.map(|end| end.saturating_duration_since(Instant::now()));
-            let timeout = left.and_then(|left| Timespec::try_from(left).ok());
-            match poll(&mut fds, timeout.as_ref()) {
-                Ok(0) => return Ok(WaitOutcome::TimedOut),
-                Ok(_) if !fds[0].revents().is_empty() => return Ok(WaitOutcome::Ready),
-                Ok(_) => return Ok(WaitOutcome::Signalled),
-                Err(rustix::io::Errno::INTR) => {}
-                Err(e) => return Err(e.into()),
-            }
+        wait_for(
+            &mut [PollFd::new(socket, PollFlags::IN), PollFd::new(&self.reader, PollFlags::IN)],
+            end,
+        )
+    }
+
+    /// Waits until `socket` is readable, or `end` has passed, also while a signal is raised.
+    pub(crate) fn wait_alone(socket: &impl AsFd, end: Option<Instant>) -> io::Result<WaitOutcome> {
+        wait_for(&mut [PollFd::new(socket, PollFlags::IN)], end)
+    }
+}
+
+/// Waits until one of the descriptors is readable; the first one is the socket.
+fn wait_for(fds: &mut [PollFd<'_>], end: Option<Instant>) -> io::Result<WaitOutcome> {
+    loop {
+        let left = end.map(|end| end.saturating_duration_since(Instant::now()));
+        let timeout = left.and_then(|left| Timespec::try_from(left).ok());
+        match poll(fds, timeout.as_ref()) {
+            Ok(0) => return Ok(WaitOutcome::TimedOut),
+            Ok(_) if !fds[0].revents().is_empty() => return Ok(WaitOutcome::Ready),
+            Ok(_) => return Ok(WaitOutcome::Signalled),
+            Err(rustix::io::Errno::INTR) => {}
+            Err(e) => return Err(e.into()),
         }
     }
 }
--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -82,5 +82,6 @@
 pub mod shared_rate;
 pub mod slowdown;
 pub mod speed;
+pub mod stop;
 pub mod transfer;
 pub mod wait;
--- a/crates/core/src/error.rs
+++ b/crates/core/src/error.rs
@@ -93,6 +93,8 @@
 }
 
 const SOON: Retry = Retry::After(Duration::from_secs(1));
+/// Another instance takes the request right away.
+const ELSEWHERE: Retry = Retry::After(Duration::from_millis(100));
 const LATER: Retry = Retry::After(Duration::from_secs(5));
 const NEVER: Retry = Retry::Never;
 
@@ -117,7 +119,7 @@
     row(Kind::NoTarget, 503, "no_target", true, SOON),
     row(Kind::Quarantined, 503, "quarantined", true, LATER),
     row(Kind::NotReady, 503, "not_ready", true, SOON),
-    row(Kind::Stopping, 503, "stopping", true, SOON),
+    row(Kind::Stopping, 503, "stopping", true, ELSEWHERE),
     row(Kind::RecordUnavailable, 503, "record_unavailable", true, LATER),
     row(Kind::Running, 409, "running", false, SOON),
     row(Kind::OutcomeUnknown, 409, "outcome_unknown", false, NEVER),
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -76,16 +76,9 @@
     let detoured = exchange.head.header(detour::ATTEMPTS).is_some();
     let resolved = request::resolve(&table, exchange, arrived);
     let resolved = resolved.map_err(|f| request::doubt(gateway, f, table.version, arrived));
-    let resolved = resolved.and_then(|request| {
-        let refused =
-            gateway.too_late(request.deadline.saturating_duration_since(arrived), arrived);
-        let stopping = || {
-            Failure::new(
-                Kind::Stopping,
-                "the instance is stopping and might not finish the request",
-            )
-        };
-        if refused { Err(stopping()) } else { Ok(request) }
+    let resolved = resolved.and_then(|request| match gateway.check_stop(&request, arrived) {
+        Some(failure) => Err(failure),
+        None => Ok(gateway.bound_by_stop(request)),
     });
     let resolved = resolved.and_then(|request| gateway.admit_parts(request));
     let request = match resolved {
@@ -166,6 +159,9 @@
         if self.sends + self.not_sent > 0 && !self.may_retry() {
             return Some(self.respond_last_failure());
         }
+        if let Some(failure) = self.gateway.check_stop(&self.request, Instant::now()) {
+            return Some(self.fail(&failure));
+        }
         if let Some(peer) = self.detour() {
             self.start_detour(peer);
             return None;
@@ -178,7 +174,9 @@
         let granted = queue::wait(self.gateway, &self.request.requirements, || self.obstacle());
         match granted {
             Ok(grant) => {
-                if let Some(failure) = self.gateway.check_parts(&self.request) {
+                let stopping = self.gateway.check_stop(&self.request, Instant::now());
+                if let Some(failure) = stopping.or_else(|| self.gateway.check_parts(&self.request))
+                {
                     self.gateway.finish(&grant, Instant::now());
                     return Some(self.fail(&failure));
                 }
@@ -210,7 +208,8 @@
             let detail = "the targets cannot be connected to from here";
             self.detour().map(|_| Failure::new(Kind::NoTarget, detail))
         };
-        self.gateway.check_parts(&self.request).or_else(cut_off)
+        let stopping = self.gateway.check_stop(&self.request, Instant::now());
+        stopping.or_else(|| self.gateway.check_parts(&self.request)).or_else(cut_off)
     }
 
     /// Ends the request for want of a target.
@@ -275,7 +274,8 @@
             self.runs.count_unfinished("late");
             return Some(self.expire());
         }
-        if self.gateway.is_aborting() && !self.progress.begun {
+        let begun = self.progress.begun;
+        if self.gateway.is_cutting() || self.gateway.is_aborting() && !begun {
             self.may_have_run = true;
             "the instance is stopping".clone_into(&mut self.last_error);
             return Some(self.respond_last_failure());
@@ -302,7 +302,9 @@
     fn back_up(&mut self, now: Instant) {
         if self.backup_due().is_some_and(|due| now >= due) {
             self.prepare_resume();
-            if self.gateway.may_retry_parts(&self.request) {
+            if self.gateway.check_stop(&self.request, now).is_some() {
+                self.runs.deny("the instance is stopping", &self.request, now);
+            } else if self.gateway.may_retry_parts(&self.request) {
                 let peer = self.detour();
                 if let Some(peer) = &peer {
                     self.record_detour(peer);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,7 +30,8 @@
 //! | `notices` | what targets state about themselves in their answers |
 //! | `ending` | how a request ends: log line, metrics, responses of the gateway itself |
 //! | `flow` | serves one request |
-//! | `serve` | starts and stops the threads and servers |
+//! | `stop` | stops the gateway, and says what it still takes |
+//! | `serve` | starts the threads and servers |
 
 pub mod serve;
 pub mod settings;
@@ -62,3 +63,4 @@
 mod runs;
 mod snapshot;
 mod state;
+mod stop;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::sync_channel;
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use mimosapass_caller::exchange::Exchange;
 use mimosapass_caller::server::{Limits, Server};
@@ -16,16 +16,13 @@
 use signal_hook::iterator::Signals;
 
 use super::settings::Settings;
-use super::state::{ABORT_MARGIN, Gateway, STOP_NOTICE};
+use super::state::Gateway;
+use super::stop::stop;
 use super::{flow, follow, gossip, member, reach, reload, snapshot};
 use crate::settings_file::SettingsFile;
 
 /// Stack size of the threads started here.
 const STACK_BYTES: usize = 512 * 1024;
-/// Time for which idle connections of callers stay open after [`STOP_NOTICE`].
-const IDLE_GRACE: Duration = Duration::from_secs(1);
-/// Interval between checks whether all requests have ended.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Idle timeout of a caller's connection. It is longer than any that an operator
 /// configures, so that no connection is closed while its caller uses it.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(2);
@@ -161,27 +158,3 @@
         log::debug!("gateway: a response on a service port could not be sent: {e}.");
     }
 }
-
-/// Stops the gateway; requests are aborted only when the stop limit is near.
-fn stop(gateway: &Gateway, server: &Server) {
-    let started = Instant::now();
-    log::info!(open = server.active_requests(); "gateway: stopping.");
-    gateway.begin_stop();
-    server.disable_keep_alive();
-    thread::sleep(STOP_NOTICE);
-    server.stop(IDLE_GRACE);
-    let abort_at = started + gateway.state().stop_limit.saturating_sub(ABORT_MARGIN);
-    while !server.drained() && Instant::now() < abort_at {
-        thread::sleep(POLL_INTERVAL);
-    }
-    if !server.drained() {
-        log::warn!(
-            open = server.active_requests();
-            "gateway: aborting the remaining requests {ABORT_MARGIN:?} before the stop limit."
-        );
-        gateway.abort_requests();
-        server.abort_incomplete();
-        thread::sleep(ABORT_MARGIN / 2);
-    }
-    log::info!("gateway: stopped.");
-}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use mimosapass_core::edge::retry_share::{FleetSize, RetryShare};
 use mimosapass_core::edge::route_table::{RouteTable, ServiceId};
 use mimosapass_core::edge::schedule::{Exclusions, Grant, Scheduler};
+use mimosapass_core::edge::stop::Stop;
 use mimosapass_core::ids::{InstanceId, TargetId};
 use mimosapass_instance::compression::compress;
 use mimosapass_platform::store::Store;
@@ -34,14 +35,8 @@
 use super::queue::GrantSlot;
 use super::settings::{Costs, Settings};
 
-/// Time after the stop signal in which new connections are still served. The load
-/// balancer checks every second and removes an instance after two failed checks.
-pub const STOP_NOTICE: Duration = Duration::from_millis(2_500);
 /// Bodies of responses may use one part in this many of the machine's memory.
 const RESPONSES_DIVISOR: usize = 8;
-/// Time before the stop limit at which the remaining requests are aborted.
-pub const ABORT_MARGIN: Duration = Duration::from_millis(400);
-
 /// Text of a configuration, for peers that do not have it.
 #[derive(Debug, Default)]
 pub struct ConfigText {
@@ -163,8 +158,9 @@
     state: Mutex<State>,
     route_table: RwLock<Arc<RouteTable>>,
     config_text: Mutex<Arc<ConfigText>>,
-    stopping_since: OnceLock<Instant>,
+    stop: OnceLock<Stop>,
     aborting: AtomicBool,
+    cutting: AtomicBool,
     next_number: AtomicU64,
 }
 
@@ -183,8 +179,9 @@
             state: Mutex::new(State::new(&settings)),
             route_table: RwLock::default(),
             config_text: Mutex::default(),
-            stopping_since: OnceLock::new(),
+            stop: OnceLock::new(),
             aborting: AtomicBool::new(false),
+            cutting: AtomicBool::new(false),
             next_number: AtomicU64::new(0),
             settings,
         }
@@ -242,37 +239,42 @@
         self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Marks the instance as stopping.
-    pub fn begin_stop(&self) {
-        self.stopping_since.get_or_init(Instant::now);
+    /// Marks the instance as stopping, within the stop limit that is in force.
+    pub fn begin_stop(&self) -> Stop {
+        let limit = self.state().stop_limit;
+        *self.stop.get_or_init(|| Stop::new(Instant::now(), limit))
     }
 
-    /// Returns whether the instance is stopping.
-    pub fn is_stopping(&self) -> bool {
-        self.stopping_since.get().is_some()
+    /// Returns the stop that has begun, if any.
+    pub fn stop(&self) -> Option<Stop> {
+        self.stop.get().copied()
     }
 
-    /// Returns whether a request that may take `time` is refused because of a stop.
-    ///
-    /// Within [`STOP_NOTICE`] all requests are accepted, since the load balancer still
-    /// sends callers here; after it only those that end before requests are aborted.
-    pub fn too_late(&self, time: Duration, now: Instant) -> bool {
-        let limit = self.state().stop_limit.saturating_sub(ABORT_MARGIN);
-        self.stopping_since
-            .get()
-            .is_some_and(|at| now >= *at + STOP_NOTICE && now + time > *at + limit)
+    /// Returns whether the instance is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.stop().is_some()
     }
 
-    /// Aborts all requests with a failure.
+    /// Aborts all requests that have no response yet.
     pub fn abort_requests(&self) {
         self.aborting.store(true, Ordering::SeqCst);
     }
 
-    /// Returns whether requests are being aborted.
+    /// Returns whether requests without a response are being aborted.
     pub fn is_aborting(&self) -> bool {
         self.aborting.load(Ordering::SeqCst)
     }
 
+    /// Ends the streams that callers have got a part of.
+    pub fn cut_streams(&self) {
+        self.cutting.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether streams are being ended.
+    pub fn is_cutting(&self) -> bool {
+        self.cutting.load(Ordering::SeqCst)
+    }
+
     /// Checks whether the instance is ready for requests.
     ///
     /// # Errors
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -29,10 +29,17 @@
 /// Window of the rate limit.
 const WINDOW: Duration = Duration::from_secs(1);
 
+/// Longest wait at the end of the process until the queue is written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+/// Interval between checks whether it is.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Sends log lines to the queue, within a rate limit for each level.
 struct RateLimited {
     filter: Filter,
     lines: SyncSender<String>,
+    /// Lines that were queued and are not written yet.
+    unwritten: Arc<AtomicU64>,
     counts: Mutex<[(Option<Instant>, u32); 6]>,
     dropped: Arc<AtomicU64>,
 }
@@ -47,14 +54,16 @@
     let filter = Builder::new().parse(&directives).build();
     let (lines, inbox) = sync_channel(QUEUE_LINES);
     let dropped = Arc::new(AtomicU64::new(0));
-    let counted = Arc::clone(&dropped);
-    thread::Builder::new().name("logs".to_owned()).spawn(move || write(&inbox, &counted))?;
+    let unwritten = Arc::new(AtomicU64::new(0));
+    let (counted, written) = (Arc::clone(&dropped), Arc::clone(&unwritten));
+    let work = move || write(&inbox, &counted, &written);
+    thread::Builder::new().name("logs".to_owned()).spawn(work)?;
     log::set_max_level(filter.filter());
-    let logger = RateLimited { filter, lines, counts: Mutex::default(), dropped };
+    let logger = RateLimited { filter, lines, unwritten, counts: Mutex::default(), dropped };
     log::set_boxed_logger(Box::new(logger)).map_err(io::Error::other)
 }
 
-fn write(lines: &Receiver<String>, dropped: &AtomicU64) {
+fn write(lines: &Receiver<String>, dropped: &AtomicU64, unwritten: &AtomicU64) {
     for line in lines {
         let mut out = io::stdout().lock();
         let count = dropped.swap(0, Ordering::Relaxed);
@@ -70,6 +79,7 @@
         if out.write_all(notice.as_bytes()).and_then(|()| out.write_all(line.as_bytes())).is_err() {
             return;
         }
+        unwritten.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
@@ -96,13 +106,27 @@
         if !self.filter.matches(record) {
             return;
         }
-        let full = || matches!(self.lines.try_send(line(record)), Err(TrySendError::Full(_)));
-        if !self.allows(record.level()) || full() {
+        if !self.allows(record.level()) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        self.unwritten.fetch_add(1, Ordering::SeqCst);
+        if let Err(error) = self.lines.try_send(line(record)) {
+            self.unwritten.fetch_sub(1, Ordering::SeqCst);
+            // After a broken pipe nobody reads what is left.
+            if matches!(error, TrySendError::Full(_)) {
+                self.dropped.fetch_add(1, Ordering::Relaxed);
+            }
         }
     }
 
-    fn flush(&self) {}
+    /// Waits until all lines are written, [`FLUSH_TIMEOUT`] at most.
+    fn flush(&self) {
+        let end = Instant::now() + FLUSH_TIMEOUT;
+        while self.unwritten.load(Ordering::SeqCst) > 0 && Instant::now() < end {
+            thread::sleep(FLUSH_INTERVAL);
+        }
+    }
 }
 
 /// Key-value pairs of a record, as text.
--- a/src/main.rs
+++ b/src/main.rs
@@ -38,7 +38,10 @@
         // Logs go to standard error: the standard output of `serve` may carry trace spans.
         env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     }
-    match run(command) {
+    let result = run(command);
+    // A thread of its own writes the lines of the gateway.
+    log::logger().flush();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             let invalid = e.is::<Faults>();
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use mimosapass_core::estimate::TokenRatios;
@@ -129,6 +129,7 @@
     pub records: Records,
     state: Mutex<State>,
     stopping: AtomicBool,
+    abort_at: OnceLock<Instant>,
     aborting: AtomicBool,
     counter: AtomicU64,
 }
@@ -189,6 +190,7 @@
             records,
             state: Mutex::new(state),
             stopping: AtomicBool::new(false),
+            abort_at: OnceLock::new(),
             aborting: AtomicBool::new(false),
             counter: AtomicU64::new(0),
             settings,
@@ -257,12 +259,18 @@
         format!("{}-{:x}-{count:x}", self.name, self.boot)
     }
 
-    /// Marks the instance as stopping.
-    pub fn set_stopping(&self) {
+    /// Marks the instance as stopping; it aborts its requests at `abort_at`.
+    pub fn set_stopping(&self, abort_at: Instant) {
+        self.abort_at.get_or_init(|| abort_at);
         self.stopping.store(true, Ordering::SeqCst);
         self.state().view.set_leaving();
     }
 
+    /// Returns whether the instance stops before a request with this deadline has to end.
+    pub fn stops_before(&self, deadline: Instant) -> bool {
+        self.abort_at.get().is_some_and(|abort_at| deadline > *abort_at)
+    }
+
     /// Returns whether the instance is stopping.
     pub fn stopping(&self) -> bool {
         self.stopping.load(Ordering::SeqCst)
--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -135,6 +135,10 @@
     let class = classify(config, workspace, exchange.head.header(CLASS), work)?.clone();
     let time = requested_deadline(exchange)?.unwrap_or_else(|| class.deadline());
     let start = Instant::now();
+    if node.stops_before(start + time) {
+        let text = "the instance is stopping and might not finish the request";
+        return Err(Failure::new(Kind::Stopping, text));
+    }
     let slot = take_slot(node, &workspace.name, workspace.in_flight)?;
     exchange.set_deadline(start + time);
     let id = id.to_owned();
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -32,10 +32,10 @@
 pub fn stop(node: &Arc<Node>, server: &Server, signals: &mut Signals) {
     let StopTimes { notice, limit } = node.state().stop;
     log::info!("serve: graceful shutdown started, limit {limit:?}.");
-    node.set_stopping();
+    let begun = Instant::now();
+    node.set_stopping(begun + limit);
     server.disable_keep_alive();
     peers::announce_leaving(node);
-    let begun = Instant::now();
     let mut shutdown = Shutdown { node, signals, limit, deadline: begun + limit };
     let notice_over = || begun.elapsed() >= notice;
     let complete = shutdown.wait(notice_over) && {
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod fake_peer;
 mod helpers;
 mod large_changes;
+mod late_stop;
 mod limits;
 mod notices;
 mod quarantine;
