--- a/crates/core/src/edge/stop.rs
+++ b/crates/core/src/edge/stop.rs
@@ -45,19 +45,30 @@
         self.begun + self.limit.saturating_sub(self.margin())
     }
 
-    /// Returns whether a request that may run for `run` ends before requests are aborted.
-    pub fn allows(&self, run: Duration, now: Instant) -> bool {
-        now + run <= self.abort_at()
+    /// Returns whether a request may be sent to a target, of which `left` is left until its time
+    /// limit: its run has to end before requests are aborted.
+    ///
+    /// During the notice callers are still sent here, and have no better instance for sure. What
+    /// may be repeated is then expected to have an answer of the expected length, since others can
+    /// go on with it; later it has to fit with the longest one, like what may run once.
+    pub fn allows(
+        &self,
+        requirements: &Requirements,
+        repeatable: bool,
+        left: Duration,
+        now: Instant,
+    ) -> bool {
+        let expected = repeatable && now < self.begun + self.notice();
+        let tokens = if expected { requirements.answer } else { requirements.max_answer };
+        now + run_time(requirements, tokens, left) <= self.abort_at()
     }
 }
 
-/// Returns the longest time that a run of a request takes, of which `left` is left until its time
-/// limit: at an engine, prefill on it alone and an answer of the largest length while it is full.
-/// Of other targets only the time limit is known.
-pub fn longest_run(requirements: &Requirements, left: Duration) -> Duration {
-    let tokens = requirements.max_answer;
-    let Some(engine) = requirements.engine.filter(|_| tokens > 0) else { return left };
-    let prefill = engine.prefill_time(requirements.prompt, 1);
+/// Returns the time of a run with an answer of `tokens`, `left` at most: at an engine, prefill on
+/// it alone and decoding on a full one. Of other targets only the time limit is known.
+pub fn run_time(requirements: &Requirements, tokens: u64, left: Duration) -> Duration {
+    let stated = requirements.max_answer > 0;
+    let Some(engine) = requirements.engine.filter(|_| stated) else { return left };
     let decode = engine.decode_time(tokens, engine.slots as usize, engine.memory_tokens);
-    (prefill + decode).min(left)
+    (engine.prefill_time(requirements.prompt, 1) + decode).min(left)
 }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use mimosapass_caller::server::Server;
-use mimosapass_core::edge::stop::longest_run;
 use mimosapass_core::error::{Failure, Kind};
 
 use super::request::Request;
@@ -20,8 +19,8 @@
     pub fn check_stop(&self, request: &Request, now: Instant) -> Option<Failure> {
         let stop = self.stop()?;
         let left = request.deadline.saturating_duration_since(now);
-        let run = longest_run(&request.requirements, left);
-        (!stop.allows(run, now)).then(|| {
+        let allowed = stop.allows(&request.requirements, request.is_idempotent(), left, now);
+        (!allowed).then(|| {
             let detail = "the instance is stopping and might not finish the request";
             Failure::new(Kind::Stopping, detail)
         })
