--- a/crates/core/src/edge/retry.rs
+++ b/crates/core/src/edge/retry.rs
@@ -45,8 +45,8 @@
 impl RetryLimits {
     /// Returns limits that can be kept to, and within which these ones hold.
     ///
-    /// With a window of less than [`MIN_WINDOW`], also of none at all, the fixed number bounds the
-    /// retries within [`MIN_WINDOW`], and requests allow none.
+    /// With a window of less than a second, also of none at all, the fixed number bounds the
+    /// retries within a second, and requests allow none.
     #[must_use]
     pub fn enforceable(self) -> Self {
         if self.window >= MIN_WINDOW {
