--- a/crates/core/src/edge/stop.rs
+++ b/crates/core/src/edge/stop.rs
@@ -11,8 +11,8 @@
 
 use crate::edge::requirements::Requirements;
 
-/// Time in which all that can end in time is served like before. A load balancer checks every
-/// second, and removes an instance after two failed checks.
+/// Time in which callers are still sent here: a load balancer checks every second, and removes an
+/// instance after two failed checks.
 const NOTICE: Duration = Duration::from_millis(2_500);
 /// Time before the limit at which what is left is answered with a failure.
 const ABORT_MARGIN: Duration = Duration::from_millis(400);
