--- a/review/kit3.py
+++ b/review/kit3.py
@@ -138,7 +138,8 @@
 class Store(Server):
     """The platform's metadata store."""
 
-    def __init__(self, ip):
+    def __init__(self, ip, page=500):
+        self.page = page  # most items of one page of a listing
         self.lock = threading.Condition()
         self.revision, self.items, self.log, self.leases = 10, {}, [], {}
         self.turn_away = lambda call: None  # a status for calls that are turned away
@@ -196,8 +197,8 @@
             if url.path == "/kv-range":
                 keys = sorted(k for k in self.items if k.startswith(query.get("prefix", "")))
                 keys = [k for k in keys if k > query.get("after", "")]
-                entries = [self.items[k] for k in keys[:500]]
-                page = {"entries": entries, "truncated": len(keys) > 500, "at": self.revision}
+                entries = [self.items[k] for k in keys[:self.page]]
+                page = {"entries": entries, "truncated": len(keys) > self.page, "at": self.revision}
                 return self.reply(conn, 200, page)
             if url.path == "/kv-watch":
                 after, end = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
@@ -351,9 +352,9 @@
 class Fleet:
     """A store and a few gateways; `end()` ends all processes."""
 
-    def __init__(self, record, zones, bounds=None):
+    def __init__(self, record, zones, bounds=None, page=500):
         self.folder = tempfile.mkdtemp(prefix="review-3-")
-        self.store = Store("127.0.0.1")
+        self.store = Store("127.0.0.1", page)
         ports = free_ports("127.0.0.1", 5)
         ips = [f"127.0.{i + 1}.1" for i in range(len(zones))]
         seeds = [f"{ip}:{ports[4]}" for ip in ips[:3]]
