--- a/review/kit3.py
+++ b/review/kit3.py
@@ -197,8 +197,13 @@
             if url.path == "/kv-range":
                 keys = sorted(k for k in self.items if k.startswith(query.get("prefix", "")))
                 keys = [k for k in keys if k > query.get("after", "")]
-                entries = [self.items[k] for k in keys[:self.page]]
-                page = {"entries": entries, "truncated": len(keys) > self.page, "at": self.revision}
+                entries, size = [], 0
+                for key in keys[:self.page]:
+                    entries.append(self.items[key])
+                    size += len(self.items[key]["value"]) * 3 // 4
+                    if size >= 1_000_000:
+                        break
+                page = {"entries": entries, "truncated": len(keys) > len(entries), "at": self.revision}
                 return self.reply(conn, 200, page)
             if url.path == "/kv-watch":
                 after, end = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
