--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""Entries of another writer end every listing of the store; instances that start have no data."""
+"""An entry of another writer ends every listing of the store; instances that start have no data."""
 import collections
 import os
 import sys
@@ -9,13 +9,13 @@
 
 RECOVER_S = 12  # bounds.recover_s
 DOWN_S = 1.4
-PAGE = 50  # items of a page, as [discovery] of the site file has it
-FOREIGN = 60
+FOREIGN = "servers/hall 2 spare"
+VALUE_BYTES = 1_048_576  # platform.value_bytes; a page of a listing has 1 MB
 
 
 def case(record, fleets):
     zones = ["zapad-a", "zapad-b", "zapad-c"]
-    fleet = Fleet(record, zones, page=PAGE)
+    fleet = Fleet(record, zones)
     fleets.append(fleet)
     routes = [route("r-poll", "/poll/", "idempotent", "app", timeout_ms=1200, goal_ms=150, attempts=2)]
     fleet.store.put("op/config", config(3, routes, [service("app")]))
@@ -42,11 +42,9 @@
 
     record(f"before: {dict(ask(3))}")
     if TROUBLE:
-        for number in range(FOREIGN):
-            key = f"servers/hall 2 rack {number:02}"
-            fleet.store.put(key, {"owner": "inventory", "units": 4})
-        record(f"another writer: {FOREIGN} entries, such as {key!r}")
-        record(f"with them: {dict(ask(3))}")
+        fleet.store.put(FOREIGN, os.urandom(VALUE_BYTES))
+        record(f"another writer: {FOREIGN!r}, {VALUE_BYTES} bytes that can't be read")
+        record(f"with it: {dict(ask(3))}")
     for gateway in fleet.gateways:
         gateway.process.kill()
         gateway.process.wait()
