End listings without progress, and pause before the next one

What others saw: an instance whose listing never ends, or is answered with 410, called the store without a pause (25,767 calls in 6 s of two instances were measured), while the limits on calls hold for the whole fleet.

Cause: a listing compared the last key with that of the page before only, so two keys in turn went on for 256 pages; and a listing that the store had answered with an error was begun again at once.

Evidence: listings_that_fail_leave_the_store_to_others, whose bound is the store's rate over the largest fleet, failed before: 78 calls in 10 s with a page that repeats, and with 410 no failure was ever recorded.

One that the store answers and that fails is begun again after 250 ms, growing to 16 s; a store that refuses or does not answer is asked as before.

An unreadable value costs one line of the log; it cost two (foreign_entry_costs_a_line_when_listed_and_when_changed, 8 of 8 failed before).

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,6 +12,7 @@
 use mimosapass_core::edge::fleet::{Change, Target};
 use mimosapass_core::edge::position::Position;
 use mimosapass_core::ids::TargetId;
+use mimosapass_core::pace::Backoff;
 use mimosapass_platform::store::{Entry, Page, Revision, StoreError};
 use mimosapass_platform::{config, target};
 
@@ -29,6 +30,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Longest delay, before jitter, after a listing that the store answers and that fails. Its calls
+/// are charged, and count towards the rate of the fleet.
+const MAX_LIST_DELAY: Duration = Duration::from_secs(16);
 /// Interval between checks whether this instance has to watch the store.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Consecutive failed calls after which the store counts as unavailable.
@@ -41,6 +45,7 @@
     let mut failures = 0;
     let mut listed = false;
     let mut watching = true;
+    let mut listings = Backoff::new(RETRY_DELAY, MAX_LIST_DELAY);
     loop {
         let begun = Instant::now();
         let watches = gateway.state().watches_store(gateway, begun);
@@ -60,9 +65,10 @@
             Ok(()) => {
                 listed = true;
                 failures = 0;
+                listings.succeeded();
                 thread::sleep(WATCH_INTERVAL.saturating_sub(begun.elapsed()));
             }
-            Err(e @ (StoreError::Compacted | StoreError::Outdated | StoreError::TooLarge)) => {
+            Err(e) if listed && needs_listing(&e) => {
                 log::warn!("store: listing all entries again, {e}.");
                 listed = false;
             }
@@ -72,12 +78,37 @@
                 if failures == MAX_FAILURES {
                     record_outage(gateway, &e);
                 }
-                thread::sleep(RETRY_DELAY);
+                if !listed && needs_listing(&e) {
+                    listings.failed(Instant::now(), rand::random());
+                    wait_until_ready(&listings);
+                } else {
+                    thread::sleep(RETRY_DELAY);
+                }
             }
         }
     }
 }
 
+/// Returns whether the store answered, and only a listing can go on from its answer.
+fn needs_listing(error: &StoreError) -> bool {
+    match error {
+        StoreError::Compacted
+        | StoreError::Endless(_)
+        | StoreError::Outdated
+        | StoreError::TooLarge => true,
+        StoreError::Conflict
+        | StoreError::NotFound
+        | StoreError::Refused(_)
+        | StoreError::Unknown(_) => false,
+    }
+}
+
+fn wait_until_ready(backoff: &Backoff) {
+    while !backoff.ready(Instant::now()) {
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
 /// Records and logs the failed call number `count` in a row; peers are told of the first one.
 fn record_failure(gateway: &Gateway, error: &StoreError, took: Duration, count: u32) {
     gateway.metrics.store_failures.with_label_values(&[error.reason()]).inc();
@@ -304,8 +335,8 @@
 
 /// Decodes the entry of a target; an invalid one is logged.
 fn decode_target(id: &str, entry: &Entry) -> Option<Target> {
-    let value = entry.value.as_deref().unwrap_or_default();
-    let decoded = target::decode(id, value);
+    // A value that is not valid base64 was logged when it was read.
+    let decoded = target::decode(id, entry.value.as_deref()?);
     if let Err(e) = &decoded {
         log::warn!(target_id = id, revision = entry.revision; "target: ignored an invalid entry: {e}.");
     }
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod evacuation;
 mod explain;
 mod fake_peer;
+mod foreign_entries;
 mod helpers;
 mod large_changes;
 mod late_stop;
