Let the time limit decide what is sent after the notice of a stop

Cause: Stop::allows bounded a run at an engine by an estimate: prefill on the engine alone and decoding on a full one. What the prompts of other instances cost between two events is in neither. They may come after the send, so that no estimate made then can know them.

Change: after the notice only the time limit bounds a run, as it already does at targets without a cost model. A run that is sent then ends by its limit before requests are aborted, whatever its engine does. The property test asks for this exact bound in place of the estimate.

--- a/crates/core/src/edge/stop.rs
+++ b/crates/core/src/edge/stop.rs
@@ -3,9 +3,10 @@
 //! Answers planned stops of single instances and of many at once: callers still come until the
 //! load balancer has seen that the instance leaves, on connections that are open, and where most
 //! instances of a zone leave. Requests wait in the queue, bodies come slowly, and failed runs are
-//! sent once more. What begins too late is cut when the process is killed, and its caller has no
-//! answer, or does not know whether it ran. So nothing is sent to a target that may not end in
-//! time; its caller is refused while it can go elsewhere.
+//! sent once more. Long prompts of other instances slow the runs that share their engine. What
+//! begins too late is cut when the process is killed, and its caller has no answer, or does not
+//! know whether it ran. So nothing is sent to a target that may not end in time; its caller is
+//! refused while it can go elsewhere.
 
 use std::time::{Duration, Instant};
 
@@ -48,9 +49,11 @@
     /// Returns whether a request may be sent to a target, of which `left` is left until its time
     /// limit: its run has to end before requests are aborted.
     ///
-    /// During the notice callers are still sent here, and have no better instance for sure. What
-    /// may be repeated is then expected to have an answer of the expected length, since others can
-    /// go on with it; later it has to fit with the longest one, like what may run once.
+    /// During the notice callers are still sent here, and have no better instance for sure. So the
+    /// estimated time of its run counts then, with an answer of the expected length for what may
+    /// be repeated, since others can go on with it, and with the longest one for what may run once.
+    /// Later its time limit counts: no estimate knows the prompts that other instances send to the
+    /// same engine, and that delay each event of its answer.
     pub fn allows(
         &self,
         requirements: &Requirements,
@@ -58,9 +61,10 @@
         left: Duration,
         now: Instant,
     ) -> bool {
-        let expected = repeatable && now < self.begun + self.notice();
-        let tokens = if expected { requirements.answer } else { requirements.max_answer };
-        now + run_time(requirements, tokens, left) <= self.abort_at()
+        let tokens = if repeatable { requirements.answer } else { requirements.max_answer };
+        let in_notice = now < self.begun + self.notice();
+        let longest = if in_notice { run_time(requirements, tokens, left) } else { left };
+        now + longest <= self.abort_at()
     }
 }
 
--- a/crates/core/tests/edge_stop.rs
+++ b/crates/core/tests/edge_stop.rs
@@ -103,6 +103,27 @@
     assert_eq!(stop.allows(&stream, repeatable, TIMEOUT, now), wanted);
 }
 
+/// Guards against streams that come after the notice and are cut at the end: an engine that reads
+/// the prompt of another instance between their events takes longer than any estimate.
+#[rstest]
+#[case::in_the_notice(false, 2_400, 10_000, true)]
+#[case::may_run_once(false, 3_150, 10_000, false)]
+#[case::repeatable(true, 3_150, 10_000, false)]
+#[case::limit_after_the_abort(false, 3_150, 4_451, false)]
+#[case::limit_at_the_abort(false, 3_150, 4_450, true)]
+fn time_limit_counts_after_the_notice(
+    #[case] repeatable: bool,
+    #[case] after_ms: u64,
+    #[case] left_ms: u64,
+    #[case] wanted: bool,
+) {
+    let begun = Instant::now();
+    let stop = Stop::new(begun, Duration::from_secs(8));
+    let stream = requirements(Some(engine()), 4_960, 2_024);
+    let (left, now) = (Duration::from_millis(left_ms), begun + Duration::from_millis(after_ms));
+    assert_eq!(stop.allows(&stream, repeatable, left, now), wanted);
+}
+
 proptest! {
     /// Guards against requests that begin late in the stop and are cut without an answer.
     #[test]
@@ -121,7 +142,11 @@
         let requirements = requirements(engine, prompt, max_answer);
         let longest = run_time(&requirements, max_answer, left);
         let expected = run_time(&requirements, requirements.answer, left);
-        let bound = if repeatable && after < stop.notice() { expected } else { longest };
+        let bound = match after < stop.notice() {
+            true if repeatable => expected,
+            true => longest,
+            false => left,
+        };
         let allowed = stop.allows(&requirements, repeatable, left, now);
         prop_assert_eq!(allowed, after + bound + stop.margin() <= limit);
         prop_assert!(stop.abort_at() <= begun + limit);
--- a/tests/suite/gateway/late_stop.rs
+++ b/tests/suite/gateway/late_stop.rs
@@ -12,7 +12,7 @@
 use mimosapass_standin::target::{Hook, Reply, ScriptedTarget, Step};
 use rstest::rstest;
 
-use super::{Cluster, KEY, eventually, head, start_target};
+use super::{Cluster, KEY, config, eventually, head, start_target};
 use crate::common::WAIT_TIMEOUT;
 
 /// Time that a target works on a call.
@@ -325,3 +325,49 @@
     cluster.logged(0, &["request: cut, the instance is stopping", "id=long"]);
     cluster.logged(0, &["gateway: stopped"]);
 }
+
+/// Guards against streams that are taken after the notice, and cut since their engine reads a
+/// prompt of another instance between their events.
+#[rstest]
+#[case::may_run_once(false, "3000", 503)]
+#[case::repeatable(true, "3000", 503)]
+#[case::ends_by_its_limit(false, "1000", 200)]
+fn stream_is_taken_late_only_if_its_limit_is_in_the_grace(
+    #[case] resumable: bool,
+    #[case] limit_ms: &str,
+    #[case] status: u16,
+) {
+    let cluster = start("stop: {limit_s: 4}\n");
+    let mut config = config(4, &[KEY], &["chat", "book"]);
+    config["routes"][0]["resumable"] = resumable.into();
+    cluster.configure(&config);
+    // The prompt of the other instance takes most of a slow stream.
+    let slow = Duration::from_millis(800);
+    let pauses = [PAUSE, slow].map(|pause| Reply::Stream { last: 3, pause, cut_at: None });
+    let reply = pauses[usize::from(status == 503)].clone();
+    let stream = start_target("i-pool", reply);
+    let desk = start_target("i-desk", Reply::Complete(200, "done"));
+    cluster.register(&stream, "pool");
+    cluster.register(&desk, "desk");
+    cluster.ready(0).knows_targets(0, 2);
+    cluster.logged(0, &["config: ", "version=4"]);
+    let mut caller = TcpStream::connect(cluster.callers(0)).expect("connected");
+    caller.set_read_timeout(Some(WAIT_TIMEOUT)).expect("set");
+    let mut send = |path: &str, id: &str, limit_ms: &str| {
+        let head = head(path, id, KEY, PROMPT).replace("6000", limit_ms);
+        caller.write_all(&[head.as_bytes(), b"question"].concat()).expect("sent");
+        read(&mut caller).expect("an answer")
+    };
+    assert_eq!(send("/book/1", "first", "1000").status, 200);
+    cluster.signal(0, "-TERM");
+    cluster.logged(0, &["gateway: stopping"]);
+    // The notice takes half of the grace; the connection is open for longer.
+    thread::sleep(Duration::from_millis(2_200));
+    let response = send("/chat/1", "late", limit_ms);
+    let context = format!("{}\n{}", response.head, cluster.log(0));
+    assert_eq!((response.status, response.whole), (status, true), "{context}");
+    assert_eq!(stream.requests().len(), usize::from(status == 200), "{context}");
+    if status == 503 {
+        assert!(response.head.contains("retry-after: 0."), "{context}");
+    }
+}
