Take a status that HTTP does not have for no answer

Cause: httparse takes any three digits, and what was below 200 was skipped as an interim response. ureq takes 600 to 999, too, so serve passed them on.

--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod orders;
 pub mod pool;
 mod reset;
+mod response;
 pub mod service;
 pub mod stream_agents;
--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -10,6 +10,7 @@
 use crate::client::call_error;
 use crate::engine::REFUSED;
 use crate::error::CallError;
+use crate::response::STATUSES;
 
 /// Maximum size of a service's response body.
 const MAX_RESPONSE_BYTES: u64 = 64 * 1024 * 1024;
@@ -92,6 +93,9 @@
     accepts: impl FnMut(usize) -> bool,
 ) -> Result<Answer, CallError> {
     let status = response.status().as_u16();
+    if !STATUSES.contains(&status) {
+        return Err(CallError::OutcomeUnknown(format!("{status} is no status of HTTP")));
+    }
     let refused = response.headers().get(REFUSED).map(|v| v == "leaving");
     let headers = response
         .headers()
--- a/tests/suite/gateway/answers.rs
+++ b/tests/suite/gateway/answers.rs
@@ -2,8 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use mimosapass_standin::target::{Reply, ScriptedTarget};
+use mimosapass_standin::target::{Reply, ScriptedTarget, Step};
 use mimosapass_target::http::Connection;
+use rstest::rstest;
 
 use super::{Cluster, KEY, call, config, eventually, head, start_target};
 
@@ -216,3 +217,20 @@
     let misdirected = targets[0].requests().len() + targets[2].requests().len();
     assert!(misdirected <= 2, "{misdirected} requests were sent to targets that are gone");
 }
+
+/// Guards against an answer with a status that is none and the target's seal.
+#[rstest]
+fn answer_whose_status_is_none_does_not_reach_the_caller(
+    #[values("000", "099", "600", "700", "999")] status: &str,
+    #[values("/book/1", "/look/1", "/chat/1")] path: &str,
+    #[values("content-length: 3\r\n\r\nodd", "\r\nodd")] rest: &str,
+) {
+    let text = format!("HTTP/1.1 {status} Odd\r\nx-server-seal: s\r\nx-attempt-id: id-1\r\n{rest}");
+    let target = start_target("i-0", Reply::Steps(vec![Step::Text(text), Step::Close]));
+    let cluster = Cluster::start(1);
+    cluster.register(&target, if path == "/chat/1" { "pool" } else { "desk" });
+    cluster.ready(0).knows_targets(0, 1);
+    let answer = cluster.ask_with(0, path, "id-1", "x-token-usage: 100,50\r\n");
+    assert_eq!((answer.response.status, answer.complete), (502, true), "{answer:?}");
+    assert_eq!(answer.response.header("x-server-seal"), None, "{answer:?}");
+}
