Take no body for whole after a failed write

Cause: a write to a connection that was reset takes the error away from the socket, and the next read finds an ordinary end.

Change: the connection remembers the failure.

--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -89,6 +89,7 @@
     /// Bytes of the trailer that were discarded.
     trailer_bytes: usize,
     ended: bool,
+    /// Whether it broke, so that its end is not that of a response.
     reset: bool,
     /// When it became idle, and for how long the target keeps it open.
     idle: Option<(Instant, Duration)>,
@@ -182,6 +183,13 @@
     ///
     /// Fails when the connection is broken.
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let written = self.try_write(bytes);
+        // The kernel tells of a reset once; the next read would find an ordinary end.
+        self.reset |= written.is_err();
+        written
+    }
+
+    fn try_write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         loop {
             match self.stream.write(bytes) {
                 Ok(0) if !bytes.is_empty() => return Err(io::ErrorKind::WriteZero.into()),
--- a/crates/target/tests/early_answers.rs
+++ b/crates/target/tests/early_answers.rs
@@ -1,4 +1,4 @@
-//! Answers whose status is none.
+//! Targets that answer within an upload and break off, and answers whose status is none.
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -11,8 +11,50 @@
 use mimosapass_target::http::{BodyPart, Connection, Framing, ReadError};
 use mimosapass_target::service::{Answer, Call, call};
 use rstest::rstest;
+use socket2::SockRef;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
+/// Size of an upload, more than the kernel holds on its way.
+const UPLOAD_BYTES: usize = 16 * 1024 * 1024;
+/// Bytes of an upload that a target reads before it answers.
+const READ_BYTES: usize = 32 * 1024;
+const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nx-server-seal: s\r\n\r\npart of a body";
+const WITH_LENGTH: &str = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\npart of a body";
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n";
+
+/// How a target ends its connection.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Reset,
+    /// With bytes of the upload that it has not read, which makes a reset of it.
+    Close,
+}
+
+/// Starts a target that answers each request within its upload, and ends its connection `pause`
+/// after that.
+fn start(answer: &'static str, pause: Duration, end: End) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("an address");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            stream.read_exact(&mut [0; READ_BYTES]).expect("an upload");
+            stream.write_all(answer.as_bytes()).expect("sent");
+            thread::sleep(pause);
+            if matches!(end, End::Reset) {
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
+            }
+        }
+    });
+    addr
+}
+
+/// Writes an upload until that fails.
+fn upload(connection: &mut Connection) {
+    let head = format!("POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: {UPLOAD_BYTES}\r\n\r\n");
+    let request = [head.into_bytes(), vec![b'a'; UPLOAD_BYTES]].concat();
+    let sent = connection.send(&request, Instant::now() + TIMEOUT);
+    assert!(sent.is_err(), "the target breaks off");
+}
 
 /// Reads a response to its end.
 fn read(connection: &mut Connection) -> Result<Vec<u8>, ReadError> {
@@ -41,6 +83,39 @@
     }
 }
 
+/// Guards against a part of a body that is taken for the whole one: a failed write takes the
+/// error of the socket, and the next read finds an ordinary end.
+#[rstest]
+fn body_is_not_whole_after_a_failed_write(
+    #[values(UNFRAMED, WITH_LENGTH, CHUNKED)] answer: &'static str,
+    #[values(End::Reset, End::Close)] end: End,
+    #[values(0, 20, 200)] pause_ms: u64,
+    #[values(false, true)] reads_first: bool,
+) {
+    let addr = start(answer, Duration::from_millis(pause_ms), end);
+    let mut connection = Connection::open(addr, TIMEOUT).expect("connected");
+    if reads_first {
+        // The head and the body have arrived before the write fails.
+        connection.write(&[b'a'; READ_BYTES]).expect("sent");
+        connection.wait(None::<&TcpStream>, Instant::now() + TIMEOUT).expect("polled");
+        connection.fill();
+    }
+    upload(&mut connection);
+    assert_eq!(read(&mut connection), Err(ReadError::Truncated));
+}
+
+/// As above, for a service that is called by `mimosapass serve`.
+#[rstest]
+fn call_that_breaks_off_within_its_upload_has_no_answer(
+    #[values(UNFRAMED, WITH_LENGTH, CHUNKED)] answer: &'static str,
+    #[values(End::Reset, End::Close)] end: End,
+    #[values(0, 20, 200)] pause_ms: u64,
+) {
+    let addr = start(answer, Duration::from_millis(pause_ms), end);
+    let result = send(addr, vec![b'a'; UPLOAD_BYTES]);
+    assert!(matches!(result, Err(CallError::OutcomeUnknown(_))), "{result:?}");
+}
+
 fn send(addr: SocketAddr, body: Vec<u8>) -> Result<Answer, CallError> {
     let request = Call {
         addr: addr.to_string(),
