--- a/crates/target/tests/early_answers.rs
+++ b/crates/target/tests/early_answers.rs
@@ -37,7 +37,7 @@
     let addr = listener.local_addr().expect("an address");
     thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
-            stream.read_exact(&mut [0; READ_BYTES]).expect("an upload");
+            stream.read_exact(&mut vec![0; READ_BYTES]).expect("an upload");
             stream.write_all(answer.as_bytes()).expect("sent");
             thread::sleep(pause);
             if matches!(end, End::Reset) {
@@ -96,7 +96,7 @@
     let mut connection = Connection::open(addr, TIMEOUT).expect("connected");
     if reads_first {
         // The head and the body have arrived before the write fails.
-        connection.write(&[b'a'; READ_BYTES]).expect("sent");
+        connection.write(&vec![b'a'; READ_BYTES]).expect("sent");
         connection.wait(None::<&TcpStream>, Instant::now() + TIMEOUT).expect("polled");
         connection.fill();
     }
