Give the memory of large buffers back when they are freed

Cause: the account of the bodies was right. glibc raises the size from which a buffer is mapped by itself once one was freed, and later buffers stay with the arena of their thread; each arena keeps its own peak.

Change: the program fixes that size at 128 KiB at its start.

--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 //! All instances run the same program. Each background task, each connection of
 //! a caller and each attempt at a target has a thread of its own.
 
+mod allocator;
 mod background;
 mod cli;
 mod explain;
@@ -33,6 +34,9 @@
 const FAILED: u8 = 1;
 
 fn main() -> ExitCode {
+    if !allocator::return_large_buffers() {
+        eprintln!("mimosapass: the allocator keeps large buffers, so that more memory is used.");
+    }
     let command = cli::command().run();
     if !matches!(command, cli::Command::Gateway { .. }) {
         // Logs go to standard error: the standard output of `serve` may carry trace spans.
--- a/tests/suite/gateway/endless.rs
+++ b/tests/suite/gateway/endless.rs
@@ -50,14 +50,6 @@
     })
 }
 
-/// Returns the peak memory of a gateway.
-fn peak_memory_kb(cluster: &Cluster) -> u64 {
-    let id = cluster.gateways[0].child.id();
-    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("it runs");
-    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
-    line.trim().trim_end_matches(" kB").parse().expect("a number")
-}
-
 struct Outcome {
     answer: Answer,
     requests: Vec<ReceivedRequest>,
@@ -83,7 +75,7 @@
         let closed = requests().iter().find_map(|r| r.disconnected_at).expect("closed");
         assert!(closed < answered + MAX_CLOSE, "closed {:?} later", closed - answered);
     }
-    let memory = peak_memory_kb(&cluster);
+    let memory = cluster.peak_memory(0) / 1024;
     assert!(memory < MAX_MEMORY_KB, "peak memory {memory} kB");
     Outcome { answer, requests: requests() }
 }
@@ -284,7 +276,7 @@
             assert!(matches!(answer.response.status, 502 | 503), "{answer:?}");
         }
     });
-    let memory = peak_memory_kb(&cluster);
+    let memory = cluster.peak_memory(0) / 1024;
     println!("peak memory {memory} kB");
     assert!(memory < MAX_MEMORY_KB, "peak memory {memory} kB");
 }
--- a/tests/suite/gateway/mod.rs
+++ b/tests/suite/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod late_stop;
 mod limits;
 mod notices;
+mod process_memory;
 mod quarantine;
 mod reload;
 mod repeated_crashes;
@@ -269,6 +270,15 @@
         eventually(&format!("{gauge} of gateway {number}"), || value().is_some_and(&accepts));
     }
 
+    /// Returns the highest memory that a gateway has used so far, in bytes.
+    pub fn peak_memory(&self, number: usize) -> u64 {
+        let id = self.gateways[number].child.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("it runs");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
+        let kib: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
+        kib * 1024
+    }
+
     /// Replaces a text in the settings file of a gateway.
     pub fn rewrite(&self, number: usize, from: &str, to: &str) {
         let file = &self.gateways[number].settings;
