--- a/crates/keyvalue/tests/cut_heads.rs
+++ b/crates/keyvalue/tests/cut_heads.rs
@@ -41,3 +41,26 @@
     }
     assert!(taken.is_empty(), "{taken:#?}");
 }
+
+/// Guards against a status that HTTP does not have being taken for an answer.
+#[rstest]
+fn response_whose_status_is_none_says_nothing(
+    #[values("000", "099", "600", "999", "20", "abc")] status: &str,
+    #[values("", "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"id\": 1}")] second: &str,
+) {
+    let response = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 0\r\n\r\n{second}");
+    let server = CutServer::start(&response, End::Close, None);
+    server.set_length(response.len());
+    let kv = KvClient::new(&server.addr.to_string());
+    let results = [
+        ("get", kv.get("a").map(drop)),
+        ("put", kv.put("a", "1", 1, None).map(drop)),
+        ("delete", kv.delete("a", 1)),
+        ("grant", kv.grant(Duration::from_secs(1)).map(drop)),
+        ("renew", kv.renew(1)),
+    ];
+    for (name, result) in results {
+        let unknown = matches!(result, Err(KvError::Unavailable(_) | KvError::OutcomeUnknown(_)));
+        assert!(unknown, "{name}: {result:?}");
+    }
+}
