Read responses in a package without I/O

The parts that decide what a response is (its head, its framing, its chunks) stood within the connection to targets, beside its socket. They are a package of their own now, `crates/http`, so that all clients can ask the same reader and tests can put millions of responses to it. An error names what is malformed.

--- /dev/null
+++ b/crates/http/src/defect.rs
@@ -0,0 +1,43 @@
+//! Why bytes are no valid response.
+
+use std::fmt;
+
+/// What makes a response malformed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Defect {
+    /// The size of a chunk cannot be read, or its data does not end where its size says.
+    Chunk,
+    /// The head has no valid status line, or a line that is no field.
+    Head,
+    /// The fields do not tell how the body is framed.
+    Framing,
+    /// The status is outside 100 to 599.
+    Status,
+    /// A part exceeds its maximum size.
+    TooLong,
+}
+
+impl Defect {
+    /// Returns the defect as a label of metrics and log lines.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Chunk => "chunk",
+            Self::Head => "head",
+            Self::Framing => "framing",
+            Self::Status => "status",
+            Self::TooLong => "too_long",
+        }
+    }
+}
+
+impl fmt::Display for Defect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Chunk => "a chunk of the body has no valid size or end",
+            Self::Head => "the head has a line that is not valid",
+            Self::Framing => "the head does not tell how the body is framed",
+            Self::Status => "the status is not one of HTTP",
+            Self::TooLong => "a part is larger than allowed",
+        })
+    }
+}
--- a/crates/target/src/response.rs
+++ b/crates/http/src/response.rs
@@ -2,8 +2,14 @@
 
 use std::ops::RangeInclusive;
 
+use crate::defect::Defect;
+
 /// Statuses of HTTP.
-pub(crate) const STATUSES: RangeInclusive<u16> = 100..=599;
+pub const STATUSES: RangeInclusive<u16> = 100..=599;
+/// Maximum size of a response's head.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum number of headers of a response.
+const MAX_HEADERS: usize = 64;
 
 /// How a response body is framed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -36,12 +42,26 @@
     }
 }
 
-/// Returns the head of a response; `None` if its status or its framing is invalid.
-pub(crate) fn build_head(
-    response: &httparse::Response<'_, '_>,
-    method: &str,
-) -> Option<ResponseHead> {
-    let status = response.code.filter(|status| STATUSES.contains(status))?;
+/// Parses the head at the start of `bytes`; returns it with its length in bytes.
+///
+/// `None` if more bytes are needed. `method` is that of the request.
+///
+/// # Errors
+///
+/// Fails when the bytes are no head of a response, also when it is not complete yet.
+pub fn parse(bytes: &[u8], method: &str) -> Result<Option<(ResponseHead, usize)>, Defect> {
+    let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut slots);
+    match response.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => Ok(Some((build(&response, method)?, length))),
+        Ok(httparse::Status::Partial) if bytes.len() > MAX_HEAD_BYTES => Err(Defect::TooLong),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err(Defect::Head),
+    }
+}
+
+fn build(response: &httparse::Response<'_, '_>, method: &str) -> Result<ResponseHead, Defect> {
+    let status = response.code.filter(|status| STATUSES.contains(status)).ok_or(Defect::Status)?;
     let mut headers = Vec::with_capacity(response.headers.len());
     for header in response.headers.iter() {
         let value = String::from_utf8_lossy(header.value).trim().to_owned();
@@ -56,11 +76,11 @@
         (Some(v), None, None) if v.eq_ignore_ascii_case("chunked") => Framing::Chunked,
         (None, Some(Ok(length)), None) => Framing::Length(length),
         (None, None, None) => Framing::UntilClose,
-        _ => return None,
+        _ => return Err(Defect::Framing),
     };
     let connection = find("connection").unwrap_or_default().to_ascii_lowercase();
     let close = connection.contains("close")
         || response.version == Some(0) && !connection.contains("keep-alive")
         || framing == Framing::UntilClose;
-    Some(ResponseHead { status, headers, framing, close })
+    Ok(ResponseHead { status, headers, framing, close })
 }
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -3,8 +3,9 @@
 //! `ureq` hides what the gateway has to distinguish: whether any byte of a
 //! request was written, whether a connection holds bytes that belong to no
 //! request, and whether a response ended by its framing or was truncated. So
-//! this connection is built on `std` sockets and `httparse`. One thread waits
-//! for the target and the caller at the same time.
+//! this connection is built on `std` sockets and the decoder of
+//! `mimosapass-http`. One thread waits for the target and the caller at the
+//! same time.
 
 use std::io::{self, Read, Write};
 use std::mem::MaybeUninit;
@@ -12,24 +13,15 @@
 use std::os::fd::AsFd;
 use std::time::{Duration, Instant};
 
+use mimosapass_http::decoder::Decoder;
+pub use mimosapass_http::decoder::{BodyPart, ReadError};
+pub use mimosapass_http::defect::Defect;
+pub use mimosapass_http::response::{Framing, ResponseHead};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::SockRef;
 
-use crate::response::build_head;
-pub use crate::response::{Framing, ResponseHead};
-
 /// Size of the read buffer.
 const READ_BYTES: usize = 16 * 1024;
-/// Maximum size of a response's head.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Maximum size of the interim responses before a response.
-const MAX_INTERIM_BYTES: usize = 64 * 1024;
-/// Maximum number of headers of a response.
-const MAX_HEADERS: usize = 64;
-/// Maximum length of the line with a chunk's size.
-const CHUNK_LINE_BYTES: usize = 256;
-/// Maximum size of a chunked body's trailer.
-const MAX_TRAILER_BYTES: usize = 16 * 1024;
 /// Time after which the kernel closes a connection with unacknowledged bytes.
 ///
 /// Without it, a network partition would not be detected.
@@ -37,15 +29,6 @@
 /// `MSG_PEEK | MSG_DONTWAIT` of Linux.
 const PEEK_NOWAIT: i32 = 0x02 | 0x40;
 
-/// Why a response could not be read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ReadError {
-    /// The connection ended or was reset before the response was complete.
-    Truncated,
-    /// The bytes are not a valid HTTP response.
-    Malformed,
-}
-
 /// Why a wait ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum WaitOutcome {
@@ -57,40 +40,12 @@
     TimedOut,
 }
 
-/// Outcome of taking the next part of a response body.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum BodyPart {
-    /// Bytes of the body.
-    Data(Vec<u8>),
-    /// More data has to be read first.
-    NeedMore,
-    /// The body is complete.
-    End,
-}
-
-/// State of the decoder of a chunked body.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ChunkState {
-    Size,
-    Data(u64),
-    DataEnd,
-    Trailer,
-}
-
 /// A connection to a target.
 #[derive(Debug)]
 pub struct Connection {
     stream: TcpStream,
     addr: SocketAddr,
-    buffered: Vec<u8>,
-    chunk: ChunkState,
-    /// Bytes of the interim responses that were discarded.
-    interim_bytes: usize,
-    /// Bytes of the trailer that were discarded.
-    trailer_bytes: usize,
-    ended: bool,
-    /// Whether it broke, so that its end is not that of a response.
-    reset: bool,
+    decoder: Decoder,
     /// When it became idle, and for how long the target keeps it open.
     idle: Option<(Instant, Duration)>,
 }
@@ -106,17 +61,7 @@
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
         stream.set_nonblocking(true)?;
-        Ok(Self {
-            stream,
-            addr,
-            buffered: Vec::new(),
-            chunk: ChunkState::Size,
-            interim_bytes: 0,
-            trailer_bytes: 0,
-            ended: false,
-            reset: false,
-            idle: None,
-        })
+        Ok(Self { stream, addr, decoder: Decoder::default(), idle: None })
     }
 
     /// Returns the address of the target.
@@ -142,13 +87,12 @@
             let peeked = SockRef::from(&self.stream).recv_with_flags(&mut byte, PEEK_NOWAIT);
             matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
         };
-        fresh && self.buffered.is_empty() && !self.ended && { no_data }()
+        fresh && self.decoder.is_idle() && { no_data }()
     }
 
-    /// Begins a request: forgets what the connection knows of the one before.
+    /// Begins a request on an idle connection.
     pub fn begin(&mut self) {
         self.idle = None;
-        self.chunk = ChunkState::Size;
     }
 
     /// Writes a complete request before `end`.
@@ -184,8 +128,10 @@
     /// Fails when the connection is broken.
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let written = self.try_write(bytes);
-        // The kernel tells of a reset once; the next read would find an ordinary end.
-        self.reset |= written.is_err();
+        if written.is_err() {
+            // The kernel tells of a reset once; the next read would find an ordinary end.
+            self.decoder.break_off();
+        }
         written
     }
 
@@ -224,14 +170,14 @@
         let mut buffer = [0; READ_BYTES];
         loop {
             match self.stream.read(&mut buffer) {
-                Ok(0) => self.ended = true,
+                Ok(0) => self.decoder.close(),
                 Ok(read) => {
-                    self.buffered.extend_from_slice(&buffer[..read]);
+                    self.decoder.push(&buffer[..read]);
                     return true;
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => (self.ended, self.reset) = (true, true),
+                Err(_) => self.decoder.break_off(),
             }
             return false;
         }
@@ -243,31 +189,7 @@
     ///
     /// Fails when the bytes are not a response, or end within the head.
     pub fn parse_head(&mut self, method: &str) -> Result<Option<ResponseHead>, ReadError> {
-        loop {
-            let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
-            let mut response = httparse::Response::new(&mut slots);
-            let length = match response.parse(&self.buffered) {
-                Ok(httparse::Status::Complete(length)) => length,
-                Ok(httparse::Status::Partial) if self.buffered.len() > MAX_HEAD_BYTES => {
-                    return Err(ReadError::Malformed);
-                }
-                Ok(httparse::Status::Partial) if self.ended => return Err(ReadError::Truncated),
-                Ok(httparse::Status::Partial) => return Ok(None),
-                Err(_) => return Err(ReadError::Malformed),
-            };
-            let head = build_head(&response, method).ok_or(ReadError::Malformed)?;
-            self.buffered.drain(..length);
-            self.chunk = ChunkState::Size;
-            // Interim responses have no body and are followed by another head.
-            if head.status >= 200 {
-                self.interim_bytes = 0;
-                return Ok(Some(head));
-            }
-            self.interim_bytes += length;
-            if self.interim_bytes > MAX_INTERIM_BYTES {
-                return Err(ReadError::Malformed);
-            }
-        }
+        self.decoder.parse_head(method)
     }
 
     /// Takes the next part of the body.
@@ -276,89 +198,7 @@
     ///
     /// Fails when the body is truncated or its framing is malformed.
     pub fn next_part(&mut self, framing: &mut Framing) -> Result<BodyPart, ReadError> {
-        match framing {
-            Framing::Length(0) => Ok(BodyPart::End),
-            Framing::Length(left) => {
-                let take = (*left).min(self.buffered.len() as u64) as usize;
-                *left -= take as u64;
-                self.take(take)
-            }
-            Framing::Chunked => self.decode_chunks(),
-            Framing::UntilClose if !self.buffered.is_empty() => self.take(self.buffered.len()),
-            Framing::UntilClose if self.reset => Err(ReadError::Truncated),
-            Framing::UntilClose if self.ended => Ok(BodyPart::End),
-            Framing::UntilClose => Ok(BodyPart::NeedMore),
-        }
-    }
-
-    fn take(&mut self, bytes: usize) -> Result<BodyPart, ReadError> {
-        match bytes {
-            0 if self.ended => Err(ReadError::Truncated),
-            0 => Ok(BodyPart::NeedMore),
-            _ => Ok(BodyPart::Data(self.buffered.drain(..bytes).collect())),
-        }
-    }
-
-    fn decode_chunks(&mut self) -> Result<BodyPart, ReadError> {
-        let mut data = Vec::new();
-        // What is decoded is removed from the buffer at the end: a buffer may have thousands
-        // of short chunks.
-        let mut at = 0;
-        let end = loop {
-            let rest = &self.buffered[at..];
-            match self.chunk {
-                ChunkState::Size => match httparse::parse_chunk_size(rest) {
-                    Ok(httparse::Status::Complete((line, size))) => {
-                        at += line;
-                        self.trailer_bytes = 0;
-                        self.chunk =
-                            if size == 0 { ChunkState::Trailer } else { ChunkState::Data(size) };
-                    }
-                    Ok(httparse::Status::Partial) if rest.len() <= CHUNK_LINE_BYTES => break false,
-                    Ok(httparse::Status::Partial) | Err(_) => return Err(ReadError::Malformed),
-                },
-                ChunkState::Data(left) => {
-                    let take = left.min(rest.len() as u64) as usize;
-                    if take == 0 {
-                        break false;
-                    }
-                    data.extend_from_slice(&rest[..take]);
-                    at += take;
-                    let left = left - take as u64;
-                    self.chunk =
-                        if left == 0 { ChunkState::DataEnd } else { ChunkState::Data(left) };
-                }
-                ChunkState::DataEnd => match rest.get(..2) {
-                    Some(b"\r\n") => {
-                        at += 2;
-                        self.chunk = ChunkState::Size;
-                    }
-                    Some(_) => return Err(ReadError::Malformed),
-                    None => break false,
-                },
-                // Return the data first; the next call finds the end again.
-                ChunkState::Trailer if !data.is_empty() => break false,
-                ChunkState::Trailer => match rest.windows(2).position(|w| w == b"\r\n") {
-                    Some(0) => {
-                        at += 2;
-                        break true;
-                    }
-                    Some(line) if self.trailer_bytes + line < MAX_TRAILER_BYTES => {
-                        self.trailer_bytes += line + 2;
-                        at += line + 2;
-                    }
-                    None if self.trailer_bytes + rest.len() < MAX_TRAILER_BYTES => break false,
-                    Some(_) | None => return Err(ReadError::Malformed),
-                },
-            }
-        };
-        self.buffered.drain(..at);
-        match data.is_empty() {
-            _ if end => Ok(BodyPart::End),
-            false => Ok(BodyPart::Data(data)),
-            true if self.ended => Err(ReadError::Truncated),
-            true => Ok(BodyPart::NeedMore),
-        }
+        self.decoder.next_part(framing)
     }
 
     /// Shuts the connection down, so that the target stops its work.
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -11,6 +11,5 @@
 pub mod orders;
 pub mod pool;
 mod reset;
-mod response;
 pub mod service;
 pub mod stream_agents;
--- a/crates/target/src/service.rs
+++ b/crates/target/src/service.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use mimosapass_http::response::STATUSES;
 use ureq::Agent;
 use ureq::http::Request;
 
 use crate::client::call_error;
 use crate::engine::REFUSED;
 use crate::error::CallError;
-use crate::response::STATUSES;
 
 /// Maximum size of a service's response body.
 const MAX_RESPONSE_BYTES: u64 = 64 * 1024 * 1024;
--- a/crates/target/tests/early_answers.rs
+++ b/crates/target/tests/early_answers.rs
@@ -159,7 +159,8 @@
     let mut connection = Connection::open(addr, TIMEOUT).expect("connected");
     let end = Instant::now() + TIMEOUT;
     connection.send(b"POST /a HTTP/1.1\r\nhost: x\r\n\r\n", end).expect("sent");
-    assert_eq!(read(&mut connection), Err(ReadError::Malformed));
+    let result = read(&mut connection);
+    assert!(matches!(result, Err(ReadError::Malformed(_))), "{result:?}");
     let result = send(addr, b"x".to_vec());
     assert!(matches!(result, Err(CallError::OutcomeUnknown(_))), "serve: {result:?}");
 }
--- a/crates/target/tests/http.rs
+++ b/crates/target/tests/http.rs
@@ -77,7 +77,8 @@
 #[case::interim_responses_with_headers("", "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n")]
 fn head_without_end_is_malformed(#[case] start: &str, #[case] repeated: &str) {
     let server = EndlessServer::start(start.as_bytes(), &block(repeated), Duration::ZERO);
-    assert_eq!(read(&server, MAX_READ_BYTES), Err(ReadError::Malformed));
+    let result = read(&server, MAX_READ_BYTES);
+    assert!(matches!(result, Err(ReadError::Malformed(_))), "{result:?}");
 }
 
 /// A header of 2 KiB.
@@ -105,7 +106,8 @@
     };
     let start = [CHUNKED, prefix].concat();
     let server = EndlessServer::start(start.as_bytes(), &block(repeated), Duration::ZERO);
-    assert_eq!(read(&server, MAX_READ_BYTES), Err(ReadError::Malformed));
+    let result = read(&server, MAX_READ_BYTES);
+    assert!(matches!(result, Err(ReadError::Malformed(_))), "{result:?}");
 }
 
 /// A trailer within the bound is skipped.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -13,7 +13,9 @@
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_core::ids::TargetId;
 use mimosapass_platform::header;
-use mimosapass_target::http::{Awaited, BodyPart, Connection, Framing, ReadError, ResponseHead};
+use mimosapass_target::http::{
+    Awaited, BodyPart, Connection, Defect, Framing, ReadError, ResponseHead,
+};
 
 use super::attempt;
 use super::detour;
@@ -322,7 +324,9 @@
                 // What a target sends after it stated that it did not run is not waited for.
                 _ if not_run => return Some(refusal(response)),
                 Ok(BodyPart::NeedMore) => return Some(Step::Pending),
-                Ok(BodyPart::Data(_)) => return Some(read_failure(ReadError::Malformed)),
+                Ok(BodyPart::Data(_)) => {
+                    return Some(read_failure(ReadError::Malformed(Defect::TooLong)));
+                }
                 Err(e) => return Some(read_failure(e)),
             }
         }
@@ -440,6 +444,6 @@
 fn read_failure(error: ReadError) -> Step {
     Step::Failed(match error {
         ReadError::Truncated => "the connection ended within the response".to_owned(),
-        ReadError::Malformed => "the response is malformed".to_owned(),
+        ReadError::Malformed(defect) => format!("the response is malformed: {defect}"),
     })
 }
