--- a/crates/http/src/defect.rs
+++ b/crates/http/src/defect.rs
@@ -17,6 +17,8 @@
     Status,
     /// A part exceeds its maximum size.
     TooLong,
+    /// The trailer has a line that is no field.
+    Trailer,
 }
 
 impl Defect {
@@ -29,6 +31,7 @@
             Self::LineEnd => "line_end",
             Self::Status => "status",
             Self::TooLong => "too_long",
+            Self::Trailer => "trailer",
         }
     }
 }
@@ -42,6 +45,7 @@
             Self::LineEnd => "a line of the head has no valid end",
             Self::Status => "the status is not one of HTTP",
             Self::TooLong => "a part is larger than allowed",
+            Self::Trailer => "the trailer has a line that is not valid",
         })
     }
 }
--- a/tests/suite/gateway/broken_responses.rs
+++ b/tests/suite/gateway/broken_responses.rs
@@ -120,6 +120,42 @@
     assert_failed(ask(route, signed("200 OK", lines, &text), after));
 }
 
+/// Guards against chunks whose size or end is read from what tells neither.
+#[rstest]
+fn body_in_broken_chunks_is_no_answer(
+    #[values(CALL, REPEATABLE)] route: Route,
+    #[values(
+        ("", "0\r\n\r\n"),
+        (";", "0\r\n\r\n"),
+        ("+c8", "0\r\n\r\n"),
+        ("c8;a=\0", "0\r\n\r\n"),
+        ("c8;a=\u{7f}", "0\r\n\r\n"),
+        ("c8;a=b\nc", "0\r\n\r\n"),
+        ("c8", "\r\n\r\n"),
+        ("c8", ";\r\n\r\n"),
+        ("c8", "0\r\ngarbage\r\n\r\n"),
+        ("c8", "0\r\nx y: z\r\n\r\n"),
+        ("c8", "0\r\nx: \0\r\n\r\n"),
+        ("c8", "0\r\nx: a\ny: b\r\n\r\n")
+    )]
+    (size_line, end): (&str, &str),
+    #[values(After::Close, After::Hold)] after: After,
+) {
+    let text = in_chunks(size_line, end);
+    assert_failed(ask(route, signed("200 OK", "transfer-encoding: chunked\r\n", &text), after));
+}
+
+/// Guards against a stream that ends as a whole one at a size that is none.
+#[rstest]
+fn stream_in_broken_chunks_does_not_end_as_whole(
+    #[values("\r\n\r\n", ";\r\n\r\n", "0\r\ngarbage\r\n\r\n")] end: &str,
+) {
+    let text = in_chunks("c8", end);
+    let steps = signed("200 OK", "transfer-encoding: chunked\r\n", &text);
+    let (answer, _, log) = ask(STREAM, steps, After::Close);
+    assert_eq!((answer.response.status, answer.complete), (200, false), "{answer:?}\n{log}");
+}
+
 /// Guards against an interim head that is skipped although it cannot be read.
 #[rstest]
 fn response_behind_a_broken_interim_head_is_no_answer(
