Take no head that contradicts itself

What callers saw: a target in trouble sent a head whose line with the length had another name and kept its connection; what came until the end of the connection was a whole answer, also when it was a part. A 101 was skipped, and a status line without the space behind its status was read.

Cause: a response without a length or a coding ends with its connection, whatever else its head says of the connection.

Evidence, before the change: 12 of 15 `head_that_contradicts_itself_is_no_answer` failed.

Change: a head without a framing that keeps the connection (`Connection: keep-alive` or `Keep-Alive`, and no `close`) is malformed. So are a 101, since no request asks for another protocol, and a status line without its space (RFC 9112, 4). Options of all `Connection` fields count, each as a whole.

After: all of these pass. A head that lost its length and states nothing of its connection cannot be told from one that ends with it.

--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -6,6 +6,10 @@
 
 /// Statuses of HTTP.
 pub const STATUSES: RangeInclusive<u16> = 100..=599;
+/// Status of a server that goes on in another protocol, which no request asks for.
+const SWITCHING_PROTOCOLS: u16 = 101;
+/// Length of a status line up to its status.
+const STATUS_END: usize = "HTTP/1.1 200".len();
 /// Maximum size of a response's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Maximum number of headers of a response.
@@ -58,6 +62,10 @@
     let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut slots);
     match response.parse(&bytes[..read]) {
+        // `httparse` does not ask for the space behind the status (RFC 9112, 4).
+        Ok(httparse::Status::Complete(_)) if bytes.get(STATUS_END) != Some(&b' ') => {
+            Err(Defect::Head)
+        }
         Ok(httparse::Status::Complete(length)) => Ok(Some((build(&response, method)?, length))),
         Ok(httparse::Status::Partial) => Ok(None),
         Err(_) => Err(Defect::Head),
@@ -83,20 +91,25 @@
 }
 
 fn build(response: &httparse::Response<'_, '_>, method: &str) -> Result<ResponseHead, Defect> {
-    let status = response.code.filter(|status| STATUSES.contains(status)).ok_or(Defect::Status)?;
+    let valid = |status: &u16| STATUSES.contains(status) && *status != SWITCHING_PROTOCOLS;
+    let status = response.code.filter(valid).ok_or(Defect::Status)?;
     let mut headers = Vec::with_capacity(response.headers.len());
     for header in response.headers.iter() {
         let value = String::from_utf8_lossy(header.value).into_owned();
         headers.push((header.name.to_ascii_lowercase(), value));
     }
-    let framing = read_framing(&headers, status, response.version == Some(0))?;
+    let http10 = response.version == Some(0);
+    let framing = read_framing(&headers, status, http10)?;
     let no_body = method == "HEAD" || status < 200 || matches!(status, 204 | 304);
     let framing = if no_body { Framing::Length(0) } else { framing };
-    let find = |name: &str| headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str());
-    let connection = find("connection").unwrap_or_default().to_ascii_lowercase();
-    let close = connection.contains("close")
-        || response.version == Some(0) && !connection.contains("keep-alive")
-        || framing == Framing::UntilClose;
+    let options = values(&headers, "connection").flat_map(|v| v.split(','));
+    let options: Vec<String> = options.map(|o| trim_blanks(o).to_ascii_lowercase()).collect();
+    let has = |option: &str| options.iter().any(|o| o == option);
+    let keeps = has("keep-alive") || values(&headers, "keep-alive").next().is_some();
+    if framing == Framing::UntilClose && keeps && !has("close") {
+        return Err(Defect::Contradiction);
+    }
+    let close = has("close") || http10 && !has("keep-alive") || framing == Framing::UntilClose;
     Ok(ResponseHead { status, headers, framing, close })
 }
 
@@ -107,10 +120,8 @@
     status: u16,
     http10: bool,
 ) -> Result<Framing, Defect> {
-    let values = |name: &'static str| {
-        headers.iter().filter(move |(n, _)| n == name).map(|(_, value)| value.as_str())
-    };
-    let (mut codings, mut lengths) = (values("transfer-encoding"), values("content-length"));
+    let mut codings = values(headers, "transfer-encoding");
+    let mut lengths = values(headers, "content-length");
     let stated = (codings.next(), codings.next(), lengths.next(), lengths.next());
     let framing = match stated {
         // HTTP/1.0 has no transfer codings (RFC 9112, 6.1).
@@ -132,6 +143,19 @@
     Ok(framing)
 }
 
+/// Returns the values of a header.
+fn values<'a>(
+    headers: &'a [(String, String)],
+    name: &'static str,
+) -> impl Iterator<Item = &'a str> {
+    headers.iter().filter(move |(n, _)| n == name).map(|(_, value)| value.as_str())
+}
+
+/// Removes spaces and tabs at both ends.
+fn trim_blanks(text: &str) -> &str {
+    text.trim_matches([' ', '\t'])
+}
+
 /// Parses a length, which consists of digits only.
 fn parse_length(text: &str) -> Option<u64> {
     text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
--- a/tests/suite/gateway/broken_responses.rs
+++ b/tests/suite/gateway/broken_responses.rs
@@ -120,6 +120,22 @@
     assert_failed(ask(route, signed("200 OK", lines, &text), after));
 }
 
+/// Guards against a head that lost the line with its framing, and one that changes the protocol.
+#[rstest]
+fn head_that_contradicts_itself_is_no_answer(
+    #[values(CALL, REPEATABLE, STREAM)] route: Route,
+    #[values(
+        ("200 OK", "keep-alive: timeout=10\r\n"),
+        ("200 OK", "connection: x\r\nconnection: a, Keep-Alive\r\n"),
+        ("500 Error", "keep-alive: timeout=10\r\ncontemt-length: 200\r\n"),
+        ("101 Switching Protocols", ""),
+        ("200", "content-length: 200\r\n")
+    )]
+    (status, lines): (&str, &str),
+) {
+    assert_failed(ask(route, signed(status, lines, &body()), After::Close));
+}
+
 /// Guards against chunks whose size or end is read from what tells neither.
 #[rstest]
 fn body_in_broken_chunks_is_no_answer(
@@ -211,6 +227,7 @@
 #[case::extensions("200 OK", "transfer-encoding: chunked\r\n",
     &in_chunks("c8;a=b ; c = \"d;\\\"\" ;e", "0;f\r\nx: y\r\n\r\n"), 200)]
 #[case::until_close("200 OK", "", &body(), 200)]
+#[case::until_close_in_vain("200 OK", "connection: close\r\nkeep-alive: timeout=10\r\n", &body(), 200)]
 #[case::reason_missing("200 ", "content-length: 200\r\n", &body(), 200)]
 #[case::failure("500 Error", "content-length: 200\r\n", &body(), 500)]
 #[case::no_content("204 No Content", "", "", 204)]
