Check the responses that ureq reads

What callers saw: `mimosapass serve` passes on what `ureq` reads of a service or an engine, and it took a coding that it does not know (`chunke`) for a body that ends with its connection, one of several framings that contradict each other, `+c8` for the size of a chunk, and a line feed for the end of a line or a head. In the clients of the store and of the key-value service such a head said that a write was done, refused or in conflict, or that a key is absent; an era in one would outdate all later answers of the store.

Cause: the library's own reading, which the decoder of `crates/http` has no part in.

Change: the decoder reads what arrives on a connection of `ureq` before the library does, and a malformed response is an error of the connection, whose calls have an unknown outcome.

--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -5,8 +5,11 @@
 use std::thread;
 use std::time::Duration;
 
+use mimosapass_http::strict::StrictConnector;
 use serde_json::{Value, json};
 use ureq::Agent;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::{Connector as _, TcpConnector};
 
 use crate::error::CommandError;
 use crate::show;
@@ -22,12 +25,13 @@
 const MAX_PAGE_BYTES: u64 = 10 * 1024 * 1024;
 
 fn agent() -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .timeout_global(Some(REQUEST_TIMEOUT))
         .proxy(None)
-        .build()
-        .new_agent()
+        .build();
+    let connector = TcpConnector::default().chain(StrictConnector);
+    Agent::with_parts(config, connector, DefaultResolver::default())
 }
 
 /// Fetches a status page; `None` if the instance does not have it.
--- a/crates/http/src/defect.rs
+++ b/crates/http/src/defect.rs
@@ -39,6 +39,8 @@
     }
 }
 
+impl std::error::Error for Defect {}
+
 impl fmt::Display for Defect {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/crates/keyvalue/src/http.rs
+++ b/crates/keyvalue/src/http.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use mimosapass_http::strict::StrictConnector;
 use percent_encoding::{AsciiSet, CONTROLS, utf8_percent_encode};
 use ureq::Agent;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::{Connector as _, TcpConnector};
 
 /// Timeout for connecting to the platform.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -12,14 +15,15 @@
 
 /// Builds an agent that returns every status and follows no redirects.
 pub(crate) fn agent() -> Agent {
-    Agent::config_builder()
+    let config = Agent::config_builder()
         .http_status_as_error(false)
         .max_idle_connections_per_host(4)
         .max_redirects(0)
         .proxy(None)
         .timeout_connect(Some(CONNECT_TIMEOUT))
-        .build()
-        .new_agent()
+        .build();
+    let connector = TcpConnector::default().chain(StrictConnector);
+    Agent::with_parts(config, connector, DefaultResolver::default())
 }
 
 /// Characters that cannot stand in a path. A slash can; it separates the parts of a key.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! engine, the platform and the service can also be set by `POST /control` with a
 //! JSON body.
 
+pub mod broken;
 pub mod cut;
 pub mod endless;
 pub mod engine;
--- a/crates/target/src/client.rs
+++ b/crates/target/src/client.rs
@@ -3,6 +3,7 @@
 use std::io::{self, Read};
 use std::time::Duration;
 
+use mimosapass_http::strict::StrictConnector;
 use serde::de::DeserializeOwned;
 use ureq::http::Response;
 use ureq::unversioned::resolver::DefaultResolver;
@@ -42,7 +43,7 @@
         .output_buffer_size(BUFFER_BYTES)
         .timeout_connect(Some(CONNECT_TIMEOUT))
         .build();
-    let connector = TcpConnector::default().chain(ResetConnector);
+    let connector = TcpConnector::default().chain(ResetConnector).chain(StrictConnector);
     Agent::with_parts(config, connector, DefaultResolver::default())
 }
 
