Relay the values of headers as they are

What callers saw: bytes of a header's value that are no UTF-8, such as a name in ISO 8859-1, reached them as U+FFFD.

Cause: values were kept as text, with what is no text replaced. RFC 9110 (5.5) asks to treat such bytes as opaque.

Evidence: `crates/http/tests/grammar.rs`, which puts each of the 256 values in each place of eight responses, leaves out each byte, puts each in between, cuts and repeats lines, and compares what the decoder gives with an oracle written from RFC 9112, in one piece, in two and byte by byte, with the connection closed and kept.

Change: values are bytes, and text where they are read. A value that is no text is present and equals nothing.

`mimosapass serve` still leaves out headers whose values are not ASCII.

--- a/crates/caller/src/exchange.rs
+++ b/crates/caller/src/exchange.rs
@@ -137,16 +137,16 @@
         self.write_head_and_body(head, body)
     }
 
-    fn write_head_and_body(&mut self, mut head: String, body: &[u8]) -> io::Result<()> {
-        push_header(&mut head, "content-length", &body.len().to_string());
-        head.push_str("\r\n");
+    fn write_head_and_body(&mut self, mut head: Vec<u8>, body: &[u8]) -> io::Result<()> {
+        push_header(&mut head, "content-length", body.len().to_string());
+        head.extend_from_slice(b"\r\n");
         if self.head.method == "HEAD" {
-            self.writer.write_all(head.as_bytes())?;
+            self.writer.write_all(&head)?;
         } else if body.len() <= SINGLE_WRITE_BYTES {
-            let response = [head.as_bytes(), body].concat();
+            let response = [&head, body].concat();
             self.writer.write_all(&response)?;
         } else {
-            self.writer.write_all(head.as_bytes())?;
+            self.writer.write_all(&head)?;
             body.chunks(WRITE_BYTES).try_for_each(|part| self.writer.write_all(part))?;
         }
         self.state = State::Complete;
@@ -161,7 +161,7 @@
     pub fn relay(
         &mut self,
         status: u16,
-        relayed: &[(String, String)],
+        relayed: &[(String, impl AsRef<[u8]>)],
         headers: &[Header],
         body: &[u8],
     ) -> io::Result<()> {
@@ -183,7 +183,8 @@
     ///
     /// Fails when the caller closed the connection.
     pub fn begin(&mut self, status: u16, headers: &[Header]) -> io::Result<()> {
-        self.begin_relayed(status, &[], headers)
+        let relayed: [(String, String); 0] = [];
+        self.begin_relayed(status, &relayed, headers)
     }
 
     /// Starts a streamed response that carries headers of a target.
@@ -194,7 +195,7 @@
     pub fn begin_relayed(
         &mut self,
         status: u16,
-        relayed: &[(String, String)],
+        relayed: &[(String, impl AsRef<[u8]>)],
         headers: &[Header],
     ) -> io::Result<()> {
         self.state = State::Incomplete;
@@ -206,8 +207,11 @@
         for (name, value) in relayed {
             push_header(&mut head, name, value);
         }
-        head.push_str(if self.head.http10 { "\r\n" } else { "transfer-encoding: chunked\r\n\r\n" });
-        self.writer.write_all(head.as_bytes())?;
+        if !self.head.http10 {
+            push_header(&mut head, "transfer-encoding", "chunked");
+        }
+        head.extend_from_slice(b"\r\n");
+        self.writer.write_all(&head)?;
         self.streaming = true;
         self.encoder = (!self.head.http10).then(|| Encoder::with_flush_after_write(self.writer));
         Ok(())
@@ -236,13 +240,13 @@
         }
     }
 
-    fn build_head(&self, status: u16, headers: &[Header]) -> String {
-        let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+    fn build_head(&self, status: u16, headers: &[Header]) -> Vec<u8> {
+        let mut head = format!("HTTP/1.1 {status} {}\r\n", reason(status)).into_bytes();
         for (name, value) in headers {
             push_header(&mut head, name, value);
         }
         if self.close {
-            head.push_str("connection: close\r\n");
+            push_header(&mut head, "connection", "close");
         }
         head
     }
@@ -265,8 +269,10 @@
     }
 }
 
-fn push_header(head: &mut String, name: &str, value: &str) {
-    head.extend([name, ": ", value, "\r\n"]);
+fn push_header(head: &mut Vec<u8>, name: &str, value: impl AsRef<[u8]>) {
+    for part in [name.as_bytes(), b": ", value.as_ref(), b"\r\n"] {
+        head.extend_from_slice(part);
+    }
 }
 
 fn reason(status: u16) -> &'static str {
--- a/crates/http/src/decoder.rs
+++ b/crates/http/src/decoder.rs
@@ -67,6 +67,11 @@
         self.end = Some(End::Broken);
     }
 
+    /// Returns the number of bytes that were received and not taken.
+    pub fn buffered(&self) -> usize {
+        self.buffered.len()
+    }
+
     /// Returns whether nothing was received that belongs to no response.
     pub fn is_idle(&self) -> bool {
         self.buffered.is_empty() && self.end.is_none()
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -26,13 +26,16 @@
     UntilClose,
 }
 
+/// Name, in lower case, and value.
+pub type Header = (String, Vec<u8>);
+
 /// Head of a response.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ResponseHead {
     /// HTTP status.
     pub status: u16,
-    /// Names, in lower case, and values.
-    pub headers: Vec<(String, String)>,
+    /// Names, in lower case, and values, which need not be text.
+    pub headers: Vec<Header>,
     /// How its body is framed.
     pub framing: Framing,
     /// Whether the target closes the connection after the response.
@@ -41,8 +44,11 @@
 
 impl ResponseHead {
     /// Returns the first value of the header; `name` is in lower case.
+    ///
+    /// A value that is not UTF-8 is a replacement character, which is no value of any header
+    /// that is read here.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+        values(&self.headers, name).next()
     }
 }
 
@@ -95,8 +101,7 @@
     let status = response.code.filter(valid).ok_or(Defect::Status)?;
     let mut headers = Vec::with_capacity(response.headers.len());
     for header in response.headers.iter() {
-        let value = String::from_utf8_lossy(header.value).into_owned();
-        headers.push((header.name.to_ascii_lowercase(), value));
+        headers.push((header.name.to_ascii_lowercase(), header.value.to_vec()));
     }
     let http10 = response.version == Some(0);
     let framing = read_framing(&headers, status, http10)?;
@@ -115,11 +120,7 @@
 
 /// Returns the framing that the headers state, also where a response has no body: a head whose
 /// framing is broken may be broken elsewhere, too.
-fn read_framing(
-    headers: &[(String, String)],
-    status: u16,
-    http10: bool,
-) -> Result<Framing, Defect> {
+fn read_framing(headers: &[Header], status: u16, http10: bool) -> Result<Framing, Defect> {
     let mut codings = values(headers, "transfer-encoding");
     let mut lengths = values(headers, "content-length");
     let stated = (codings.next(), codings.next(), lengths.next(), lengths.next());
@@ -144,11 +145,9 @@
 }
 
 /// Returns the values of a header.
-fn values<'a>(
-    headers: &'a [(String, String)],
-    name: &'static str,
-) -> impl Iterator<Item = &'a str> {
-    headers.iter().filter(move |(n, _)| n == name).map(|(_, value)| value.as_str())
+fn values<'a>(headers: &'a [Header], name: &str) -> impl Iterator<Item = &'a str> {
+    let named = headers.iter().filter(move |(n, _)| n == name);
+    named.map(|(_, value)| std::str::from_utf8(value).unwrap_or("\u{fffd}"))
 }
 
 /// Removes spaces and tabs at both ends.
--- a/crates/target/src/http.rs
+++ b/crates/target/src/http.rs
@@ -16,7 +16,7 @@
 use mimosapass_http::decoder::Decoder;
 pub use mimosapass_http::decoder::{BodyPart, ReadError};
 pub use mimosapass_http::defect::Defect;
-pub use mimosapass_http::response::{Framing, ResponseHead};
+pub use mimosapass_http::response::{Framing, Header, ResponseHead};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::SockRef;
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,7 +8,7 @@
 use mimosapass_core::edge::placement::Helper;
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_platform::header;
-use mimosapass_target::http::{Connection, ResponseHead};
+use mimosapass_target::http::{Connection, Header, ResponseHead};
 
 use super::detour;
 use super::request::Request;
@@ -157,7 +157,7 @@
 }
 
 /// Returns the headers of a response without the hop-by-hop ones.
-pub fn end_to_end_headers(response: &ResponseHead) -> Vec<(String, String)> {
+pub fn end_to_end_headers(response: &ResponseHead) -> Vec<Header> {
     let keep = |name: &str| {
         !matches!(
             name,
--- a/tests/suite/gateway/broken_responses.rs
+++ b/tests/suite/gateway/broken_responses.rs
@@ -254,3 +254,16 @@
     assert_eq!((answer.response.status, answer.complete), (200, true), "{answer:?}\n{log}");
     assert_eq!(answer.body, body());
 }
+
+/// Values of headers are opaque bytes, which are relayed as they are.
+#[rstest]
+fn header_that_is_not_text_is_relayed_unchanged(#[values(CALL, STREAM)] route: Route) {
+    let head =
+        b"HTTP/1.1 200 OK\r\nx-attempt-id: id-1\r\nx-server-seal: s\r\nx-name: caf\xe9\xff\r\n\
+        content-length: 200\r\n\r\n";
+    let (answer, _, log) = ask(route, vec![Step::Bytes(head), Step::Text(body())], After::Close);
+    assert_eq!((answer.response.status, answer.complete), (200, true), "{answer:?}\n{log}");
+    let mut headers = answer.response.headers.iter();
+    let value = headers.find_map(|(name, value)| (name == "x-name").then_some(value.as_slice()));
+    assert_eq!(value, Some(b"caf\xe9\xff".as_slice()), "{answer:?}");
+}
