Test broken responses of services over real processes

`a_broken_response_of_a_service_is_no_answer`: a caller of `mimosapass serve` gets 502 for each of 94 malformed responses of a service.

--- a/tests/suite/answer_integrity.rs
+++ b/tests/suite/answer_integrity.rs
@@ -5,6 +5,8 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 
+use mimosapass_standin::broken::{broken_chunks, broken_heads};
+use mimosapass_standin::cut::{CutServer, End};
 use mimosapass_standin::engine::{Engine, Faults, Settings};
 use rstest::rstest;
 
@@ -206,3 +208,31 @@
         assert_eq!(text(&seen, true).as_deref(), Some(FULL_ANSWER), "{seen:?}");
     }
 }
+
+/// Guards against a body that is not the service's, and a promise of a head that is broken.
+#[rstest]
+fn a_broken_response_of_a_service_is_no_answer(
+    #[values("bookings", "lookups")] service: &str,
+    #[values("200 OK", "503 Busy\r\nmimosapass-refused: busy")] status: &str,
+) {
+    let heads = broken_heads(status, "whole");
+    let chunks = if status == "200 OK" { broken_chunks(status, "whole") } else { Vec::new() };
+    let mut taken = Vec::new();
+    for response in heads.into_iter().chain(chunks) {
+        let server = CutServer::start(&response, End::Close, None);
+        server.set_length(response.len());
+        let mut fleet = Fleet::new(&[("zone-a", Settings::default())]);
+        fleet.apply(CONFIG);
+        let mut members = fleet.members();
+        members[0].addr = server.addr.to_string();
+        fleet.platform.set_members(members);
+        fleet.start_unlisted("zone-a", "", fleet.platform.addr(), &[]);
+        fleet.wait_ready();
+        let url = fleet.instances[0].url(&format!("/services/{service}/vans/7"));
+        let seen = post(&url, &[], "one van").expect("an answer");
+        if seen.status != 502 {
+            taken.push(format!("{seen:?} from {response:?}"));
+        }
+    }
+    assert!(taken.is_empty(), "{}: {taken:#?}", taken.len());
+}
