Say which response is malformed, and why

Someone on call could see of a malformed response that a run had failed, and not which part of the response was at fault. There is a log line with the request, the target or peer and the reason now, a counter `gateway_malformed_responses{reason}`, and `malformed` beside `lost` as the outcome of a run and the cause of a retry. The response of an engine to a request for a reservation counts as well.

`broken_response_is_explained` reads both; it did not exist before, nor did the line.

--- a/crates/http/src/decoder.rs
+++ b/crates/http/src/decoder.rs
@@ -1,5 +1,7 @@
 //! Decoder of the responses on one connection.
 
+use std::fmt;
+
 use crate::chunks::{ChunkDecoder, ChunkPart};
 use crate::defect::Defect;
 use crate::response::{Framing, ResponseHead, parse};
@@ -16,6 +18,17 @@
     Malformed(Defect),
 }
 
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Truncated => f.write_str("the connection ended within the response"),
+            Self::Malformed(defect) => write!(f, "the response is malformed: {defect}"),
+        }
+    }
+}
+
+impl std::error::Error for ReadError {}
+
 impl From<Defect> for ReadError {
     fn from(defect: Defect) -> Self {
         Self::Malformed(defect)
--- a/crates/http/src/strict.rs
+++ b/crates/http/src/strict.rs
@@ -98,7 +98,7 @@
         self.decoder.push(received);
         self.decode().map_err(|e| match e {
             ReadError::Malformed(defect) => {
-                Error::Io(io::Error::new(io::ErrorKind::InvalidData, defect))
+                Error::Io(io::Error::new(io::ErrorKind::InvalidData, ReadError::Malformed(defect)))
             }
             ReadError::Truncated => Error::Io(io::ErrorKind::UnexpectedEof.into()),
         })
--- a/src/gateway/flow.rs
+++ b/src/gateway/flow.rs
@@ -9,7 +9,7 @@
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_core::error::{Failure, Kind};
 use mimosapass_core::ids::TargetId;
-use mimosapass_target::http::ResponseHead;
+use mimosapass_target::http::{ReadError, ResponseHead};
 
 use super::detour::{self, Tried};
 use super::ending::{CALLER_GONE, RequestEnd, log_refusal, respond_failure};
@@ -356,14 +356,22 @@
                 self.avoid_helper(index);
                 self.end_run(index, error)
             }
-            Step::Failed(error) => {
-                self.may_have_run = true;
-                self.gateway.examine_failure(&self.request, self.runs.get(index));
-                self.end_run(index, error)
+            Step::Failed(error) => self.lose_run(index, error),
+            Step::Malformed(defect) => {
+                let run = self.runs.get(index);
+                self.gateway.record_malformed(&self.request.attempt_id, run.name(), defect);
+                self.lose_run(index, ReadError::Malformed(defect).to_string())
             }
         }
     }
 
+    /// Ends a run that has failed after the request may have run.
+    fn lose_run(&mut self, index: usize, error: String) -> Option<RequestEnd> {
+        self.may_have_run = true;
+        self.gateway.examine_failure(&self.request, self.runs.get(index));
+        self.end_run(index, error)
+    }
+
     /// Takes a complete response; `None` while the request goes on without it.
     fn take_response(
         &mut self,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -23,6 +23,8 @@
     pub requests: IntCounterVec,
     /// Attempts at targets by outcome.
     pub attempts: IntCounterVec,
+    /// Malformed responses of targets and peers by what is wrong.
+    pub malformed_responses: IntCounterVec,
     /// Runs at silent targets by what became of them.
     pub silent_runs: IntCounterVec,
     /// Requests that were sent once more, by service and cause.
@@ -89,6 +91,11 @@
         let metrics = Self {
             requests: counters("gateway_requests", "Ended requests.", &["band", "outcome"]),
             attempts: counters("gateway_attempts", "Sends to targets.", &["outcome"]),
+            malformed_responses: counters(
+                "gateway_malformed_responses",
+                "Malformed responses of targets and peers.",
+                &["reason"],
+            ),
             silent_runs: counters("gateway_silent_runs", "Silent targets.", &["outcome"]),
             retries: counters("gateway_retries", "Repeated sends.", &["service", "cause"]),
             denied_retries: counters("gateway_denied_retries", "Denied retries.", &["service"]),
@@ -148,9 +155,10 @@
     }
 
     fn register(&self) {
-        let all: [Box<dyn Collector>; 30] = [
+        let all: [Box<dyn Collector>; 31] = [
             Box::new(self.requests.clone()),
             Box::new(self.attempts.clone()),
+            Box::new(self.malformed_responses.clone()),
             Box::new(self.silent_runs.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.denied_retries.clone()),
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -9,7 +9,7 @@
 use mimosapass_core::ids::TargetId;
 use mimosapass_instance::datagram::{LeavingTarget, RefusingHelper, TargetLimit};
 use mimosapass_platform::header;
-use mimosapass_target::http::ResponseHead;
+use mimosapass_target::http::{Defect, ResponseHead};
 
 use super::flow::Flow;
 use super::gossip::ms;
@@ -24,6 +24,14 @@
 const MAX_REFUSING: usize = 32;
 
 impl Gateway {
+    /// Records that a target or a peer sent a malformed response, of which nothing is applied.
+    ///
+    /// `id` is that of the request, or of the reservation.
+    pub fn record_malformed(&self, id: &str, name: &str, defect: Defect) {
+        self.metrics.malformed_responses.with_label_values(&[defect.label()]).inc();
+        log::warn!(id, target_id = name, reason = defect.label(); "target: a malformed response, {defect}.");
+    }
+
     /// Applies what an answer of `target` states about it.
     pub fn read_notices(&self, target: &Target, response: &ResponseHead) {
         if header::states_leaving(|name| response.header(name)) {
--- a/src/gateway/reservations.rs
+++ b/src/gateway/reservations.rs
@@ -16,7 +16,7 @@
 use mimosapass_core::edge::schedule::Grant;
 use mimosapass_core::ids::TargetId;
 use mimosapass_platform::{header, reservation};
-use mimosapass_target::http::{Connection, post};
+use mimosapass_target::http::{Connection, ReadError, post};
 
 use super::prepared::NotStarted;
 use super::state::Gateway;
@@ -65,7 +65,7 @@
         let id = format!("{}-{:x}-{}", gateway.name, gateway.boot, grant.id);
         for (done, (engine, tokens)) in engines.iter().enumerate() {
             let addr = engine.addr;
-            let result = call(gateway, engine, &reservation::reserve_body(&id, *tokens, TTL));
+            let result = call(gateway, &id, engine, &reservation::reserve_body(&id, *tokens, TTL));
             if result != Ok(200) {
                 log::info!(
                     ticket = id, addr:% = addr, tokens, result:? = result;
@@ -105,7 +105,8 @@
                     continue;
                 }
                 // The answering engine holds no reservation; the call shows whether it is the same.
-                let answer = call(&gateway, &answering, &reservation::release_body(&renewed));
+                let answer =
+                    call(&gateway, &renewed, &answering, &reservation::release_body(&renewed));
                 if answer == Ok(MISDIRECTED) || !renew(&gateway, &renewed, &engines) {
                     log::warn!(ticket = renewed; "reservation: given up, an engine has restarted.");
                     is_lost.store(true, Ordering::SeqCst);
@@ -148,7 +149,7 @@
 }
 
 fn renew_one(gateway: &Gateway, id: &str, (engine, tokens): &EngineTokens) -> Result<u16, String> {
-    let result = call(gateway, engine, &reservation::reserve_body(id, *tokens, TTL));
+    let result = call(gateway, id, engine, &reservation::reserve_body(id, *tokens, TTL));
     if result != Ok(200) {
         log::warn!(
             ticket = id, addr:% = engine.addr, result:? = result;
@@ -170,7 +171,7 @@
 fn release(gateway: &Gateway, id: &str, engines: &[EngineTokens]) {
     for (engine, _) in engines {
         let body = reservation::release_body(id);
-        let released = (0..RELEASE_ATTEMPTS).any(|_| call(gateway, engine, &body).is_ok());
+        let released = (0..RELEASE_ATTEMPTS).any(|_| call(gateway, id, engine, &body).is_ok());
         if !released {
             log::warn!(
                 ticket = id, addr:% = engine.addr;
@@ -180,13 +181,18 @@
     }
 }
 
-/// Sends a reservation request; returns the status of the response.
-fn call(gateway: &Gateway, engine: &Target, body: &[u8]) -> Result<u16, String> {
+/// Sends a request for the reservation `id`; returns the status of the response.
+fn call(gateway: &Gateway, id: &str, engine: &Target, body: &[u8]) -> Result<u16, String> {
     let end = Instant::now() + CALL_TIMEOUT;
     let mut connection = Connection::open(engine.addr, CALL_TIMEOUT).map_err(|e| e.to_string())?;
     let headers = [(header::EXPECTED_TARGET, &*engine.id)];
     let response = post(&mut connection, reservation::PATH, &headers, body, end);
-    let response = response.map_err(|e| format!("{e:?}"))?;
+    let response = response.map_err(|e| {
+        if let ReadError::Malformed(defect) = e {
+            gateway.record_malformed(id, &engine.id, defect);
+        }
+        e.to_string()
+    })?;
     gateway.read_notices(engine, &response);
     gateway.read_limit(engine, &response, None);
     Ok(response.status)
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -53,6 +53,8 @@
     Gone(String),
     /// The run failed after the request may have run.
     Failed(String),
+    /// As above, since the response is malformed. Nothing else in it counts.
+    Malformed(Defect),
 }
 
 /// What is read next.
@@ -277,10 +279,8 @@
                     self.reading = Reading::Head;
                     return None;
                 }
-                Ok(BodyPart::Data(_)) | Err(_) => {
-                    let error = "the connection failed within the response to an earlier request";
-                    return Some(Step::Failed(error.to_owned()));
-                }
+                Ok(BodyPart::Data(_)) => return Some(Step::Malformed(Defect::TooLong)),
+                Err(e) => return Some(read_failure(e)),
             }
         }
     }
@@ -324,9 +324,7 @@
                 // What a target sends after it stated that it did not run is not waited for.
                 _ if not_run => return Some(refusal(response)),
                 Ok(BodyPart::NeedMore) => return Some(Step::Pending),
-                Ok(BodyPart::Data(_)) => {
-                    return Some(read_failure(ReadError::Malformed(Defect::TooLong)));
-                }
+                Ok(BodyPart::Data(_)) => return Some(Step::Malformed(Defect::TooLong)),
                 Err(e) => return Some(read_failure(e)),
             }
         }
@@ -409,7 +407,9 @@
             Self::Response(response, _) if response.status >= 500 => Some(Outcome::Failed),
             Self::End(_) | Self::Response(..) => Some(Outcome::Answered),
             Self::NotRun(_) => Some(Outcome::Refused),
-            Self::Gone(_) | Self::NotSent(_) | Self::Failed(_) => Some(Outcome::Silent),
+            Self::Gone(_) | Self::NotSent(_) | Self::Failed(_) | Self::Malformed(_) => {
+                Some(Outcome::Silent)
+            }
         }
     }
 
@@ -421,6 +421,7 @@
             Self::NotSent(_) => "unsent",
             Self::NotRun(_) | Self::Gone(_) => "not_run",
             Self::Failed(_) => "lost",
+            Self::Malformed(_) => "malformed",
         }
     }
 }
@@ -442,8 +443,8 @@
 }
 
 fn read_failure(error: ReadError) -> Step {
-    Step::Failed(match error {
-        ReadError::Truncated => "the connection ended within the response".to_owned(),
-        ReadError::Malformed(defect) => format!("the response is malformed: {defect}"),
-    })
+    match error {
+        ReadError::Truncated => Step::Failed(error.to_string()),
+        ReadError::Malformed(defect) => Step::Malformed(defect),
+    }
 }
--- a/tests/suite/gateway/broken_responses.rs
+++ b/tests/suite/gateway/broken_responses.rs
@@ -200,6 +200,21 @@
     assert_failed(ask(route, signed(status, &lines, &body()), After::Close));
 }
 
+/// The log line and the counter of a malformed response say which request, target and fault.
+#[test]
+fn broken_response_is_explained() {
+    let target = start_target("i-0", Reply::Steps(signed("200 OK", "content-length: +20\r\n", "")));
+    let cluster = Cluster::start(1);
+    cluster.register(&target, "desk");
+    cluster.ready(0).knows_targets(0, 1);
+    assert_eq!(cluster.ask(0, "/book/1", "id-1").response.status, 502);
+    let line = cluster.logged(0, &["target: a malformed response"]);
+    for part in ["id=id-1", "target_id=i-0", "reason=framing"] {
+        assert!(line.contains(part), "{line}");
+    }
+    cluster.measures(0, "gateway_malformed_responses{reason=\"framing\"}", |count| count == 1);
+}
+
 /// A request that may be repeated is answered by another target.
 #[test]
 fn repeatable_request_goes_to_another_target() {
