--- a/crates/http/src/defect.rs
+++ b/crates/http/src/defect.rs
@@ -9,10 +9,10 @@
     Chunk,
     /// The connection is kept, and its end is that of the body.
     Contradiction,
-    /// The head has no valid status line, or a line that is no field.
-    Head,
     /// The fields do not tell how the body is framed.
     Framing,
+    /// The head has no valid status line, or a line that is no field.
+    Head,
     /// A line of the head does not end in CRLF, or is empty where none may be.
     LineEnd,
     /// The status is outside 100 to 599, or the target changes the protocol.
@@ -29,8 +29,8 @@
         match self {
             Self::Chunk => "chunk",
             Self::Contradiction => "contradiction",
-            Self::Head => "head",
             Self::Framing => "framing",
+            Self::Head => "head",
             Self::LineEnd => "line_end",
             Self::Status => "status",
             Self::TooLong => "too_long",
@@ -46,8 +46,8 @@
         f.write_str(match self {
             Self::Chunk => "a chunk of the body has no valid size or end",
             Self::Contradiction => "only the end of a kept connection would end the body",
-            Self::Head => "the head has a line that is not valid",
             Self::Framing => "the head does not tell how the body is framed",
+            Self::Head => "the head has a line that is not valid",
             Self::LineEnd => "a line of the head has no valid end",
             Self::Status => "the status does not answer a request",
             Self::TooLong => "a part is larger than allowed",
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -8,7 +8,7 @@
 pub const STATUSES: RangeInclusive<u16> = 100..=599;
 /// Status of a server that goes on in another protocol, which no request asks for.
 const SWITCHING_PROTOCOLS: u16 = 101;
-/// Length of a status line up to its status.
+/// Length of a status line up to the end of its status.
 const STATUS_END: usize = "HTTP/1.1 200".len();
 /// Maximum size of a response's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -45,8 +45,8 @@
 impl ResponseHead {
     /// Returns the first value of the header; `name` is in lower case.
     ///
-    /// A value that is not UTF-8 is a replacement character, which is no value of any header
-    /// that is read here.
+    /// A value that is not UTF-8 is read as a replacement character: it is there, and equals
+    /// nothing that is looked for.
     pub fn header(&self, name: &str) -> Option<&str> {
         values(&self.headers, name).next()
     }
@@ -107,9 +107,10 @@
     let framing = read_framing(&headers, status, http10)?;
     let no_body = method == "HEAD" || status < 200 || matches!(status, 204 | 304);
     let framing = if no_body { Framing::Length(0) } else { framing };
-    let options = values(&headers, "connection").flat_map(|v| v.split(','));
-    let options: Vec<String> = options.map(|o| trim_blanks(o).to_ascii_lowercase()).collect();
-    let has = |option: &str| options.iter().any(|o| o == option);
+    let has = |option: &str| {
+        let mut options = values(&headers, "connection").flat_map(|v| v.split(','));
+        options.any(|o| o.trim_matches([' ', '\t']).eq_ignore_ascii_case(option))
+    };
     let keeps = has("keep-alive") || values(&headers, "keep-alive").next().is_some();
     if framing == Framing::UntilClose && keeps && !has("close") {
         return Err(Defect::Contradiction);
@@ -150,11 +151,6 @@
     named.map(|(_, value)| std::str::from_utf8(value).unwrap_or("\u{fffd}"))
 }
 
-/// Removes spaces and tabs at both ends.
-fn trim_blanks(text: &str) -> &str {
-    text.trim_matches([' ', '\t'])
-}
-
 /// Parses a length, which consists of digits only.
 fn parse_length(text: &str) -> Option<u64> {
     text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
--- a/crates/keyvalue/tests/broken_responses.rs
+++ b/crates/keyvalue/tests/broken_responses.rs
@@ -4,7 +4,7 @@
 
 use mimosapass_keyvalue::kv::{KvClient, KvError};
 use mimosapass_keyvalue::members::MembersClient;
-use mimosapass_standin::broken::{broken_chunks, broken_heads};
+use mimosapass_standin::broken::{broken_chunks, broken_heads, sound_responses};
 use mimosapass_standin::cut::{CutServer, End};
 use rstest::rstest;
 
@@ -71,14 +71,7 @@
 /// The same body in a response without a fault is taken.
 #[rstest]
 fn sound_response_is_taken(#[values(GET, PUT, DELETE, GRANT, RENEW, MEMBERS)] (call, body): Call) {
-    let length = body.len();
-    let responses = [
-        format!("content-length: {length}\r\nkeep-alive: timeout=5\r\n\r\n{body}"),
-        format!("connection: close\r\n\r\n{body}"),
-        format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n"),
-    ];
-    for response in responses {
-        let response = format!("HTTP/1.1 200 OK\r\n{response}");
+    for response in sound_responses(body) {
         assert_eq!(call(&serve(&response)), Ok(()), "{response:?}");
     }
 }
--- a/crates/standin/src/broken.rs
+++ b/crates/standin/src/broken.rs
@@ -53,3 +53,16 @@
     let response = |(size, end): (String, &str)| format!("{head}{size}\r\n{body}\r\n{end}\r\n");
     chunks.into_iter().map(response).collect()
 }
+
+/// Returns responses without a fault, one of each framing.
+pub fn sound_responses(body: &str) -> [String; 3] {
+    let length = body.len();
+    [
+        format!("content-length: {length}\r\nkeep-alive: timeout=5\r\n\r\n{body}"),
+        format!("connection: close\r\n\r\n{body}"),
+        format!(
+            "transfer-encoding: chunked\r\n\r\n{length:x};a=\"b\"\r\n{body}\r\n0\r\nx: y\r\n\r\n"
+        ),
+    ]
+    .map(|rest| format!("HTTP/1.1 200 OK\r\n{rest}"))
+}
--- a/crates/target/tests/broken_responses.rs
+++ b/crates/target/tests/broken_responses.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use mimosapass_standin::broken::{broken_chunks, broken_heads};
+use mimosapass_standin::broken::{broken_chunks, broken_heads, sound_responses};
 use mimosapass_standin::cut::{CutServer, End};
 use mimosapass_target::client::agent;
 use mimosapass_target::engine::{Event, Generate, generate, load};
 use mimosapass_target::error::CallError;
 use mimosapass_target::memory::{Cancel, allocations, cancel};
 use mimosapass_target::orders;
-use mimosapass_target::service::{self, Call};
+use mimosapass_target::service::{self, Answer, Call};
 use rstest::rstest;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -36,15 +36,19 @@
 );
 
 fn call_service(addr: &str) -> Result<(), CallError> {
+    call_with("POST", addr).map(drop)
+}
+
+fn call_with(method: &str, addr: &str) -> Result<Answer, CallError> {
     let call = Call {
         addr: addr.to_owned(),
-        method: "POST".to_owned(),
+        method: method.to_owned(),
         path: "/".to_owned(),
         headers: Vec::new(),
         remaining: TIMEOUT,
         body: Bytes::new(),
     };
-    service::call(&agent(0), &call, |_| true).map(drop)
+    service::call(&agent(0), &call, |_| true)
 }
 
 fn stream(addr: &str) -> Result<(), CallError> {
@@ -108,16 +112,18 @@
     #[values(false, true)] interim: bool,
 ) {
     let interim = if interim { "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n" } else { "" };
-    let length = body.len();
-    let responses = [
-        format!("content-length: {length}\r\nkeep-alive: timeout=5\r\n\r\n{body}"),
-        format!("connection: close\r\n\r\n{body}"),
-        format!(
-            "transfer-encoding: chunked\r\n\r\n{length:x};a=\"b\"\r\n{body}\r\n0\r\nx: y\r\n\r\n"
-        ),
-    ];
-    for response in responses {
-        let response = format!("{interim}HTTP/1.1 200 OK\r\n{response}");
+    for response in sound_responses(body) {
+        let response = format!("{interim}{response}");
         assert!(call(&serve(&response)).is_ok(), "{response:?}");
     }
 }
+
+/// The length in the answer to a HEAD is that of a body that is not sent.
+#[rstest]
+fn answer_to_a_head_has_no_body(
+    #[values("content-length: 5", "transfer-encoding: chunked")] line: &str,
+) {
+    let response = format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\n");
+    let answer = call_with("HEAD", &serve(&response)).expect("an answer");
+    assert_eq!((answer.status, answer.body.len()), (200, 0));
+}
