Read as many headers of a response as ureq does

The check of what `ureq` reads took over the bound of the gateway, 64 headers, so that a service's sound response with more would have been malformed at `mimosapass serve`. `number_of_headers_is_bounded` failed with 64.

--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -12,8 +12,8 @@
 const STATUS_END: usize = "HTTP/1.1 200".len();
 /// Maximum size of a response's head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
-/// Maximum number of headers of a response.
-const MAX_HEADERS: usize = 64;
+/// Maximum number of headers of a response, that of `ureq`.
+const MAX_HEADERS: usize = 128;
 
 /// How a response body is framed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/http/tests/grammar.rs
+++ b/crates/http/tests/grammar.rs
@@ -357,3 +357,14 @@
     let shown = failures.iter().take(MAX_SHOWN).cloned().collect::<Vec<_>>().join("\n");
     assert!(failures.is_empty(), "{} of {count}\n{shown}", failures.len());
 }
+
+/// Guards against sound responses that are malformed for the number of their headers.
+#[rstest]
+#[case::most(128, true)]
+#[case::too_many(129, false)]
+fn number_of_headers_is_bounded(#[case] count: usize, #[case] sound: bool) {
+    let others = "x: y\r\n".repeat(count - 1);
+    let response = format!("HTTP/1.1 200 OK\r\n{others}content-length: 2\r\n\r\nok");
+    let whole = decode(std::iter::once(response.as_bytes()), "GET", false);
+    assert_eq!(whole.map(|whole| whole.fields.len()), sound.then_some(count));
+}
