Bound chunk lines and trailers alike however they arrive

A line with a chunk's size that came whole had no bound, and one that came in parts had 256 bytes; the bound on a trailer differed by two bytes in the same way. So a response was malformed or not by how its bytes arrived.

`bounds_do_not_depend_on_how_bytes_arrive` failed in 2 of 2 cases before. A comment in the same file says what its constant counts.

--- a/crates/http/src/chunks.rs
+++ b/crates/http/src/chunks.rs
@@ -4,7 +4,7 @@
 
 /// End of a line.
 const CRLF: &[u8] = b"\r\n";
-/// Maximum length of the line with a chunk's size.
+/// Maximum length of the line with a chunk's size, with its end.
 const MAX_LINE_BYTES: usize = 256;
 /// Maximum size of a chunked body's trailer.
 const MAX_TRAILER_BYTES: usize = 16 * 1024;
@@ -76,8 +76,11 @@
             None => return Ok(ChunkPart::NeedMore),
         }
         let (length, size) = match httparse::parse_chunk_size(bytes) {
+            Ok(httparse::Status::Complete((length, _))) if length > MAX_LINE_BYTES => {
+                return Err(Defect::TooLong);
+            }
             Ok(httparse::Status::Complete(parsed)) => parsed,
-            Ok(httparse::Status::Partial) if bytes.len() <= MAX_LINE_BYTES => {
+            Ok(httparse::Status::Partial) if bytes.len() < MAX_LINE_BYTES => {
                 return Ok(ChunkPart::NeedMore);
             }
             Ok(httparse::Status::Partial) => return Err(Defect::TooLong),
@@ -94,14 +97,15 @@
 
     fn next_trailer(&mut self, bytes: &[u8], read: usize) -> Result<ChunkPart, Defect> {
         let line = take_line(bytes)?;
-        if read + line.unwrap_or(bytes).len() >= MAX_TRAILER_BYTES {
+        // A line that is not complete has at least one more byte.
+        let length = line.map_or(bytes.len() + 1, |line| line.len() + CRLF.len());
+        if read + length > MAX_TRAILER_BYTES {
             return Err(Defect::TooLong);
         }
         match line {
             None => Ok(ChunkPart::NeedMore),
-            Some([]) => Ok(ChunkPart::End(CRLF.len())),
+            Some([]) => Ok(ChunkPart::End(length)),
             Some(line) if is_field(line) => {
-                let length = line.len() + CRLF.len();
                 self.state = State::Trailer(read + length);
                 Ok(ChunkPart::Framing(length))
             }
--- a/crates/http/tests/grammar.rs
+++ b/crates/http/tests/grammar.rs
@@ -8,7 +8,7 @@
 use mimosapass_http::response::ResponseHead;
 use rstest::rstest;
 
-/// Bytes of which a decoder without a mutation of its own gets one at a time.
+/// Of this many responses one is given to the decoder byte by byte, too.
 const TRICKLE_INTERVAL: usize = 61;
 /// Failures that are shown.
 const MAX_SHOWN: usize = 20;
@@ -368,3 +368,21 @@
     let whole = decode(std::iter::once(response.as_bytes()), "GET", false);
     assert_eq!(whole.map(|whole| whole.fields.len()), sound.then_some(count));
 }
+
+/// Guards against bounds that hold or not by how the bytes arrive.
+#[rstest]
+fn bounds_do_not_depend_on_how_bytes_arrive(
+    #[values(("1;", 256, "\r\nx\r\n0\r\n\r\n"), ("1\r\nx\r\n0\r\nx:", 16 * 1024, "\r\n\r\n"))]
+    (start, bound, end): (&str, usize, &str),
+) {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let mut accepted = Vec::new();
+    for length in bound - 8..bound + 4 {
+        let response = format!("{head}{start}{}{end}", "a".repeat(length));
+        let bytes = response.as_bytes();
+        let whole = decode(std::iter::once(bytes), "GET", false);
+        assert_eq!(decode(bytes.chunks(1), "GET", false), whole, "{length}");
+        accepted.push(whole.is_some());
+    }
+    assert!(accepted[0] && !accepted[11], "{accepted:?}");
+}
